--- a/src/command/BoxCommands.cpp
+++ b/src/command/BoxCommands.cpp
@@ -1,6 +1,7 @@
 #include "command/Commands.h"
 #include "config/Schema.h"
 #include "config/Values.h"
+#include "gateway/Gateway.h"
 #include "kernel/BoxSettings.h"
 #include "kernel/Log.h"
 #include "services/Router.h"
@@ -81,7 +82,7 @@
 
 } // namespace
 
-void addBoxCommands(CLI::App &app, int &exitCode)
+void addBoxCommands(CLI::App &app, int &exitCode, std::function<gateway::Adapter()> adapter)
 {
     static std::string file;
     static bool asJson = false;
@@ -97,6 +98,18 @@
         kernel::startLog(settings->logLevel);
         exitCode = services::runRouter(*settings);
     });
+    auto *const front = app.add_subcommand(
+            "gateway", "Runs a gateway, fed by a platform's store, until a planned stop (SIGTERM)");
+    front->add_option("--settings", file, "The box's INI file")->required();
+    front->callback([&exitCode, adapter] {
+        const auto settings = load(file, false);
+        if (!settings) {
+            exitCode = BadInput;
+            return;
+        }
+        kernel::startLog(settings->logLevel);
+        exitCode = gateway::runGateway(*settings, adapter());
+    });
     auto *const check = app.add_subcommand(
             "check-settings", "Checks a box's INI file and says all that is wrong with it");
     check->add_option("file", file, "The box's INI file")->required();
--- a/src/command/Commands.h
+++ b/src/command/Commands.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "gateway/Adapter.h"
+
 #include <CLI/CLI.hpp>
 #include <functional>
 
@@ -18,8 +20,9 @@
     Unreachable = 5 ///< The box or the platform doesn't answer.
 };
 
-/** Adds 'router', 'check-settings', 'settings-reference'. */
-void addBoxCommands(CLI::App &app, int &exitCode);
+/** Adds 'router', 'gateway', 'check-settings', 'settings-reference'. \param adapter of the platform
+ * that a gateway runs on. */
+void addBoxCommands(CLI::App &app, int &exitCode, std::function<gateway::Adapter()> adapter);
 
 /** Adds 'config', 'organisation', 'pool', 'status', 'leave'. */
 void addOperatorCommands(CLI::App &app, int &exitCode);
--- a/src/command/Main.cpp
+++ b/src/command/Main.cpp
@@ -1,4 +1,5 @@
 #include "command/Commands.h"
+#include "platform/Adapter.h"
 
 #include <iostream>
 #include <sodium.h>
@@ -13,7 +14,7 @@
     app.set_version_flag("--version", std::string("limereel ") + LIMEREEL_VERSION);
     app.require_subcommand(1);
     int exitCode = limereel::command::Success;
-    limereel::command::addBoxCommands(app, exitCode);
+    limereel::command::addBoxCommands(app, exitCode, limereel::platform::adapter);
     limereel::command::addOperatorCommands(app, exitCode);
     limereel::command::addToolCommands(app, exitCode);
     try {
--- /dev/null
+++ b/src/forward/FleetRetryBudget.h
@@ -0,0 +1,64 @@
+/** \file
+ * Repeats come out of a budget that the whole fleet shares: in any window, a ratio of the requests
+ * plus a slack. Each box spends its part of it, without asking the others: the ratio of its own
+ * requests, and the slack divided by the boxes.
+ *
+ * What a backend server rejects counts too, so a full service isn't hammered.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace limereel::forward {
+
+/** The bound of the whole fleet. */
+struct RetryBound
+{
+    double ratio = 0;
+    kernel::Duration window{};
+    double slack = 0;
+
+    auto operator<=>(const RetryBound &) const = default;
+};
+
+/** One box's part of the budget, for each service. */
+class FleetRetryBudget
+{
+public:
+    explicit FleetRetryBudget(RetryBound bound)
+        : bound_(bound)
+    {
+    }
+
+    /** Sets how many boxes share the slack. */
+    void setBoxes(std::size_t boxes) { boxes_ = boxes == 0 ? 1 : boxes; }
+
+    /** Counts a request of a caller for \a service. */
+    void countRequest(const std::string &service, kernel::Instant now);
+
+    /** Takes a repeat. \return false if this box's part is spent. */
+    bool take(const std::string &service, kernel::Instant now);
+
+    /** Repeats that are left now. */
+    double left(const std::string &service, kernel::Instant now);
+
+private:
+    struct Slice
+    {
+        kernel::Instant begin;
+        double requests = 0;
+        double repeats = 0;
+    };
+
+    Slice &current(const std::string &service, kernel::Instant now);
+
+    RetryBound bound_;
+    std::size_t boxes_ = 1;
+    std::map<std::string, std::deque<Slice>> services_;
+};
+
+} // namespace limereel::forward
--- /dev/null
+++ b/src/forward/ServerBook.cpp
@@ -0,0 +1,337 @@
+#include "forward/ServerBook.h"
+
+#include "kernel/decisions/Name.h"
+#include "membership/Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limereel::forward {
+
+namespace {
+
+// What others run is told now and then; an old word fades to half in this time.
+constexpr double OthersHalfLife = 1.5;
+// A share of failed answers fades to half in this time, so that a server gets another chance.
+constexpr double ErrorsHalfLife = 4;
+constexpr double ErrorWeight = 0.12;
+// Beyond the mean of its service by this much, a server's share of failed answers counts as its
+// own.
+constexpr double ErrorsBeyondMean = 0.22;
+constexpr kernel::Duration FullPause = 150ms;
+constexpr double LoadBeyondMean = 3;
+// The bound that is kept leaves room for what other boxes do at the same moment.
+constexpr double BoundPart = 0.75;
+constexpr double OtherHallCost = 0.25;
+constexpr std::size_t MostHolders = 65536;
+constexpr kernel::Duration SweepEvery = 5s;
+
+double faded(double value, kernel::Duration age, double halfLife)
+{
+    return value * std::exp2(-kernel::seconds(age) / halfLife);
+}
+
+} // namespace
+
+std::uint64_t sharedPartsKey(const Prompt &prompt)
+{
+    std::uint64_t key = kernel::hashOf(prompt.model);
+    const std::size_t shared = prompt.parts.size() > 1 ? prompt.parts.size() - 1 : 1;
+    for (std::size_t i = 0; i < std::min(shared, prompt.parts.size()); ++i) {
+        key = kernel::combine(key, prompt.parts[i].part);
+    }
+    return key;
+}
+
+void ServerBook::put(const ListedServer &server)
+{
+    Entry &entry = entries_[server.id];
+    entry.server = server;
+    entry.hash = kernel::hashOf(server.id);
+}
+
+void ServerBook::remove(const std::string &id)
+{
+    entries_.erase(id);
+}
+
+std::vector<std::string> ServerBook::ids() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(entries_.size());
+    for (const auto &[id, entry] : entries_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+std::optional<ListedServer> ServerBook::find(const std::string &id) const
+{
+    const auto place = entries_.find(id);
+    return place == entries_.end() ? std::nullopt : std::optional(place->second.server);
+}
+
+double ServerBook::load(const Entry &entry, kernel::Instant now) const
+{
+    return entry.own + faded(entry.others, now - entry.othersAt, OthersHalfLife);
+}
+
+double ServerBook::load(const std::string &id, kernel::Instant now) const
+{
+    const auto place = entries_.find(id);
+    return place == entries_.end() ? 0 : load(place->second, now);
+}
+
+double ServerBook::errors(const Entry &entry, kernel::Instant now) const
+{
+    return faded(entry.errors, now - entry.errorsAt, ErrorsHalfLife);
+}
+
+bool ServerBook::doubted(const Entry &entry, kernel::Instant now) const
+{
+    if (now < entry.doubtedUntil) {
+        return true;
+    }
+    // After its pause a doubted server gets one request at a time until one succeeds.
+    if (entry.failuresInARow > 0 && entry.own > 0) {
+        return true;
+    }
+    return silent(entry, now);
+}
+
+bool ServerBook::silent(const Entry &entry, kernel::Instant now) const
+{
+    const kernel::Instant quietSince = std::max(entry.lastHeard, entry.dueSince);
+    const kernel::Duration most = entry.server.engine ? policy_.engineSilence : policy_.silence;
+    return entry.own > 0 && now - quietSince > most;
+}
+
+bool ServerBook::silent(const std::string &id, kernel::Instant now) const
+{
+    const auto place = entries_.find(id);
+    return place != entries_.end() && silent(place->second, now);
+}
+
+bool ServerBook::doubted(const std::string &id, kernel::Instant now) const
+{
+    const auto place = entries_.find(id);
+    return place != entries_.end() && doubted(place->second, now);
+}
+
+ServerBook::EntryList ServerBook::usable(const Wish &wish, kernel::Instant now) const
+{
+    EntryList listed;
+    double errorSum = 0;
+    for (const auto &[id, entry] : entries_) {
+        const bool tried = std::ranges::find(wish.tried, id) != wish.tried.end();
+        if (entry.server.service == wish.service && !entry.server.leaving && !tried) {
+            listed.push_back(&entry);
+            errorSum += errors(entry, now);
+        }
+    }
+    const double mean = listed.empty() ? 0 : errorSum / static_cast<double>(listed.size());
+    EntryList good;
+    EntryList fair;
+    for (const Entry *entry : listed) {
+        if (doubted(*entry, now)) {
+            continue;
+        }
+        fair.push_back(entry);
+        if (errors(*entry, now) < mean + ErrorsBeyondMean && now >= entry->fullUntil) {
+            good.push_back(entry);
+        }
+    }
+    if (!good.empty()) {
+        return good;
+    }
+    return fair.empty() ? listed : fair;
+}
+
+const ServerBook::Entry *ServerBook::chooseIdlest(const EntryList &entries, kernel::Instant now,
+                                                  std::mt19937_64 &random) const
+{
+    const auto cost = [&](const Entry &entry) {
+        const double places = std::max<std::uint32_t>(1, entry.server.slots);
+        const bool near = entry.server.hall == policy_.hall;
+        return load(entry, now) / places + errors(entry, now) + (near ? 0 : OtherHallCost);
+    };
+    const std::size_t first = random() % entries.size();
+    const Entry *best = entries[first];
+    double least = cost(*best);
+    for (std::size_t i = 1; i < entries.size(); ++i) {
+        const Entry *entry = entries[(first + i) % entries.size()];
+        if (const double found = cost(*entry); found < least) {
+            best = entry;
+            least = found;
+        }
+    }
+    return best;
+}
+
+const ServerBook::Entry *ServerBook::chooseForPrompt(const EntryList &entries, const Wish &wish,
+                                                     kernel::Instant now) const
+{
+    double sum = 0;
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(entries.size());
+    for (const Entry *entry : entries) {
+        sum += load(*entry, now);
+        hashes.push_back(entry->hash);
+    }
+    const double mean = sum / static_cast<double>(entries.size());
+    const double bound = (policy_.loadMultiple * mean + LoadBeyondMean) * BoundPart;
+    const std::uint64_t key = sharedPartsKey(*wish.prompt);
+    const auto holder = holders_.find(key);
+    if (holder != holders_.end()) {
+        const auto place = std::ranges::find_if(
+                entries, [&](const Entry *entry) { return entry->server.id == holder->second.id; });
+        if (place != entries.end() && load(**place, now) <= bound) {
+            return *place;
+        }
+    }
+    const Entry *idlest = entries.front();
+    for (const std::size_t position : membership::rendezvousOrder(key, hashes, entries.size())) {
+        const Entry *entry = entries[position];
+        if (load(*entry, now) <= bound) {
+            return entry;
+        }
+        if (load(*entry, now) < load(*idlest, now)) {
+            idlest = entry;
+        }
+    }
+    return idlest;
+}
+
+std::optional<ListedServer> ServerBook::choose(const Wish &wish, kernel::Instant now,
+                                               std::mt19937_64 &random) const
+{
+    const EntryList entries = usable(wish, now);
+    if (entries.empty()) {
+        return std::nullopt;
+    }
+    const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
+    const Entry *chosen =
+            byParts ? chooseForPrompt(entries, wish, now) : chooseIdlest(entries, now, random);
+    return chosen->server;
+}
+
+void ServerBook::rememberParts(const std::string &id, const Prompt &prompt, kernel::Instant now)
+{
+    holders_.insert_or_assign(sharedPartsKey(prompt), Holder{id, now});
+    if (now - holdersSwept_ < SweepEvery && holders_.size() < MostHolders) {
+        return;
+    }
+    holdersSwept_ = now;
+    std::erase_if(holders_, [&](const auto &item) {
+        return now - item.second.lastUse > policy_.partRemembered;
+    });
+}
+
+void ServerBook::begin(const std::string &id, const Prompt *prompt, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place == entries_.end()) {
+        return;
+    }
+    Entry &entry = place->second;
+    if (entry.own == 0) {
+        entry.dueSince = now;
+    }
+    ++entry.own;
+    if (prompt != nullptr && !prompt->parts.empty()) {
+        rememberParts(id, *prompt, now);
+    }
+}
+
+void ServerBook::end(const std::string &id)
+{
+    const auto place = entries_.find(id);
+    if (place != entries_.end() && place->second.own > 0) {
+        --place->second.own;
+    }
+}
+
+void ServerBook::noteHeard(const std::string &id, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place != entries_.end()) {
+        place->second.lastHeard = now;
+    }
+}
+
+void ServerBook::noteLoad(const std::string &id, const ReportedLoad &reported, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place == entries_.end()) {
+        return;
+    }
+    const double total = static_cast<double>(reported.running) + reported.waiting;
+    setOthers(id, std::max(0.0, total - place->second.own), now);
+}
+
+void ServerBook::setOthers(const std::string &id, double others, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place != entries_.end()) {
+        place->second.others = others;
+        place->second.othersAt = now;
+    }
+}
+
+void ServerBook::noteSuccess(const std::string &id, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place == entries_.end()) {
+        return;
+    }
+    Entry &entry = place->second;
+    entry.failuresInARow = 0;
+    entry.doubtedUntil = now;
+    entry.errors = errors(entry, now) * (1 - ErrorWeight);
+    entry.errorsAt = now;
+}
+
+void ServerBook::noteFailure(const std::string &id, Failure failure, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place == entries_.end()) {
+        return;
+    }
+    Entry &entry = place->second;
+    if (failure == Failure::Full) {
+        entry.fullUntil = now + FullPause;
+        return;
+    }
+    entry.errors = errors(entry, now) * (1 - ErrorWeight) + ErrorWeight;
+    entry.errorsAt = now;
+    if (failure == Failure::Error || failure == Failure::Lost) {
+        return;
+    }
+    constexpr std::uint32_t MostDoublings = 8;
+    const std::uint32_t doublings = std::min(entry.failuresInARow, MostDoublings);
+    ++entry.failuresInARow;
+    const kernel::Duration pause = policy_.firstDoubt * (1U << doublings);
+    entry.doubtedUntil = now + std::min(pause, policy_.longestDoubt);
+}
+
+std::map<std::string, std::uint32_t> ServerBook::ownLoads() const
+{
+    std::map<std::string, std::uint32_t> loads;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.own > 0) {
+            loads.emplace(id, entry.own);
+        }
+    }
+    return loads;
+}
+
+bool ServerBook::hasRoom(const std::string &service, kernel::Instant now) const
+{
+    return std::ranges::any_of(entries_, [&](const auto &item) {
+        const Entry &entry = item.second;
+        return entry.server.service == service && !entry.server.leaving && !doubted(entry, now)
+               && load(entry, now) < entry.server.slots;
+    });
+}
+
+} // namespace limereel::forward
--- /dev/null
+++ b/src/forward/ServerBook.h
@@ -0,0 +1,157 @@
+/** \file
+ * What a box knows of the backend servers: which are listed, how loaded and how healthy each is,
+ * and which prompt parts it has been sent; and from that the choice of one for a request.
+ *
+ * Health comes from the requests themselves, since probes are dear: failures to connect, lost
+ * answers, failed answers, and silence while answers are due. A doubted server gets single requests
+ * again after a pause that doubles.
+ *
+ * Prompts go where their parts lie: to the server that was last sent the deepest shared part, else
+ * to the first in the rendezvous order of that part, which is the same on every box. A server whose
+ * load passes a multiple of the mean is passed over (bounded loads: Mirrokni, Thorup and
+ * Zadimoghaddam, 2016).
+ */
+#pragma once
+
+#include "forward/Backend.h"
+#include "forward/Call.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limereel::forward {
+
+/** How an attempt at a backend server went wrong. */
+enum class Failure : std::uint8_t {
+    Unreachable, ///< No connection came about.
+    Lost,        ///< The connection ended, or bytes came that form no answer.
+    Silent,      ///< No answer in the time that it should take.
+    Error,       ///< It answered that it failed.
+    Full         ///< It rejected the request as it has no place.
+};
+
+/** The settings of the book. */
+struct BookPolicy
+{
+    std::string hall;        ///< Of the box: its own hall is preferred.
+    double loadMultiple = 2; ///< Most load, as a multiple of the mean.
+    kernel::Duration partRemembered = 10s;
+    kernel::Duration silence = 250ms;       ///< Of a plain server while an answer is due.
+    kernel::Duration engineSilence = 900ms; ///< Of an engine, which may be reading a long prompt.
+    kernel::Duration firstDoubt = 250ms;
+    kernel::Duration longestDoubt = 4s;
+};
+
+/** What is wanted of a backend server. */
+struct Wish
+{
+    std::string service;
+    const Prompt *prompt = nullptr; ///< Set where parts of prompts are kept.
+    std::vector<std::string> tried; ///< Servers not to be chosen.
+};
+
+/** The book of one box. Pure: time and chance are handed in. */
+class ServerBook
+{
+public:
+    explicit ServerBook(BookPolicy policy)
+        : policy_(std::move(policy))
+    {
+    }
+
+    /** Takes in a listed server, new or changed. */
+    void put(const ListedServer &server);
+
+    /** A server is listed no more. */
+    void remove(const std::string &id);
+
+    /** The ids of all listed servers. */
+    std::vector<std::string> ids() const;
+
+    /** The listed server \a id; nothing if there is none. */
+    std::optional<ListedServer> find(const std::string &id) const;
+
+    /** The server for \a wish; nothing if none may be used. */
+    std::optional<ListedServer> choose(const Wish &wish, kernel::Instant now,
+                                       std::mt19937_64 &random) const;
+
+    /** A request goes to \a id; with a prompt, its parts will lie there. */
+    void begin(const std::string &id, const Prompt *prompt, kernel::Instant now);
+
+    /** The request is over. */
+    void end(const std::string &id);
+
+    /** Bytes came from \a id. */
+    void noteHeard(const std::string &id, kernel::Instant now);
+    void noteLoad(const std::string &id, const ReportedLoad &load, kernel::Instant now);
+    void noteSuccess(const std::string &id, kernel::Instant now);
+    void noteFailure(const std::string &id, Failure failure, kernel::Instant now);
+
+    /** Requests of other boxes that run at \a id, as they tell. */
+    void setOthers(const std::string &id, double load, kernel::Instant now);
+
+    /** This box's requests at each server. */
+    std::map<std::string, std::uint32_t> ownLoads() const;
+
+    /** Whether some listed server of \a service has a free place, as far as the box knows. */
+    bool hasRoom(const std::string &service, kernel::Instant now) const;
+
+    /** Whether nothing has come from \a id for too long while answers are due. */
+    bool silent(const std::string &id, kernel::Instant now) const;
+
+    /** Whether \a id is doubted now. */
+    bool doubted(const std::string &id, kernel::Instant now) const;
+
+    /** The estimated load of \a id: requests that run or wait there. */
+    double load(const std::string &id, kernel::Instant now) const;
+
+private:
+    struct Entry
+    {
+        ListedServer server;
+        std::uint64_t hash = 0;
+        std::uint32_t own = 0;
+        double others = 0;
+        kernel::Instant othersAt;
+        std::uint32_t failuresInARow = 0;
+        kernel::Instant doubtedUntil;
+        kernel::Instant fullUntil;
+        double errors = 0; ///< Decaying share of failed answers.
+        kernel::Instant errorsAt;
+        kernel::Instant lastHeard;
+        kernel::Instant dueSince; ///< When the first of the running requests was sent.
+    };
+
+    struct Holder
+    {
+        std::string id;
+        kernel::Instant lastUse;
+    };
+
+    using EntryList = std::vector<const Entry *>;
+
+    EntryList usable(const Wish &wish, kernel::Instant now) const;
+    bool doubted(const Entry &entry, kernel::Instant now) const;
+    bool silent(const Entry &entry, kernel::Instant now) const;
+    double load(const Entry &entry, kernel::Instant now) const;
+    double errors(const Entry &entry, kernel::Instant now) const;
+    const Entry *chooseForPrompt(const EntryList &entries, const Wish &wish,
+                                 kernel::Instant now) const;
+    const Entry *chooseIdlest(const EntryList &entries, kernel::Instant now,
+                              std::mt19937_64 &random) const;
+    void rememberParts(const std::string &id, const Prompt &prompt, kernel::Instant now);
+
+    BookPolicy policy_;
+    std::map<std::string, Entry> entries_;
+    std::unordered_map<std::uint64_t, Holder> holders_; ///< By key of the shared parts.
+    kernel::Instant holdersSwept_;
+};
+
+/** The key of the parts of \a prompt that other requests share: all but the last one. */
+std::uint64_t sharedPartsKey(const Prompt &prompt);
+
+} // namespace limereel::forward
--- /dev/null
+++ b/src/gateway/Adapter.h
@@ -0,0 +1,33 @@
+/** \file
+ * All that a gateway needs to run on one platform: the dialect of callers and backend servers, the
+ * interface of the store, and the readers of what lies there.
+ */
+#pragma once
+
+#include "forward/Dialect.h"
+#include "forward/Snapshot.h"
+#include "store/ObjectFormat.h"
+
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace limereel::gateway {
+
+/** One platform. */
+struct Adapter
+{
+    forward::Dialect dialect;
+    store::ObjectFormat store;
+
+    std::string configurationKind; ///< Of the object that holds the configuration.
+    std::string configurationName;
+    std::string serverKind; ///< Of the objects in which backend servers record themselves.
+
+    std::function<tl::expected<forward::SnapshotContent, std::string>(const nlohmann::json &)>
+            readConfiguration;
+    std::function<tl::expected<forward::ListedServer, std::string>(const store::StoredObject &)>
+            readServer;
+};
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/ConnectionPool.cpp
@@ -0,0 +1,81 @@
+#include "gateway/ConnectionPool.h"
+
+namespace limereel::gateway {
+
+namespace {
+
+constexpr kernel::Duration KeptUntold = 4s;
+// A server counts its idle time from when its answer left, and closes while a request is on its
+// way.
+constexpr kernel::Duration Margin = 500ms;
+constexpr kernel::Duration SurelyOpen = 1s; ///< Where the server didn't say how long it waits.
+constexpr std::size_t MostIdle = 16;        ///< To one server.
+
+} // namespace
+
+http::KeptConnection::Ptr ConnectionPool::take(const forward::ListedServer &server, bool surelyOpen)
+{
+    const auto place = idle_.find(server.id);
+    if (place == idle_.end()) {
+        return nullptr;
+    }
+    std::vector<Idle> &idle = place->second;
+    const kernel::Instant now = context_.now();
+    // The one that was used last is the least likely to be closed.
+    while (!idle.empty()) {
+        const Idle last = idle.back();
+        const bool sound = now < last.until && last.connection->quiet();
+        const bool sure = last.told || now - last.since < SurelyOpen;
+        if (sound && surelyOpen && !sure) {
+            return nullptr;
+        }
+        idle.pop_back();
+        if (sound) {
+            return last.connection;
+        }
+        last.connection->close();
+    }
+    return nullptr;
+}
+
+void ConnectionPool::give(const forward::ListedServer &server, http::KeptConnection::Ptr connection,
+                          std::optional<kernel::Duration> keptFor)
+{
+    const kernel::Duration kept = keptFor ? *keptFor - Margin : KeptUntold;
+    std::vector<Idle> &idle = idle_[server.id];
+    if (!connection->reusable() || kept <= 0s || idle.size() >= MostIdle) {
+        connection->close();
+        return;
+    }
+    const kernel::Instant now = context_.now();
+    idle.push_back({std::move(connection), now, now + kept, keptFor.has_value()});
+}
+
+void ConnectionPool::drop(const std::string &id)
+{
+    const auto place = idle_.find(id);
+    if (place == idle_.end()) {
+        return;
+    }
+    for (const Idle &idle : place->second) {
+        idle.connection->close();
+    }
+    idle_.erase(place);
+}
+
+void ConnectionPool::sweep()
+{
+    const kernel::Instant now = context_.now();
+    for (auto &[id, idle] : idle_) {
+        std::erase_if(idle, [&](const Idle &item) {
+            const bool over = now >= item.until || !item.connection->quiet();
+            if (over) {
+                item.connection->close();
+            }
+            return over;
+        });
+    }
+    std::erase_if(idle_, [](const auto &item) { return item.second.empty(); });
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/GatewayServices.cpp
@@ -0,0 +1,108 @@
+#include "gateway/GatewayServices.h"
+
+#include "kernel/Log.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr kernel::Duration LookEvery = 20ms;
+// A balancer that asks each second turns away after two answers; it needs this long at most.
+constexpr kernel::Duration BalancerLag = 2500ms;
+constexpr kernel::Duration LastMoment = 200ms; ///< Before the platform's own end.
+constexpr const char *MetricsPath = "/metrics";
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("stop");
+    return Log;
+}
+
+http::ServerLimits smallLimits()
+{
+    http::ServerLimits limits;
+    limits.headBytes = 4096;
+    limits.bodyBytes = 1024;
+    limits.connections = 64;
+    limits.idleTimeout = 30s;
+    return limits;
+}
+
+} // namespace
+
+std::unique_ptr<http::Server> ReadyService::serve(const kernel::Endpoint &where)
+{
+    auto server = std::make_unique<http::Server>(context_.io, smallLimits(),
+                                                 [this](http::Request request, http::Reply &reply) {
+                                                     return handle(std::move(request), reply);
+                                                 });
+    server->listen(where);
+    return server;
+}
+
+void ReadyService::start()
+{
+    if (context_.settings.ready.port != 0) {
+        servers_.push_back(serve(context_.settings.ready));
+    }
+    servers_.push_back(serve(context_.settings.control));
+    if (const std::uint32_t port = context_.settings.gateway.metricsPort; port != 0) {
+        servers_.push_back(
+                serve({context_.settings.control.address, static_cast<std::uint16_t>(port)}));
+    }
+}
+
+void ReadyService::stop()
+{
+    servers_.clear();
+}
+
+asio::awaitable<void> ReadyService::handle(http::Request request, http::Reply &reply)
+{
+    http::Answer answer(404, http::Fields().with("Content-Type", "text/plain"), "unknown path\n");
+    if (request.path() == world_.adapter().dialect.readyPath) {
+        const bool ready = !leaving_ && world_.ready();
+        answer.status = ready ? 200 : 503;
+        answer.body = ready ? "ready\n" : "not ready\n";
+    } else if (request.path() == MetricsPath) {
+        answer.status = 200;
+        answer.body = context_.counters.exposition();
+    }
+    co_await reply.send(std::move(answer));
+}
+
+void GatewayStop::leave()
+{
+    if (leaving_) {
+        return;
+    }
+    leaving_ = true;
+    log().info("A planned stop begins.");
+    context_.kernel.find<ReadyService>("ready").beginLeaving();
+    context_.kernel.find<FrontService>("front").beginLeaving();
+    asio::co_spawn(context_.io, run(), asio::detached);
+}
+
+asio::awaitable<void> GatewayStop::run()
+{
+    auto &front = context_.kernel.find<FrontService>("front");
+    const kernel::Instant began = context_.now();
+    const kernel::Duration whole = context_.settings.gateway.stopWithin;
+    asio::steady_timer timer(context_.io);
+    timer.expires_after(std::min(BalancerLag, whole / 3));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    front.drain();
+    while (front.active() > 0 && context_.now() - began < whole - LastMoment) {
+        timer.expires_after(LookEvery);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    log().info("The planned stop is done, " + std::to_string(front.active())
+               + " requests are cut.");
+    done_();
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/GatewayServices.h
@@ -0,0 +1,65 @@
+/** \file
+ * The small services of a gateway: readiness for the balancer, metrics, and the planned stop.
+ */
+#pragma once
+
+#include "gateway/FrontService.h"
+
+#include <functional>
+#include <memory>
+
+namespace limereel::gateway {
+
+/** Tells the balancer whether the box is ready, and serves the metrics. */
+class ReadyService : public kernel::Service
+{
+public:
+    ReadyService(services::Context &context, World &world)
+        : context_(context)
+        , world_(world)
+    {
+    }
+
+    std::string_view name() const override { return "ready"; }
+    void start() override;
+    void stop() override;
+
+    /** The box is not ready from now on. */
+    void beginLeaving() { leaving_ = true; }
+
+private:
+    std::unique_ptr<http::Server> serve(const kernel::Endpoint &where);
+    boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
+
+    services::Context &context_;
+    World &world_;
+    bool leaving_ = false;
+    std::vector<std::unique_ptr<http::Server>> servers_;
+};
+
+/** The planned stop: not ready at once, connections closed between requests, what runs finished. */
+class GatewayStop : public kernel::Service
+{
+public:
+    GatewayStop(services::Context &context, std::function<void()> done)
+        : context_(context)
+        , done_(std::move(done))
+    {
+    }
+
+    std::string_view name() const override { return "stop"; }
+    void start() override {}
+    void stop() override {}
+
+    /** Begins the stop; a second call changes nothing. */
+    void leave();
+
+private:
+    boost::asio::awaitable<void> run();
+
+    services::Context &context_;
+    std::function<void()> done_;
+    bool leaving_ = false;
+};
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/ObjectFeed.cpp
@@ -0,0 +1,177 @@
+#include "gateway/ObjectFeed.h"
+
+#include "kernel/Log.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t MostAnswerBytes = 64U * 1024 * 1024;
+constexpr int Good = 200;
+constexpr int HistoryGone = 410;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("feed");
+    return Log;
+}
+
+} // namespace
+
+ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
+                       std::string kind, FeedPace pace, FeedHooks hooks)
+    : context_(context)
+    , format_(format)
+    , kind_(std::move(kind))
+    , pace_(pace)
+    , hooks_(std::move(hooks))
+    , backoff_(pace.firstPause, pace.longestPause)
+    , loop_(std::make_unique<services::Repeat>(context.io, [this] { return round(); }))
+{
+}
+
+void ObjectFeed::hurry()
+{
+    if (failing_) {
+        loop_->hurry();
+    }
+}
+
+asio::awaitable<kernel::Duration> ObjectFeed::round()
+{
+    bool good = false;
+    if (at_) {
+        good = co_await watch();
+    } else {
+        good = co_await list();
+    }
+    if (good) {
+        backoff_.succeed();
+        co_return kernel::Duration::zero();
+    }
+    co_return backoff_.fail(context_.random);
+}
+
+void ObjectFeed::noteFailure(const std::string &what)
+{
+    lastFailure_ = context_.now();
+    context_.counters.add("store_failures", {{"kind", kind_}});
+    connection_.reset();
+    if (!failing_) {
+        failing_ = true;
+        log().warn("Lost the store for '" + kind_ + "': " + what + ".");
+    }
+}
+
+void ObjectFeed::noteAnswer()
+{
+    if (failing_) {
+        failing_ = false;
+        log().info("The store answers for '" + kind_ + "' again.");
+    }
+}
+
+asio::awaitable<tl::expected<http::Answer, std::string>> ObjectFeed::ask(std::string target,
+                                                                         kernel::Duration longest)
+{
+    if (connection_ && !(connection_->reusable() && connection_->quiet())) {
+        connection_.reset();
+    }
+    if (!connection_) {
+        auto connected = co_await http::KeptConnection::connect(
+                context_.io, context_.settings.platform, context_.settings.connectTimeout);
+        if (!connected) {
+            co_return tl::unexpected(connected.error().message);
+        }
+        connection_ = *connected;
+    }
+    context_.counters.add("store_calls", {{"kind", kind_}});
+    const http::KeptConnection::Ptr connection = connection_;
+    asio::steady_timer timer(context_.io, longest);
+    timer.async_wait([connection](boost::system::error_code stopped) {
+        if (!stopped) {
+            connection->close();
+        }
+    });
+    http::Request request("GET", std::move(target),
+                          http::Fields().with("Host", kernel::text(context_.settings.platform)));
+    connection->send(std::move(request));
+    auto head = co_await connection->readHead();
+    if (!head) {
+        timer.cancel();
+        co_return tl::unexpected(head.error().message);
+    }
+    auto body = co_await connection->readAll(MostAnswerBytes);
+    timer.cancel();
+    if (!body) {
+        co_return tl::unexpected(body.error().message);
+    }
+    http::Answer answer(head->status, {}, std::move(*body));
+    co_return answer;
+}
+
+asio::awaitable<bool> ObjectFeed::list()
+{
+    const kernel::Instant asked = context_.now();
+    std::vector<store::StoredObject> objects;
+    std::uint64_t at = 0;
+    bool more = true;
+    while (more) {
+        const std::string after = objects.empty() ? std::string() : objects.back().name;
+        std::string target = format_.listTarget(kind_, after);
+        const auto answer = co_await ask(std::move(target), pace_.answer);
+        if (!answer || answer->status != Good) {
+            noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
+            co_return false;
+        }
+        auto page = format_.readPage(answer->body);
+        if (!page) {
+            noteFailure("the list can't be read, " + page.error());
+            co_return false;
+        }
+        // Changes between two pages come with the watch, which goes on from the first page.
+        at = at == 0 ? page->at : std::min(at, page->at);
+        more = page->more && !page->objects.empty();
+        std::ranges::move(page->objects, std::back_inserter(objects));
+    }
+    noteAnswer();
+    at_ = at;
+    hooks_.replaced(std::move(objects));
+    hooks_.confirmed(asked);
+    co_return true;
+}
+
+asio::awaitable<bool> ObjectFeed::watch()
+{
+    const kernel::Instant asked = context_.now();
+    std::string target = format_.watchTarget(kind_, *at_, pace_.wait);
+    const auto answer = co_await ask(std::move(target), pace_.wait + pace_.answer);
+    if (answer && answer->status == HistoryGone) {
+        log().info("The store has forgotten its history of '" + kind_ + "'; the list is read.");
+        at_.reset();
+        co_return true;
+    }
+    if (!answer || answer->status != Good) {
+        noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
+        co_return false;
+    }
+    auto changes = format_.readChanges(answer->body);
+    if (!changes) {
+        noteFailure("the changes can't be read, " + changes.error());
+        at_.reset();
+        co_return false;
+    }
+    noteAnswer();
+    at_ = std::max(*at_, changes->at);
+    if (!changes->objects.empty()) {
+        hooks_.changed(std::move(changes->objects));
+    }
+    hooks_.confirmed(asked);
+    co_return true;
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/ObjectFeed.h
@@ -0,0 +1,80 @@
+/** \file
+ * Follows all objects of one kind in the store: a list first, then a watch that goes on from it,
+ * and a new list whenever the store has forgotten what lay between.
+ *
+ * An outage changes nothing that is known. Each answered watch also confirms that nothing newer had
+ * been there when it was asked.
+ */
+#pragma once
+
+#include "gateway/Adapter.h"
+#include "http/KeptConnection.h"
+#include "services/Context.h"
+#include "services/Repeat.h"
+#include "store/Backoff.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace limereel::gateway {
+
+/** The pace of one feed. */
+struct FeedPace
+{
+    kernel::Duration wait = 2s;   ///< Of one watch.
+    kernel::Duration answer = 1s; ///< Longest wait for an answer beyond that.
+    kernel::Duration firstPause = 50ms;
+    kernel::Duration longestPause = 500ms;
+};
+
+/** What a feed calls. */
+struct FeedHooks
+{
+    /** All objects there are. */
+    std::function<void(std::vector<store::StoredObject>)> replaced;
+
+    /** Objects that changed or went. */
+    std::function<void(std::vector<store::StoredObject>)> changed;
+
+    /** What is known was the newest at \a asOf. */
+    std::function<void(kernel::Instant asOf)> confirmed;
+};
+
+/** One feed. */
+class ObjectFeed
+{
+public:
+    ObjectFeed(services::Context &context, const store::ObjectFormat &format, std::string kind,
+               FeedPace pace, FeedHooks hooks);
+
+    /** When the store last failed to answer; nothing if it never did. */
+    std::optional<kernel::Instant> lastFailure() const { return lastFailure_; }
+
+    /** Asks again at once if the feed waits after a failure. */
+    void hurry();
+
+private:
+    boost::asio::awaitable<kernel::Duration> round();
+    boost::asio::awaitable<bool> list();
+    boost::asio::awaitable<bool> watch();
+    boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(std::string target,
+                                                                        kernel::Duration longest);
+    void noteFailure(const std::string &what);
+    void noteAnswer();
+
+    services::Context &context_;
+    const store::ObjectFormat &format_;
+    std::string kind_;
+    FeedPace pace_;
+    FeedHooks hooks_;
+    store::Backoff backoff_;
+    http::KeptConnection::Ptr connection_;
+    std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
+    std::optional<kernel::Instant> lastFailure_;
+    bool failing_ = false;
+    std::unique_ptr<services::Repeat> loop_;
+};
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/World.cpp
@@ -0,0 +1,213 @@
+#include "gateway/World.h"
+
+#include "kernel/Log.h"
+
+#include <boost/asio.hpp>
+#include <set>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Between the check of a key and the moment at which the backend server begins.
+constexpr kernel::Duration RevokeMargin = 600ms;
+constexpr kernel::Duration StoreAnswer = 900ms;
+constexpr kernel::Duration ServerWatch = 5s;
+constexpr kernel::Duration SweepEvery = 100ms;
+// Beats that a backend server which still lives needs to be listed again after an outage.
+constexpr int BeatsToReturn = 2;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("world");
+    return Log;
+}
+
+kernel::Duration usableFor(const kernel::GatewaySettings &settings)
+{
+    return std::max(settings.revokeWithin - RevokeMargin, settings.revokeWithin / 2);
+}
+
+forward::BookPolicy policyOf(const kernel::BoxSettings &settings)
+{
+    forward::BookPolicy policy;
+    policy.hall = settings.hall.text();
+    policy.loadMultiple = settings.gateway.loadMultiple;
+    policy.partRemembered = settings.gateway.partRemembered * 6;
+    return policy;
+}
+
+} // namespace
+
+World::World(services::Context &context, Adapter adapter)
+    : context_(context)
+    , adapter_(std::move(adapter))
+    , freshness_(usableFor(context.settings.gateway))
+    , servers_(policyOf(context.settings))
+    , budget_({context.settings.gateway.retryRatio, context.settings.gateway.retryWindow,
+               static_cast<double>(context.settings.gateway.retrySlack)})
+{
+}
+
+void World::start()
+{
+    FeedPace configurationPace;
+    // Two watches in a row, the second one unanswered yet, must fit into the time of use.
+    configurationPace.wait = (usableFor(context_.settings.gateway) - 400ms) / 2;
+    configurationPace.answer = StoreAnswer;
+    FeedHooks configurationHooks;
+    configurationHooks.replaced = [this](const auto &objects) { takeConfiguration(objects); };
+    configurationHooks.changed = configurationHooks.replaced;
+    configurationHooks.confirmed = [this](kernel::Instant asOf) {
+        if (snapshot_) {
+            freshness_.confirm(asOf);
+        }
+        if (serverFeed_) {
+            serverFeed_->hurry();
+        }
+    };
+    configurationFeed_ =
+            std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.configurationKind,
+                                         configurationPace, std::move(configurationHooks));
+    FeedPace serverPace;
+    serverPace.wait = ServerWatch;
+    serverPace.answer = StoreAnswer;
+    FeedHooks serverHooks;
+    serverHooks.replaced = [this](const auto &objects) { replaceServers(objects); };
+    serverHooks.changed = [this](const auto &objects) { changeServers(objects); };
+    serverHooks.confirmed = [](kernel::Instant) {};
+    serverFeed_ = std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.serverKind,
+                                               serverPace, std::move(serverHooks));
+    sweep_ = std::make_unique<services::Repeat>(context_.io,
+                                                [this]() -> asio::awaitable<kernel::Duration> {
+                                                    dropMissing();
+                                                    co_return kernel::Duration(SweepEvery);
+                                                });
+}
+
+void World::stop()
+{
+    sweep_.reset();
+    serverFeed_.reset();
+    configurationFeed_.reset();
+}
+
+bool World::ready() const
+{
+    return snapshot_ && serversKnown_ && freshness_.usable(context_.now());
+}
+
+void World::takeConfiguration(const std::vector<store::StoredObject> &objects)
+{
+    for (const store::StoredObject &object : objects) {
+        if (object.name != adapter_.configurationName || object.gone) {
+            continue;
+        }
+        auto content = adapter_.readConfiguration(object.content);
+        if (!content) {
+            context_.counters.add("configurations_unreadable");
+            log().error("A configuration can't be read and is left out: " + content.error() + ".");
+            continue;
+        }
+        if (snapshot_ && content->version <= snapshot_->version()) {
+            continue;
+        }
+        snapshot_ = std::make_shared<const forward::Snapshot>(std::move(*content));
+        log().info("Configuration " + std::to_string(snapshot_->version()) + " is in force, "
+                   + std::to_string(snapshot_->content().routes.size()) + " routes.");
+        for (const auto &called : onConfiguration_) {
+            called(*snapshot_);
+        }
+    }
+}
+
+void World::takeServer(const store::StoredObject &object)
+{
+    const auto server = adapter_.readServer(object);
+    if (!server) {
+        context_.counters.add("servers_unreadable");
+        log().error("The entry of backend server " + object.name
+                    + " can't be read: " + server.error() + ".");
+        return;
+    }
+    missing_.erase(server->id);
+    const auto known = servers_.find(server->id);
+    if (!known || *known != *server) {
+        log().info("Backend server " + server->id + " of service " + server->service + " at "
+                   + kernel::text(server->address)
+                   + (server->leaving ? " leaves." : " takes work."));
+    }
+    servers_.put(*server);
+}
+
+void World::replaceServers(const std::vector<store::StoredObject> &objects)
+{
+    std::set<std::string> listed;
+    for (const store::StoredObject &object : objects) {
+        listed.insert(object.name);
+        takeServer(object);
+    }
+    for (const std::string &id : servers_.ids()) {
+        if (!listed.contains(id)) {
+            missServer(id);
+        }
+    }
+    serversKnown_ = true;
+}
+
+void World::changeServers(const std::vector<store::StoredObject> &objects)
+{
+    for (const store::StoredObject &object : objects) {
+        if (object.gone) {
+            missServer(object.name);
+        } else {
+            takeServer(object);
+        }
+    }
+}
+
+// An entry may go because the store didn't hear its server while it was away. Then the server is
+// kept for as long as it needs to be listed again.
+void World::missServer(const std::string &id)
+{
+    if (missing_.contains(id)) {
+        return;
+    }
+    const kernel::Instant now = context_.now();
+    const auto &settings = context_.settings.gateway;
+    const auto failure = serverFeed_ ? serverFeed_->lastFailure() : std::nullopt;
+    const bool storeWasAway = failure && now - *failure < settings.contact;
+    const kernel::Duration grace = storeWasAway ? settings.listBeat * BeatsToReturn : 0s;
+    missing_[id] = now + std::min(grace, settings.drainWithin * 3 / 4);
+    if (!storeWasAway) {
+        dropMissing();
+    }
+}
+
+void World::dropMissing()
+{
+    const kernel::Instant now = context_.now();
+    std::vector<std::string> due;
+    for (const auto &[id, when] : missing_) {
+        if (now >= when) {
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        missing_.erase(id);
+        dropServer(id);
+    }
+}
+
+void World::dropServer(const std::string &id)
+{
+    log().info("Backend server " + id + " is listed no more.");
+    servers_.remove(id);
+    for (const auto &called : onServerGone_) {
+        called(id);
+    }
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/World.h
@@ -0,0 +1,77 @@
+/** \file
+ * What a gateway knows of the world outside: the configuration in force and how fresh it is, and
+ * the backend servers. Fed by the store.
+ */
+#pragma once
+
+#include "forward/FleetRetryBudget.h"
+#include "forward/Freshness.h"
+#include "forward/ServerBook.h"
+#include "gateway/ObjectFeed.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace limereel::gateway {
+
+/** The service that follows the store. */
+class World : public kernel::Service
+{
+public:
+    World(services::Context &context, Adapter adapter);
+
+    std::string_view name() const override { return "world"; }
+    void start() override;
+    void stop() override;
+
+    const Adapter &adapter() const { return adapter_; }
+
+    /** The configuration in force; nullptr before the first one. */
+    const forward::SnapshotPtr &snapshot() const { return snapshot_; }
+
+    const forward::Freshness &freshness() const { return freshness_; }
+    forward::ServerBook &servers() { return servers_; }
+    forward::FleetRetryBudget &budget() { return budget_; }
+
+    /** Whether requests can be served: configuration and list are known, keys are honoured. */
+    bool ready() const;
+
+    /** Adds something that is called with each new configuration. */
+    void onConfiguration(std::function<void(const forward::Snapshot &)> called)
+    {
+        onConfiguration_.push_back(std::move(called));
+    }
+
+    /** Adds something that is called when a backend server is listed no more. */
+    void onServerGone(std::function<void(const std::string &id)> called)
+    {
+        onServerGone_.push_back(std::move(called));
+    }
+
+private:
+    void takeConfiguration(const std::vector<store::StoredObject> &objects);
+    void replaceServers(const std::vector<store::StoredObject> &objects);
+    void changeServers(const std::vector<store::StoredObject> &objects);
+    void takeServer(const store::StoredObject &object);
+    void missServer(const std::string &id);
+    void dropServer(const std::string &id);
+    void dropMissing();
+
+    services::Context &context_;
+    Adapter adapter_;
+    forward::SnapshotPtr snapshot_;
+    forward::Freshness freshness_;
+    forward::ServerBook servers_;
+    forward::FleetRetryBudget budget_;
+    bool serversKnown_ = false;
+    std::map<std::string, kernel::Instant> missing_; ///< Listed no more; dropped when it is time.
+    std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
+    std::vector<std::function<void(const std::string &)>> onServerGone_;
+    std::unique_ptr<ObjectFeed> configurationFeed_;
+    std::unique_ptr<ObjectFeed> serverFeed_;
+    std::unique_ptr<services::Repeat> sweep_;
+};
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/http/KeptConnection.cpp
@@ -0,0 +1,217 @@
+#include "http/KeptConnection.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace limereel::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using outcome::Point;
+
+namespace {
+
+constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t PartBytes = 8192;
+constexpr std::uint32_t MostHeadBytes = 65536;
+// A peer without power acknowledges nothing; the kernel then gives the connection up.
+constexpr int UnacknowledgedMilliseconds = 2000;
+
+using Parser = bhttp::response_parser<bhttp::buffer_body>;
+using Message = bhttp::request<bhttp::string_body>;
+
+Message toMessage(Request request)
+{
+    Message message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    for (const auto &[name, value] : request.fields) {
+        message.insert(name, value);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct KeptConnection::State
+{
+    explicit State(asio::io_context &io)
+        : socket(io)
+    {
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    std::optional<Message> message;
+    std::optional<Parser> parser;
+    bool headRequest = false;
+    bool sending = false;
+    bool anySent = false;
+    bool failed = false;
+};
+
+KeptConnection::KeptConnection(asio::io_context &io)
+    : state_(std::make_shared<State>(io))
+{
+}
+
+CallFailure KeptConnection::failure(const boost::system::error_code &error) const
+{
+    Point point = Point::AllSent;
+    if (state_->parser && state_->parser->is_header_done()) {
+        point = Point::AnswerBegun;
+    } else if (!state_->sending && !state_->anySent) {
+        point = Point::ConnectedUnsent;
+    }
+    return {point, false, error.message()};
+}
+
+asio::awaitable<tl::expected<KeptConnection::Ptr, CallFailure>>
+KeptConnection::connect(asio::io_context &io, kernel::Endpoint endpoint, kernel::Duration longest)
+{
+    Ptr connection(new KeptConnection(io));
+    boost::system::error_code bad;
+    const auto address = asio::ip::make_address(endpoint.address, bad);
+    if (bad) {
+        co_return tl::unexpected(CallFailure{Point::BeforeConnect, false, bad.message()});
+    }
+    asio::steady_timer timer(io, longest);
+    timer.async_wait([state = connection->state_](boost::system::error_code stopped) {
+        boost::system::error_code ignored;
+        if (!stopped) {
+            state->socket.close(ignored);
+        }
+    });
+    tcp::socket &socket = connection->state_->socket;
+    const tcp::endpoint where(address, endpoint.port);
+    const auto [error] = co_await socket.async_connect(where, Quiet);
+    timer.cancel();
+    if (error || !socket.is_open()) {
+        const bool timedOut = error == asio::error::operation_aborted;
+        co_return tl::unexpected(CallFailure{Point::BeforeConnect, timedOut, error.message()});
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                              UnacknowledgedMilliseconds),
+                      ignored);
+    co_return connection;
+}
+
+void KeptConnection::send(Request request)
+{
+    State &state = *state_;
+    state.headRequest = request.method == "HEAD";
+    state.message.emplace(toMessage(std::move(request)));
+    state.sending = true;
+    state.anySent = false;
+    state.parser.reset();
+    bhttp::async_write(state.socket, *state.message,
+                       [state = state_](boost::system::error_code error, std::size_t bytes) {
+                           state->sending = false;
+                           state->anySent = bytes > 0;
+                           state->failed = state->failed || error;
+                           state->message.reset();
+                       });
+}
+
+asio::awaitable<tl::expected<AnswerStart, CallFailure>> KeptConnection::readHead()
+{
+    const std::shared_ptr<State> state = state_;
+    state->parser.emplace();
+    state->parser->body_limit(boost::none);
+    state->parser->header_limit(MostHeadBytes);
+    state->parser->skip(state->headRequest);
+    const auto [error, bytes] =
+            co_await bhttp::async_read_header(state->socket, state->buffer, *state->parser, Quiet);
+    if (error) {
+        state->failed = true;
+        co_return tl::unexpected(failure(error));
+    }
+    AnswerStart start;
+    const auto &head = state->parser->get();
+    start.status = static_cast<int>(head.result_int());
+    for (const auto &field : head) {
+        start.fields.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    co_return start;
+}
+
+asio::awaitable<tl::expected<std::string, CallFailure>> KeptConnection::readPart()
+{
+    const std::shared_ptr<State> state = state_;
+    std::string part;
+    while (part.empty() && !state->parser->is_done()) {
+        part.resize(PartBytes);
+        auto &body = state->parser->get().body();
+        body.data = part.data();
+        body.size = part.size();
+        body.more = true;
+        const auto [error, bytes] = co_await bhttp::async_read_some(state->socket, state->buffer,
+                                                                    *state->parser, Quiet);
+        part.resize(PartBytes - body.size);
+        if (error && error != bhttp::error::need_buffer) {
+            state->failed = true;
+            if (part.empty()) {
+                co_return tl::unexpected(failure(error));
+            }
+            // What came before the failure counts; the next read meets the failure again.
+            break;
+        }
+    }
+    co_return part;
+}
+
+asio::awaitable<tl::expected<std::string, CallFailure>>
+KeptConnection::readAll(std::size_t mostBytes)
+{
+    std::string all;
+    while (true) {
+        auto part = co_await readPart();
+        if (!part) {
+            co_return tl::unexpected(part.error());
+        }
+        if (part->empty()) {
+            co_return all;
+        }
+        all += *part;
+        if (all.size() > mostBytes) {
+            state_->failed = true;
+            co_return tl::unexpected(
+                    CallFailure{Point::AnswerBegun, false, "the answer is too long"});
+        }
+    }
+}
+
+void KeptConnection::close()
+{
+    state_->failed = true;
+    boost::system::error_code ignored;
+    state_->socket.close(ignored);
+}
+
+bool KeptConnection::reusable() const
+{
+    const State &state = *state_;
+    const bool idle = !state.failed && !state.sending && state.socket.is_open();
+    return idle && state.parser && state.parser->is_done() && state.parser->get().keep_alive()
+           && !state.parser->need_eof() && state.buffer.size() == 0;
+}
+
+bool KeptConnection::quiet()
+{
+    char byte = 0;
+    const auto peeked = ::recv(state_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace limereel::http
--- /dev/null
+++ b/src/http/KeptConnection.h
@@ -0,0 +1,67 @@
+/** \file
+ * A client's connection that can be kept for several requests, over Beast.
+ *
+ * Sending and reading go on at the same time, since a server may answer before it has read a whole
+ * body. An answer counts as whole only by its length, its last chunk, or a clean end of the
+ * connection. A connection on which anything was left over, or not wholly sent, isn't used again.
+ */
+#pragma once
+
+#include "http/Client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace limereel::http {
+
+/** The head of an answer. */
+struct AnswerStart
+{
+    int status = 0;
+    Fields fields;
+};
+
+/** The connection. Shared, since what was begun on it may outlast the one who began it. */
+class KeptConnection : public std::enable_shared_from_this<KeptConnection>
+{
+public:
+    using Ptr = std::shared_ptr<KeptConnection>;
+
+    /** Connects within \a longest. */
+    static boost::asio::awaitable<tl::expected<Ptr, CallFailure>>
+    connect(boost::asio::io_context &io, kernel::Endpoint endpoint, kernel::Duration longest);
+
+    /** Begins to send \a request, with the fields that it has and its body's length. */
+    void send(Request request);
+
+    /** Waits for the head of the next answer. */
+    boost::asio::awaitable<tl::expected<AnswerStart, CallFailure>> readHead();
+
+    /** The next part of the answer's body; empty at its proper end. */
+    boost::asio::awaitable<tl::expected<std::string, CallFailure>> readPart();
+
+    /** Reads the rest of the body, at most \a mostBytes. */
+    boost::asio::awaitable<tl::expected<std::string, CallFailure>> readAll(std::size_t mostBytes);
+
+    /** Ends the connection; what is being read fails. */
+    void close();
+
+    /** Whether another request may follow the answer that was read. */
+    bool reusable() const;
+
+    /** Whether nothing has come on an idle connection, neither bytes nor its end. */
+    bool quiet();
+
+private:
+    struct State;
+    explicit KeptConnection(boost::asio::io_context &io);
+
+    CallFailure failure(const boost::system::error_code &error) const;
+
+    std::shared_ptr<State> state_;
+};
+
+} // namespace limereel::http
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -56,15 +56,21 @@
 {
 public:
     StreamReply(beast::tcp_stream &stream, const ServerLimits &limits, unsigned version,
-                bool keepAlive, bool headOnly)
+                const bool &closing, bool keepAlive, bool headOnly)
         : stream_(stream)
         , limits_(limits)
         , version_(version)
+        , closing_(closing)
         , keepAlive_(keepAlive)
         , headOnly_(headOnly)
+        , watch_(std::make_shared<Watch>())
     {
     }
 
+    ~StreamReply() override { watch_->gone = nullptr; }
+    StreamReply(const StreamReply &) = delete;
+    StreamReply &operator=(const StreamReply &) = delete;
+
     asio::awaitable<bool> send(Answer answer) override
     {
         begun_ = true;
@@ -74,7 +80,7 @@
         if (!headOnly_) {
             response.body() = std::move(answer.body);
         }
-        response.keep_alive(keepAlive_);
+        response.keep_alive(keepsAlive());
         response.prepare_payload();
         stream_.expires_after(limits_.writeTimeout);
         const auto [error, bytes] = co_await bhttp::async_write(stream_, response, Quiet);
@@ -90,7 +96,7 @@
         // A client of HTTP/1.0 knows no chunks; the end of the connection would look whole to it.
         // It is refused before it gets here.
         response.chunked(true);
-        response.keep_alive(keepAlive_);
+        response.keep_alive(keepsAlive());
         bhttp::response_serializer<bhttp::empty_body> serializer(response);
         stream_.expires_after(limits_.writeTimeout);
         const auto [error, bytes] = co_await bhttp::async_write_header(stream_, serializer, Quiet);
@@ -127,13 +133,36 @@
 
     bool begun() const override { return begun_; }
     bool whole() const { return whole_; }
+    bool keepsAlive() const { return keepAlive_ && !closing_; }
+    void closeAfter() override { keepAlive_ = false; }
+
+    void watchClient(std::function<void()> gone) override
+    {
+        watch_->gone = std::move(gone);
+        stream_.socket().async_wait(tcp::socket::wait_read,
+                                    [this, watch = watch_](boost::system::error_code) {
+                                        if (watch->gone && clientGone()) {
+                                            const auto call = std::move(watch->gone);
+                                            watch->gone = nullptr;
+                                            call();
+                                        }
+                                    });
+    }
 
 private:
+    /** What a wait holds that may outlast the reply. */
+    struct Watch
+    {
+        std::function<void()> gone; ///< Empty once the reply is over.
+    };
+
     beast::tcp_stream &stream_;
     const ServerLimits &limits_;
     unsigned version_;
+    const bool &closing_; ///< Of the server: each answer closes its connection.
     bool keepAlive_;
     bool headOnly_; ///< The request was a HEAD: the answer has no body.
+    std::shared_ptr<Watch> watch_;
     bool begun_ = false;
     bool whole_ = false;
 };
@@ -175,7 +204,7 @@
 template <typename SharedPtr>
 asio::awaitable<void> refuse(SharedPtr server, beast::tcp_stream &stream, Refused why)
 {
-    StreamReply reply(stream, server->limits, 11, false, false);
+    StreamReply reply(stream, server->limits, 11, server->closing, false, false);
     co_await reply.send(server->refusal(why));
     beast::error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -235,14 +264,14 @@
         co_await refuse(server, stream, Refused::Malformed);
         co_return false;
     }
-    const bool keepAlive = message.keep_alive() && !server->closing;
     const bool headOnly = message.method() == bhttp::verb::head;
-    StreamReply reply(stream, server->limits, message.version(), keepAlive, headOnly);
+    StreamReply reply(stream, server->limits, message.version(), server->closing,
+                      message.keep_alive(), headOnly);
     ++server->active;
     stream.expires_never();
     co_await server->handler(toRequest(std::move(message)), reply);
     --server->active;
-    co_return keepAlive && !server->closing && reply.whole();
+    co_return reply.keepsAlive() && reply.whole();
 }
 
 template <typename SharedPtr>
@@ -310,6 +339,11 @@
     asio::co_spawn(shared_->io, acceptAll(shared_), asio::detached);
 }
 
+void Server::setLimits(ServerLimits limits)
+{
+    shared_->limits = limits;
+}
+
 std::uint16_t Server::port() const
 {
     return shared_->acceptor.local_endpoint().port();
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -41,6 +41,15 @@
 
     /** Whether anything has been sent. */
     virtual bool begun() const = 0;
+
+    /**
+     * Calls \a gone once if the client closes its side before the request is over. A client that
+     * already sends its next request isn't watched any more.
+     */
+    virtual void watchClient(std::function<void()> gone) = 0;
+
+    /** Makes the answer close its connection, so that the client moves to another box. */
+    virtual void closeAfter() = 0;
 };
 
 using Handler = std::function<boost::asio::awaitable<void>(Request, Reply &)>;
@@ -71,6 +80,9 @@
     /** How a request that the limits refuse is answered. */
     void setRefusal(std::function<Answer(Refused)> refusal);
 
+    /** Replaces the limits, for requests that are read from now on. */
+    void setLimits(ServerLimits limits);
+
     /** Listens on \a endpoint; port 0 takes a free one. Throws boost::system::system_error. */
     void listen(const kernel::Endpoint &endpoint);
 
--- a/src/kernel/BoxSettings.h
+++ b/src/kernel/BoxSettings.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "kernel/GatewaySettings.h"
 #include "kernel/decisions/Name.h"
 #include "kernel/decisions/Time.h"
 
@@ -63,6 +64,7 @@
     Endpoint caller;
     Endpoint control;
     Endpoint peer;
+    Endpoint ready; ///< Port 0: readiness is told at the callers' address only.
     Endpoint platform;
     std::string platformToken;
 
@@ -101,6 +103,8 @@
     Duration placementPeriod{};
     Duration placementLease{};
     Duration placementGuard{};
+
+    GatewaySettings gateway;
 };
 
 /** One thing wrong with a settings file. */
--- /dev/null
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -0,0 +1,76 @@
+#include "kernel/SettingChecks.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace limereel::kernel {
+
+namespace {
+
+using S = BoxSettings;
+
+template <typename Type>
+auto field(Type GatewaySettings::*member)
+{
+    return [member](BoxSettings &settings) -> Type & { return settings.gateway.*member; };
+}
+
+tl::expected<void, std::string> storeSeeds(const std::string &value, BoxSettings &settings)
+{
+    for (const std::string &entry : config::splitNames(value)) {
+        const auto found = endpointFrom(entry);
+        if (!found) {
+            return tl::unexpected(found.error());
+        }
+        settings.gateway.seeds.push_back(found->address);
+    }
+    return {};
+}
+
+} // namespace
+
+std::vector<SettingRow> gatewayRows()
+{
+    using G = GatewaySettings;
+    return {
+            {{"gateway", "revoke-within", "1s to 600s", "5s",
+              "how long after a key was taken away it may still run a request; without a "
+              "configuration confirmed this recently, requests with keys are refused"},
+             duration(field(&G::revokeWithin), 1s, 600s)},
+            {{"gateway", "drain-within", "100ms to 600s", "2s",
+              "how long after a backend server began to leave it may get new work"},
+             duration(field(&G::drainWithin), 100ms, 600s)},
+            {{"gateway", "stop-within", "1s to 3600s", "8s", "when a planned stop is cut short"},
+             duration(field(&G::stopWithin), 1s, 3600s)},
+            {{"gateway", "contact", "100ms to 600s", "3s",
+              "how long the store must have answered before its list is taken at its word"},
+             duration(field(&G::contact), 100ms, 600s)},
+            {{"gateway", "list-beat", "100ms to 600s", "1200ms",
+              "time between two signs of life of a listed backend server"},
+             duration(field(&G::listBeat), 100ms, 600s)},
+            {{"gateway", "retry-ratio", "decimal from 0 to 10", "0.2",
+              "repeats for each request to a service, over the whole fleet"},
+             decimal(field(&G::retryRatio), 0, 10)},
+            {{"gateway", "retry-window", "1s to 600s", "10s", "over which repeats are counted"},
+             duration(field(&G::retryWindow), 1s, 600s)},
+            {{"gateway", "retry-slack", "integer from 0 to 1000000", "20",
+              "repeats beyond the ratio in a window, over the whole fleet"},
+             count(field(&G::retrySlack), 0, 1000000)},
+            {{"gateway", "load-multiple", "decimal from 1 to 100", "2",
+              "most load of an engine, as a multiple of the mean"},
+             decimal(field(&G::loadMultiple), 1, 100)},
+            {{"gateway", "part-remembered", "100ms to 3600s", "10s",
+              "how long after its last use a prompt part is thought to lie at an engine"},
+             duration(field(&G::partRemembered), 100ms, 3600s)},
+            {{"gateway", "metrics-port", "integer from 0 to 65535", "0",
+              "port of the metrics at the control address's number; 0: none"},
+             count(field(&G::metricsPort), 0, 65535)},
+            {{"gateway", "descriptors", "integer from 64 to 1000000", "4096",
+              "file descriptors that the process may use"},
+             count(field(&G::descriptors), 64, 1000000)},
+            {{"gateway", "seeds", "IP:PORT ...", "",
+              "boxes that may know others; their numbers are used with the own peer port"},
+             storeSeeds},
+    };
+}
+
+} // namespace limereel::kernel
--- /dev/null
+++ b/src/kernel/GatewaySettings.h
@@ -0,0 +1,36 @@
+/** \file
+ * The settings of a gateway: a box whose routes, organisations and backend servers come from a
+ * platform's store through an adapter.
+ *
+ * The bounds are promises of the deployment, in the product's words; no bound is a constant in
+ * code.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace limereel::kernel {
+
+/** Bounds that the deployment promises, and what a gateway needs to keep them. */
+struct GatewaySettings
+{
+    Duration revokeWithin{};        ///< A key that was taken away runs nothing later than this.
+    Duration drainWithin{};         ///< A leaving backend server gets nothing new later than this.
+    Duration stopWithin{};          ///< A planned stop ends by then.
+    Duration contact{};             ///< A disturbance this long ago still excuses.
+    Duration listBeat{};            ///< Time between two signs of life of a listed backend server.
+    double retryRatio = 0;          ///< Repeats for each request, over the whole fleet.
+    Duration retryWindow{};         ///< Over which repeats are counted.
+    std::uint32_t retrySlack = 0;   ///< Repeats beyond the ratio in a window, over the whole fleet.
+    double loadMultiple = 0;        ///< Most load of an engine, as a multiple of the mean.
+    Duration partRemembered{};      ///< How long an unused prompt part is thought kept.
+    std::uint32_t metricsPort = 0;  ///< 0: none.
+    std::uint32_t descriptors = 0;  ///< File descriptors that the process may use.
+    std::vector<std::string> seeds; ///< Addresses of boxes that may know others.
+};
+
+} // namespace limereel::kernel
--- a/src/services/ChatRun.cpp
+++ b/src/services/ChatRun.cpp
@@ -50,7 +50,7 @@
 class Attempt
 {
 public:
-    Attempt(Context &context, platform::ListedBackend engine, ChatOrder order, CallerSide caller)
+    Attempt(Context &context, store::ListedBackend engine, ChatOrder order, CallerSide caller)
         : context_(context)
         , engine_(std::move(engine))
         , order_(std::move(order))
@@ -214,7 +214,7 @@
     }
 
     Context &context_;
-    platform::ListedBackend engine_;
+    store::ListedBackend engine_;
     ChatOrder order_;
     CallerSide caller_;
     answer::FrameCheck check_;
@@ -226,8 +226,8 @@
 
 } // namespace
 
-asio::awaitable<ChatOutcome> runChat(Context &context, platform::ListedBackend engine,
-                                     ChatOrder order, CallerSide caller)
+asio::awaitable<ChatOutcome> runChat(Context &context, store::ListedBackend engine, ChatOrder order,
+                                     CallerSide caller)
 {
     Attempt attempt(context, std::move(engine), std::move(order), std::move(caller));
     co_return co_await attempt.run();
--- a/src/services/ChatRun.h
+++ b/src/services/ChatRun.h
@@ -10,8 +10,8 @@
 #include "answer/FrameCheck.h"
 #include "http/Message.h"
 #include "outcome/Attempt.h"
-#include "platform/Directory.h"
 #include "services/Context.h"
+#include "store/Directory.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -52,7 +52,7 @@
 };
 
 /** Runs \a order on \a engine. Frames that came together are flushed together. */
-boost::asio::awaitable<ChatOutcome> runChat(Context &context, platform::ListedBackend engine,
+boost::asio::awaitable<ChatOutcome> runChat(Context &context, store::ListedBackend engine,
                                             ChatOrder order, CallerSide caller);
 
 } // namespace limereel::services
--- a/src/services/ClaimService.cpp
+++ b/src/services/ClaimService.cpp
@@ -2,8 +2,8 @@
 
 #include "kernel/KeyHash.h"
 #include "outcome/Claim.h"
-#include "platform/Backoff.h"
 #include "services/PlatformService.h"
+#include "store/Backoff.h"
 
 #include <boost/asio.hpp>
 #include <ctime>
--- a/src/services/ConfigService.cpp
+++ b/src/services/ConfigService.cpp
@@ -288,7 +288,7 @@
                   .changes = std::move(changes)};
     wanted.id = context_.settings.box.text() + "-" + std::to_string(context_.incarnation) + "-"
                 + std::to_string(context_.random());
-    platform::Backoff pause(50ms, 1s);
+    store::Backoff pause(50ms, 1s);
     for (int tries = 0; tries < UpdateTries; ++tries) {
         const auto result = co_await tryUpdate(wanted, base);
         if (result) {
--- a/src/services/ConfigService.h
+++ b/src/services/ConfigService.h
@@ -13,10 +13,10 @@
 #include "config/Installed.h"
 #include "config/Merge.h"
 #include "config/Validate.h"
-#include "platform/Backoff.h"
 #include "services/Context.h"
 #include "services/Repeat.h"
 #include "services/SettingsExchange.h"
+#include "store/Backoff.h"
 
 #include <functional>
 #include <map>
@@ -84,7 +84,7 @@
     std::uint64_t seenVersion_ = 0; ///< Of the object on the platform.
     bool everRead_ = false;
     std::map<std::string, std::uint64_t> statusWritten_;
-    platform::Backoff backoff_;
+    store::Backoff backoff_;
     std::unique_ptr<SettingsExchange> exchange_;
     std::unique_ptr<Repeat> watchLoop_;
     std::unique_ptr<Repeat> fetchLoop_;
--- a/src/services/DirectoryService.cpp
+++ b/src/services/DirectoryService.cpp
@@ -42,9 +42,9 @@
     loop_.reset();
 }
 
-const platform::ListedBackend *DirectoryService::findBackend(std::uint64_t hash) const
+const store::ListedBackend *DirectoryService::findBackend(std::uint64_t hash) const
 {
-    const auto find = [hash](const platform::HallList &list) -> const platform::ListedBackend * {
+    const auto find = [hash](const store::HallList &list) -> const store::ListedBackend * {
         const auto place = std::ranges::find_if(list.backends, [hash](const auto &backend) {
             return backend.backend.hash() == hash;
         });
@@ -86,12 +86,12 @@
     if (result.unchanged) {
         co_return true;
     }
-    auto list = platform::hallListFromJson(result.value);
+    auto list = store::hallListFromJson(result.value);
     if (!list) {
         log().error("The platform's list of boxes can't be read; the last one stays in use.");
         co_return false;
     }
-    if (!platform::plausible(own_.list, *list) && ++doubts_ < DoubtsAtMost) {
+    if (!store::plausible(own_.list, *list) && ++doubts_ < DoubtsAtMost) {
         context_.counters.add("directory_doubted");
         if (doubts_ == 1) {
             log().warn("The platform's list has lost more than half of the backend servers; the "
@@ -110,7 +110,7 @@
 {
     auto &platform = context_.kernel.find<PlatformService>("platform");
     const StoreResult result = co_await platform.halls();
-    const auto halls = platform::namesFromJson(result.value);
+    const auto halls = store::namesFromJson(result.value);
     if (result.answer != StoreAnswer::Done || !halls) {
         co_return;
     }
@@ -128,7 +128,7 @@
     if (result.answer != StoreAnswer::Done || result.unchanged) {
         co_return;
     }
-    if (auto list = platform::hallListFromJson(result.value)) {
+    if (auto list = store::hallListFromJson(result.value)) {
         others_[hall] = std::move(*list);
         otherVersions_[hall] = result.version;
     }
--- a/src/services/DirectoryService.h
+++ b/src/services/DirectoryService.h
@@ -4,10 +4,10 @@
  */
 #pragma once
 
-#include "platform/Backoff.h"
-#include "platform/Directory.h"
 #include "services/Context.h"
 #include "services/Repeat.h"
+#include "store/Backoff.h"
+#include "store/Directory.h"
 
 #include <map>
 #include <memory>
@@ -27,25 +27,25 @@
     void stop() override;
 
     /** The own hall's list as last read; empty lists before that. */
-    const platform::HallList &own() const { return own_.list; }
+    const store::HallList &own() const { return own_.list; }
 
     /** Whether the own hall's list was ever read. */
     bool known() const { return own_.version != 0; }
 
     /** The other halls' lists as last read. */
-    const std::map<std::string, platform::HallList> &others() const { return others_; }
+    const std::map<std::string, store::HallList> &others() const { return others_; }
 
     /** Counts the changes of the own list, so that readers know when to look again. */
     std::uint64_t changes() const { return changes_; }
 
     /** The backend server whose name has \a hash, in this hall or another one. */
-    const platform::ListedBackend *findBackend(std::uint64_t hash) const;
+    const store::ListedBackend *findBackend(std::uint64_t hash) const;
 
 private:
     struct Versioned
     {
         std::uint64_t version = 0;
-        platform::HallList list;
+        store::HallList list;
     };
 
     boost::asio::awaitable<kernel::Duration> round();
@@ -56,12 +56,12 @@
 
     Context &context_;
     Versioned own_;
-    std::map<std::string, platform::HallList> others_;
+    std::map<std::string, store::HallList> others_;
     std::map<std::string, std::uint64_t> otherVersions_;
     std::uint64_t changes_ = 0;
     int doubts_ = 0; ///< Reads in a row that gave an implausible list.
     std::optional<kernel::Instant> othersRead_;
-    platform::Backoff backoff_;
+    store::Backoff backoff_;
     std::unique_ptr<Repeat> loop_;
 };
 
--- a/src/services/HallView.cpp
+++ b/src/services/HallView.cpp
@@ -117,8 +117,7 @@
     return runners;
 }
 
-HallView makeHallView(const platform::HallList &list,
-                      const std::vector<membership::BoxState> &states,
+HallView makeHallView(const store::HallList &list, const std::vector<membership::BoxState> &states,
                       const std::vector<std::uint64_t> &owners)
 {
     const Reports reports = collect(states);
--- a/src/services/HallView.h
+++ b/src/services/HallView.h
@@ -6,8 +6,8 @@
 
 #include "kernel/decisions/Name.h"
 #include "membership/BoxState.h"
-#include "platform/Directory.h"
 #include "routing/Placement.h"
+#include "store/Directory.h"
 
 #include <optional>
 #include <string>
@@ -18,7 +18,7 @@
 /** One backend server. */
 struct BackendView
 {
-    platform::ListedBackend listed;
+    store::ListedBackend listed;
     membership::BackendState state; ///< As its owner says.
     bool reported = false;          ///< Whether any owner has said anything yet.
     std::uint64_t reporter = 0;     ///< The box whose word it is.
@@ -55,8 +55,7 @@
  * Puts the view together. Of two boxes that both report a backend server, the one that owns it
  * among \a owners counts; else the greater load, which is the safe one to believe.
  */
-HallView makeHallView(const platform::HallList &list,
-                      const std::vector<membership::BoxState> &states,
+HallView makeHallView(const store::HallList &list, const std::vector<membership::BoxState> &states,
                       const std::vector<std::uint64_t> &owners);
 
 } // namespace limereel::services
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -268,7 +268,7 @@
     backends_ = std::move(kept);
 }
 
-void OwnerService::adopt(const platform::ListedBackend &listed)
+void OwnerService::adopt(const store::ListedBackend &listed)
 {
     const BackendView *const before = view_.find(listed.backend.hash());
     const bool takeover = before != nullptr && before->reported;
@@ -522,7 +522,7 @@
         // Asked for an engine that another box owns in this box's eyes: the asker could not reach
         // that one.
         if (const BackendView *const listed = view().find(ask.resource); listed != nullptr) {
-            adopt(platform::ListedBackend(listed->listed));
+            adopt(store::ListedBackend(listed->listed));
             owned = findOwned(ask.resource);
             context_.counters.add("acting_for_owner");
         }
--- a/src/services/OwnerService.h
+++ b/src/services/OwnerService.h
@@ -65,7 +65,7 @@
 private:
     struct OwnedBackend
     {
-        platform::ListedBackend listed;
+        store::ListedBackend listed;
         routing::PermitLedger ledger;
         membership::BackendHealth health;
         bool leaving = false;
@@ -79,7 +79,7 @@
 
     void beat();
     void review();
-    void adopt(const platform::ListedBackend &listed);
+    void adopt(const store::ListedBackend &listed);
     void completeState(membership::BoxState &state) const;
     membership::BackendState stateOf(const OwnedBackend &owned) const;
     boost::asio::awaitable<kernel::Duration> probeRound();
--- a/src/services/PermitService.h
+++ b/src/services/PermitService.h
@@ -42,8 +42,8 @@
 {
     std::uint64_t request = 0;
     std::uint64_t resource = 0;
-    platform::ListedBackend backend; ///< Of an engine's permit.
-    std::uint32_t incarnation = 0;   ///< Of the engine, as known at the grant.
+    store::ListedBackend backend;  ///< Of an engine's permit.
+    std::uint32_t incarnation = 0; ///< Of the engine, as known at the grant.
     routing::Reason reason = routing::Reason::First;
 };
 
--- a/src/services/PlatformService.cpp
+++ b/src/services/PlatformService.cpp
@@ -1,7 +1,7 @@
 #include "services/PlatformService.h"
 
 #include "config/Values.h"
-#include "platform/CallShare.h"
+#include "store/CallShare.h"
 
 namespace limereel::services {
 
@@ -112,7 +112,7 @@
 
 void PlatformService::setFleetSize(std::size_t routers)
 {
-    const platform::CallShare share = platform::callShare({}, routers);
+    const store::CallShare share = store::callShare({}, routers);
     reads_.setRate(share.reads, ReadBurst, context_.now());
     writes_.setRate(share.writes, WriteBurst, context_.now());
 }
--- a/src/services/ServiceHandler.cpp
+++ b/src/services/ServiceHandler.cpp
@@ -174,7 +174,7 @@
     }
 
     // The runner with the fewest calls of this router, ties by chance.
-    std::optional<platform::ListedBackend> choose()
+    std::optional<store::ListedBackend> choose()
     {
         auto runners =
                 context_.kernel.find<OwnerService>("owner").view().runnersOf(target_.service);
@@ -192,7 +192,7 @@
     }
 
     asio::awaitable<tl::expected<http::Answer, http::CallFailure>>
-    call(const platform::ListedBackend &runner)
+    call(const store::ListedBackend &runner)
     {
         const auto endpoint = kernel::endpointFrom(runner.address);
         if (!endpoint) {
--- a/src/platform/Backoff.cpp
+++ b/src/store/Backoff.cpp
@@ -1,8 +1,8 @@
-#include "platform/Backoff.h"
+#include "store/Backoff.h"
 
 #include <algorithm>
 
-namespace limereel::platform {
+namespace limereel::store {
 
 kernel::Duration Backoff::fail(std::mt19937_64 &random)
 {
@@ -14,4 +14,4 @@
     return kernel::Duration(chance(random));
 }
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- a/src/platform/Backoff.h
+++ b/src/store/Backoff.h
@@ -8,7 +8,7 @@
 
 #include <random>
 
-namespace limereel::platform {
+namespace limereel::store {
 
 /** The wait after a row of failures. */
 class Backoff
@@ -32,4 +32,4 @@
     int failures_ = 0;
 };
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- a/src/platform/CallShare.cpp
+++ b/src/store/CallShare.cpp
@@ -1,6 +1,6 @@
-#include "platform/CallShare.h"
+#include "store/CallShare.h"
 
-namespace limereel::platform {
+namespace limereel::store {
 
 CallShare callShare(const PlatformRates &rates, std::size_t routers)
 {
@@ -10,4 +10,4 @@
     return {rates.reads * RoutersPart / fleet, rates.writes * RoutersPart / fleet};
 }
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- a/src/platform/CallShare.h
+++ b/src/store/CallShare.h
@@ -9,7 +9,7 @@
 
 #include <cstddef>
 
-namespace limereel::platform {
+namespace limereel::store {
 
 /** The platform's rates for everybody, calls a second. */
 struct PlatformRates
@@ -28,4 +28,4 @@
 /** The part of one of \a routers. An unknown fleet (0) is taken as one of a thousand. */
 CallShare callShare(const PlatformRates &rates, std::size_t routers);
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- a/src/platform/Directory.cpp
+++ b/src/store/Directory.cpp
@@ -1,9 +1,9 @@
-#include "platform/Directory.h"
+#include "store/Directory.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace limereel::platform {
+namespace limereel::store {
 
 namespace {
 
@@ -67,4 +67,4 @@
     }
 }
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- a/src/platform/Directory.h
+++ b/src/store/Directory.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace limereel::platform {
+namespace limereel::store {
 
 /** An address as the platform writes it: "IP:PORT". */
 using AddressText = std::string;
@@ -65,4 +65,4 @@
 /** The names in a JSON array; nothing if it is none. */
 std::optional<std::vector<std::string>> namesFromJson(std::string_view json);
 
-} // namespace limereel::platform
+} // namespace limereel::store
--- /dev/null
+++ b/src/store/ObjectFormat.h
@@ -0,0 +1,58 @@
+/** \file
+ * How a store of named objects is spoken to: what is asked for, and how its answers read.
+ *
+ * An object's content is JSON here; what it means is its reader's matter.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace limereel::store {
+
+/** An object as it was read, or that it is gone. */
+struct StoredObject
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    bool gone = false;
+    nlohmann::json content;
+};
+
+/** A part of a list of objects. */
+struct ObjectPage
+{
+    std::vector<StoredObject> objects;
+    bool more = false;    ///< Ask on after the last name.
+    std::uint64_t at = 0; ///< The store's revision that the page shows.
+};
+
+/** What has changed since a revision. */
+struct ObjectChanges
+{
+    std::vector<StoredObject> objects;
+    std::uint64_t at = 0; ///< Go on from here.
+};
+
+/** The hooks of one store interface. */
+struct ObjectFormat
+{
+    /** The target of the request for the objects of \a kind behind the name \a after. */
+    std::function<std::string(const std::string &kind, const std::string &after)> listTarget;
+
+    /** The target of the request that waits up to \a wait for changes since \a at. */
+    std::function<std::string(const std::string &kind, std::uint64_t at, kernel::Duration wait)>
+            watchTarget;
+
+    std::function<tl::expected<ObjectPage, std::string>(std::string_view body)> readPage;
+    std::function<tl::expected<ObjectChanges, std::string>(std::string_view body)> readChanges;
+};
+
+} // namespace limereel::store
--- a/test/fuzz/DecoderFuzz.cpp
+++ b/test/fuzz/DecoderFuzz.cpp
@@ -8,9 +8,9 @@
 #include "kernel/BoxSettings.h"
 #include "peer/Envelope.h"
 #include "placement/LeaseJson.h"
-#include "platform/Directory.h"
 #include "routing/ChatToken.h"
 #include "services/ChatRequest.h"
+#include "store/Directory.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -152,7 +152,7 @@
         if (changed != token) {
             BOOST_TEST(!routing::readChatToken(changed, 1, std::span(&key, 1)).has_value());
         }
-        platform::hallListFromJson(mutate(list, random));
+        store::hallListFromJson(mutate(list, random));
         placement::leaseFromJson(mutate(R"({"holder":"a","token":1,"renewal":2})", random));
         services::chatRequestFrom({"POST", "/v1/chat/completions", {}, mutate(chat, random)});
         answer::EventSplitter splitter(4096);
