Engines take shared prompt parts from each other; the choice is the same on every box

Change: the order alone decides, so that boxes agree without talking; a server that isn't known to hold the parts is told another one to take them from (the deepest known holder, leaving ones included, else the next in the order). PartIndex remembers who was sent what, by prefixes. Tests: ForwardTest, 24 cases, decisions of a gateway against plain references.

--- a/src/command/BoxCommands.cpp
+++ b/src/command/BoxCommands.cpp
@@ -82,7 +82,7 @@
 
 } // namespace
 
-void addBoxCommands(CLI::App &app, int &exitCode, std::function<gateway::Adapter()> adapter)
+void addBoxCommands(CLI::App &app, int &exitCode, const std::function<gateway::Adapter()> &adapter)
 {
     static std::string file;
     static bool asJson = false;
--- a/src/command/Commands.h
+++ b/src/command/Commands.h
@@ -22,7 +22,7 @@
 
 /** Adds 'router', 'gateway', 'check-settings', 'settings-reference'. \param adapter of the platform
  * that a gateway runs on. */
-void addBoxCommands(CLI::App &app, int &exitCode, std::function<gateway::Adapter()> adapter);
+void addBoxCommands(CLI::App &app, int &exitCode, const std::function<gateway::Adapter()> &adapter);
 
 /** Adds 'config', 'organisation', 'pool', 'status', 'leave'. */
 void addOperatorCommands(CLI::App &app, int &exitCode);
--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -24,6 +24,7 @@
     kernel::Duration left{};                  ///< Until the caller's deadline.
     std::string organisation;                 ///< Empty: none.
     std::optional<std::uint32_t> priority;    ///< 0 goes first.
+    std::optional<kernel::Endpoint> takeFrom; ///< Where the server may take prompt parts from.
     std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has.
 };
 
--- /dev/null
+++ b/src/forward/PartIndex.cpp
@@ -0,0 +1,109 @@
+#include "forward/PartIndex.h"
+
+#include "kernel/decisions/Name.h"
+
+#include <algorithm>
+
+namespace limereel::forward {
+
+namespace {
+
+constexpr std::size_t MostUses = 6; ///< Servers remembered for one prefix.
+constexpr std::size_t MostPrefixes = 65536;
+constexpr kernel::Duration SweepEvery = 5s;
+
+} // namespace
+
+std::vector<std::uint64_t> sharedPrefixes(const Prompt &prompt)
+{
+    std::vector<std::uint64_t> keys;
+    std::uint64_t key = kernel::hashOf(prompt.model);
+    const std::size_t shared = std::max<std::size_t>(prompt.parts.size(), 2) - 1;
+    for (std::size_t i = 0; i < std::min(shared, prompt.parts.size()); ++i) {
+        key = kernel::combine(key, prompt.parts[i].part);
+        keys.push_back(key);
+    }
+    return keys;
+}
+
+std::uint64_t sharedPartsKey(const Prompt &prompt)
+{
+    const std::vector<std::uint64_t> keys = sharedPrefixes(prompt);
+    return keys.empty() ? kernel::hashOf(prompt.model) : keys.back();
+}
+
+void PartIndex::note(const Prompt &prompt, const std::string &server, kernel::Instant now)
+{
+    if (now - swept_ >= SweepEvery || prefixes_.size() >= MostPrefixes) {
+        sweep(now);
+    }
+    for (const std::uint64_t key : sharedPrefixes(prompt)) {
+        std::vector<Use> &uses = prefixes_[key];
+        std::erase_if(uses, [&](const Use &use) { return use.server == server; });
+        uses.insert(uses.begin(), Use{server, now});
+        if (uses.size() > MostUses) {
+            uses.pop_back();
+        }
+    }
+}
+
+std::size_t PartIndex::depth(const Prompt &prompt, const std::string &server,
+                             kernel::Instant now) const
+{
+    const std::vector<std::uint64_t> keys = sharedPrefixes(prompt);
+    for (std::size_t length = keys.size(); length > 0; --length) {
+        const auto place = prefixes_.find(keys[length - 1]);
+        if (place == prefixes_.end()) {
+            continue;
+        }
+        const bool holds = std::ranges::any_of(place->second, [&](const Use &use) {
+            return use.server == server && now - use.last <= remembered_;
+        });
+        if (holds) {
+            return length;
+        }
+    }
+    return 0;
+}
+
+std::vector<std::string> PartIndex::holders(const Prompt &prompt, std::size_t beyond,
+                                            kernel::Instant now) const
+{
+    const std::vector<std::uint64_t> keys = sharedPrefixes(prompt);
+    for (std::size_t length = keys.size(); length > beyond; --length) {
+        const auto place = prefixes_.find(keys[length - 1]);
+        std::vector<std::string> servers;
+        if (place != prefixes_.end()) {
+            for (const Use &use : place->second) {
+                if (now - use.last <= remembered_) {
+                    servers.push_back(use.server);
+                }
+            }
+        }
+        if (!servers.empty()) {
+            return servers;
+        }
+    }
+    return {};
+}
+
+void PartIndex::forget(const std::string &server)
+{
+    for (auto &[key, uses] : prefixes_) {
+        std::erase_if(uses, [&](const Use &use) { return use.server == server; });
+    }
+}
+
+void PartIndex::sweep(kernel::Instant now)
+{
+    swept_ = now;
+    for (auto &[key, uses] : prefixes_) {
+        std::erase_if(uses, [&](const Use &use) { return now - use.last > remembered_; });
+    }
+    std::erase_if(prefixes_, [](const auto &item) { return item.second.empty(); });
+    if (prefixes_.size() >= MostPrefixes) {
+        prefixes_.clear();
+    }
+}
+
+} // namespace limereel::forward
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -23,8 +23,6 @@
 // The bound that is kept leaves room for what other boxes do at the same moment.
 constexpr double BoundPart = 0.75;
 constexpr double OtherHallCost = 0.25;
-constexpr std::size_t MostHolders = 65536;
-constexpr kernel::Duration SweepEvery = 5s;
 
 double faded(double value, kernel::Duration age, double halfLife)
 {
@@ -33,16 +31,6 @@
 
 } // namespace
 
-std::uint64_t sharedPartsKey(const Prompt &prompt)
-{
-    std::uint64_t key = kernel::hashOf(prompt.model);
-    const std::size_t shared = prompt.parts.size() > 1 ? prompt.parts.size() - 1 : 1;
-    for (std::size_t i = 0; i < std::min(shared, prompt.parts.size()); ++i) {
-        key = kernel::combine(key, prompt.parts[i].part);
-    }
-    return key;
-}
-
 void ServerBook::put(const ListedServer &server)
 {
     Entry &entry = entries_[server.id];
@@ -53,6 +41,7 @@
 void ServerBook::remove(const std::string &id)
 {
     entries_.erase(id);
+    parts_.forget(id);
 }
 
 std::vector<std::string> ServerBook::ids() const
@@ -181,14 +170,6 @@
     const double mean = sum / static_cast<double>(entries.size());
     const double bound = (policy_.loadMultiple * mean + LoadBeyondMean) * BoundPart;
     const std::uint64_t key = sharedPartsKey(*wish.prompt);
-    const auto holder = holders_.find(key);
-    if (holder != holders_.end()) {
-        const auto place = std::ranges::find_if(
-                entries, [&](const Entry *entry) { return entry->server.id == holder->second.id; });
-        if (place != entries.end() && load(**place, now) <= bound) {
-            return *place;
-        }
-    }
     const Entry *idlest = entries.front();
     for (const std::size_t position : membership::rendezvousOrder(key, hashes, entries.size())) {
         const Entry *entry = entries[position];
@@ -202,29 +183,54 @@
     return idlest;
 }
 
-std::optional<ListedServer> ServerBook::choose(const Wish &wish, kernel::Instant now,
-                                               std::mt19937_64 &random) const
+// Another server from which \a target may take what it lacks of the prompt: one that this box knows
+// to hold it, else the one to which the prompt would go without \a target, since the list may have
+// been another one when the parts were read.
+std::optional<kernel::Endpoint> ServerBook::sourceFor(const Entry &target, const Wish &wish,
+                                                      kernel::Instant now) const
 {
-    const EntryList entries = usable(wish, now);
-    if (entries.empty()) {
+    const Prompt &prompt = *wish.prompt;
+    const std::size_t held = parts_.depth(prompt, target.server.id, now);
+    const std::size_t shared = sharedPrefixes(prompt).size();
+    if (held >= shared) {
         return std::nullopt;
     }
-    const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
-    const Entry *chosen =
-            byParts ? chooseForPrompt(entries, wish, now) : chooseIdlest(entries, now, random);
-    return chosen->server;
+    const auto mayGive = [&](const Entry &entry) {
+        const bool tried = std::ranges::find(wish.tried, entry.server.id) != wish.tried.end();
+        return entry.server.service == wish.service && &entry != &target && !tried
+               && !doubted(entry, now);
+    };
+    for (const std::string &id : parts_.holders(prompt, held, now)) {
+        const auto place = entries_.find(id);
+        if (place != entries_.end() && mayGive(place->second)) {
+            return place->second.server.address;
+        }
+    }
+    std::vector<const Entry *> others;
+    std::vector<std::uint64_t> hashes;
+    for (const auto &[id, entry] : entries_) {
+        if (mayGive(entry)) {
+            others.push_back(&entry);
+            hashes.push_back(entry.hash);
+        }
+    }
+    const auto order = membership::rendezvousOrder(sharedPartsKey(prompt), hashes, 1);
+    return order.empty() ? std::nullopt : std::optional(others[order.front()]->server.address);
 }
 
-void ServerBook::rememberParts(const std::string &id, const Prompt &prompt, kernel::Instant now)
+std::optional<Choice> ServerBook::choose(const Wish &wish, kernel::Instant now,
+                                         std::mt19937_64 &random) const
 {
-    holders_.insert_or_assign(sharedPartsKey(prompt), Holder{id, now});
-    if (now - holdersSwept_ < SweepEvery && holders_.size() < MostHolders) {
-        return;
+    const EntryList entries = usable(wish, now);
+    if (entries.empty()) {
+        return std::nullopt;
     }
-    holdersSwept_ = now;
-    std::erase_if(holders_, [&](const auto &item) {
-        return now - item.second.lastUse > policy_.partRemembered;
-    });
+    const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
+    if (!byParts) {
+        return Choice{chooseIdlest(entries, now, random)->server, std::nullopt};
+    }
+    const Entry *chosen = chooseForPrompt(entries, wish, now);
+    return Choice{chosen->server, wish.takeParts ? sourceFor(*chosen, wish, now) : std::nullopt};
 }
 
 void ServerBook::begin(const std::string &id, const Prompt *prompt, kernel::Instant now)
@@ -239,7 +245,7 @@
     }
     ++entry.own;
     if (prompt != nullptr && !prompt->parts.empty()) {
-        rememberParts(id, *prompt, now);
+        parts_.note(*prompt, id, now);
     }
 }
 
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -6,21 +6,21 @@
  * answers, failed answers, and silence while answers are due. A doubted server gets single requests
  * again after a pause that doubles.
  *
- * Prompts go where their parts lie: to the server that was last sent the deepest shared part, else
- * to the first in the rendezvous order of that part, which is the same on every box. A server whose
- * load passes a multiple of the mean is passed over (bounded loads: Mirrokni, Thorup and
- * Zadimoghaddam, 2016).
+ * Prompts go to the first server in the rendezvous order of their shared parts, which is the same
+ * on every box; a server whose load passes a multiple of the mean is passed over (bounded loads:
+ * Mirrokni, Thorup and Zadimoghaddam, 2016). Where a server is not known to hold the parts, the
+ * choice names another one that it may take them from, which is cheaper than reading them again.
  */
 #pragma once
 
 #include "forward/Backend.h"
 #include "forward/Call.h"
+#include "forward/PartIndex.h"
 
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace limereel::forward {
@@ -51,15 +51,24 @@
 {
     std::string service;
     const Prompt *prompt = nullptr; ///< Set where parts of prompts are kept.
+    bool takeParts = false;         ///< Servers may take parts of prompts from each other.
     std::vector<std::string> tried; ///< Servers not to be chosen.
 };
 
+/** The server for a request. */
+struct Choice
+{
+    ListedServer server;
+    std::optional<kernel::Endpoint> takeFrom; ///< A server that should hold more of the prompt.
+};
+
 /** The book of one box. Pure: time and chance are handed in. */
 class ServerBook
 {
 public:
     explicit ServerBook(BookPolicy policy)
         : policy_(std::move(policy))
+        , parts_(policy_.partRemembered)
     {
     }
 
@@ -76,8 +85,8 @@
     std::optional<ListedServer> find(const std::string &id) const;
 
     /** The server for \a wish; nothing if none may be used. */
-    std::optional<ListedServer> choose(const Wish &wish, kernel::Instant now,
-                                       std::mt19937_64 &random) const;
+    std::optional<Choice> choose(const Wish &wish, kernel::Instant now,
+                                 std::mt19937_64 &random) const;
 
     /** A request goes to \a id; with a prompt, its parts will lie there. */
     void begin(const std::string &id, const Prompt *prompt, kernel::Instant now);
@@ -126,12 +135,6 @@
         kernel::Instant dueSince; ///< When the first of the running requests was sent.
     };
 
-    struct Holder
-    {
-        std::string id;
-        kernel::Instant lastUse;
-    };
-
     using EntryList = std::vector<const Entry *>;
 
     EntryList usable(const Wish &wish, kernel::Instant now) const;
@@ -143,15 +146,12 @@
                                  kernel::Instant now) const;
     const Entry *chooseIdlest(const EntryList &entries, kernel::Instant now,
                               std::mt19937_64 &random) const;
-    void rememberParts(const std::string &id, const Prompt &prompt, kernel::Instant now);
+    std::optional<kernel::Endpoint> sourceFor(const Entry &target, const Wish &wish,
+                                              kernel::Instant now) const;
 
     BookPolicy policy_;
     std::map<std::string, Entry> entries_;
-    std::unordered_map<std::uint64_t, Holder> holders_; ///< By key of the shared parts.
-    kernel::Instant holdersSwept_;
+    PartIndex parts_;
 };
 
-/** The key of the parts of \a prompt that other requests share: all but the last one. */
-std::uint64_t sharedPartsKey(const Prompt &prompt);
-
 } // namespace limereel::forward
--- a/src/forward/Snapshot.h
+++ b/src/forward/Snapshot.h
@@ -62,6 +62,7 @@
     std::string healthPath;
     std::uint32_t mostConnections = 0; ///< To one backend server, from the whole fleet; 0: untold.
     bool engine = false;               ///< Its backend servers are model engines.
+    bool movesParts = false;           ///< Its engines may take prompt parts from each other.
 
     auto operator<=>(const Service &) const = default;
 };
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -9,6 +9,8 @@
 #include "services/Context.h"
 
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace limereel::gateway {
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t MostAnswerBytes = 64U * 1024 * 1024;
+constexpr std::size_t MostAnswerBytes = std::size_t{64} * 1024 * 1024;
 constexpr int Good = 200;
 constexpr int HistoryGone = 410;
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t MostAnswerBytes = 16U * 1024 * 1024;
+constexpr std::size_t MostAnswerBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::uint32_t MostRejections = 2;
 constexpr std::uint32_t MostUnsent = 3;
 constexpr int MostSurplusAnswers = 3;
@@ -107,6 +107,8 @@
     route_ = *route;
     lastEvent_ = call_.resumeAfter;
     service_ = forward::chooseService(route_, kernel::hashOf(call_.id));
+    const forward::Service *service = snapshot->service(service_);
+    movesParts_ = service != nullptr && service->movesParts;
     const kernel::Duration patience =
             call_.patience > 0s ? call_.patience : kernel::Duration(PatienceUntold);
     deadline_ = began_ + (route_.timeout > 0s ? std::min(patience, route_.timeout) : patience);
@@ -182,8 +184,9 @@
         wish.service = service_;
         wish.prompt = prompt();
         wish.tried = tried_;
-        auto server = world_.servers().choose(wish, context_.now(), context_.random);
-        if (!server) {
+        wish.takeParts = movesParts_;
+        auto choice = world_.servers().choose(wish, context_.now(), context_.random);
+        if (!choice) {
             lastMessage_ = lastMessage_.empty() ? "no backend server can be used" : lastMessage_;
             break;
         }
@@ -191,7 +194,8 @@
             interrupt_->reason = Reason::Deadline;
             break;
         }
-        ListedServer chosen = *server;
+        ListedServer chosen = choice->server;
+        takeFrom_ = choice->takeFrom;
         lastServer_ = chosen.id;
         const End end = co_await attempt(std::move(chosen));
         if (end == End::Answered) {
@@ -331,6 +335,7 @@
     order.left = left();
     order.organisation = organisation_;
     order.priority = priority_;
+    order.takeFrom = takeFrom_;
     order.resumeAfter = lastEvent_;
     http::Request passed = world_.adapter().dialect.writeRequest(request_, order);
     passed.fields = http::endToEnd(passed.fields);
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -106,6 +106,8 @@
     std::string service_;
     std::string organisation_;
     std::optional<std::uint32_t> priority_;
+    bool movesParts_ = false; ///< Servers of the service take prompt parts from each other.
+    std::optional<kernel::Endpoint> takeFrom_;
     kernel::Instant began_;
     kernel::Instant deadline_;
     boost::asio::steady_timer deadlineTimer_;
--- /dev/null
+++ b/test/correctness/ForwardTest.cpp
@@ -0,0 +1,425 @@
+// The decisions of a gateway against plain references: route table, freshness, retry budget, event
+// cutter, part index and the book of backend servers.
+
+#include "forward/EventCutter.h"
+#include "forward/FleetRetryBudget.h"
+#include "forward/Freshness.h"
+#include "forward/PartIndex.h"
+#include "forward/ServerBook.h"
+#include "forward/Snapshot.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace limereel;
+using namespace limereel::forward;
+
+namespace {
+
+kernel::Instant at(kernel::Duration since)
+{
+    return kernel::Instant(1000s) + since;
+}
+
+Route route(const std::string &host, const std::string &prefix)
+{
+    Route made;
+    made.name = host + prefix;
+    made.host = host;
+    made.prefix = prefix;
+    return made;
+}
+
+ListedServer server(const std::string &id, bool engine = false, const std::string &hall = "a")
+{
+    ListedServer made;
+    made.id = id;
+    made.service = "pool";
+    made.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + kernel::hashOf(id) % 1000)};
+    made.hall = hall;
+    made.slots = 8;
+    made.engine = engine;
+    return made;
+}
+
+Prompt promptOf(std::initializer_list<std::uint64_t> parts)
+{
+    Prompt prompt;
+    prompt.model = "m";
+    for (const std::uint64_t part : parts) {
+        prompt.parts.push_back({part, 100});
+    }
+    return prompt;
+}
+
+Wish wishFor(const Prompt *prompt = nullptr)
+{
+    Wish wish;
+    wish.service = "pool";
+    wish.prompt = prompt;
+    wish.takeParts = true;
+    return wish;
+}
+
+struct BookFixture
+{
+    BookFixture()
+    {
+        for (const char *id : {"s1", "s2", "s3", "s4"}) {
+            book.put(server(id, true));
+        }
+    }
+
+    std::string chosen(const Wish &wish, kernel::Duration when = 0s)
+    {
+        const auto choice = book.choose(wish, at(when), random);
+        return choice ? choice->server.id : "none";
+    }
+
+    ServerBook book{BookPolicy{}};
+    std::mt19937_64 random{7};
+};
+
+// The longest prefix, by trying all routes.
+const Route *naiveRoute(const std::vector<Route> &routes, const std::string &host,
+                        const std::string &path)
+{
+    const Route *best = nullptr;
+    for (const Route &candidate : routes) {
+        const bool fits = candidate.host == host && path.starts_with(candidate.prefix);
+        if (fits && (best == nullptr || candidate.prefix.size() > best->prefix.size())) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SnapshotTest)
+
+BOOST_AUTO_TEST_CASE(route_randomTables_isWhatTryingAllFinds)
+{
+    std::mt19937_64 random(11);
+    const std::vector<std::string> words = {"/",   "/a/",  "/a/b/", "/a/b/c/",
+                                            "/b/", "/ab/", "/a/bc/"};
+    const std::vector<std::string> paths = {"/",       "/a",    "/a/",  "/a/b",  "/a/b/x?y=/b/",
+                                            "/a/bc/d", "/ab/c", "/abc", "/b/a/", "",
+                                            "/a//b/"};
+    for (int round = 0; round < 300; ++round) {
+        SnapshotContent content;
+        for (const std::string &word : words) {
+            if (random() % 2 == 0) {
+                content.routes.push_back(route(random() % 2 == 0 ? "x" : "y", word));
+            }
+        }
+        const Snapshot snapshot(content);
+        for (const std::string &path : paths) {
+            const std::string plain = path.substr(0, path.find('?'));
+            const Route *expected = naiveRoute(content.routes, "x", plain);
+            const Route *found = snapshot.route("x", path);
+            BOOST_TEST((expected == nullptr) == (found == nullptr));
+            if (expected != nullptr && found != nullptr) {
+                BOOST_TEST(found->name == expected->name);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(route_hostWithPortOrCapitals_isTheSameHost)
+{
+    SnapshotContent content;
+    content.routes = {route("one.example", "/a/")};
+    const Snapshot snapshot(content);
+    BOOST_TEST(snapshot.route("One.Example:8080", "/a/b") != nullptr);
+    BOOST_TEST(snapshot.route("two.example", "/a/b") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(chooseService_weights_areKeptAndZeroGetsNothing)
+{
+    Route split;
+    split.services = {{"old", 90}, {"new", 10}, {"off", 0}};
+    std::map<std::string, int> counts;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+        ++counts[chooseService(split, seed)];
+    }
+    BOOST_TEST(counts["old"] == 900);
+    BOOST_TEST(counts["new"] == 100);
+    BOOST_TEST(counts["off"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(organisation_keyOfAnOlderVersion_isUnknown)
+{
+    SnapshotContent content;
+    content.organisations = {{"one", {"key-1", "key-2"}, std::nullopt}};
+    const Snapshot snapshot(content);
+    BOOST_TEST(snapshot.organisation("key-2")->name == "one");
+    BOOST_TEST(snapshot.organisation("key-3") == nullptr);
+    BOOST_TEST(snapshot.organisation("") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FreshnessTest)
+
+BOOST_AUTO_TEST_CASE(usable_neverConfirmed_isFalse)
+{
+    BOOST_TEST(!Freshness(5s).usable(at(0s)));
+}
+
+BOOST_AUTO_TEST_CASE(usable_processStoodStillPastTheBound_isFalseAtOnce)
+{
+    Freshness freshness(5s);
+    freshness.confirm(at(0s));
+    BOOST_TEST(freshness.usable(at(4999ms)));
+    BOOST_TEST(!freshness.usable(at(5s)));
+}
+
+BOOST_AUTO_TEST_CASE(confirm_olderAnswerComesLate_doesNotGoBack)
+{
+    Freshness freshness(5s);
+    freshness.confirm(at(4s));
+    freshness.confirm(at(1s));
+    BOOST_TEST(freshness.usable(at(8s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FleetRetryBudgetTest)
+
+BOOST_AUTO_TEST_CASE(take_randomTraffic_fleetStaysWithinItsBoundInEveryWindow)
+{
+    const RetryBound bound{0.2, 10s, 54};
+    constexpr std::size_t Boxes = 7;
+    std::vector<FleetRetryBudget> boxes(Boxes, FleetRetryBudget(bound));
+    for (FleetRetryBudget &box : boxes) {
+        box.setBoxes(Boxes);
+    }
+    std::mt19937_64 random(5);
+    std::vector<kernel::Instant> requests;
+    std::vector<kernel::Instant> repeats;
+    for (int step = 0; step < 6000; ++step) {
+        const kernel::Instant now = at(10ms * step);
+        FleetRetryBudget &box = boxes[random() % Boxes];
+        box.countRequest("pool", now);
+        requests.push_back(now);
+        for (int again = 0; again < 3; ++again) {
+            if (box.take("pool", now)) {
+                repeats.push_back(now);
+            }
+        }
+    }
+    for (const kernel::Instant end : repeats) {
+        const auto within = [&](kernel::Instant when) { return when <= end && end - when <= 10s; };
+        const auto asked = std::ranges::count_if(requests, within);
+        const auto again = std::ranges::count_if(repeats, within);
+        BOOST_REQUIRE(static_cast<double>(again) <= 0.2 * static_cast<double>(asked) + 54);
+    }
+    BOOST_TEST(repeats.size() > 100U);
+}
+
+BOOST_AUTO_TEST_CASE(take_servicesApart_eachHasItsOwn)
+{
+    FleetRetryBudget budget({0, 10s, 2});
+    BOOST_TEST(budget.take("one", at(0s)));
+    BOOST_TEST(!budget.take("one", at(0s)));
+    BOOST_TEST(budget.take("two", at(0s)));
+    BOOST_TEST(budget.take("one", at(30s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(EventCutterTest)
+
+BOOST_AUTO_TEST_CASE(take_anySplit_givesTheSameEventsAndBytes)
+{
+    const std::string text =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 30\ndata: c\n\n";
+    std::mt19937_64 random(3);
+    for (int round = 0; round < 500; ++round) {
+        EventCutter cutter;
+        std::string bytes;
+        std::vector<std::uint64_t> ids;
+        for (std::size_t place = 0; place < text.size();) {
+            const std::size_t length = 1 + random() % 9;
+            for (const RawEvent &event : cutter.take(text.substr(place, length))) {
+                bytes += event.bytes;
+                if (event.id) {
+                    ids.push_back(*event.id);
+                }
+            }
+            place += length;
+        }
+        BOOST_TEST(bytes == text);
+        BOOST_TEST(ids == (std::vector<std::uint64_t>{1, 2, 30}), boost::test_tools::per_element());
+        BOOST_TEST(cutter.takeRest().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(take_eventCutInTheMiddle_staysBehind)
+{
+    EventCutter cutter;
+    BOOST_TEST(cutter.take("id: 1\ndata: a\n\nid: 2\nda").size() == 1U);
+    BOOST_TEST(cutter.takeRest() == "id: 2\nda");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PartIndexTest)
+
+BOOST_AUTO_TEST_CASE(depth_promptsShareTheirFirstParts_countsThoseOnly)
+{
+    PartIndex index(10s);
+    index.note(promptOf({1, 2, 3}), "s1", at(0s));
+    BOOST_TEST(index.depth(promptOf({1, 2, 4}), "s1", at(1s)) == 2U);
+    BOOST_TEST(index.depth(promptOf({1, 5, 4}), "s1", at(1s)) == 1U);
+    BOOST_TEST(index.depth(promptOf({2, 1, 4}), "s1", at(1s)) == 0U);
+    BOOST_TEST(index.depth(promptOf({1, 2, 4}), "s2", at(1s)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(depth_longUnused_isForgotten)
+{
+    PartIndex index(10s);
+    index.note(promptOf({1, 2}), "s1", at(0s));
+    BOOST_TEST(index.depth(promptOf({1, 3}), "s1", at(10s)) == 1U);
+    BOOST_TEST(index.depth(promptOf({1, 3}), "s1", at(11s)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(holders_severalServers_deepestAndLatestFirst)
+{
+    PartIndex index(10s);
+    index.note(promptOf({1, 2, 3}), "deep", at(0s));
+    index.note(promptOf({1, 9, 3}), "shallow", at(2s));
+    index.note(promptOf({1, 2, 4}), "later", at(1s));
+    const auto holders = index.holders(promptOf({1, 2, 5}), 0, at(3s));
+    BOOST_TEST(holders == (std::vector<std::string>{"later", "deep"}),
+               boost::test_tools::per_element());
+    index.forget("later");
+    index.forget("deep");
+    BOOST_TEST(index.holders(promptOf({1, 2, 5}), 0, at(3s)).front() == "shallow");
+    BOOST_TEST(index.holders(promptOf({1, 2, 5}), 1, at(3s)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ServerBookTest, BookFixture)
+
+BOOST_AUTO_TEST_CASE(choose_samePartsOnTwoBoxes_isTheSameServer)
+{
+    ServerBook other{BookPolicy{}};
+    for (const char *id : {"s4", "s3", "s2", "s1"}) {
+        other.put(server(id, true));
+    }
+    for (std::uint64_t part = 0; part < 50; ++part) {
+        const Prompt prompt = promptOf({part, 99});
+        const auto there = other.choose(wishFor(&prompt), at(0s), random);
+        BOOST_TEST(chosen(wishFor(&prompt)) == there->server.id);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(choose_serverOverItsBound_isPassedOverAndItsPartsAreTaken)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    for (int request = 0; request < 20; ++request) {
+        book.begin(first, &prompt, at(0s));
+        book.noteHeard(first, at(0s));
+    }
+    const auto choice = book.choose(wishFor(&prompt), at(0s), random);
+    BOOST_TEST(choice->server.id != first);
+    BOOST_REQUIRE(choice->takeFrom.has_value());
+    BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(first)->address));
+}
+
+BOOST_AUTO_TEST_CASE(choose_partsKnownToLieThere_takesThemFromNobody)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    book.begin(first, &prompt, at(0s));
+    book.end(first);
+    BOOST_TEST(!book.choose(wishFor(&prompt), at(1s), random)->takeFrom.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(choose_leavingServer_getsNothingButStillGivesItsParts)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    book.begin(first, &prompt, at(0s));
+    book.end(first);
+    ListedServer leaving = *book.find(first);
+    leaving.leaving = true;
+    book.put(leaving);
+    const auto choice = book.choose(wishFor(&prompt), at(1s), random);
+    BOOST_TEST(choice->server.id != first);
+    BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(leaving.address));
+}
+
+BOOST_AUTO_TEST_CASE(choose_unreachableServer_isLeftAndTriedAgainAfterItsPause)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    book.noteFailure(first, Failure::Unreachable, at(0s));
+    BOOST_TEST(chosen(wishFor(&prompt), 100ms) != first);
+    BOOST_TEST(chosen(wishFor(&prompt), 300ms) == first);
+    // One request at a time until one succeeds.
+    book.begin(first, &prompt, at(300ms));
+    BOOST_TEST(chosen(wishFor(&prompt), 301ms) != first);
+    book.noteSuccess(first, at(310ms));
+    book.end(first);
+    BOOST_TEST(chosen(wishFor(&prompt), 320ms) == first);
+}
+
+BOOST_AUTO_TEST_CASE(choose_serverFailsFarMoreThanTheOthers_isLeftForAWhile)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    for (int failure = 0; failure < 6; ++failure) {
+        book.noteFailure(first, Failure::Error, at(0s));
+    }
+    BOOST_TEST(chosen(wishFor(&prompt), 100ms) != first);
+    BOOST_TEST(chosen(wishFor(&prompt), 20s) == first);
+}
+
+BOOST_AUTO_TEST_CASE(choose_silentWhileAnswersAreDue_isLeft)
+{
+    const Prompt prompt = promptOf({1, 2});
+    const std::string first = chosen(wishFor(&prompt));
+    book.begin(first, &prompt, at(0s));
+    BOOST_TEST(chosen(wishFor(&prompt), 500ms) == first);
+    BOOST_TEST(chosen(wishFor(&prompt), 1s) != first);
+    book.noteHeard(first, at(1s));
+    BOOST_TEST(chosen(wishFor(&prompt), 1100ms) == first);
+}
+
+BOOST_AUTO_TEST_CASE(choose_allDoubted_stillTakesOne)
+{
+    for (const std::string &id : book.ids()) {
+        book.noteFailure(id, Failure::Unreachable, at(0s));
+    }
+    BOOST_TEST(chosen(wishFor()) != "none");
+}
+
+BOOST_AUTO_TEST_CASE(choose_allTriedOrOfOtherServices_isNothing)
+{
+    Wish wish = wishFor();
+    wish.tried = book.ids();
+    BOOST_TEST(chosen(wish) == "none");
+    wish = wishFor();
+    wish.service = "other";
+    BOOST_TEST(chosen(wish) == "none");
+}
+
+BOOST_AUTO_TEST_CASE(choose_plainService_prefersTheOwnHallUntilItIsLoaded)
+{
+    ServerBook plain{BookPolicy{.hall = "a"}};
+    plain.put(server("near", false, "a"));
+    plain.put(server("far", false, "b"));
+    const auto pick = [&] { return plain.choose(wishFor(), at(0s), random)->server.id; };
+    BOOST_TEST(pick() == "near");
+    for (int request = 0; request < 4; ++request) {
+        plain.begin("near", nullptr, at(0s));
+    }
+    BOOST_TEST(pick() == "far");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
