Owners grant places on engines; the retry budget's slack is divided by the live boxes

And each box spent the whole slack of the retry budget, as it didn't know the fleet. Ruled out: loads told by the engines' answers (a box of 85 hears each engine every 13 s) and loads told to everybody (grows with the square of the fleet; 410 boxes would pay more than 3 KB/s). Change: before a prompt is sent, the owner of the engine (rendezvous over the live boxes) is asked; it counts places as leases and keeps 0.85 x 2 x mean + 3, with the mean reckoned from what askers run themselves. Heartbeats (the product's own) tell the live boxes; boxes find each other by seeds and by addresses in heartbeats; a box whose clock went back raises its incarnation above what is said of it.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -21,7 +21,7 @@
 constexpr kernel::Duration FullPause = 150ms;
 constexpr double LoadBeyondMean = 3;
 // The bound that is kept leaves room for what other boxes do at the same moment.
-constexpr double BoundPart = 0.75;
+constexpr double BoundPart = 0.85;
 constexpr double OtherHallCost = 0.25;
 
 double faded(double value, kernel::Duration age, double halfLife)
@@ -168,12 +168,13 @@
         hashes.push_back(entry->hash);
     }
     const double mean = sum / static_cast<double>(entries.size());
-    const double bound = (policy_.loadMultiple * mean + LoadBeyondMean) * BoundPart;
+    const double bound = policy_.loadMultiple * mean * BoundPart + LoadBeyondMean;
     const std::uint64_t key = sharedPartsKey(*wish.prompt);
     const Entry *idlest = entries.front();
     for (const std::size_t position : membership::rendezvousOrder(key, hashes, entries.size())) {
         const Entry *entry = entries[position];
-        if (load(*entry, now) <= bound) {
+        const bool full = std::ranges::find(wish.full, entry->server.id) != wish.full.end();
+        if (!full && load(*entry, now) <= bound) {
             return entry;
         }
         if (load(*entry, now) < load(*idlest, now)) {
@@ -320,15 +321,33 @@
     entry.doubtedUntil = now + std::min(pause, policy_.longestDoubt);
 }
 
-std::map<std::string, std::uint32_t> ServerBook::ownLoads() const
+std::uint32_t ServerBook::ownLoad(const std::string &service) const
 {
-    std::map<std::string, std::uint32_t> loads;
+    std::uint32_t sum = 0;
     for (const auto &[id, entry] : entries_) {
-        if (entry.own > 0) {
-            loads.emplace(id, entry.own);
-        }
+        sum += entry.server.service == service ? entry.own : 0;
+    }
+    return sum;
+}
+
+std::uint32_t ServerBook::ownLoadAt(const std::string &id) const
+{
+    const auto place = entries_.find(id);
+    return place == entries_.end() ? 0 : place->second.own;
+}
+
+std::size_t ServerBook::serversBeside(std::uint64_t hash) const
+{
+    const auto place = std::ranges::find_if(
+            entries_, [hash](const auto &item) { return item.second.hash == hash; });
+    if (place == entries_.end()) {
+        return 0;
     }
-    return loads;
+    const std::string &service = place->second.server.service;
+    return static_cast<std::size_t>(std::ranges::count_if(entries_, [&](const auto &item) {
+        const ListedServer &server = item.second.server;
+        return server.service == service && !server.leaving;
+    }));
 }
 
 bool ServerBook::hasRoom(const std::string &service, kernel::Instant now) const
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -53,6 +53,7 @@
     const Prompt *prompt = nullptr; ///< Set where parts of prompts are kept.
     bool takeParts = false;         ///< Servers may take parts of prompts from each other.
     std::vector<std::string> tried; ///< Servers not to be chosen.
+    std::vector<std::string> full;  ///< Servers over the bound, as their owners say.
 };
 
 /** The server for a request. */
@@ -103,8 +104,14 @@
     /** Requests of other boxes that run at \a id, as they tell. */
     void setOthers(const std::string &id, double load, kernel::Instant now);
 
-    /** This box's requests at each server. */
-    std::map<std::string, std::uint32_t> ownLoads() const;
+    /** This box's requests on \a service. */
+    std::uint32_t ownLoad(const std::string &service) const;
+
+    /** This box's requests at \a id. */
+    std::uint32_t ownLoadAt(const std::string &id) const;
+
+    /** How many servers of the same service take work, the one with this hash included. */
+    std::size_t serversBeside(std::uint64_t hash) const;
 
     /** Whether some listed server of \a service has a free place, as far as the box knows. */
     bool hasRoom(const std::string &service, kernel::Instant now) const;
--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -30,9 +30,10 @@
 
 } // namespace
 
-FrontService::FrontService(services::Context &context, World &world)
+FrontService::FrontService(services::Context &context, World &world, PlaceService &places)
     : context_(context)
     , world_(world)
+    , places_(places)
     , pool_(context)
 {
 }
@@ -105,7 +106,7 @@
 
 asio::awaitable<void> FrontService::handle(http::Request request, http::Reply &reply)
 {
-    RequestRun run(context_, world_, pool_, std::move(request), reply);
+    RequestRun run(context_, world_, pool_, places_, std::move(request), reply);
     co_await run.serve();
 }
 
--- a/src/gateway/FrontService.h
+++ b/src/gateway/FrontService.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/ConnectionPool.h"
+#include "gateway/PlaceService.h"
 #include "gateway/World.h"
 #include "http/Server.h"
 #include "services/Repeat.h"
@@ -16,7 +17,7 @@
 class FrontService : public kernel::Service
 {
 public:
-    FrontService(services::Context &context, World &world);
+    FrontService(services::Context &context, World &world, PlaceService &places);
 
     std::string_view name() const override { return "front"; }
     void start() override;
@@ -38,6 +39,7 @@
 
     services::Context &context_;
     World &world_;
+    PlaceService &places_;
     ConnectionPool pool_;
     std::unique_ptr<http::Server> server_;
     std::unique_ptr<services::Repeat> sweep_;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/GatewayServices.h"
 #include "kernel/Log.h"
+#include "services/MembershipService.h"
+#include "services/PeerService.h"
 
 #include <boost/asio.hpp>
 #include <csignal>
@@ -27,11 +29,33 @@
     context.random.seed(seed != 0 ? seed : std::random_device()() ^ context.settings.box.hash());
 }
 
+// Only some addresses are told; the ports are the same on all boxes.
+services::Acquaintance acquaintanceOf(const services::Context &context)
+{
+    services::Acquaintance acquaintance;
+    for (const std::string &seed : context.settings.gateway.seeds) {
+        acquaintance.seeds.push_back({seed, context.settings.peer.port});
+    }
+    return acquaintance;
+}
+
+// Greater than that of any process before on this box; one whose clock was set back learns so from
+// the others (MembershipService).
+std::uint64_t incarnationNow()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
 void addServices(services::Context &context, Adapter adapter, std::function<void()> stopped)
 {
     kernel::Kernel &kernel = context.kernel;
+    kernel.add(std::make_unique<services::PeerService>(context));
+    kernel.add(std::make_unique<services::MembershipService>(context, acquaintanceOf(context)));
     World &world = kernel.add(std::make_unique<World>(context, std::move(adapter)));
-    kernel.add(std::make_unique<FrontService>(context, world));
+    PlaceService &places = kernel.add(std::make_unique<PlaceService>(context, world));
+    kernel.add(std::make_unique<FrontService>(context, world, places));
     kernel.add(std::make_unique<ReadyService>(context, world));
     kernel.add(std::make_unique<GatewayStop>(context, std::move(stopped)));
 }
@@ -42,6 +66,7 @@
 {
     asio::io_context io(1);
     services::Context context(io, std::move(settings));
+    context.incarnation = incarnationNow();
     seedChance(context);
     addServices(context, std::move(adapter), [&io] { io.stop(); });
     asio::signal_set ends(io, SIGTERM, SIGINT);
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewayServices.h"
 
 #include "kernel/Log.h"
+#include "services/MembershipService.h"
 
 #include <boost/asio.hpp>
 
@@ -84,6 +85,7 @@
     log().info("A planned stop begins.");
     context_.kernel.find<ReadyService>("ready").beginLeaving();
     context_.kernel.find<FrontService>("front").beginLeaving();
+    context_.kernel.find<services::MembershipService>("membership").leave();
     asio::co_spawn(context_.io, run(), asio::detached);
 }
 
--- /dev/null
+++ b/src/gateway/PlaceService.cpp
@@ -0,0 +1,168 @@
+#include "gateway/PlaceService.h"
+
+#include "membership/Ownership.h"
+#include "services/PeerService.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr kernel::Duration SweepEvery = 1s;
+constexpr int MostSilences = 2; ///< Then another box is taken for the owner.
+
+forward::PlacePolicy policyOf(const kernel::BoxSettings &settings)
+{
+    forward::PlacePolicy policy;
+    policy.loadMultiple = settings.gateway.loadMultiple;
+    return policy;
+}
+
+} // namespace
+
+PlaceService::PlaceService(services::Context &context, World &world)
+    : context_(context)
+    , world_(world)
+    , ledger_(policyOf(context.settings))
+{
+}
+
+void PlaceService::start()
+{
+    context_.kernel.find<services::PeerService>("peer").onMessage(
+            [this](const peer::Message &message, const kernel::Endpoint &from) {
+                receive(message, from);
+            });
+    sweep_ = std::make_unique<services::Repeat>(
+            context_.io, [this]() -> asio::awaitable<kernel::Duration> {
+                ledger_.expire(context_.now());
+                const auto &members =
+                        context_.kernel.find<services::MembershipService>("membership");
+                world_.budget().setBoxes(members.owners().size());
+                co_return kernel::Duration(SweepEvery);
+            });
+}
+
+void PlaceService::stop()
+{
+    sweep_.reset();
+}
+
+forward::FleetSize PlaceService::fleetFor(std::uint64_t engine) const
+{
+    const auto &members = context_.kernel.find<services::MembershipService>("membership");
+    return {std::max<std::size_t>(members.owners().size(), 1),
+            std::max<std::size_t>(world_.servers().serversBeside(engine), 1)};
+}
+
+asio::awaitable<std::optional<Place>> PlaceService::take(forward::ListedServer server)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    Place place;
+    place.request = context_.random();
+    place.engine = kernel::hashOf(server.id);
+    const auto owner = membership::ownerOf(place.engine, members.owners());
+    peer::AskPermit ask;
+    ask.kind = peer::AskKind::Engine;
+    ask.request = place.request;
+    ask.router = members.self();
+    ask.resource = place.engine;
+    ask.organisation = kernel::hashOf(server.service);
+    ask.load = world_.servers().ownLoad(server.service);
+    if (!owner) {
+        co_return place;
+    }
+    std::uint32_t load = 0;
+    if (*owner == members.self()) {
+        const auto answer =
+                ledger_.ask({ask.request, ask.resource, ask.organisation, ask.router, ask.load},
+                            fleetFor(place.engine), context_.now());
+        load = answer.load;
+        place.owner = answer.granted ? *owner : 0;
+    } else {
+        const std::uint64_t asked = *owner;
+        const auto answer = co_await askOwner(asked, ask);
+        if (!answer) {
+            context_.counters.add("places", {{"result", "no-answer"}});
+            co_return place;
+        }
+        load = answer->load;
+        place.owner = answer->result == peer::PermitResult::Granted ? asked : 0;
+    }
+    const std::uint32_t own = world_.servers().ownLoadAt(server.id);
+    const std::uint32_t mine = own + (place.owner != 0 ? 1 : 0);
+    world_.servers().setOthers(server.id, load > mine ? load - mine : 0, context_.now());
+    context_.counters.add("places", {{"result", place.owner != 0 ? "granted" : "full"}});
+    if (place.owner == 0) {
+        co_return std::nullopt;
+    }
+    co_return place;
+}
+
+asio::awaitable<std::optional<peer::PermitAnswer>> PlaceService::askOwner(std::uint64_t owner,
+                                                                          peer::AskPermit ask)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    const auto address = members.addressOf(owner);
+    if (!address) {
+        co_return std::nullopt;
+    }
+    auto pending = std::make_shared<Pending>(
+            Pending{asio::steady_timer(context_.io, context_.settings.askTimeout), std::nullopt});
+    pending_[ask.request] = pending;
+    context_.kernel.find<services::PeerService>("peer").send(*address, ask);
+    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    pending_.erase(ask.request);
+    if (pending->answer) {
+        silences_.erase(owner);
+    } else {
+        noteSilent(owner);
+    }
+    co_return pending->answer;
+}
+
+void PlaceService::noteSilent(std::uint64_t owner)
+{
+    if (++silences_[owner] >= MostSilences) {
+        silences_.erase(owner);
+        context_.kernel.find<services::MembershipService>("membership").noteUnreachable(owner);
+    }
+}
+
+void PlaceService::giveBack(const Place &place)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    if (place.owner == members.self()) {
+        ledger_.giveBack(place.engine, place.request);
+    } else if (const auto address = members.addressOf(place.owner); place.owner != 0 && address) {
+        context_.kernel.find<services::PeerService>("peer").send(
+                *address, peer::GiveBack{place.request, place.engine, peer::Observed::Served});
+    }
+}
+
+void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
+{
+    if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
+        const auto answer = ledger_.ask(
+                {ask->request, ask->resource, ask->organisation, ask->router, ask->load},
+                fleetFor(ask->resource), context_.now());
+        peer::PermitAnswer reply;
+        reply.request = ask->request;
+        reply.result = answer.granted ? peer::PermitResult::Granted : peer::PermitResult::Full;
+        reply.load = answer.load;
+        context_.kernel.find<services::PeerService>("peer").send(from, reply);
+    } else if (const auto *const back = std::get_if<peer::GiveBack>(&message)) {
+        ledger_.giveBack(back->resource, back->request);
+    } else if (const auto *const answer = std::get_if<peer::PermitAnswer>(&message)) {
+        const auto waiting = pending_.find(answer->request);
+        if (waiting != pending_.end()) {
+            waiting->second->answer = *answer;
+            waiting->second->timer.cancel();
+        }
+    }
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/PlaceService.h
@@ -0,0 +1,65 @@
+/** \file
+ * Asks the owner of an engine for a place there, and answers for the engines that this box owns.
+ *
+ * The owner of an engine is found by rendezvous hashing over the live boxes. One that doesn't
+ * answer in time is passed over: the asker then decides on what it knows itself.
+ */
+#pragma once
+
+#include "forward/PlaceLedger.h"
+#include "gateway/World.h"
+#include "peer/Messages.h"
+#include "services/MembershipService.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace limereel::gateway {
+
+/** A place that was granted, or taken without an owner's word. */
+struct Place
+{
+    std::uint64_t request = 0;
+    std::uint64_t engine = 0;
+    std::uint64_t owner = 0; ///< 0: no owner granted it.
+};
+
+/** The service. */
+class PlaceService : public kernel::Service
+{
+public:
+    PlaceService(services::Context &context, World &world);
+
+    std::string_view name() const override { return "places"; }
+    void start() override;
+    void stop() override;
+
+    /** A place at \a server; nothing if its owner says that it is full. */
+    boost::asio::awaitable<std::optional<Place>> take(forward::ListedServer server);
+
+    void giveBack(const Place &place);
+
+private:
+    struct Pending
+    {
+        boost::asio::steady_timer timer;
+        std::optional<peer::PermitAnswer> answer;
+    };
+
+    forward::FleetSize fleetFor(std::uint64_t engine) const;
+    void receive(const peer::Message &message, const kernel::Endpoint &from);
+    boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
+                                                                       peer::AskPermit ask);
+    void noteSilent(std::uint64_t owner);
+
+    services::Context &context_;
+    World &world_;
+    forward::PlaceLedger ledger_;
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< By request.
+    std::map<std::uint64_t, int> silences_;                     ///< In a row, by owner.
+    std::unique_ptr<services::Repeat> sweep_;
+};
+
+} // namespace limereel::gateway
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint32_t MostRejections = 2;
 constexpr std::uint32_t MostUnsent = 3;
 constexpr int MostSurplusAnswers = 3;
+constexpr std::size_t MostAsks = 3; ///< Owners that are asked for a place.
 constexpr kernel::Duration LongestConnect = 300ms;
 constexpr kernel::Duration LeastLeft = 5ms; ///< With less there is no use in sending.
 constexpr kernel::Duration PatienceUntold = 60s;
@@ -47,10 +48,11 @@
 } // namespace
 
 RequestRun::RequestRun(services::Context &context, World &world, ConnectionPool &pool,
-                       http::Request request, http::Reply &reply)
+                       PlaceService &places, http::Request request, http::Reply &reply)
     : context_(context)
     , world_(world)
     , pool_(pool)
+    , places_(places)
     , request_(std::move(request))
     , reply_(reply)
     , began_(context.now())
@@ -92,6 +94,7 @@
     });
     world_.budget().countRequest(service_, began_);
     co_await runAttempts();
+    givePlaceBack();
 }
 
 std::optional<RequestRun::Refusal> RequestRun::admit()
@@ -180,12 +183,7 @@
 asio::awaitable<void> RequestRun::runAttempts()
 {
     while (!stopped()) {
-        forward::Wish wish;
-        wish.service = service_;
-        wish.prompt = prompt();
-        wish.tried = tried_;
-        wish.takeParts = movesParts_;
-        auto choice = world_.servers().choose(wish, context_.now(), context_.random);
+        auto choice = co_await chooseServer();
         if (!choice) {
             lastMessage_ = lastMessage_.empty() ? "no backend server can be used" : lastMessage_;
             break;
@@ -198,6 +196,7 @@
         takeFrom_ = choice->takeFrom;
         lastServer_ = chosen.id;
         const End end = co_await attempt(std::move(chosen));
+        givePlaceBack();
         if (end == End::Answered) {
             co_return;
         }
@@ -214,6 +213,37 @@
     co_await giveUp();
 }
 
+// Engines are bounded: the owner of the chosen one has to agree. After some that are full the next
+// one is taken all the same, since a request that waits here helps nobody.
+asio::awaitable<std::optional<forward::Choice>> RequestRun::chooseServer()
+{
+    forward::Wish wish;
+    wish.service = service_;
+    wish.prompt = prompt();
+    wish.tried = tried_;
+    wish.takeParts = movesParts_;
+    while (true) {
+        auto choice = world_.servers().choose(wish, context_.now(), context_.random);
+        if (!choice || wish.prompt == nullptr || wish.full.size() >= MostAsks) {
+            co_return choice;
+        }
+        ListedServer asked = choice->server;
+        place_ = co_await places_.take(std::move(asked));
+        if (place_) {
+            co_return choice;
+        }
+        wish.full.push_back(choice->server.id);
+    }
+}
+
+void RequestRun::givePlaceBack()
+{
+    if (place_) {
+        places_.giveBack(*place_);
+        place_.reset();
+    }
+}
+
 void RequestRun::count(End end)
 {
     unsent_ += end == End::Unsent ? 1 : 0;
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -10,6 +10,7 @@
 
 #include "forward/EventCutter.h"
 #include "gateway/ConnectionPool.h"
+#include "gateway/PlaceService.h"
 #include "gateway/World.h"
 #include "http/Server.h"
 #include "outcome/Attempt.h"
@@ -25,7 +26,7 @@
 class RequestRun
 {
 public:
-    RequestRun(services::Context &context, World &world, ConnectionPool &pool,
+    RequestRun(services::Context &context, World &world, ConnectionPool &pool, PlaceService &places,
                http::Request request, http::Reply &reply);
     ~RequestRun();
     RequestRun(const RequestRun &) = delete;
@@ -68,6 +69,8 @@
     void armSilence(const std::string &server, kernel::Duration after);
 
     boost::asio::awaitable<void> runAttempts();
+    boost::asio::awaitable<std::optional<forward::Choice>> chooseServer();
+    void givePlaceBack();
     void count(End end);
     bool mayTryAgain(End end);
     boost::asio::awaitable<End> attempt(forward::ListedServer server);
@@ -99,6 +102,7 @@
     services::Context &context_;
     World &world_;
     ConnectionPool &pool_;
+    PlaceService &places_;
     http::Request request_;
     http::Reply &reply_;
     forward::Call call_;
@@ -108,6 +112,7 @@
     std::optional<std::uint32_t> priority_;
     bool movesParts_ = false; ///< Servers of the service take prompt parts from each other.
     std::optional<kernel::Endpoint> takeFrom_;
+    std::optional<Place> place_;
     kernel::Instant began_;
     kernel::Instant deadline_;
     boost::asio::steady_timer deadlineTimer_;
--- a/src/membership/BoxState.h
+++ b/src/membership/BoxState.h
@@ -48,6 +48,7 @@
     bool leaving = false;               ///< It hands over what it owns and takes no new work.
     std::uint64_t configRevision = 0;   ///< Of the settings tree in force there.
     std::vector<BackendState> backends; ///< The ones it owns.
+    std::uint32_t address = 0;          ///< Its IPv4 number for other boxes; 0: untold.
 
     auto operator<=>(const BoxState &) const = default;
 
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -37,8 +37,13 @@
     for (const BackendState &backend : state.backends) {
         backends.push_back(toJson(backend));
     }
-    return json::array({state.box, state.incarnation, state.version, state.leaving ? 1 : 0,
-                        state.configRevision, std::move(backends)});
+    json array = json::array({state.box, state.incarnation, state.version, state.leaving ? 1 : 0,
+                              state.configRevision, std::move(backends)});
+    // Left out where boxes know each other from a list: every byte of a heartbeat counts.
+    if (state.address != 0) {
+        array.push_back(state.address);
+    }
+    return array;
 }
 
 BoxState boxState(const json &array)
@@ -48,7 +53,8 @@
                    .version = array.at(2).get<std::uint64_t>(),
                    .leaving = array.at(3).get<int>() != 0,
                    .configRevision = array.at(4).get<std::uint64_t>(),
-                   .backends = {}};
+                   .backends = {},
+                   .address = array.size() > 6 ? array.at(6).get<std::uint32_t>() : 0};
     for (const json &backend : array.at(5)) {
         state.backends.push_back(backendState(backend));
     }
--- a/src/services/MembershipService.cpp
+++ b/src/services/MembershipService.cpp
@@ -1,9 +1,9 @@
 #include "services/MembershipService.h"
 
 #include "kernel/Log.h"
-#include "services/DirectoryService.h"
 #include "services/PeerService.h"
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <sstream>
 
 namespace limereel::services {
@@ -26,19 +26,31 @@
     return policy;
 }
 
-BoxState firstState(const Context &context)
+std::uint32_t ownNumber(const Context &context)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address_v4(context.settings.peer.address, error);
+    return error ? 0 : address.to_uint();
+}
+
+BoxState firstState(const Context &context, const Acquaintance &acquaintance)
 {
     BoxState state;
     state.box = context.settings.box.hash();
     state.incarnation = context.incarnation;
+    state.address = acquaintance.seeds.empty() ? 0 : ownNumber(context);
     return state;
 }
 
+// Rounds between two greetings of seeds that aren't known, once some box is.
+constexpr std::uint64_t GreetEvery = 10;
+
 } // namespace
 
-MembershipService::MembershipService(Context &context)
+MembershipService::MembershipService(Context &context, Acquaintance acquaintance)
     : context_(context)
-    , table_(policyOf(context.settings), firstState(context))
+    , acquaintance_(std::move(acquaintance))
+    , table_(policyOf(context.settings), firstState(context, acquaintance_))
 {
     names_[context.settings.box.hash()] = context.settings.box.text();
 }
@@ -97,8 +109,8 @@
 
 asio::awaitable<kernel::Duration> MembershipService::round()
 {
-    takeDirectory();
-    BoxState state = firstState(context_);
+    takeListed();
+    BoxState state = firstState(context_, acquaintance_);
     state.leaving = leaving_;
     for (const auto &complete : complete_) {
         complete(state);
@@ -111,31 +123,54 @@
                       peer::Heartbeat{std::move(message.states), std::move(message.ages)});
         }
     }
+    greetSeeds();
     for (const auto &beat : beat_) {
         beat();
     }
     co_return context_.settings.heartbeatPeriod;
 }
 
-void MembershipService::takeDirectory()
+void MembershipService::takeListed()
 {
     std::vector<std::uint64_t> listed;
-    const auto add = [&](const kernel::BoxId &box, const kernel::Endpoint &address) {
-        listed.push_back(box.hash());
-        names_[box.hash()] = box.text();
-        addresses_[box.hash()] = address;
+    const auto add = [&](const kernel::KnownBox &known) {
+        listed.push_back(known.box.hash());
+        names_[known.box.hash()] = known.box.text();
+        addresses_[known.box.hash()] = known.peer;
     };
     for (const kernel::KnownBox &known : context_.settings.knownBoxes) {
-        add(known.box, known.peer);
+        add(known);
     }
-    for (const auto &box : context_.kernel.find<DirectoryService>("directory").own().boxes) {
-        if (const auto address = kernel::endpointFrom(box.peer)) {
-            add(box.box, *address);
-        }
+    for (const kernel::KnownBox &known : acquaintance_.listed()) {
+        add(known);
     }
     table_.setListed(listed, context_.now());
 }
 
+// Until some box is known, and now and then afterwards, since two parts of a fleet may have started
+// apart.
+void MembershipService::greetSeeds()
+{
+    const bool alone = owners().size() <= 1;
+    if (!alone && rounds_++ % GreetEvery != 0) {
+        return;
+    }
+    auto &peer = context_.kernel.find<PeerService>("peer");
+    for (const kernel::Endpoint &seed : acquaintance_.seeds) {
+        if (seed != context_.settings.peer) {
+            peer.send(seed, peer::Heartbeat{{table_.self()}, {}});
+        }
+    }
+}
+
+void MembershipService::learnAddress(const BoxState &state)
+{
+    if (state.address != 0 && state.box != self()) {
+        const std::string number = asio::ip::address_v4(state.address).to_string();
+        addresses_[state.box] = {number, context_.settings.peer.port};
+    }
+}
+
 void MembershipService::receive(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from)
 {
     if (heartbeat.states.empty()) {
@@ -144,6 +179,13 @@
     // The sender's own state comes first; where it came from is where it listens. Only a box that
     // the platform or the settings don't name (the list lags) is learned this way.
     addresses_.try_emplace(heartbeat.states.front().box, from);
+    for (const BoxState &state : heartbeat.states) {
+        learnAddress(state);
+        // An earlier process of this box is still spoken of: the clock has been set back since.
+        if (state.box == self() && state.incarnation > context_.incarnation) {
+            context_.incarnation = state.incarnation + 1;
+        }
+    }
     const std::size_t news = table_.receive(heartbeat.states, heartbeat.ages, context_.now());
     context_.counters.add("heartbeat_states", {{"news", "yes"}}, news);
     context_.counters.add("heartbeat_states", {{"news", "no"}}, heartbeat.states.size() - news);
--- a/src/services/MembershipService.h
+++ b/src/services/MembershipService.h
@@ -16,11 +16,24 @@
 
 namespace limereel::services {
 
+/** How a box comes to know the others. */
+struct Acquaintance
+{
+    /** The boxes that a list names. */
+    std::function<std::vector<kernel::KnownBox>()> listed = [] {
+        return std::vector<kernel::KnownBox>();
+    };
+
+    /** Addresses at which boxes may be that know others. Where there are any, boxes tell their
+     * addresses in their heartbeats. */
+    std::vector<kernel::Endpoint> seeds;
+};
+
 /** Heartbeats and addresses. */
 class MembershipService : public kernel::Service
 {
 public:
-    explicit MembershipService(Context &context);
+    MembershipService(Context &context, Acquaintance acquaintance);
 
     std::string_view name() const override { return "membership"; }
     void start() override;
@@ -67,10 +80,14 @@
 
 private:
     boost::asio::awaitable<kernel::Duration> round();
-    void takeDirectory();
+    void takeListed();
+    void greetSeeds();
+    void learnAddress(const membership::BoxState &state);
     void receive(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from);
 
     Context &context_;
+    Acquaintance acquaintance_;
+    std::uint64_t rounds_ = 0;
     membership::HeartbeatTable table_;
     std::unordered_map<std::uint64_t, kernel::Endpoint> addresses_;
     std::unordered_map<std::uint64_t, std::string> names_;
--- a/src/services/Router.cpp
+++ b/src/services/Router.cpp
@@ -41,6 +41,22 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
+// Boxes of the own hall, as the platform lists them.
+Acquaintance acquaintanceOf(Context &context)
+{
+    Acquaintance acquaintance;
+    acquaintance.listed = [&context] {
+        std::vector<kernel::KnownBox> known;
+        for (const auto &box : context.kernel.find<DirectoryService>("directory").own().boxes) {
+            if (const auto address = kernel::endpointFrom(box.peer)) {
+                known.push_back({box.box, *address});
+            }
+        }
+        return known;
+    };
+    return acquaintance;
+}
+
 } // namespace
 
 void addRouterServices(Context &context, std::function<void()> stopped)
@@ -49,7 +65,7 @@
     kernel.add(std::make_unique<PeerService>(context));
     kernel.add(std::make_unique<PlatformService>(context));
     kernel.add(std::make_unique<DirectoryService>(context));
-    kernel.add(std::make_unique<MembershipService>(context));
+    kernel.add(std::make_unique<MembershipService>(context, acquaintanceOf(context)));
     kernel.add(std::make_unique<ConfigService>(context));
     kernel.add(std::make_unique<OwnerService>(context));
     kernel.add(std::make_unique<PermitService>(context));
