Stand-ins for the users' platform and 40 tests of a gateway between them

Change: test/platform has a store (pages, watches, lost history, refusals, silence), backend servers with a fault for each request, and a fixture with the real services on one event loop and a clock that can be moved.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -48,7 +48,9 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
-void addServices(services::Context &context, Adapter adapter, std::function<void()> stopped)
+} // namespace
+
+void addGatewayServices(services::Context &context, Adapter adapter, std::function<void()> stopped)
 {
     kernel::Kernel &kernel = context.kernel;
     kernel.add(std::make_unique<services::PeerService>(context));
@@ -60,15 +62,13 @@
     kernel.add(std::make_unique<GatewayStop>(context, std::move(stopped)));
 }
 
-} // namespace
-
 int runGateway(kernel::BoxSettings settings, Adapter adapter)
 {
     asio::io_context io(1);
     services::Context context(io, std::move(settings));
     context.incarnation = incarnationNow();
     seedChance(context);
-    addServices(context, std::move(adapter), [&io] { io.stop(); });
+    addGatewayServices(context, std::move(adapter), [&io] { io.stop(); });
     asio::signal_set ends(io, SIGTERM, SIGINT);
     ends.async_wait([&context](boost::system::error_code error, int) {
         if (!error) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,9 +6,16 @@
 
 #include "gateway/Adapter.h"
 #include "kernel/BoxSettings.h"
+#include "services/Context.h"
+
+#include <functional>
 
 namespace limereel::gateway {
 
+/** Adds the services of a gateway, in the order in which they start. \param stopped called when a
+ * planned stop is done. */
+void addGatewayServices(services::Context &context, Adapter adapter, std::function<void()> stopped);
+
 /** Runs a gateway until a planned stop. \return the exit code. */
 int runGateway(kernel::BoxSettings settings, Adapter adapter);
 
--- /dev/null
+++ b/test/platform/GatewayTest.cpp
@@ -0,0 +1,414 @@
+// The whole way of a request through a gateway on the users' platform, under each fault that a
+// backend server, a caller or the store may show. What ran is counted at the backend servers.
+
+#include "platform/GatewayFixture.h"
+
+#include "gateway/GatewayServices.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using namespace limereel::support;
+using standin::RunnerFault;
+
+namespace {
+
+const std::string FiveEvents = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                               "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+                               "id: 5\ndata: piece 5\n\n";
+
+// Only the first request of the test meets the fault, at whichever server it comes to.
+class OneFault : public GatewayFixture
+{
+public:
+    CallerAnswer callMeeting(RunnerFault fault, http::Request request)
+    {
+        startReady();
+        nextMeets(fault);
+        const auto pending = begin(std::move(request));
+        until([this] { return !runner(0).records().empty() || !runner(1).records().empty(); },
+              "arrival");
+        for (std::size_t index = 0; index < 2; ++index) {
+            if (runner(index).records().empty()) {
+                runner(index).faults.clear();
+            }
+        }
+        return finish(pending);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewayRequestTest)
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_noFault_runsOnceWithTheSystemsFieldsAndWithoutTheKey,
+                        GatewayFixture)
+{
+    startReady();
+    const auto answer = call(request("POST", "/once/x?y=1",
+                                     http::Fields().with("X-Tenant", "forged").with("X-Own", "1")));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.whole);
+    BOOST_REQUIRE(runs() == 1U);
+    const http::Request &seen = used().records().front().request;
+    BOOST_TEST(seen.target == "/once/x?y=1");
+    BOOST_TEST(seen.body == "the body");
+    BOOST_TEST(seen.fields.get("Host") == "calls.example");
+    BOOST_TEST(seen.fields.get("X-Tenant") == "one");
+    BOOST_TEST(seen.fields.get("X-Api-Key").empty());
+    BOOST_TEST(seen.fields.get("X-Own") == "1");
+    BOOST_TEST(seen.fields.get("X-Expect-Instance") == used().name());
+    BOOST_TEST(seen.fields.get("X-Urgency-Class") == "3");
+    BOOST_TEST(std::stoi(std::string(seen.fields.get("X-Deadline-Ms"))) <= 15000);
+    BOOST_TEST(answer.fields.get("X-Response-Stamp") == used().name() + ".a1");
+}
+
+BOOST_FIXTURE_TEST_CASE(unknownRouteOrKey_anyRequest_isRefusedAndDoesNotRun, GatewayFixture)
+{
+    startReady();
+    BOOST_TEST(call(request("GET", "/none/x")).status == 404);
+    BOOST_TEST(call(request("GET", "/again/x", http::Fields().with("X-Api-Key", "no"))).status
+               == 401);
+    BOOST_TEST(call(request("GET", "/open/x", http::Fields().with("X-Api-Key", "no"))).status
+               == 200);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(noConfigurationYet_anyRequest_isToldToComeBackAndBoxIsNotReady,
+                        GatewayFixture)
+{
+    start();
+    const auto answer = call(request("GET", "/again/x"));
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!answer.fields.get("Retry-After").empty());
+    BOOST_TEST(!ready());
+}
+
+BOOST_FIXTURE_TEST_CASE(requestWithoutId_isBad, GatewayFixture)
+{
+    startReady();
+    http::Request bare("GET", "/again/x", http::Fields().with("Host", "calls.example"));
+    BOOST_TEST(call(std::move(bare)).status == 400);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_rejected_runsElsewhere, OneFault)
+{
+    BOOST_TEST(callMeeting(RunnerFault::Reject, request("POST", "/once/x")).status == 200);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_addressHasAnotherServer_runsElsewhere, OneFault)
+{
+    BOOST_TEST(callMeeting(RunnerFault::Misdirect, request("POST", "/once/x")).status == 200);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_rejectedEverywhere_isPromisedNotToHaveRun, GatewayFixture)
+{
+    startReady();
+    for (int time = 0; time < 3; ++time) {
+        nextMeets(RunnerFault::Reject);
+    }
+    const auto answer = call(request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!answer.fields.get("Retry-After").empty());
+    BOOST_TEST(answer.fields.get("X-Response-Stamp").empty());
+    BOOST_TEST(runs() == 0U);
+}
+
+// Whatever of these happens, the request may have run: once, no promise, no second run.
+const std::vector<RunnerFault> MayHaveRun = {RunnerFault::ResetUnread, RunnerFault::ResetAfter,
+                                             RunnerFault::Foreign, RunnerFault::Garbage,
+                                             RunnerFault::CutBody};
+
+BOOST_DATA_TEST_CASE_F(OneFault, onceOnly_mayHaveRun_isNeitherRepeatedNorPromised,
+                       boost::unit_test::data::make({0, 1, 3, 4}), index)
+{
+    const auto answer =
+            callMeeting(MayHaveRun[static_cast<std::size_t>(index)], request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(answer.fields.get("X-Response-Stamp").empty());
+    BOOST_TEST(runner(0).records().size() + runner(1).records().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_onlyAForeignAnswer_isGivenUpWithoutAPromise, OneFault)
+{
+    const auto answer =
+            callMeeting(RunnerFault::Foreign,
+                        request("POST", "/once/x", http::Fields().with("X-Deadline-Ms", "300")));
+    BOOST_TEST(answer.status == 504);
+    BOOST_TEST(answer.body.find("not yours") == std::string::npos);
+    BOOST_TEST(runs() == 1U);
+}
+
+// The first finding on the users' bench: 503 at the deadline for a request that had been sent.
+BOOST_FIXTURE_TEST_CASE(onceOnly_silentUntilTheDeadline_isNotPromisedNotToHaveRun, OneFault)
+{
+    const auto answer =
+            callMeeting(RunnerFault::Silent,
+                        request("POST", "/once/x", http::Fields().with("X-Deadline-Ms", "300")));
+    BOOST_TEST(answer.status == 504);
+    BOOST_TEST(answer.fields.get("Retry-After").empty());
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(surplusAnswerInItsPlace_isPassedOver, OneFault)
+{
+    const auto answer = callMeeting(RunnerFault::Surplus, request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "done by " + used().name());
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(answerThatEndsWithItsConnection_isWhole, OneFault)
+{
+    const auto answer = callMeeting(RunnerFault::Unframed, request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "done by " + used().name());
+    BOOST_TEST(answer.whole);
+}
+
+BOOST_FIXTURE_TEST_CASE(bytesBehindTheAnswer_connectionIsNotUsedAgain, OneFault)
+{
+    BOOST_TEST(callMeeting(RunnerFault::Trailing, request("POST", "/once/x")).status == 200);
+    const int before = used().connections();
+    BOOST_TEST(call(request("POST", "/once/y")).status == 200);
+    BOOST_TEST(runs() == 2U);
+    BOOST_TEST(runner(0).connections() + runner(1).connections() == before + 1);
+}
+
+const std::vector<RunnerFault> Repeated = {RunnerFault::ResetUnread, RunnerFault::ResetAfter,
+                                           RunnerFault::Garbage,     RunnerFault::CutBody,
+                                           RunnerFault::Fail,        RunnerFault::Reject};
+
+BOOST_DATA_TEST_CASE_F(OneFault, repeatable_failsOnce_isServedElsewhere,
+                       boost::unit_test::data::make({0, 1, 2, 3, 4, 5}), index)
+{
+    const auto answer =
+            callMeeting(Repeated[static_cast<std::size_t>(index)], request("GET", "/again/x"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(runner(0).records().size() + runner(1).records().size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(repeatable_failsEverywhere_passesTheLastFailureWithItsSignature,
+                        GatewayFixture)
+{
+    startReady();
+    nextMeets(RunnerFault::Fail);
+    const auto answer = call(request("GET", "/again/x"));
+    BOOST_TEST(answer.status == 500);
+    BOOST_TEST(answer.body == "it failed");
+    BOOST_TEST(!answer.fields.get("X-Response-Stamp").empty());
+    BOOST_TEST(runs() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnly_fails_passesTheFailure, OneFault)
+{
+    const auto answer = callMeeting(RunnerFault::Fail, request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 500);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(callerLeaves_backendConnectionIsClosed, GatewayFixture)
+{
+    startReady();
+    runner(0).pause = runner(1).pause = 20ms;
+    runner(0).events = runner(1).events = 100000;
+    const auto pending = begin(promptRequest("/stream/x"));
+    until([&] { return !pending->answer.body.empty(); }, "the first event");
+    pending->connection->close();
+    until([this] { return runner(0).left() + runner(1).left() == 1; }, "the server's end");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GatewayStreamTest)
+
+BOOST_FIXTURE_TEST_CASE(stream_noFault_isPassedUnchanged, GatewayFixture)
+{
+    startReady();
+    const auto answer = call(promptRequest("/stream/x"));
+    BOOST_TEST(answer.body == FiveEvents);
+    BOOST_TEST(answer.whole);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumableStream_cutInsideAnEvent_goesOnElsewhereWithoutAGap, OneFault)
+{
+    const auto answer = callMeeting(RunnerFault::CutStream, promptRequest("/resume/x"));
+    BOOST_TEST(answer.body == FiveEvents);
+    BOOST_TEST(answer.whole);
+    BOOST_TEST(runs() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumableStream_cutTwice_isShownAsCut, GatewayFixture)
+{
+    startReady();
+    nextMeets(RunnerFault::CutStream);
+    const auto answer = call(promptRequest("/resume/x"));
+    BOOST_TEST(!answer.whole);
+    BOOST_TEST(FiveEvents.starts_with(answer.body));
+    BOOST_TEST(runs() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(onceOnlyStream_cut_isShownAsCutAndNotRepeated, OneFault)
+{
+    const auto answer = callMeeting(RunnerFault::CutStream, promptRequest("/stream/x"));
+    BOOST_TEST(answer.answered);
+    BOOST_TEST(!answer.whole);
+    BOOST_TEST(FiveEvents.starts_with(answer.body));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(callerResumes_eventsThatItHas_areNotSentAgain, GatewayFixture)
+{
+    startReady();
+    const auto answer = call(promptRequest("/resume/x", http::Fields().with("Last-Event-Id", "3")));
+    BOOST_TEST(answer.body == FiveEvents.substr(FiveEvents.find("id: 4")));
+}
+
+BOOST_FIXTURE_TEST_CASE(samePromptParts_goToTheSameServer, GatewayFixture)
+{
+    startReady();
+    for (int time = 0; time < 5; ++time) {
+        BOOST_TEST(call(promptRequest("/stream/x")).whole);
+    }
+    BOOST_TEST(used().runs() == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GatewayStoreTest)
+
+BOOST_FIXTURE_TEST_CASE(keyTakenAway_isRefusedOnceTheStoreTellsIt, GatewayFixture)
+{
+    startReady();
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    auto next = configuration(2);
+    next["tenants"][0]["api_keys"] = nlohmann::json::array({"key-two"});
+    putConfiguration(next);
+    until([this] { return call(request("GET", "/again/x")).status == 401; }, "the new version");
+    BOOST_TEST(call(request("GET", "/again/x", http::Fields().with("X-Api-Key", "key-two"))).status
+               == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(processStoodStillPastTheBound_keysAreNotHonouredUnconfirmed, GatewayFixture)
+{
+    startReady();
+    store().faults.silent = true;
+    stepForward(5s);
+    const auto answer = call(request("POST", "/once/x"));
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.fields.get("Connection") == "close");
+    BOOST_TEST(runs() == 0U);
+    BOOST_TEST(!ready());
+    // What needs no key is served all the same.
+    BOOST_TEST(call(request("GET", "/open/x")).status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(storeRefuses_whatIsKnownServesUntilTheBound, GatewayFixture)
+{
+    startReady();
+    store().faults.status = 429;
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    stepForward(5s);
+    BOOST_TEST(call(request("GET", "/again/x")).status == 503);
+    store().faults.status = 0;
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(historyForgotten_theListIsReadAndTheNewVersionIsInForce, GatewayFixture)
+{
+    startReady();
+    store().faults.lost = true;
+    const int before = store().calls();
+    until([&] { return store().calls() > before + 1; }, "a lost answer");
+    auto next = configuration(2);
+    next["routes"].push_back(next["routes"][1]);
+    next["routes"].back()["path_prefix"] = "/new/";
+    putConfiguration(next);
+    store().forgetHistory();
+    store().faults.lost = false;
+    until([this] { return call(request("GET", "/new/x")).status == 200; }, "the new version");
+}
+
+BOOST_FIXTURE_TEST_CASE(olderVersion_neverReplacesANewerOne, GatewayFixture)
+{
+    startReady();
+    auto newer = configuration(5);
+    newer["routes"][1]["path_prefix"] = "/new/";
+    putConfiguration(newer);
+    until([this] { return call(request("GET", "/new/x")).status == 200; }, "the new version");
+    putConfiguration(configuration(4));
+    putConfiguration(nlohmann::json{{"version", "not a number"}});
+    auto marker = newer;
+    marker["version"] = 6;
+    marker["routes"][0]["path_prefix"] = "/marker/";
+    putConfiguration(marker);
+    until([this] { return call(request("POST", "/marker/x")).status == 200; }, "the marker");
+    BOOST_TEST(call(request("GET", "/new/x")).status == 200);
+    BOOST_TEST(call(request("GET", "/again/x")).status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(leavingServer_getsNothingNew, GatewayFixture)
+{
+    startReady();
+    list(runner(0), "pool", "draining");
+    until(
+            [this] {
+                return context()
+                        .kernel.find<gateway::World>("world")
+                        .servers()
+                        .find("i-one")
+                        ->leaving;
+            },
+            "the news");
+    const std::size_t before = runner(0).records().size();
+    for (int time = 0; time < 6; ++time) {
+        BOOST_TEST(call(request("POST", "/once/x")).status == 200);
+    }
+    BOOST_TEST(runner(0).records().size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(listInPages_allServersAreKnown, GatewayFixture)
+{
+    store().pageSize = 1;
+    startReady();
+    BOOST_TEST(context().kernel.find<gateway::World>("world").servers().ids().size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(serverRefusesConnections_requestRunsElsewhere, GatewayFixture)
+{
+    startReady();
+    runner(0).close();
+    for (int time = 0; time < 4; ++time) {
+        BOOST_TEST(call(request("POST", "/once/x")).status == 200);
+    }
+    BOOST_TEST(runner(1).runs() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GatewayStopTest)
+
+BOOST_FIXTURE_TEST_CASE(plannedStop_runningStreamIsFinishedAndKeptConnectionsAreClosed,
+                        GatewayFixture)
+{
+    startReady();
+    runner(0).pause = runner(1).pause = 10ms;
+    const auto idle = begin(request("GET", "/open/x"));
+    finish(idle);
+    const auto running = begin(promptRequest("/stream/x"));
+    until([&] { return !running->answer.body.empty(); }, "the first event");
+    context().kernel.find<gateway::GatewayStop>("stop").leave();
+    BOOST_TEST(!ready());
+    const auto last = finish(begin(request("GET", "/open/x"), idle->connection));
+    BOOST_TEST(last.status == 200);
+    BOOST_TEST(last.fields.get("Connection") == "close");
+    BOOST_TEST(finish(running).body == FiveEvents);
+    BOOST_TEST(finish(running).whole);
+    until([this] { return stopped_; }, "the end");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/RunnerStandin.cpp
@@ -0,0 +1,224 @@
+#include "platform/RunnerStandin.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace limereel::standin {
+
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
+
+std::string head(const std::string &status, const std::string &id, const std::string &stamp,
+                 const std::string &more)
+{
+    std::string text = "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\n";
+    if (!stamp.empty()) {
+        text += "X-Response-Stamp: " + stamp + "\r\n";
+    }
+    return text + more + "\r\n";
+}
+
+std::string framed(const std::string &status, const std::string &id, const std::string &stamp,
+                   const std::string &body, const std::string &more = {})
+{
+    return head(status, id, stamp, more + "Content-Length: " + std::to_string(body.size()) + "\r\n")
+           + body;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+asio::awaitable<bool> write(tcp::socket &socket, const std::string &bytes)
+{
+    const auto [error, count] = co_await asio::async_write(socket, asio::buffer(bytes), Quiet);
+    co_return !error;
+}
+
+void reset(tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+RunnerStandin::RunnerStandin(asio::io_context &io, std::string name, kernel::Endpoint where)
+    : io_(io)
+    , name_(std::move(name))
+    , where_(std::move(where))
+    , acceptor_(io, tcp::endpoint(asio::ip::make_address(where_.address), where_.port))
+{
+    asio::co_spawn(io_, accept(), asio::detached);
+}
+
+RunnerStandin::~RunnerStandin()
+{
+    state_->open = false;
+    close();
+}
+
+void RunnerStandin::close()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+std::size_t RunnerStandin::runs() const
+{
+    return static_cast<std::size_t>(std::ranges::count(state_->records, true, &RunnerRecord::ran));
+}
+
+asio::awaitable<void> RunnerStandin::accept()
+{
+    const std::shared_ptr<State> state = state_;
+    while (state->open) {
+        auto [error, socket] = co_await acceptor_.async_accept(Quiet);
+        if (error) {
+            break;
+        }
+        ++state->connections;
+        asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> RunnerStandin::serve(tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    bool more = true;
+    while (more) {
+        bhttp::request<bhttp::string_body> message;
+        const auto [error, bytes] = co_await bhttp::async_read(socket, buffer, message, Quiet);
+        if (error) {
+            co_return;
+        }
+        http::Request request{std::string(message.method_string()),
+                              std::string(message.target()),
+                              {},
+                              message.body()};
+        for (const auto &field : message) {
+            request.fields.add(std::string(field.name_string()), std::string(field.value()));
+        }
+        RunnerFault fault = RunnerFault::None;
+        if (!faults.empty()) {
+            fault = faults.front();
+            faults.pop_front();
+        }
+        more = co_await answer(socket, request, fault);
+    }
+}
+
+asio::awaitable<bool> RunnerStandin::answer(tcp::socket &socket, const http::Request &request,
+                                            RunnerFault fault)
+{
+    const std::string id(request.fields.get("X-Attempt-Id"));
+    const bool wrong = request.fields.get("X-Expect-Instance") != name_;
+    const bool runs = !wrong && fault != RunnerFault::Reject && fault != RunnerFault::Misdirect
+                      && fault != RunnerFault::ResetUnread;
+    state_->records.push_back({id, request, runs});
+    if (wrong || fault == RunnerFault::Misdirect) {
+        const std::string text = framed("421 Misdirected Request", id, "", "");
+        co_return co_await write(socket, text);
+    }
+    const std::string stamp = name_ + "." + id;
+    const std::string body = "done by " + name_;
+    std::string text;
+    switch (fault) {
+    case RunnerFault::Reject:
+        text = framed("503 Service Unavailable", id, "", "", "X-Not-Executed: 1\r\n");
+        break;
+    case RunnerFault::Fail:
+        text = framed("500 Internal Server Error", id, stamp, "it failed");
+        break;
+    case RunnerFault::ResetUnread:
+    case RunnerFault::ResetAfter:
+        reset(socket);
+        co_return false;
+    case RunnerFault::Silent: {
+        asio::steady_timer forever(io_, 3600s);
+        co_await forever.async_wait(Quiet);
+        co_return false;
+    }
+    case RunnerFault::Foreign:
+        text = framed("200 OK", "another", name_ + ".another", "not yours");
+        break;
+    case RunnerFault::Garbage:
+        text = "this is no answer at all\r\n\r\n";
+        break;
+    case RunnerFault::Unframed:
+        text = head("200 OK", id, stamp, "Connection: close\r\n") + body;
+        co_await write(socket, text);
+        co_return false;
+    case RunnerFault::CutBody:
+        text = framed("200 OK", id, stamp, body);
+        text.resize(text.size() - 4);
+        co_await write(socket, text);
+        co_return false;
+    case RunnerFault::Surplus:
+        text = framed("200 OK", "another", name_ + ".another", "not yours");
+        break;
+    default:
+        break;
+    }
+    if (fault == RunnerFault::Surplus) {
+        co_await write(socket, text);
+        text.clear();
+    }
+    if (text.empty() && !request.fields.get("X-Prompt-Prefix").empty()) {
+        co_return co_await stream(socket, request, fault);
+    }
+    if (text.empty()) {
+        text = framed("200 OK", id, stamp, body);
+    }
+    if (fault == RunnerFault::Trailing) {
+        text += "HTTP/1.1 200 OK\r\n";
+    }
+    co_return co_await write(socket, text);
+}
+
+asio::awaitable<bool> RunnerStandin::stream(tcp::socket &socket, const http::Request &request,
+                                            RunnerFault fault)
+{
+    const std::string id(request.fields.get("X-Attempt-Id"));
+    const std::string last(request.fields.get("Last-Event-Id"));
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    std::string text = head("200 OK", id, name_ + "." + id,
+                            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+    if (!co_await write(socket, text)) {
+        co_return false;
+    }
+    for (int event = first; event <= events; ++event) {
+        std::string bytes =
+                "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+        if (fault == RunnerFault::CutStream && event == first + 2) {
+            const std::string part = chunk(bytes.substr(0, bytes.size() / 2));
+            co_await write(socket, part);
+            reset(socket);
+            co_return false;
+        }
+        const std::string whole = chunk(bytes);
+        if (!co_await write(socket, whole)) {
+            ++state_->left;
+            co_return false;
+        }
+        if (pause > 0ms) {
+            asio::steady_timer timer(io_, pause);
+            co_await timer.async_wait(Quiet);
+        }
+    }
+    const std::string end = "0\r\n\r\n";
+    co_return co_await write(socket, end);
+}
+
+} // namespace limereel::standin
--- /dev/null
+++ b/test/platform/RunnerStandin.h
@@ -0,0 +1,98 @@
+/** \file
+ * A small stand-in for a backend server of the users' platform, model engine or plain service, with
+ * a fault for each of the next requests.
+ */
+#pragma once
+
+#include "http/Message.h"
+#include "kernel/BoxSettings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace limereel::standin {
+
+/** What happens to one request. */
+enum class RunnerFault : std::uint8_t {
+    None,
+    Reject,      ///< Not run: no place.
+    Misdirect,   ///< Not run: another incarnation.
+    Fail,        ///< Runs and answers 500.
+    ResetUnread, ///< Closes without having run it.
+    ResetAfter,  ///< Runs it and closes without an answer.
+    Silent,      ///< Runs it and answers nothing.
+    Surplus,     ///< An answer to another request comes before its own.
+    Foreign,     ///< Only an answer to another request comes.
+    Garbage,     ///< Bytes that form no answer.
+    Unframed,    ///< The body has no length and ends with the connection.
+    CutBody,     ///< The body ends before its length.
+    CutStream,   ///< A stream breaks off in the middle of its third event.
+    Trailing     ///< Another byte follows the whole answer.
+};
+
+/** One request that reached the runner. */
+struct RunnerRecord
+{
+    std::string id;
+    http::Request request;
+    bool ran = false;
+};
+
+/** The runner. */
+class RunnerStandin
+{
+public:
+    RunnerStandin(boost::asio::io_context &io, std::string name, kernel::Endpoint where);
+    ~RunnerStandin();
+
+    /** The next requests meet these, one each. */
+    std::deque<RunnerFault> faults;
+
+    /** Events of a stream. */
+    int events = 5;
+
+    /** Between two events. */
+    kernel::Duration pause = 0ms;
+
+    const std::vector<RunnerRecord> &records() const { return state_->records; }
+    std::size_t runs() const;
+    int connections() const { return state_->connections; }
+
+    /** Streams that broke off because the caller's side was gone. */
+    int left() const { return state_->left; }
+
+    const std::string &name() const { return name_; }
+    const kernel::Endpoint &where() const { return where_; }
+
+    /** Takes no more connections. */
+    void close();
+
+private:
+    struct State
+    {
+        std::vector<RunnerRecord> records;
+        int connections = 0;
+        int left = 0;
+        bool open = true;
+    };
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket &socket,
+                                        const http::Request &request, RunnerFault fault);
+    boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket &socket,
+                                        const http::Request &request, RunnerFault fault);
+
+    boost::asio::io_context &io_;
+    std::string name_;
+    kernel::Endpoint where_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+} // namespace limereel::standin
--- /dev/null
+++ b/test/platform/StoreStandin.cpp
@@ -0,0 +1,142 @@
+#include "platform/StoreStandin.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::standin {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view Prefix = "/v1/objects/";
+
+http::ServerLimits limits()
+{
+    http::ServerLimits made;
+    made.idleTimeout = 300s;
+    return made;
+}
+
+http::Answer answerOf(const json &body)
+{
+    return http::Answer{200, http::Fields().with("Content-Type", "application/json"), body.dump()};
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(asio::io_context &io, const kernel::Endpoint &where)
+    : io_(io)
+    , server_(io, limits(), [this](http::Request request, http::Reply &reply) {
+        return handle(std::move(request), reply);
+    })
+{
+    server_.listen(where);
+}
+
+void StoreStandin::record(const std::string &kind, json object, bool gone)
+{
+    ++revision_;
+    object["metadata"]["revision"] = revision_;
+    const std::string name = object["metadata"]["name"];
+    if (gone) {
+        objects_[kind].erase(name);
+    } else {
+        objects_[kind][name] = object;
+    }
+    changes_.push_back({revision_, kind, {{"gone", gone}, {"object", std::move(object)}}});
+    for (asio::steady_timer *waiting : waiting_) {
+        waiting->cancel();
+    }
+}
+
+void StoreStandin::put(const std::string &kind, const std::string &name, json spec)
+{
+    json object = {{"metadata", {{"name", name}}}, {"spec", std::move(spec)}, {"status", nullptr}};
+    record(kind, std::move(object), false);
+}
+
+void StoreStandin::remove(const std::string &kind, const std::string &name)
+{
+    json object = objects_[kind].at(name);
+    record(kind, std::move(object), true);
+}
+
+asio::awaitable<void> StoreStandin::handle(http::Request request, http::Reply &reply)
+{
+    ++calls_;
+    if (faults.silent) {
+        asio::steady_timer forever(io_, 3600s);
+        co_await forever.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_return;
+    }
+    if (faults.lost) {
+        co_return;
+    }
+    if (faults.status != 0) {
+        http::Answer refused(faults.status);
+        co_await reply.send(std::move(refused));
+        co_return;
+    }
+    const std::string kind(request.path().substr(Prefix.size()));
+    if (request.query("watch").empty()) {
+        co_await list(request, kind, reply);
+    } else {
+        co_await watch(request, kind, reply);
+    }
+}
+
+asio::awaitable<void> StoreStandin::list(const http::Request &request, const std::string &kind,
+                                         http::Reply &reply)
+{
+    const std::string after = request.query("after_rev");
+    json items = json::array();
+    bool more = false;
+    for (const auto &[name, object] : objects_[kind]) {
+        if (name <= after) {
+            continue;
+        }
+        more = items.size() == pageSize;
+        if (more) {
+            break;
+        }
+        items.push_back(object);
+    }
+    http::Answer answer =
+            answerOf({{"items", std::move(items)}, {"more", more}, {"at", revision_}});
+    co_await reply.send(std::move(answer));
+}
+
+asio::awaitable<void> StoreStandin::watch(const http::Request &request, const std::string &kind,
+                                          http::Reply &reply)
+{
+    const std::uint64_t since = std::stoull(request.query("watch"));
+    const kernel::Instant until =
+            std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now())
+            + 1ms * std::stoll(request.query("wait_ms"));
+    if (since < forgotten_) {
+        http::Answer gone(410);
+        co_await reply.send(std::move(gone));
+        co_return;
+    }
+    json events = json::array();
+    asio::steady_timer timer(io_);
+    while (true) {
+        for (const Change &change : changes_) {
+            if (change.revision > since && change.kind == kind) {
+                events.push_back(change.event);
+            }
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= until) {
+            break;
+        }
+        timer.expires_at(until);
+        waiting_.insert(&timer);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        waiting_.erase(&timer);
+    }
+    http::Answer answer = answerOf({{"events", std::move(events)}, {"at", revision_}});
+    co_await reply.send(std::move(answer));
+}
+
+} // namespace limereel::standin
--- /dev/null
+++ b/test/platform/StoreStandin.h
@@ -0,0 +1,70 @@
+/** \file
+ * A small stand-in for the platform's store, as far as docs/interfaces/users-platform.md relies on
+ * it: objects by kind and name, lists in pages, waiting watches, lost history; faults on demand.
+ */
+#pragma once
+
+#include "http/Server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limereel::standin {
+
+/** The store. */
+class StoreStandin
+{
+public:
+    /** What goes wrong until it is set back. */
+    struct Faults
+    {
+        int status = 0;      ///< Answer everything with it; 0: as usual.
+        bool silent = false; ///< Answer nothing.
+        bool lost = false;   ///< Close the connection in place of an answer.
+    };
+
+    StoreStandin(boost::asio::io_context &io, const kernel::Endpoint &where);
+
+    /** Creates or replaces an object. */
+    void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void remove(const std::string &kind, const std::string &name);
+
+    /** Watches from before now are told that their history is gone. */
+    void forgetHistory() { forgotten_ = revision_; }
+
+    int calls() const { return calls_; }
+
+    Faults faults;
+    std::size_t pageSize = 500;
+
+private:
+    struct Change
+    {
+        std::uint64_t revision;
+        std::string kind;
+        nlohmann::json event;
+    };
+
+    boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
+    boost::asio::awaitable<void> list(const http::Request &request, const std::string &kind,
+                                      http::Reply &reply);
+    boost::asio::awaitable<void> watch(const http::Request &request, const std::string &kind,
+                                       http::Reply &reply);
+    void record(const std::string &kind, nlohmann::json object, bool gone);
+
+    boost::asio::io_context &io_;
+    http::Server server_;
+    std::set<boost::asio::steady_timer *> waiting_; ///< Of watches; cancelled by each change.
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::vector<Change> changes_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t forgotten_ = 0;
+    int calls_ = 0;
+};
+
+} // namespace limereel::standin
