Logs are JSON lines with the inputs of each decision; explain tells a request's story; SIGHUP reloads

Change: each line is an object (time, level, box, part, message); decisions are events with their inputs: sent (server, its load, place, configuration version and age, time left), attempt-failed, ended (result, sends, budget left), configuration, server-listed, server-gone, store-lost, store-back. `limereel explain ID LOG...`. SIGHUP reads the settings again and applies the bounds; before, the second one was never read. Ruled out: a separate audit file (no disk).

--- a/src/command/BoxCommands.cpp
+++ b/src/command/BoxCommands.cpp
@@ -95,8 +95,9 @@
             exitCode = BadInput;
             return;
         }
-        kernel::startLog(settings->logLevel);
+        kernel::startLog(settings->logLevel, settings->box.text());
         exitCode = services::runRouter(*settings);
+        kernel::stopLog();
     });
     auto *const front = app.add_subcommand(
             "gateway", "Runs a gateway, fed by a platform's store, until a planned stop (SIGTERM)");
@@ -107,8 +108,9 @@
             exitCode = BadInput;
             return;
         }
-        kernel::startLog(settings->logLevel);
-        exitCode = gateway::runGateway(*settings, adapter());
+        kernel::startLog(settings->logLevel, settings->box.text());
+        exitCode = gateway::runGateway(*settings, file, adapter());
+        kernel::stopLog();
     });
     auto *const check = app.add_subcommand(
             "check-settings", "Checks a box's INI file and says all that is wrong with it");
--- a/src/command/Commands.h
+++ b/src/command/Commands.h
@@ -27,7 +27,7 @@
 /** Adds 'config', 'organisation', 'pool', 'status', 'leave'. */
 void addOperatorCommands(CLI::App &app, int &exitCode);
 
-/** Adds 'codes', 'new-key', 'hash-key'. */
+/** Adds 'codes', 'new-key', 'hash-key', 'explain'. */
 void addToolCommands(CLI::App &app, int &exitCode);
 
 } // namespace limereel::command
--- a/src/command/ToolCommands.cpp
+++ b/src/command/ToolCommands.cpp
@@ -1,7 +1,10 @@
 #include "command/Commands.h"
+#include "command/Explain.h"
 #include "kernel/KeyHash.h"
 #include "outcome/ResultCode.h"
 
+#include <algorithm>
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -47,6 +50,31 @@
     return Success;
 }
 
+int explain(const std::string &request, const std::vector<std::string> &files)
+{
+    std::vector<StoryLine> story;
+    for (const std::string &file : files) {
+        std::ifstream log(file);
+        if (!log) {
+            std::cerr << file << ": the file can't be read\n";
+            return BadInput;
+        }
+        std::ranges::move(linesOf(request, log), std::back_inserter(story));
+    }
+    if (story.empty()) {
+        std::cerr << "no line tells of request " << request
+                  << "; was it answered by another box, or held back (held_back)?\n";
+        return BadInput;
+    }
+    // Boxes' clocks differ a little; lines of one box stay in their order.
+    std::ranges::stable_sort(story, {}, &StoryLine::time);
+    for (const StoryLine &line : story) {
+        std::cout << line.time << ' ' << line.box << ' ' << line.part << ": " << line.sentence
+                  << '\n';
+    }
+    return Success;
+}
+
 } // namespace
 
 void addToolCommands(CLI::App &app, int &exitCode)
@@ -60,6 +88,12 @@
             ->callback([] { std::cout << kernel::newKey() << '\n'; });
     app.add_subcommand("hash-key", "Reads a key from standard input and prints its hash")
             ->callback([&exitCode] { exitCode = hashKeyFromInput(); });
+    static std::string request;
+    static std::vector<std::string> logs;
+    auto *const story = app.add_subcommand("explain", "Prints the story of one request from logs");
+    story->add_option("request", request, "The request's id")->required();
+    story->add_option("logs", logs, "Logs of one or more boxes")->required();
+    story->callback([&exitCode] { exitCode = explain(request, logs); });
 }
 
 } // namespace limereel::command
--- a/src/forward/FleetRetryBudget.h
+++ b/src/forward/FleetRetryBudget.h
@@ -34,6 +34,9 @@
     {
     }
 
+    /** Replaces the bound of the whole fleet. */
+    void setBound(RetryBound bound) { bound_ = bound; }
+
     /** Sets how many boxes share the slack. */
     void setBoxes(std::size_t boxes) { boxes_ = boxes == 0 ? 1 : boxes; }
 
--- a/src/forward/Freshness.h
+++ b/src/forward/Freshness.h
@@ -31,6 +31,9 @@
         confirmed_ = confirmed_ ? std::max(*confirmed_, asOf) : asOf;
     }
 
+    /** Replaces how long after a confirmation keys are honoured. */
+    void setUsableFor(kernel::Duration usableFor) { usableFor_ = usableFor; }
+
     bool usable(kernel::Instant now) const { return confirmed_ && now - *confirmed_ < usableFor_; }
 
     /** Since the last confirmation; nothing before the first one. */
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -31,6 +31,23 @@
 
 } // namespace
 
+const char *text(Failure failure)
+{
+    switch (failure) {
+    case Failure::Unreachable:
+        return "unreachable";
+    case Failure::Lost:
+        return "lost";
+    case Failure::Silent:
+        return "silent";
+    case Failure::Error:
+        return "error";
+    case Failure::Full:
+        break;
+    }
+    return "full";
+}
+
 void ServerBook::put(const ListedServer &server)
 {
     Entry &entry = entries_[server.id];
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -34,6 +34,9 @@
     Full         ///< It rejected the request as it has no place.
 };
 
+/** The name of \a failure for logs and counters. */
+const char *text(Failure failure);
+
 /** The settings of the book. */
 struct BookPolicy
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/asio.hpp>
 #include <csignal>
+#include <fstream>
 #include <random>
+#include <sstream>
 
 namespace limereel::gateway {
 
@@ -48,6 +50,34 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
+// Bounds take effect at once; addresses and names are those of the start.
+void reload(services::Context &context, const std::string &file)
+{
+    std::ifstream input(file, std::ios::binary);
+    std::ostringstream text;
+    text << input.rdbuf();
+    const auto settings = kernel::settingsFrom(text.str());
+    if (!input || !settings) {
+        const std::string why =
+                settings ? "it can't be read" : kernel::text(settings.error().front(), file);
+        log().error("The settings stay as they are: " + why + ".");
+        return;
+    }
+    context.settings.gateway = settings->gateway;
+    context.kernel.find<World>("world").applySettings();
+    log().info("The settings were read again.");
+}
+
+void reloadAtSignal(asio::signal_set &signals, services::Context &context, const std::string &file)
+{
+    signals.async_wait([&signals, &context, file](boost::system::error_code error, int) {
+        if (!error) {
+            reload(context, file);
+            reloadAtSignal(signals, context, file);
+        }
+    });
+}
+
 } // namespace
 
 void addGatewayServices(services::Context &context, Adapter adapter, std::function<void()> stopped)
@@ -62,7 +92,7 @@
     kernel.add(std::make_unique<GatewayStop>(context, std::move(stopped)));
 }
 
-int runGateway(kernel::BoxSettings settings, Adapter adapter)
+int runGateway(kernel::BoxSettings settings, const std::string &file, Adapter adapter)
 {
     asio::io_context io(1);
     services::Context context(io, std::move(settings));
@@ -75,9 +105,8 @@
             context.kernel.find<GatewayStop>("stop").leave();
         }
     });
-    // Settings are read at the start; the signal must not end the process.
     asio::signal_set reloads(io, SIGHUP);
-    reloads.async_wait([](boost::system::error_code, int) {});
+    reloadAtSignal(reloads, context, file);
     try {
         context.kernel.start();
     } catch (const boost::system::system_error &error) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -16,7 +16,8 @@
  * planned stop is done. */
 void addGatewayServices(services::Context &context, Adapter adapter, std::function<void()> stopped);
 
-/** Runs a gateway until a planned stop. \return the exit code. */
-int runGateway(kernel::BoxSettings settings, Adapter adapter);
+/** Runs a gateway until a planned stop.
+ * \param file that the settings came from; it is read again at SIGHUP. \return the exit code. */
+int runGateway(kernel::BoxSettings settings, const std::string &file, Adapter adapter);
 
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -3,6 +3,7 @@
 #include "kernel/Log.h"
 
 #include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
 
 namespace limereel::gateway {
 
@@ -63,7 +64,7 @@
     connection_.reset();
     if (!failing_) {
         failing_ = true;
-        log().warn("Lost the store for '" + kind_ + "': " + what + ".");
+        log().event("store-lost", {{"kind", kind_}, {"why", what}}, "The store is lost.");
     }
 }
 
@@ -71,7 +72,7 @@
 {
     if (failing_) {
         failing_ = false;
-        log().info("The store answers for '" + kind_ + "' again.");
+        log().event("store-back", {{"kind", kind_}}, "The store answers again.");
     }
 }
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -5,6 +5,7 @@
 #include "services/Answers.h"
 
 #include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
 
 namespace limereel::gateway {
 
@@ -273,9 +274,15 @@
     if (interrupt_->reason == Reason::None || interrupt_->reason == Reason::Silent) {
         const Failure seen = interrupt_->reason == Reason::Silent ? Failure::Silent : failure;
         world_.servers().noteFailure(server.id, seen, context_.now());
-        context_.counters.add("attempt_failures",
-                              {{"reason", std::to_string(static_cast<int>(seen))}});
-        logEnd("attempt failed", message);
+        context_.counters.add("attempt_failures", {{"reason", text(seen)}});
+        log().event("attempt-failed",
+                    {{"request", call_.id},
+                     {"server", server.id},
+                     {"reason", text(seen)},
+                     {"sent", sent},
+                     {"why", message},
+                     {"left_ms", left() / 1ms}},
+                    "An attempt failed.");
     }
     return sent ? End::MayHaveRun : End::Unsent;
 }
@@ -369,6 +376,7 @@
     order.resumeAfter = lastEvent_;
     http::Request passed = world_.adapter().dialect.writeRequest(request_, order);
     passed.fields = http::endToEnd(passed.fields);
+    logSend(server);
     connection->send(std::move(passed));
     auto start = co_await readOwnHead(connection);
     if (!start) {
@@ -423,6 +431,7 @@
         co_return End::MayHaveRun;
     }
     context_.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
+    logEnd("ok", "");
     co_await reply_.send(std::move(answer));
     co_return End::Answered;
 }
@@ -474,6 +483,7 @@
             if (!passed) {
                 connection->close();
                 context_.counters.add("results", {{"kind", "stream"}, {"code", "caller-left"}});
+                logEnd("caller-left", "");
                 co_return End::Answered;
             }
         }
@@ -484,6 +494,7 @@
     pool_.give(server, connection, head.keptFor);
     world_.servers().noteSuccess(server.id, context_.now());
     context_.counters.add("results", {{"kind", "stream"}, {"code", "ok"}});
+    logEnd("ok", "");
     co_await reply_.finish();
     co_return End::Answered;
 }
@@ -493,19 +504,21 @@
     const Reason reason = interrupt_->reason;
     if (reason == Reason::CallerLeft) {
         context_.counters.add("results", {{"kind", "run"}, {"code", "caller-left"}});
+        logEnd("caller-left", "");
         reply_.closeAfter();
         co_return;
     }
     if (reply_.begun()) {
         // The end of the connection without the end of the answer shows the caller the cut.
         context_.counters.add("results", {{"kind", "stream"}, {"code", "stream-cut"}});
-        logEnd("stream cut", lastMessage_);
+        logEnd("stream-cut", lastMessage_);
         reply_.closeAfter();
         co_return;
     }
     const bool promises = failedAnswer_ && isPromise(failedAnswer_->status);
     if (failedAnswer_ && reason == Reason::None && (repeatable() || !promises)) {
         context_.counters.add("results", {{"kind", "passed"}, {"code", "backend-failed"}});
+        logEnd("backend-failed", lastMessage_);
         http::Answer answer = std::move(*failedAnswer_);
         co_await reply_.send(std::move(answer));
         co_return;
@@ -538,12 +551,46 @@
     co_await reply_.send(std::move(answer));
 }
 
-void RequestRun::logEnd(std::string_view what, const std::string &why) const
+void RequestRun::logSend(const ListedServer &server) const
+{
+    const kernel::Instant now = context_.now();
+    const auto age = world_.freshness().age(now);
+    nlohmann::json fields = {{"request", call_.id},
+                             {"route", route_.name},
+                             {"server", server.id},
+                             {"server_load", world_.servers().load(server.id, now)},
+                             {"attempt", sends_ + rejected_ + unsent_ + 1},
+                             {"left_ms", left() / 1ms},
+                             {"config", world_.snapshot()->version()},
+                             {"config_age_ms", age ? *age / 1ms : -1}};
+    if (takeFrom_) {
+        fields["parts_from"] = kernel::text(*takeFrom_);
+    }
+    if (place_) {
+        fields["place"] = place_->owner != 0 ? "granted" : "unanswered";
+    }
+    if (lastEvent_) {
+        fields["after_event"] = *lastEvent_;
+    }
+    log().event("sent", fields, "The request goes to a backend server.");
+}
+
+void RequestRun::logEnd(std::string_view result, const std::string &why) const
 {
     const kernel::Duration took = context_.now() - began_;
-    log().info(call_.id + " " + std::string(what) + ": " + why + "; route " + route_.name
-               + ", server " + lastServer_ + ", sends " + std::to_string(sends_) + ", "
-               + std::to_string(took / 1ms) + " ms.");
+    nlohmann::json fields = {{"request", call_.id},
+                             {"result", result},
+                             {"route", route_.name},
+                             {"server", lastServer_},
+                             {"sends", sends_},
+                             {"rejected", rejected_},
+                             {"unsent", unsent_},
+                             {"took_ms", took / 1ms},
+                             {"budget_left", world_.budget().left(service_, context_.now())}};
+    if (!why.empty()) {
+        fields["why"] = why;
+    }
+    log().event("ended", fields, "The request is over.");
 }
 
 } // namespace limereel::gateway
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -92,7 +92,8 @@
 
     boost::asio::awaitable<void> giveUp();
     boost::asio::awaitable<void> refuse(Refusal refusal);
-    void logEnd(std::string_view what, const std::string &why) const;
+    void logSend(const forward::ListedServer &server) const;
+    void logEnd(std::string_view result, const std::string &why) const;
 
     kernel::Duration left() const { return deadline_ - context_.now(); }
     bool stopped() const { return interrupt_->reason != Reason::None; }
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -3,6 +3,7 @@
 #include "kernel/Log.h"
 
 #include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace limereel::gateway {
@@ -94,6 +95,14 @@
     configurationFeed_.reset();
 }
 
+void World::applySettings()
+{
+    const kernel::GatewaySettings &settings = context_.settings.gateway;
+    freshness_.setUsableFor(usableFor(settings));
+    budget_.setBound(
+            {settings.retryRatio, settings.retryWindow, static_cast<double>(settings.retrySlack)});
+}
+
 bool World::ready() const
 {
     return snapshot_ && serversKnown_ && freshness_.usable(context_.now());
@@ -115,8 +124,10 @@
             continue;
         }
         snapshot_ = std::make_shared<const forward::Snapshot>(std::move(*content));
-        log().info("Configuration " + std::to_string(snapshot_->version()) + " is in force, "
-                   + std::to_string(snapshot_->content().routes.size()) + " routes.");
+        log().event(
+                "configuration",
+                {{"version", snapshot_->version()}, {"routes", snapshot_->content().routes.size()}},
+                "A new configuration is in force.");
         for (const auto &called : onConfiguration_) {
             called(*snapshot_);
         }
@@ -135,9 +146,12 @@
     missing_.erase(server->id);
     const auto known = servers_.find(server->id);
     if (!known || *known != *server) {
-        log().info("Backend server " + server->id + " of service " + server->service + " at "
-                   + kernel::text(server->address)
-                   + (server->leaving ? " leaves." : " takes work."));
+        log().event("server-listed",
+                    {{"server", server->id},
+                     {"service", server->service},
+                     {"address", kernel::text(server->address)},
+                     {"leaving", server->leaving}},
+                    server->leaving ? "A backend server leaves." : "A backend server takes work.");
     }
     servers_.put(*server);
 }
@@ -203,7 +217,7 @@
 
 void World::dropServer(const std::string &id)
 {
-    log().info("Backend server " + id + " is listed no more.");
+    log().event("server-gone", {{"server", id}}, "A backend server is listed no more.");
     servers_.remove(id);
     for (const auto &called : onServerGone_) {
         called(id);
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -35,6 +35,9 @@
     forward::ServerBook &servers() { return servers_; }
     forward::FleetRetryBudget &budget() { return budget_; }
 
+    /** Takes the bounds of the settings anew. */
+    void applySettings();
+
     /** Whether requests can be served: configuration and list are known, keys are honoured. */
     bool ready() const;
 
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -75,6 +75,12 @@
 
     bool ready();
 
+    const kernel::Endpoint &callerEndpoint() const { return caller_; }
+    const kernel::Endpoint &readyEndpoint() const { return ready_; }
+    const kernel::Endpoint &controlEndpoint() const { return control_; }
+    const kernel::Endpoint &peerEndpoint() const { return peer_; }
+    const kernel::Endpoint &storeEndpoint() const { return storeAt_; }
+
     /** Moves the gateway's clock. */
     void stepForward(kernel::Duration by) { offset_ += by; }
 
--- a/test/support/Processes.cpp
+++ b/test/support/Processes.cpp
@@ -32,6 +32,7 @@
     if (!logFile.empty()) {
         posix_spawn_file_actions_addopen(&actions, 2, logFile.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
+        posix_spawn_file_actions_adddup2(&actions, 2, 1);
     }
     const int failed = posix_spawn(&id_, words.front(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,5 +7,5 @@
 mkdir -p "$lint"
 sed -E 's/-Winvalid-pch//; s/-include [^ ]*cmake_pch\.hxx//; s/-Wno-(restrict|stringop-overflow|mismatched-new-delete)//g' \
     build/release/compile_commands.json > "$lint/compile_commands.json"
-git ls-files 'src/*.cpp' 'test/*.cpp' 'tutorial/*.cpp' \
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'test/*.cpp' 'tutorial/*.cpp' \
     | xargs -P "${LIMEREEL_JOBS:-$(nproc)}" -n 1 clang-tidy-16 -p "$lint" --quiet --extra-arg=-Wno-unknown-warning-option
