Lists go on after a refused page; parts that everybody wants are spread over other engines

Change: a list keeps its pages, and waits longer after each failure. Cause, grown site: after three full engines every box took the fourth of the same order, uncounted (126 and 73 of 1,761 sends in five seconds). Change: any other engine, with its owner's count. Ruled out for what is left: sends without an owner's word (none in those five seconds but the above). Tests: GatewayStoreTest/listInPages_storeRefuses* (fails without the change), FeedPaceTest/pageWait_*, ServerBookTest/choose_firstOnesFull_*; 28 of 28 programs.

--- a/src/forward/PlaceLedger.h
+++ b/src/forward/PlaceLedger.h
@@ -21,7 +21,7 @@
 {
     double loadMultiple = 2;       ///< Most load of an engine, as a multiple of the mean.
     double beyond = 3;             ///< Added to it.
-    double keptPart = 0.85;        ///< Part of the multiple that is granted.
+    double keptPart = 0.7;         ///< Part of the multiple that is granted.
     kernel::Duration lease = 20s;  ///< Of a place that nobody gives back.
     kernel::Duration wordAge = 3s; ///< How long the word of a box counts.
 };
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -201,6 +201,20 @@
     return idlest;
 }
 
+// For parts that everybody wants, the next in the order would only be the next to be overrun.
+const ServerBook::Entry *ServerBook::chooseSpread(const EntryList &entries, const Wish &wish,
+                                                  std::mt19937_64 &random)
+{
+    EntryList others;
+    for (const Entry *entry : entries) {
+        if (std::ranges::find(wish.full, entry->server.id) == wish.full.end()) {
+            others.push_back(entry);
+        }
+    }
+    const EntryList &from = others.empty() ? entries : others;
+    return from[random() % from.size()];
+}
+
 // Another server from which \a target may take what it lacks of the prompt: one that this box knows
 // to hold it, else the one to which the prompt would go without \a target, since the list may have
 // been another one when the parts were read.
@@ -247,7 +261,8 @@
     if (!byParts) {
         return Choice{chooseIdlest(entries, now, random)->server, std::nullopt};
     }
-    const Entry *chosen = chooseForPrompt(entries, wish, now);
+    const Entry *chosen =
+            wish.spread ? chooseSpread(entries, wish, random) : chooseForPrompt(entries, wish, now);
     return Choice{chosen->server, wish.takeParts ? sourceFor(*chosen, wish, now) : std::nullopt};
 }
 
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -57,6 +57,7 @@
     bool takeParts = false;         ///< Servers may take parts of prompts from each other.
     std::vector<std::string> tried; ///< Servers not to be chosen.
     std::vector<std::string> full;  ///< Servers over the bound, as their owners say.
+    bool spread = false; ///< Enough owners said so: any other server, not the next for all boxes.
 };
 
 /** The server for a request. */
@@ -156,6 +157,8 @@
                                  kernel::Instant now) const;
     const Entry *chooseIdlest(const EntryList &entries, kernel::Instant now,
                               std::mt19937_64 &random) const;
+    static const Entry *chooseSpread(const EntryList &entries, const Wish &wish,
+                                     std::mt19937_64 &random);
     std::optional<kernel::Endpoint> sourceFor(const Entry &target, const Wish &wish,
                                               kernel::Instant now) const;
 
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MostAnswerBytes = std::size_t{64} * 1024 * 1024;
 constexpr int Good = 200;
 constexpr int HistoryGone = 410;
+// Well within any store's history, so that the watch can go on from the first page.
+constexpr kernel::Duration LongestListing = 8s;
 
 const kernel::Log &log()
 {
@@ -38,6 +40,12 @@
     return std::clamp<kernel::Duration>(latency * Spread, pace.answer, pace.longestAnswer);
 }
 
+kernel::Duration pageWait(const FeedPace &pace, int failures)
+{
+    constexpr int MostDoublings = 3;
+    return pace.answer * (1 << std::clamp(failures, 0, MostDoublings));
+}
+
 ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
                        std::string kind, FeedPace pace, FeedHooks hooks)
     : context_(context)
@@ -132,15 +140,17 @@
 
 asio::awaitable<bool> ObjectFeed::list()
 {
-    const kernel::Instant begun = context_.now();
-    std::vector<store::StoredObject> objects;
-    std::uint64_t at = 0;
+    const kernel::Instant now = context_.now();
+    if (!listing_ || now - listing_->begun > LongestListing) {
+        listing_ = Listing{now, 0, {}};
+    }
     bool more = true;
     while (more) {
+        const auto &objects = listing_->objects;
         const std::string after = objects.empty() ? std::string() : objects.back().name;
         std::string target = format_.listTarget(kind_, after);
         const kernel::Instant asked = context_.now();
-        const auto answer = co_await ask(std::move(target), answerWait(pace_, latency_));
+        const auto answer = co_await ask(std::move(target), pageWait(pace_, backoff_.failures()));
         if (!answer || answer->status != Good) {
             noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
             co_return false;
@@ -148,21 +158,32 @@
         latency_ = context_.now() - asked;
         auto page = format_.readPage(answer->body);
         if (!page) {
+            listing_.reset();
             noteFailure("the list can't be read, " + page.error());
             co_return false;
         }
-        // Changes between two pages come with the watch, which goes on from the first page.
-        at = at == 0 ? page->at : std::min(at, page->at);
-        more = page->more && !page->objects.empty();
-        std::ranges::move(page->objects, std::back_inserter(objects));
+        more = takePage(std::move(*page));
     }
     noteAnswer();
-    at_ = at;
-    hooks_.replaced(std::move(objects));
-    hooks_.confirmed(begun);
+    Listing listing = std::move(*listing_);
+    listing_.reset();
+    at_ = listing.at;
+    hooks_.replaced(std::move(listing.objects));
+    hooks_.confirmed(listing.begun);
     co_return true;
 }
 
+// Changes between two pages come with the watch, which goes on from the first page.
+bool ObjectFeed::takePage(store::ObjectPage page)
+{
+    if (listing_->objects.empty()) {
+        listing_->at = page.at;
+    }
+    const bool more = page.more && !page.objects.empty();
+    std::ranges::move(page.objects, std::back_inserter(listing_->objects));
+    return more;
+}
+
 asio::awaitable<bool> ObjectFeed::watch()
 {
     const kernel::Instant asked = context_.now();
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -41,6 +41,10 @@
 /** How long an answer is waited for, beyond the watch, from such a store. */
 kernel::Duration answerWait(const FeedPace &pace, kernel::Duration latency);
 
+/** How long a page of a list is waited for after \a failures in a row: longer each time, since a
+ * crowd of starting boxes fills the store's link, and what is given up has to be sent again. */
+kernel::Duration pageWait(const FeedPace &pace, int failures);
+
 /** What a feed calls. */
 struct FeedHooks
 {
@@ -73,9 +77,19 @@
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(std::string target,
                                                                         kernel::Duration longest);
+    bool takePage(store::ObjectPage page);
     void noteFailure(const std::string &what);
     void noteAnswer();
 
+    /** A list that is read page by page; kept when the store refuses a page, so that a crowd of
+     * starting boxes that it serves in turn all get to the end. */
+    struct Listing
+    {
+        kernel::Instant begun;
+        std::uint64_t at = 0; ///< The watch goes on from the first page.
+        std::vector<store::StoredObject> objects;
+    };
+
     services::Context &context_;
     const store::ObjectFormat &format_;
     std::string kind_;
@@ -83,6 +97,7 @@
     FeedHooks hooks_;
     store::Backoff backoff_;
     http::KeptConnection::Ptr connection_;
+    std::optional<Listing> listing_;
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
     std::optional<kernel::Instant> lastFailure_;
     kernel::Duration latency_{}; ///< Of the store's last answer, waits taken off.
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -214,7 +214,7 @@
     co_await giveUp();
 }
 
-// Engines are bounded: the owner of the chosen one has to agree. After some that are full the next
+// Engines are bounded: the owner of the chosen one has to agree. After some that are full any other
 // one is taken all the same, since a request that waits here helps nobody.
 asio::awaitable<std::optional<forward::Choice>> RequestRun::chooseServer()
 {
@@ -225,15 +225,16 @@
     wish.takeParts = movesParts_;
     while (true) {
         auto choice = world_.servers().choose(wish, context_.now(), context_.random);
-        if (!choice || wish.prompt == nullptr || wish.full.size() >= MostAsks) {
+        if (!choice || wish.prompt == nullptr) {
             co_return choice;
         }
         ListedServer asked = choice->server;
         place_ = co_await places_.take(std::move(asked));
-        if (place_) {
+        if (place_ || wish.spread) {
             co_return choice;
         }
         wish.full.push_back(choice->server.id);
+        wish.spread = wish.full.size() >= MostAsks;
     }
 }
 
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -331,6 +331,31 @@
     BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(first)->address));
 }
 
+// A finding of the grown site: once the first three were full, all boxes sent to the fourth.
+BOOST_AUTO_TEST_CASE(choose_firstOnesFull_othersAreSharedOutAndNotTakenInTurn)
+{
+    for (int extra = 0; extra < 16; ++extra) {
+        book.put(server("more-" + std::to_string(extra), true));
+    }
+    const Prompt prompt = promptOf({1, 2});
+    Wish wish = wishFor(&prompt);
+    for (int ask = 0; ask < 3; ++ask) {
+        wish.full.push_back(chosen(wish));
+    }
+    wish.spread = true;
+    std::map<std::string, int> counts;
+    for (int time = 0; time < 170; ++time) {
+        ++counts[chosen(wish)];
+    }
+    BOOST_TEST(counts.size() == 17U);
+    for (const std::string &full : wish.full) {
+        BOOST_TEST(!counts.contains(full));
+    }
+    for (const auto &[id, count] : counts) {
+        BOOST_TEST(count <= 30);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(choose_partsKnownToLieThere_takesThemFromNobody)
 {
     const Prompt prompt = promptOf({1, 2});
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -378,6 +378,20 @@
     BOOST_TEST(context().kernel.find<gateway::World>("world").servers().ids().size() == 2U);
 }
 
+// The sweep at 300 machines: all started at once, and none got to the end of its list in 30
+// seconds.
+BOOST_FIXTURE_TEST_CASE(listInPages_storeRefusesEverySecondCall_comesToItsEnd, GatewayFixture)
+{
+    store().pageSize = 1;
+    store().faults.refuseEach = 2;
+    for (int extra = 0; extra < 6; ++extra) {
+        store().put("servers", "i-extra-" + std::to_string(extra),
+                    {{"service", "other"}, {"address", "127.0.0.1:1"}, {"state", "ready"}});
+    }
+    startReady();
+    BOOST_TEST(context().kernel.find<gateway::World>("world").servers().ids().size() == 8U);
+}
+
 BOOST_FIXTURE_TEST_CASE(serverRefusesConnections_requestRunsElsewhere, GatewayFixture)
 {
     startReady();
@@ -407,6 +421,14 @@
     BOOST_TEST((gateway::watchWait(pace, 30s) > kernel::Duration(0s)));
 }
 
+BOOST_AUTO_TEST_CASE(pageWait_failuresInARow_growsWithinABound)
+{
+    gateway::FeedPace pace;
+    BOOST_TEST((gateway::pageWait(pace, 0) == kernel::Duration(1s)));
+    BOOST_TEST((gateway::pageWait(pace, 2) == kernel::Duration(4s)));
+    BOOST_TEST((gateway::pageWait(pace, 50) == kernel::Duration(8s)));
+}
+
 BOOST_AUTO_TEST_CASE(answerWait_slowStore_isGivenMoreTimeWithinBounds)
 {
     gateway::FeedPace pace;
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -73,8 +73,9 @@
     if (faults.lost) {
         co_return;
     }
-    if (faults.status != 0) {
-        http::Answer refused(faults.status);
+    const bool refuses = faults.refuseEach != 0 && calls_ % faults.refuseEach == 0;
+    if (faults.status != 0 || refuses) {
+        http::Answer refused(refuses ? 429 : faults.status);
         co_await reply.send(std::move(refused));
         co_return;
     }
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -26,6 +26,7 @@
         int status = 0;      ///< Answer everything with it; 0: as usual.
         bool silent = false; ///< Answer nothing.
         bool lost = false;   ///< Close the connection in place of an answer.
+        int refuseEach = 0;  ///< Answer 429 to each call with this number; 0: to none.
     };
 
     StoreStandin(boost::asio::io_context &io, const kernel::Endpoint &where);
