--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -88,8 +88,8 @@
 BOOST_FIXTURE_TEST_CASE(requestWithoutId_isBad, GatewayFixture)
 {
     startReady();
-    http::Request bare("GET", "/again/x", http::Fields().with("Host", "calls.example"));
-    BOOST_TEST(call(std::move(bare)).status == 400);
+    const http::Request bare("GET", "/again/x", http::Fields().with("Host", "calls.example"));
+    BOOST_TEST(call(bare).status == 400);
 }
 
 BOOST_FIXTURE_TEST_CASE(onceOnly_rejected_runsElsewhere, OneFault)
