--- a/src/forward/PlaceLedger.cpp
+++ b/src/forward/PlaceLedger.cpp
@@ -1,9 +1,21 @@
 #include "forward/PlaceLedger.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limereel::forward {
 
+namespace {
+
+// The chance that one owner hears from a box that made so many asks: each goes to any owner.
+double chanceToHear(double asks, const FleetSize &fleet)
+{
+    const auto boxes = static_cast<double>(std::max<std::size_t>(fleet.boxes, 1));
+    return boxes <= 1 ? 1 : 1 - std::pow(1 - 1 / boxes, std::max(asks, 1.0));
+}
+
+} // namespace
+
 double PlaceLedger::meanLoad(std::uint64_t service, const FleetSize &fleet,
                              kernel::Instant now) const
 {
@@ -12,20 +24,29 @@
         return 0;
     }
     double sum = 0;
-    double count = 0;
+    double weights = 0;
+    double words = 0;
     for (const auto &[box, word] : place->second) {
         if (now - word.at <= policy_.wordAge) {
-            sum += word.load;
-            count += 1;
+            const double weight = 1 / chanceToHear(word.asks, fleet);
+            sum += weight * word.load;
+            weights += weight;
+            words += 1;
         }
     }
+    if (words == 0) {
+        return 0;
+    }
+    // Few words may all be of busy boxes: they count as if idle boxes had spoken beside them.
+    const bool allSpoke = words >= static_cast<double>(fleet.boxes);
+    const double sure = allSpoke ? 1 : words / (words + policy_.idleWords);
     const auto engines = static_cast<double>(std::max<std::size_t>(fleet.engines, 1));
-    return count == 0 ? 0 : sum / count * static_cast<double>(fleet.boxes) / engines;
+    return sure * sum / weights * static_cast<double>(fleet.boxes) / engines;
 }
 
 PlaceAnswer PlaceLedger::ask(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now)
 {
-    words_[ask.service][ask.box] = {ask.boxLoad, now};
+    words_[ask.service][ask.box] = {ask.boxLoad, ask.boxAsks, now};
     Places &places = engines_[ask.engine];
     const auto load = static_cast<std::uint32_t>(places.size());
     if (places.contains(ask.request)) {
--- a/src/forward/PlaceLedger.h
+++ b/src/forward/PlaceLedger.h
@@ -4,7 +4,9 @@
  *
  * Each ask brings what its box runs on the whole service. The mean load of an engine is reckoned
  * from the latest words of the boxes that asked: their mean, times the boxes, over the engines. A
- * place is a lease; a box that dies leaves no hole.
+ * busy box asks more often and so is heard more often; each word is weighed by the inverse of the
+ * chance to hear it (Horvitz and Thompson, 1952), else the mean would be that of the busy boxes.
+ * A place is a lease; a box that dies leaves no hole.
  */
 #pragma once
 
@@ -24,6 +26,7 @@
     double keptPart = 0.7;         ///< Part of the multiple that is granted.
     kernel::Duration lease = 20s;  ///< Of a place that nobody gives back.
     kernel::Duration wordAge = 3s; ///< How long the word of a box counts.
+    double idleWords = 1;          ///< Words of idle boxes that are added unless all spoke.
 };
 
 /** One ask for a place. */
@@ -34,6 +37,7 @@
     std::uint64_t service = 0;
     std::uint64_t box = 0;
     std::uint32_t boxLoad = 0; ///< What the box runs on the whole service.
+    double boxAsks = 1;        ///< Asks of the box for the service within the last \c wordAge.
 };
 
 /** How many share the load. */
@@ -75,6 +79,7 @@
     struct Word
     {
         std::uint32_t load = 0;
+        double asks = 1;
         kernel::Instant at;
     };
 
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -4,6 +4,7 @@
 #include "services/PeerService.h"
 
 #include <boost/asio.hpp>
+#include <cmath>
 
 namespace limereel::gateway {
 
@@ -21,6 +22,16 @@
     return policy;
 }
 
+forward::PlaceAsk placeAskOf(const peer::AskPermit &ask)
+{
+    return {.request = ask.request,
+            .engine = ask.resource,
+            .service = ask.organisation,
+            .box = ask.router,
+            .boxLoad = ask.load,
+            .boxAsks = static_cast<double>(ask.asks)};
+}
+
 } // namespace
 
 PlaceService::PlaceService(services::Context &context, World &world)
@@ -72,14 +83,13 @@
     ask.resource = place.engine;
     ask.organisation = kernel::hashOf(server.service);
     ask.load = world_.servers().ownLoad(server.service);
+    ask.asks = countAsk(server.service);
     if (!owner) {
         co_return place;
     }
     std::uint32_t load = 0;
     if (*owner == members.self()) {
-        const auto answer =
-                ledger_.ask({ask.request, ask.resource, ask.organisation, ask.router, ask.load},
-                            fleetFor(place.engine), context_.now());
+        const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(place.engine), context_.now());
         load = answer.load;
         place.owner = answer.granted ? *owner : 0;
     } else {
@@ -124,6 +134,12 @@
     co_return pending->answer;
 }
 
+std::uint32_t PlaceService::countAsk(const std::string &service)
+{
+    const auto count = asks_.try_emplace(service, forward::PlacePolicy{}.wordAge).first;
+    return static_cast<std::uint32_t>(std::lround(count->second.add(context_.now())));
+}
+
 void PlaceService::noteSilent(std::uint64_t owner)
 {
     if (++silences_[owner] >= MostSilences) {
@@ -146,9 +162,7 @@
 void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
 {
     if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
-        const auto answer = ledger_.ask(
-                {ask->request, ask->resource, ask->organisation, ask->router, ask->load},
-                fleetFor(ask->resource), context_.now());
+        const auto answer = ledger_.ask(placeAskOf(*ask), fleetFor(ask->resource), context_.now());
         peer::PermitAnswer reply;
         reply.request = ask->request;
         reply.result = answer.granted ? peer::PermitResult::Granted : peer::PermitResult::Full;
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "forward/PlaceLedger.h"
+#include "forward/RecentCount.h"
 #include "gateway/World.h"
 #include "peer/Messages.h"
 #include "services/MembershipService.h"
@@ -53,10 +54,12 @@
     boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
                                                                        peer::AskPermit ask);
     void noteSilent(std::uint64_t owner);
+    std::uint32_t countAsk(const std::string &service);
 
     services::Context &context_;
     World &world_;
     forward::PlaceLedger ledger_;
+    std::map<std::string, forward::RecentCount> asks_;          ///< Of this box, by service.
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< By request.
     std::map<std::uint64_t, int> silences_;                     ///< In a row, by owner.
     std::unique_ptr<services::Repeat> sweep_;
--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -60,6 +60,37 @@
     return news;
 }
 
+std::vector<BoxState> HeartbeatTable::introductionFor(const std::vector<BoxState> &states,
+                                                      const std::vector<BoxAge> &ages, Instant now,
+                                                      std::mt19937_64 &random) const
+{
+    // A greeting is one state, a heartbeat has ages; what has neither form is itself an
+    // introduction, which is not answered.
+    const bool greeting = states.size() == 1;
+    if (states.empty() || (!greeting && ages.empty())) {
+        return {};
+    }
+    const auto known = [&](std::uint64_t box) {
+        return std::ranges::find(states, box, &BoxState::box) != states.end()
+               || std::ranges::find(ages, shortHash(box), &BoxAge::box) != ages.end();
+    };
+    std::vector<BoxState> missing;
+    for (const auto &[box, entry] : peers_) {
+        // Of one who has long been silent the other may rightly know nothing any more.
+        const bool sure = entry.heard && now - entry.lastSign <= policy_.suspectAfter / 2;
+        if (sure && !known(box)) {
+            missing.push_back(entry.state);
+        }
+    }
+    if (missing.empty()) {
+        return {};
+    }
+    std::ranges::shuffle(missing, random);
+    missing.resize(std::min(missing.size(), policy_.introducedAtOnce));
+    missing.insert(missing.begin(), self_);
+    return missing;
+}
+
 void HeartbeatTable::noteUnreachable(std::uint64_t box, Instant now)
 {
     if (box != self_.box) {
@@ -212,7 +243,9 @@
 void HeartbeatTable::renewSelf()
 {
     ++sinceTold_;
-    if (self_.version > 0 && self_.sameWord(told_) && sinceTold_ < policy_.refreshEvery) {
+    // More often, and what is told again would crowd out what is new.
+    const std::uint64_t refreshEvery = std::max<std::uint64_t>(policy_.refreshEvery, peers_.size());
+    if (self_.version > 0 && self_.sameWord(told_) && sinceTold_ < refreshEvery) {
         return;
     }
     ++self_.version;
--- a/src/membership/HeartbeatTable.h
+++ b/src/membership/HeartbeatTable.h
@@ -10,6 +10,11 @@
  * Das, Gupta and Motivala 2002). So a box's bytes grow by some six a period with each box of its
  * hall, and not with what those own.
  *
+ * Boxes that start together know only a few addresses, and three states a message would take them
+ * half a minute to know each other. So whoever hears a heartbeat whose ages lack boxes that it
+ * knows sends their states back at once (the push-pull of epidemic algorithms: Demers and others
+ * 1987). Once all know all, nothing is sent back.
+ *
  * A box without a sign of life is suspected, then dead. One that comes back again and again after
  * its death is damped: it owns nothing for a while, each time longer, so that a flapping box
  * doesn't pull ownership back and forth.
@@ -35,7 +40,9 @@
     std::size_t fanout = 2;           ///< Peers that are sent to in each period.
     std::size_t statesPerMessage = 3; ///< States in one message, the own one included.
     std::size_t passOnTimes = 4;      ///< How often one state is passed on.
-    std::uint64_t refreshEvery = 10;  ///< Periods after which an unchanged state is told again.
+    std::uint64_t refreshEvery = 10; ///< Periods after which an unchanged state is told again; with
+                                     ///< more boxes than that, as many periods as boxes.
+    std::size_t introducedAtOnce = 24; ///< States that are sent back to one who lacks them.
     kernel::Duration suspectAfter = 8s;
     kernel::Duration deadAfter = 14s;
     kernel::Duration dampFor = 10s; ///< First damping; doubled for each further death.
@@ -70,6 +77,12 @@
     std::size_t receive(const std::vector<BoxState> &states, const std::vector<BoxAge> &ages,
                         kernel::Instant now);
 
+    /** What the sender of a heartbeat seems not to know: states of live boxes, the own one first,
+     * chosen by chance where they are many. Nothing if it knows all. */
+    std::vector<BoxState> introductionFor(const std::vector<BoxState> &states,
+                                          const std::vector<BoxAge> &ages, kernel::Instant now,
+                                          std::mt19937_64 &random) const;
+
     /** Notes that a box didn't answer a direct message; it is suspected until it is heard of again.
      */
     void noteUnreachable(std::uint64_t box, kernel::Instant now);
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -79,7 +79,7 @@
 {
     return json::array({1, static_cast<int>(message.kind), message.request, message.router,
                         message.organisation, message.resource, message.chat, message.model,
-                        message.load});
+                        message.load, message.asks});
 }
 
 json toJson(const PermitAnswer &message)
@@ -151,7 +151,8 @@
             .resource = wordAt(array, 5),
             .chat = wordAt(array, 6),
             .model = array.at(7).get<std::uint32_t>(),
-            .load = array.at(8).get<std::uint32_t>()};
+            .load = array.at(8).get<std::uint32_t>(),
+            .asks = array.at(9).get<std::uint32_t>()};
 }
 
 PermitAnswer permitAnswer(const json &array)
--- a/src/services/MembershipService.cpp
+++ b/src/services/MembershipService.cpp
@@ -148,7 +148,7 @@
 }
 
 // Until some box is known, and now and then afterwards, since two parts of a fleet may have started
-// apart.
+// apart or been cut apart for so long that they gave each other up; the seeds may be gone by then.
 void MembershipService::greetSeeds()
 {
     const bool alone = owners().size() <= 1;
@@ -161,6 +161,21 @@
             peer.send(seed, peer::Heartbeat{{table_.self()}, {}});
         }
     }
+    greetOneGivenUp();
+}
+
+void MembershipService::greetOneGivenUp()
+{
+    std::vector<kernel::Endpoint> givenUp;
+    for (const auto &[box, address] : addresses_) {
+        if (box != self() && liveness(box) == membership::Liveness::Dead) {
+            givenUp.push_back(address);
+        }
+    }
+    if (!givenUp.empty()) {
+        const kernel::Endpoint &one = givenUp[context_.random() % givenUp.size()];
+        context_.kernel.find<PeerService>("peer").send(one, peer::Heartbeat{{table_.self()}, {}});
+    }
 }
 
 void MembershipService::learnAddress(const BoxState &state)
@@ -189,6 +204,18 @@
     const std::size_t news = table_.receive(heartbeat.states, heartbeat.ages, context_.now());
     context_.counters.add("heartbeat_states", {{"news", "yes"}}, news);
     context_.counters.add("heartbeat_states", {{"news", "no"}}, heartbeat.states.size() - news);
+    introduce(heartbeat, from);
+}
+
+void MembershipService::introduce(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from)
+{
+    auto missing = table_.introductionFor(heartbeat.states, heartbeat.ages, context_.now(),
+                                          context_.random);
+    if (!missing.empty()) {
+        context_.counters.add("introductions");
+        context_.kernel.find<PeerService>("peer").send(from,
+                                                       peer::Heartbeat{std::move(missing), {}});
+    }
 }
 
 } // namespace limereel::services
--- a/src/services/MembershipService.h
+++ b/src/services/MembershipService.h
@@ -82,6 +82,8 @@
     boost::asio::awaitable<kernel::Duration> round();
     void takeListed();
     void greetSeeds();
+    void greetOneGivenUp();
+    void introduce(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from);
     void learnAddress(const membership::BoxState &state);
     void receive(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from);
 
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -24,11 +24,14 @@
 
 constexpr HeartbeatPolicy Policy{};
 
+/** Whom the boxes know at the start. */
+enum class Acquainted : std::uint8_t { All, WithThreeSeeds };
+
 /** Boxes whose messages a test passes on or drops. */
 class Hall
 {
 public:
-    explicit Hall(std::size_t count)
+    explicit Hall(std::size_t count, Acquainted acquainted = Acquainted::All)
     {
         std::vector<std::uint64_t> all;
         for (std::size_t index = 0; index < count; ++index) {
@@ -36,7 +39,21 @@
         }
         for (const std::uint64_t box : all) {
             tables_.emplace(box, HeartbeatTable(Policy, BoxState{.box = box, .incarnation = 1}));
-            tables_.at(box).setListed(all, now_);
+            if (acquainted == Acquainted::All) {
+                tables_.at(box).setListed(all, now_);
+            }
+        }
+    }
+
+    /** Each box greets three seeds, as it does while it is alone. */
+    void greetSeeds()
+    {
+        for (const std::uint64_t seed : {2U, 3U, 5U}) {
+            for (auto &[box, table] : tables_) {
+                if (box != seed) {
+                    deliver(box, seed, {table.self()}, {});
+                }
+            }
         }
     }
 
@@ -57,7 +74,7 @@
                 greatestMessage_ = std::max(greatestMessage_, message.states.size());
                 ++messages_;
                 if (!stopped_.contains(message.to) && passes(box, message.to)) {
-                    tables_.at(message.to).receive(message.states, message.ages, now_);
+                    deliver(box, message.to, message.states, message.ages);
                 }
             }
         }
@@ -89,14 +106,28 @@
     std::mt19937_64 &random() { return random_; }
     std::size_t greatestMessage() const { return greatestMessage_; }
     std::size_t messages() const { return messages_; }
+    std::size_t introductions() const { return introductions_; }
 
 private:
+    void deliver(std::uint64_t from, std::uint64_t to, const std::vector<BoxState> &states,
+                 const std::vector<membership::BoxAge> &ages)
+    {
+        HeartbeatTable &receiver = tables_.at(to);
+        receiver.receive(states, ages, now_);
+        const auto missing = receiver.introductionFor(states, ages, now_, random_);
+        if (!missing.empty()) {
+            ++introductions_;
+            tables_.at(from).receive(missing, {}, now_);
+        }
+    }
+
     Instant now_{kernel::Duration(3600s)};
     std::map<std::uint64_t, HeartbeatTable> tables_;
     std::set<std::uint64_t> stopped_;
     std::mt19937_64 random_{3};
     std::size_t greatestMessage_ = 0;
     std::size_t messages_ = 0;
+    std::size_t introductions_ = 0;
 };
 
 } // namespace
@@ -124,6 +155,44 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(heartbeats_fleetStartsKnowingThreeSeeds_allKnowAllWithinPeriods)
+{
+    for (const auto &[boxes, periods] :
+         {std::pair(7U, 3), std::pair(85U, 6), std::pair(300U, 12)}) {
+        Hall hall(boxes, Acquainted::WithThreeSeeds);
+        hall.greetSeeds();
+        int taken = 0;
+        while (!hall.agree(hall.all()) && taken < 60) {
+            hall.periods(1);
+            ++taken;
+        }
+        BOOST_TEST_MESSAGE(boxes << " boxes: " << taken << " periods");
+        BOOST_TEST(taken <= periods);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(introductions_allKnowAll_noneIsSent)
+{
+    Hall hall(85, Acquainted::WithThreeSeeds);
+    hall.greetSeeds();
+    hall.periods(20);
+    const std::size_t before = hall.introductions();
+    hall.periods(50);
+    BOOST_TEST(hall.introductions() == before);
+}
+
+BOOST_AUTO_TEST_CASE(introductionFor_introduction_isNotAnswered)
+{
+    const Instant now{kernel::Duration(3600s)};
+    std::mt19937_64 random(1);
+    HeartbeatTable table(Policy, BoxState{.box = 1, .incarnation = 1});
+    table.receive({BoxState{.box = 2, .incarnation = 1, .version = 1}}, {}, now);
+    const BoxState third{.box = 3, .incarnation = 1, .version = 1};
+    const BoxState fourth{.box = 4, .incarnation = 1, .version = 1};
+    BOOST_TEST(table.introductionFor({third, fourth}, {}, now, random).empty());
+    BOOST_TEST(table.introductionFor({third}, {}, now, random).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(heartbeats_boxDies_allKnowWithinSecondsAndNobodyElseIsLost)
 {
     Hall hall(37);
--- a/test/correctness/PlaceLedgerTest.cpp
+++ b/test/correctness/PlaceLedgerTest.cpp
@@ -1,10 +1,14 @@
 // The owner's ledger of places on engines, alone and as a fleet that spreads a surge.
 
 #include "forward/PlaceLedger.h"
+#include "forward/RecentCount.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <map>
 #include <random>
+#include <vector>
 
 using namespace limereel;
 using namespace limereel::forward;
@@ -18,7 +22,7 @@
 
 PlaceAsk askOf(std::uint64_t request, std::uint64_t box = 1, std::uint32_t boxLoad = 0)
 {
-    return {request, 7, 70, box, boxLoad};
+    return {request, 7, 70, box, boxLoad, 1};
 }
 
 } // namespace
@@ -92,7 +96,7 @@
     for (std::uint64_t request = 1; request <= 200; ++request) {
         const std::uint64_t box = random() % Boxes;
         for (std::uint64_t engine = 0; engine < Engines; ++engine) {
-            const PlaceAsk ask{request, engine, 70, box, boxLoads[box]};
+            const PlaceAsk ask{request, engine, 70, box, boxLoads[box], 1};
             if (ledger.ask(ask, {Boxes, Engines}, at(1ms * request)).granted) {
                 ++boxLoads[box];
                 ++total;
@@ -107,4 +111,68 @@
     BOOST_TEST(total >= 150U);
 }
 
+// As above, but with a ledger for each owner and callers that crowd at some boxes: the owners hear
+// mostly of busy boxes, as these ask more often.
+BOOST_AUTO_TEST_CASE(ask_busyBoxesAskMoreOften_meanIsNotTakenForTheirs)
+{
+    constexpr std::size_t Boxes = 85;
+    constexpr std::size_t Engines = 60;
+    constexpr std::uint64_t Service = 70;
+    constexpr int Requests = 3000;
+    constexpr kernel::Duration Between = 4ms;
+    constexpr kernel::Duration Runs = 1200ms;
+    constexpr kernel::Duration Settling = 1s; ///< Until words of enough boxes were heard.
+    constexpr int MostOver = 3;               ///< In 100.
+    std::mt19937_64 random(11);
+    std::vector<PlaceLedger> owners(Engines, PlaceLedger(PlacePolicy{}));
+    std::vector<std::uint32_t> boxLoads(Boxes);
+    std::vector<RecentCount> boxAsks(Boxes, RecentCount(PlacePolicy{}.wordAge));
+    // Nine in ten callers are at a fifth of the boxes.
+    std::vector<double> shares(Boxes, 0.1 / 68);
+    std::fill_n(shares.begin(), 17, 0.9 / 17);
+    std::discrete_distribution<std::size_t> callers(shares.begin(), shares.end());
+    struct Run
+    {
+        kernel::Instant ends;
+        std::uint64_t request;
+        std::size_t engine;
+        std::size_t box;
+    };
+    std::deque<Run> running;
+    int over = 0;
+    int counted = 0;
+    for (int request = 1; request <= Requests; ++request) {
+        const kernel::Instant now = at(Between * request);
+        while (!running.empty() && running.front().ends <= now) {
+            const Run &done = running.front();
+            owners[done.engine].giveBack(done.engine, done.request);
+            --boxLoads[done.box];
+            running.pop_front();
+        }
+        const std::size_t box = callers(random);
+        // All boxes try the engines of a few wanted parts in the same order.
+        const std::size_t first = (random() % 6) * 10;
+        for (std::size_t step = 0; step < Engines; ++step) {
+            const std::size_t engine = (first + step) % Engines;
+            PlaceAsk ask = askOf(static_cast<std::uint64_t>(request), box, boxLoads[box]);
+            ask.engine = engine;
+            ask.service = Service;
+            ask.boxAsks = boxAsks[box].add(now);
+            if (!owners[engine].ask(ask, {Boxes, Engines}, now).granted) {
+                continue;
+            }
+            const double mean = static_cast<double>(running.size()) / Engines;
+            if (now >= at(Settling)) {
+                over += owners[engine].load(engine) > 2 * mean + 3 ? 1 : 0;
+                ++counted;
+            }
+            running.push_back({now + Runs, static_cast<std::uint64_t>(request), engine, box});
+            ++boxLoads[box];
+            break;
+        }
+    }
+    BOOST_TEST(counted > Requests * 8 / 10);
+    BOOST_TEST(over * 100 <= MostOver * counted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
