The test of stale keys waits until the box has said that it is fresh

Ruled out: the program; the change is logged and counted when there is one. Change: the test waits for the first word.

--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -309,15 +309,15 @@
 BOOST_FIXTURE_TEST_CASE(storeRefuses_whatIsKnownServesUntilTheBound, GatewayFixture)
 {
     startReady();
+    const auto changedTo = [this](const char *state) {
+        return context().counters.value("freshness_changes", {{"to", state}}) == 1;
+    };
+    until([&] { return changedTo("fresh"); }, "the word of a fresh configuration");
     store().faults.status = 429;
     BOOST_TEST(call(request("GET", "/again/x")).status == 200);
     stepForward(5s);
     BOOST_TEST(call(request("GET", "/again/x")).status == 503);
-    until(
-            [this] {
-                return context().counters.value("freshness_changes", {{"to", "stale"}}) == 1;
-            },
-            "the log's word of it");
+    until([&] { return changedTo("stale"); }, "the word of a stale configuration");
     store().faults.status = 0;
     until([this] { return ready(); }, "readiness");
     BOOST_TEST(call(request("GET", "/again/x")).status == 200);
