A fault soak over real gateways; the retry budget's slack is divided by the greatest fleet that was seen lately

FleetMemory: the greatest fleet of the last minute counts, and 32 boxes before others can have been heard of.

--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -52,7 +52,7 @@
                 ledger_.expire(context_.now());
                 const auto &members =
                         context_.kernel.find<services::MembershipService>("membership");
-                world_.budget().setBoxes(members.owners().size());
+                world_.budget().setBoxes(fleet_.note(members.owners().size(), context_.now()));
                 co_return kernel::Duration(SweepEvery);
             });
 }
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "forward/FleetMemory.h"
 #include "forward/PlaceLedger.h"
 #include "forward/RecentCount.h"
 #include "gateway/World.h"
@@ -61,6 +62,7 @@
     forward::PlaceLedger ledger_;
     std::map<std::string, forward::RecentCount> asks_;          ///< Of this box, by service.
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< By request.
+    forward::FleetMemory fleet_;                                ///< Divides the retry budget.
     std::map<std::uint64_t, int> silences_;                     ///< In a row, by owner.
     std::unique_ptr<services::Repeat> sweep_;
 };
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -2,6 +2,7 @@
 // cutter, part index and the book of backend servers.
 
 #include "forward/EventCutter.h"
+#include "forward/FleetMemory.h"
 #include "forward/FleetRetryBudget.h"
 #include "forward/Freshness.h"
 #include "forward/PartIndex.h"
@@ -218,6 +219,42 @@
     BOOST_TEST(repeats.size() > 100U);
 }
 
+// Each part of a fleet that was cut in three used to take itself for the whole one.
+BOOST_AUTO_TEST_CASE(boxes_fleetCutInThree_partsTogetherStayWithinTheSlack)
+{
+    constexpr double Slack = 54;
+    std::size_t spent = 0;
+    for (const std::size_t part : {3U, 2U, 2U}) {
+        FleetMemory fleet;
+        fleet.note(7, at(0s));
+        fleet.note(7, at(3s));
+        const std::size_t counted = fleet.note(part, at(10s));
+        for (std::size_t box = 0; box < part; ++box) {
+            FleetRetryBudget budget({0, 10s, Slack});
+            budget.setBoxes(counted);
+            while (budget.take("pool", at(10s))) {
+                ++spent;
+            }
+        }
+    }
+    BOOST_TEST(spent <= Slack);
+    BOOST_TEST(spent >= Slack / 2);
+}
+
+BOOST_AUTO_TEST_CASE(fleetMemory_table_asStated)
+{
+    FleetMemory fleet({.guess = 32, .guessFor = 3s, .rememberedFor = 60s});
+    BOOST_TEST(fleet.note(1, at(0s)) == 32U);
+    BOOST_TEST(fleet.note(1, at(2s)) == 32U);
+    BOOST_TEST(fleet.note(5, at(3s)) == 5U);
+    BOOST_TEST(fleet.note(7, at(4s)) == 7U);
+    BOOST_TEST(fleet.note(2, at(60s)) == 7U);
+    BOOST_TEST(fleet.note(2, at(64s)) == 2U);
+    BOOST_TEST(fleet.note(0, at(200s)) == 1U);
+    FleetMemory large;
+    BOOST_TEST(large.note(85, at(0s)) == 85U);
+}
+
 BOOST_AUTO_TEST_CASE(take_servicesApart_eachHasItsOwn)
 {
     FleetRetryBudget budget({0, 10s, 2});
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -45,6 +45,27 @@
     co_return !error;
 }
 
+bool isStream(const http::Request &request)
+{
+    return !request.fields.get("X-Prompt-Prefix").empty();
+}
+
+int firstEvent(const http::Request &request)
+{
+    const std::string last(request.fields.get("Last-Event-Id"));
+    return last.empty() ? 1 : std::stoi(last) + 1;
+}
+
+std::string eventsFrom(int first, int last)
+{
+    std::string text;
+    for (int event = first; event <= last; ++event) {
+        const std::string number = std::to_string(event);
+        text += "id: " + number + "\ndata: piece " + number + "\n\n";
+    }
+    return text;
+}
+
 void reset(tcp::socket &socket)
 {
     boost::system::error_code ignored;
@@ -157,7 +178,8 @@
         text = "this is no answer at all\r\n\r\n";
         break;
     case RunnerFault::Unframed:
-        text = head("200 OK", id, stamp, "Connection: close\r\n") + body;
+        text = head("200 OK", id, stamp, "Connection: close\r\n")
+               + (isStream(request) ? eventsFrom(firstEvent(request), events) : body);
         co_await write(socket, text);
         co_return false;
     case RunnerFault::CutBody:
@@ -175,7 +197,7 @@
         co_await write(socket, text);
         text.clear();
     }
-    if (text.empty() && !request.fields.get("X-Prompt-Prefix").empty()) {
+    if (text.empty() && isStream(request)) {
         co_return co_await stream(socket, request, fault);
     }
     if (text.empty()) {
@@ -191,16 +213,14 @@
                                             RunnerFault fault)
 {
     const std::string id(request.fields.get("X-Attempt-Id"));
-    const std::string last(request.fields.get("Last-Event-Id"));
-    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    const int first = firstEvent(request);
     std::string text = head("200 OK", id, name_ + "." + id,
                             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
     if (!co_await write(socket, text)) {
         co_return false;
     }
     for (int event = first; event <= events; ++event) {
-        std::string bytes =
-                "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+        const std::string bytes = eventsFrom(event, event);
         if (fault == RunnerFault::CutStream && event == first + 2) {
             const std::string part = chunk(bytes.substr(0, bytes.size() / 2));
             co_await write(socket, part);
--- /dev/null
+++ b/test/platform/SoakTest.cpp
@@ -0,0 +1,196 @@
+// A short soak with a fixed seed, each seed that ever failed, and the judge itself: each promise
+// that it checks is broken on purpose, so that a soak without a finding means something.
+
+#include "platform/soak/Soak.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace limereel;
+using namespace limereel::soak;
+
+namespace {
+
+kernel::Instant at(kernel::Duration since)
+{
+    return kernel::Instant(1000s) + since;
+}
+
+class JudgeFixture
+{
+public:
+    JudgeFixture() { judge.noteDisturbance(at(-100s)); }
+
+    void attempt(const std::string &id, Kind kind, kernel::Duration sent = 0s,
+                 const std::string &key = "key-one", int version = 0)
+    {
+        judge.noteAttempt({id, kind, key, 0, 1, version, at(sent)});
+    }
+
+    void run(const std::string &id, const std::string &server = "i-1")
+    {
+        judge.noteArrival({id, server, "one", true, at(0s)});
+    }
+
+    void answer(const std::string &id, int status, const std::string &body, bool whole = true,
+                kernel::Duration when = 0s)
+    {
+        judge.noteAnswer(id, {whole, status, "i-1." + id, body, at(when)});
+    }
+
+    std::string broken() const
+    {
+        return judge.violations().empty() ? "" : judge.violations().front().promise;
+    }
+
+    SoakJudge judge{{3s, 1s, 4s}};
+};
+
+SoakReport play(std::uint64_t seed, kernel::Duration faultsFor)
+{
+    SoakPlan plan;
+    plan.seed = seed;
+    plan.faultsFor = faultsFor;
+    plan.folder = std::filesystem::temp_directory_path()
+                  / ("limereel-soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed));
+    const SoakReport report = playSoak(plan);
+    for (const Violation &violation : report.violations) {
+        BOOST_ERROR(violation.promise + ": " + violation.what);
+    }
+    std::filesystem::remove_all(plan.folder);
+    return report;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SoakJudgeTest, JudgeFixture)
+
+BOOST_AUTO_TEST_CASE(goodDay_everyKind_nothingIsBroken)
+{
+    attempt("a1", Kind::Once);
+    run("a1");
+    answer("a1", 200, "done by i-1");
+    attempt("a2", Kind::Once);
+    answer("a2", 503, "");
+    attempt("a3", Kind::ResumableStream);
+    run("a3");
+    run("a3");
+    answer("a3", 200, SoakJudge::wholeStream());
+    BOOST_TEST(broken() == "");
+    BOOST_TEST(judge.served() == 2U);
+    BOOST_TEST(judge.refused() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_runsTwice_isSeen)
+{
+    attempt("a1", Kind::OnceStream);
+    run("a1");
+    run("a1", "i-2");
+    BOOST_TEST(broken() == "at most once");
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_refusedAndRunsBeforeOrAfter_isSeen)
+{
+    attempt("a1", Kind::Once);
+    answer("a1", 503, "");
+    run("a1");
+    BOOST_TEST(broken() == "refused means not run");
+    attempt("a2", Kind::Once);
+    run("a2");
+    answer("a2", 429, "");
+    BOOST_TEST(judge.violations().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(answer_ofAnotherRequestOrNotWhole_isSeen)
+{
+    attempt("a1", Kind::Repeatable);
+    attempt("a2", Kind::Repeatable);
+    run("a1");
+    run("a2");
+    judge.noteAnswer("a1", {true, 200, "i-1.a2", "done by i-1", at(0s)});
+    BOOST_TEST(broken() == "whole answer to its own request");
+    answer("a2", 200, "done by");
+    BOOST_TEST(judge.violations().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(stream_repeatsAPiece_isSeenAlsoWhenCut)
+{
+    attempt("a1", Kind::ResumableStream);
+    run("a1");
+    answer("a1", 200, "id: 1\ndata: piece 1\n\nid: 1\n", false);
+    BOOST_TEST(broken() == "pieces in order");
+}
+
+BOOST_AUTO_TEST_CASE(arrival_ofUnknownRequest_isSeen)
+{
+    run("unknown");
+    BOOST_TEST(broken() == "nothing runs unasked");
+}
+
+BOOST_AUTO_TEST_CASE(key_takenAway_isSeenOnlyAfterTheBound)
+{
+    judge.noteKeyTakenAway("key-two", at(0s));
+    attempt("a1", Kind::Once, 2s, "key-two");
+    run("a1");
+    BOOST_TEST(broken() == "");
+    attempt("a2", Kind::Once, 4s, "key-two");
+    run("a2");
+    BOOST_TEST(broken() == "a key that was taken away runs nothing");
+}
+
+BOOST_AUTO_TEST_CASE(olderVersion_afterANewerOneInTheSameProcess_isSeen)
+{
+    attempt("a1", Kind::VersionProbe, 0s, "", 2);
+    run("a1");
+    answer("a1", 200, "done by i-1", true, 1s);
+    attempt("a2", Kind::VersionProbe, 500ms, "", 1);
+    run("a2");
+    answer("a2", 200, "done by i-1", true, 2s);
+    BOOST_TEST(broken() == "");
+    attempt("a3", Kind::VersionProbe, 3s, "", 1);
+    run("a3");
+    answer("a3", 200, "done by i-1", true, 4s);
+    BOOST_TEST(broken() == "settings never go back");
+}
+
+BOOST_AUTO_TEST_CASE(leavingServer_getsNewWork_isSeenInCalmOnly)
+{
+    judge.noteLeaving("i-1", at(0s));
+    attempt("a1", Kind::Once, 2s);
+    judge.noteDisturbance(at(-1s));
+    run("a1");
+    BOOST_TEST(broken() == "");
+    judge.noteLeaving("i-2", at(10s));
+    attempt("a2", Kind::Once, 12s);
+    run("a2", "i-2");
+    BOOST_TEST(broken() == "a leaving server gets nothing new");
+}
+
+BOOST_AUTO_TEST_CASE(plannedStop_cutsWhatItHadRead_isSeenInCalmOnly)
+{
+    attempt("a1", Kind::OnceStream, 1s);
+    judge.noteStop(0, 1, at(2s));
+    judge.noteDisturbance(at(0s));
+    answer("a1", 0, "", false);
+    BOOST_TEST(broken() == "");
+    attempt("a2", Kind::OnceStream, 10s);
+    judge.noteStop(0, 1, at(11s));
+    answer("a2", 200, "id: 1\n", false);
+    BOOST_TEST(broken() == "a planned stop cuts nothing");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SoakTest)
+
+BOOST_AUTO_TEST_CASE(shortSoak_fixedSeeds_keepsEveryPromise)
+{
+    for (const std::uint64_t seed : {1U, 2U}) {
+        const SoakReport report = play(seed, 6s);
+        BOOST_TEST(report.served > 0U);
+        BOOST_TEST(!report.faults.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/soak/Soak.cpp
@@ -0,0 +1,147 @@
+#include "platform/soak/Soak.h"
+
+#include "platform/soak/SoakCaller.h"
+#include "platform/soak/SoakFaults.h"
+
+#include <boost/asio.hpp>
+#include <stdexcept>
+
+namespace limereel::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr kernel::Duration Tick = 100ms;
+constexpr kernel::Duration Calm = 4s;
+constexpr kernel::Duration LongestStart = 60s;
+constexpr kernel::Duration LongestRecovery = 60s;
+constexpr kernel::Duration DrainSlack = 500ms; ///< Of this process, between a send and its stamp.
+
+kernel::Instant now()
+{
+    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
+}
+
+/** Everything of one soak. */
+class Play
+{
+public:
+    explicit Play(const SoakPlan &plan)
+        : plan_(plan)
+        , fleet_(plan.folder, plan.boxes, bounds_)
+        , judge_({bounds_.revokeWithin, bounds_.drainWithin + DrainSlack, Calm})
+        , world_(io_, fleet_, plan.servers)
+        , faults_(fleet_, world_, judge_, plan.seed)
+        , callers_{io_, fleet_, world_, judge_, std::mt19937_64(plan.seed + 1)}
+    {
+    }
+
+    SoakReport run()
+    {
+        for (SoakBox &box : fleet_.boxes()) {
+            fleet_.start(box, now());
+        }
+        judge_.noteDisturbance(now());
+        if (!runUntilAllServe(LongestStart)) {
+            throw std::runtime_error("the boxes of the soak don't start; see "
+                                     + fleet_.folder().string());
+        }
+        for (std::size_t caller = 0; caller < plan_.callers; ++caller) {
+            asio::co_spawn(io_, callOnAndOn(callers_), asio::detached);
+        }
+        const kernel::Instant end = now() + plan_.faultsFor;
+        while (now() < end) {
+            faults_.tick(now());
+            turn(Tick);
+        }
+        const kernel::Instant lifted = now();
+        faults_.liftAll(lifted);
+        const bool recovered = runUntilAllServe(LongestRecovery);
+        if (!recovered) {
+            judge_.breach("all serve again", "not within a minute");
+        }
+        SoakReport report;
+        report.recovery = now() - lifted;
+        finishCallers();
+        report.attempts = judge_.attempts();
+        report.served = judge_.served();
+        report.refused = judge_.refused();
+        report.cut = judge_.cut();
+        report.faults = faults_.history();
+        report.violations = judge_.violations();
+        return report;
+    }
+
+private:
+    void turn(kernel::Duration span)
+    {
+        io_.run_for(span);
+        io_.restart();
+        world_.collect(judge_, now());
+    }
+
+    // Every box is ready and answers each kind of request.
+    asio::awaitable<bool> allServe()
+    {
+        for (std::size_t box = 0; box < fleet_.boxes().size(); ++box) {
+            bool good = co_await askReady(callers_, box);
+            for (const Kind kind : {Kind::Once, Kind::Repeatable, Kind::OnceStream}) {
+                if (good) {
+                    const int status = co_await callOnce(callers_, box, kind);
+                    good = status == 200;
+                }
+            }
+            if (!good) {
+                co_return false;
+            }
+        }
+        co_return true;
+    }
+
+    bool runUntilAllServe(kernel::Duration longest)
+    {
+        const kernel::Instant deadline = now() + longest;
+        bool good = false;
+        while (!good && now() < deadline) {
+            bool done = false;
+            const auto look = [](Play &play, bool &over, bool &result) -> asio::awaitable<void> {
+                result = co_await play.allServe();
+                over = true;
+            };
+            asio::co_spawn(io_, look(*this, done, good), asio::detached);
+            while (!done) {
+                turn(Tick);
+                faults_.startEnded(now());
+            }
+        }
+        return good;
+    }
+
+    void finishCallers()
+    {
+        callers_.over = true;
+        while (callers_.running > 0) {
+            turn(Tick);
+        }
+    }
+
+    SoakPlan plan_;
+    SoakBounds bounds_;
+    asio::io_context io_{1};
+    SoakFleet fleet_;
+    SoakJudge judge_;
+    SoakWorld world_;
+    SoakFaults faults_;
+    CallerWorld callers_;
+};
+
+} // namespace
+
+SoakReport playSoak(const SoakPlan &plan)
+{
+    Play play(plan);
+    return play.run();
+}
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/Soak.h
@@ -0,0 +1,46 @@
+/** \file
+ * A randomized fault soak: gateways as real processes between a store, backend servers and callers
+ * that live in this process; faults come from outside, by signals and proxies, in series and
+ * overlapping. The promises are checked while it runs, and that all serve again once it is over.
+ *
+ * Chance comes from one seed. What happens also depends on how the processes are scheduled, so a
+ * seed that failed is likely, not certain, to fail again.
+ */
+#pragma once
+
+#include "platform/soak/SoakJudge.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace limereel::soak {
+
+/** What to play. */
+struct SoakPlan
+{
+    std::uint64_t seed = 1;
+    kernel::Duration faultsFor = 20s;
+    std::size_t boxes = 3;
+    std::size_t servers = 4;
+    std::size_t callers = 8;
+    std::filesystem::path folder; ///< For settings and logs.
+};
+
+/** What came of it. */
+struct SoakReport
+{
+    std::size_t attempts = 0;
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    std::size_t cut = 0;
+    std::vector<std::string> faults; ///< Each with its moment, in seconds.
+    kernel::Duration recovery{};     ///< From the last fault's end until all boxes serve all kinds.
+    std::vector<Violation> violations;
+};
+
+/** Plays \a plan. */
+SoakReport playSoak(const SoakPlan &plan);
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakCaller.cpp
@@ -0,0 +1,207 @@
+#include "platform/soak/SoakCaller.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr kernel::Duration LongestConnect = 500ms;
+constexpr kernel::Duration Deadline = 2s;
+constexpr kernel::Duration Patience = 3s; ///< Beyond the deadline: then the caller ends it.
+constexpr std::size_t LeavesOneIn = 20;
+constexpr std::size_t LongestStayMs = 40;
+constexpr std::size_t LongestPauseMs = 40;
+constexpr std::size_t MostBodyBytes = 1 << 20;
+
+kernel::Instant now()
+{
+    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
+}
+
+/** A connection with the process that took it. */
+struct Line
+{
+    http::KeptConnection::Ptr connection;
+    std::size_t box = 0;
+    int process = 0;
+};
+
+std::string pathOf(Kind kind, int version)
+{
+    switch (kind) {
+    case Kind::Once:
+        return "/once/x";
+    case Kind::Repeatable:
+        return "/again/x";
+    case Kind::OnceStream:
+        return "/stream/x";
+    case Kind::ResumableStream:
+        return "/resume/x";
+    case Kind::VersionProbe:
+        break;
+    }
+    return "/version-" + std::to_string(version) + "/x";
+}
+
+http::Request requestOf(const SoakAttempt &attempt)
+{
+    http::Fields fields;
+    fields.add("Host", "calls.example");
+    fields.add("X-Attempt-Id", attempt.id);
+    fields.add("X-Deadline-Ms", std::to_string(Deadline / 1ms));
+    if (!attempt.key.empty()) {
+        fields.add("X-Api-Key", attempt.key);
+    }
+    const bool stream = attempt.kind == Kind::OnceStream || attempt.kind == Kind::ResumableStream;
+    if (stream) {
+        fields.add("X-Model", "m");
+        fields.add("X-Token-Count", "300,20");
+        fields.add("X-Prompt-Prefix", "aa:100,bb:100,cc:100");
+    }
+    const bool posted = stream || attempt.kind == Kind::Once;
+    return {posted ? "POST" : "GET", pathOf(attempt.kind, attempt.version), fields,
+            posted ? "the body" : ""};
+}
+
+SoakAttempt attemptOf(CallerWorld &shared, const Line &line, Kind kind)
+{
+    SoakAttempt attempt;
+    attempt.id = "a" + std::to_string(++shared.nextId);
+    attempt.kind = kind;
+    attempt.box = line.box;
+    attempt.process = line.process;
+    const int version = shared.world.version();
+    if (kind == Kind::VersionProbe) {
+        const int back = static_cast<int>(shared.random() % 3);
+        attempt.version = std::max(1, version - back);
+    } else {
+        attempt.key = shared.random() % 2 == 0 ? "key-one" : shared.world.changingKey();
+    }
+    attempt.sent = now();
+    return attempt;
+}
+
+asio::awaitable<SoakAnswer> readAnswer(http::KeptConnection::Ptr connection)
+{
+    SoakAnswer answer;
+    auto head = co_await connection->readHead();
+    if (!head) {
+        co_return answer;
+    }
+    answer.status = head->status;
+    answer.stamp = std::string(head->fields.get("X-Response-Stamp"));
+    while (answer.body.size() < MostBodyBytes) {
+        auto part = co_await connection->readPart();
+        if (!part) {
+            co_return answer;
+        }
+        if (part->empty()) {
+            answer.whole = true;
+            co_return answer;
+        }
+        answer.body += *part;
+    }
+    co_return answer;
+}
+
+// \\return the status; 0 if there was no whole answer or the caller left.
+asio::awaitable<int> exchange(CallerWorld &shared, Line line, Kind kind, bool leaves)
+{
+    const SoakAttempt attempt = attemptOf(shared, line, kind);
+    shared.judge.noteAttempt(attempt);
+    asio::steady_timer timer(shared.io);
+    const auto stay = 1ms * static_cast<std::int64_t>(shared.random() % LongestStayMs);
+    timer.expires_after(leaves ? kernel::Duration(stay) : Patience + Deadline);
+    bool ended = false;
+    timer.async_wait([connection = line.connection, &ended](boost::system::error_code stopped) {
+        if (!stopped) {
+            ended = true;
+            connection->close();
+        }
+    });
+    http::Request request = requestOf(attempt);
+    line.connection->send(std::move(request));
+    SoakAnswer answer = co_await readAnswer(line.connection);
+    timer.cancel();
+    answer.at = now();
+    if (ended && leaves) {
+        co_return 0;
+    }
+    shared.world.collect(shared.judge, answer.at);
+    shared.judge.noteAnswer(attempt.id, answer);
+    co_return answer.whole ? answer.status : 0;
+}
+
+asio::awaitable<Line> connectTo(CallerWorld &shared, std::size_t box)
+{
+    Line line;
+    line.box = box;
+    line.process = shared.fleet.boxes()[box].processes;
+    kernel::Endpoint where = shared.fleet.boxes()[box].caller;
+    auto connected = co_await http::KeptConnection::connect(shared.io, where, LongestConnect);
+    if (connected) {
+        line.connection = *connected;
+    }
+    co_return line;
+}
+
+Kind anyKind(CallerWorld &shared)
+{
+    return static_cast<Kind>(shared.random() % (static_cast<std::size_t>(Kind::VersionProbe) + 1));
+}
+
+} // namespace
+
+asio::awaitable<void> callOnAndOn(CallerWorld &shared)
+{
+    ++shared.running;
+    asio::steady_timer timer(shared.io);
+    Line line;
+    while (!shared.over) {
+        timer.expires_after(1ms * static_cast<std::int64_t>(1 + shared.random() % LongestPauseMs));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        const bool keeps = line.connection && line.connection->reusable()
+                           && line.connection->quiet() && shared.random() % 3 != 0;
+        if (!keeps) {
+            line = co_await connectTo(shared, shared.random() % shared.fleet.boxes().size());
+        }
+        if (!line.connection) {
+            continue;
+        }
+        const Kind kind = anyKind(shared);
+        const bool leaves = shared.random() % LeavesOneIn == 0;
+        const int status = co_await exchange(shared, line, kind, leaves);
+        if (status == 0) {
+            line.connection.reset();
+        }
+    }
+    --shared.running;
+}
+
+asio::awaitable<int> callOnce(CallerWorld &shared, std::size_t box, Kind kind)
+{
+    Line line = co_await connectTo(shared, box);
+    if (!line.connection) {
+        co_return 0;
+    }
+    const int status = co_await exchange(shared, line, kind, false);
+    co_return status;
+}
+
+asio::awaitable<bool> askReady(CallerWorld &shared, std::size_t box)
+{
+    kernel::Endpoint where = shared.fleet.boxes()[box].ready;
+    auto connected = co_await http::KeptConnection::connect(shared.io, where, LongestConnect);
+    if (!connected) {
+        co_return false;
+    }
+    http::Request question("GET", "/v1/readiness", http::Fields().with("Host", "box"));
+    (*connected)->send(std::move(question));
+    auto head = co_await (*connected)->readHead();
+    co_return head && head->status == 200;
+}
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakFaults.cpp
@@ -0,0 +1,320 @@
+#include "platform/soak/SoakFaults.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+
+namespace limereel::soak {
+
+namespace {
+
+constexpr std::size_t FewestKinds = 1;
+constexpr std::size_t MostKinds = 7;
+constexpr std::size_t TicksBetween = 4; ///< On average, between two faults.
+constexpr int MostSpoiled = 6;
+constexpr kernel::Duration SurelyListens = 2s; ///< To signals, after its start.
+constexpr int StatusBusy = 503;
+constexpr int StatusMany = 429;
+
+} // namespace
+
+SoakFaults::SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, std::uint64_t seed)
+    : fleet_(fleet)
+    , world_(world)
+    , judge_(judge)
+    , random_(seed)
+{
+    kinds_ = allKinds();
+    std::ranges::shuffle(kinds_, random_);
+    kinds_.resize(FewestKinds + pick(MostKinds));
+}
+
+std::vector<SoakFaults::Kind> SoakFaults::allKinds()
+{
+    return {{"pause", false, [this] { return pauseBox(); }},
+            {"kill", false, [this] { return killBox(); }},
+            {"stop", true, [this] { return stopBox(); }},
+            {"reload", true, [this] { return reloadBox(); }},
+            {"kill-all", false, [this] { return killAll(); }},
+            {"store-link", false, [this] { return harmStoreLink(); }},
+            {"store", false, [this] { return harmStore(); }},
+            {"server-link", false, [this] { return harmServerLink(); }},
+            {"spoil", false, [this] { return spoilAnswers(); }},
+            {"configuration", true, [this] { return changeConfiguration(); }},
+            {"replace-server", true, [this] { return replaceServer(); }}};
+}
+
+kernel::Duration SoakFaults::span()
+{
+    return 200ms + 1ms * static_cast<std::int64_t>(pick(4000));
+}
+
+Harm SoakFaults::anyHarm()
+{
+    return static_cast<Harm>(1 + pick(static_cast<std::size_t>(Harm::Silent)));
+}
+
+void SoakFaults::until(kernel::Duration after, std::function<void()> lift)
+{
+    active_.push_back({now_ + after, std::move(lift)});
+}
+
+void SoakFaults::tick(kernel::Instant now)
+{
+    now_ = now;
+    if (began_ == kernel::Instant()) {
+        began_ = now;
+    }
+    std::vector<Active> due;
+    std::erase_if(active_, [&](Active &active) {
+        const bool over = now >= active.until;
+        if (over) {
+            due.push_back(std::move(active));
+        }
+        return over;
+    });
+    for (const Active &active : due) {
+        active.lift();
+    }
+    startEnded(now);
+    if (pick(TicksBetween) == 0) {
+        const Kind &kind = kinds_[pick(kinds_.size())];
+        const std::string what = kind.begin();
+        if (!what.empty()) {
+            std::array<char, 32> when{};
+            std::snprintf(when.data(), when.size(), "%.1f ", kernel::seconds(now - began_));
+            history_.push_back(when.data() + kind.name + " " + what);
+        }
+        if (!what.empty() && !kind.planned) {
+            judge_.noteDisturbance(now);
+        }
+    }
+    if (unplanned_ > 0) {
+        judge_.noteDisturbance(now);
+    }
+}
+
+void SoakFaults::liftAll(kernel::Instant now)
+{
+    now_ = now;
+    for (const Active &active : std::exchange(active_, {})) {
+        active.lift();
+    }
+    for (const SoakServer &server : world_.servers()) {
+        server.runner->faults.clear();
+    }
+    startEnded(now);
+}
+
+void SoakFaults::startEnded(kernel::Instant now)
+{
+    for (SoakBox &box : fleet_.boxes()) {
+        if (box.processes == 0 || box.process.running()) {
+            continue;
+        }
+        if (box.stopping && !box.killed && !box.early && box.process.wait() != 0) {
+            judge_.breach("a planned stop ends well", box.name + " ended otherwise");
+        }
+        if (!box.stopping && !box.killed) {
+            judge_.breach("no process ends by itself", box.name);
+        }
+        if (now >= box.startAt) {
+            fleet_.start(box, now);
+        }
+    }
+}
+
+std::string SoakFaults::pauseBox()
+{
+    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    if (box.paused || !box.process.running()) {
+        return {};
+    }
+    box.process.signal(SIGSTOP);
+    box.paused = true;
+    ++unplanned_;
+    const int process = box.processes;
+    until(span() * 2, [this, &box, process] {
+        --unplanned_;
+        if (box.processes == process) {
+            box.process.signal(SIGCONT);
+            box.paused = false;
+        }
+    });
+    return box.name;
+}
+
+std::string SoakFaults::killBox()
+{
+    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    if (!box.process.running()) {
+        return {};
+    }
+    box.killed = true;
+    box.startAt = now_ + span() / 4;
+    box.process.signal(SIGKILL);
+    return box.name;
+}
+
+std::string SoakFaults::stopBox()
+{
+    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    if (box.paused || box.killed || box.stopping || !box.process.running()) {
+        return {};
+    }
+    box.stopping = true;
+    box.early = now_ - box.started < SurelyListens;
+    judge_.noteStop(static_cast<std::size_t>(&box - fleet_.boxes().data()), box.processes, now_);
+    box.process.signal(SIGTERM);
+    return box.name;
+}
+
+std::string SoakFaults::reloadBox()
+{
+    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    if (!box.process.running()) {
+        return {};
+    }
+    fleet_.writeSettings(box, 500 + static_cast<int>(pick(1000)));
+    box.process.signal(SIGHUP);
+    return box.name;
+}
+
+std::string SoakFaults::killAll()
+{
+    // Rare: a soak in which nothing ever runs shows nothing.
+    if (pick(6) != 0) {
+        return {};
+    }
+    const kernel::Instant startAt = now_ + span() / 4;
+    for (SoakBox &box : fleet_.boxes()) {
+        if (box.process.running()) {
+            box.killed = true;
+            box.startAt = startAt;
+            box.process.signal(SIGKILL);
+        }
+    }
+    return "all";
+}
+
+std::string SoakFaults::harmStoreLink()
+{
+    const std::size_t index = pick(world_.storeProxies().size());
+    LoopbackProxy &proxy = *world_.storeProxies()[index];
+    if (proxy.harm() != Harm::None) {
+        return {};
+    }
+    const Harm harm = anyHarm();
+    proxy.setHarm(harm);
+    ++unplanned_;
+    until(span() * 2, [this, &proxy] {
+        --unplanned_;
+        proxy.setHarm(Harm::None);
+    });
+    return std::string(text(harm)) + " of box " + std::to_string(index);
+}
+
+std::string SoakFaults::harmStore()
+{
+    standin::StoreStandin::Faults faults;
+    std::string what;
+    switch (pick(6)) {
+    case 0:
+        faults.status = StatusBusy;
+        what = "busy";
+        break;
+    case 1:
+        faults.status = StatusMany;
+        what = "too many";
+        break;
+    case 2:
+        faults.silent = true;
+        what = "silent";
+        break;
+    case 3:
+        faults.lost = true;
+        what = "lost";
+        break;
+    case 4:
+        faults.refuseEach = 2;
+        what = "refuses each second";
+        break;
+    default:
+        world_.store().forgetHistory();
+        return "forgets";
+    }
+    world_.store().faults = faults;
+    ++unplanned_;
+    until(span(), [this] {
+        --unplanned_;
+        world_.store().faults = {};
+    });
+    return what;
+}
+
+std::string SoakFaults::harmServerLink()
+{
+    const auto listed = world_.listedServers();
+    if (listed.empty()) {
+        return {};
+    }
+    const std::size_t index = listed[pick(listed.size())];
+    LoopbackProxy &proxy = *world_.servers()[index].proxy;
+    if (proxy.harm() != Harm::None) {
+        return {};
+    }
+    const Harm harm = anyHarm();
+    proxy.setHarm(harm);
+    ++unplanned_;
+    until(span(), [this, &proxy] {
+        --unplanned_;
+        proxy.setHarm(Harm::None);
+    });
+    return std::string(text(harm)) + " of server " + std::to_string(index);
+}
+
+std::string SoakFaults::spoilAnswers()
+{
+    using standin::RunnerFault;
+    const auto listed = world_.listedServers();
+    if (listed.empty()) {
+        return {};
+    }
+    const std::size_t index = listed[pick(listed.size())];
+    auto &faults = world_.servers()[index].runner->faults;
+    if (!faults.empty()) {
+        return {};
+    }
+    const int count = 1 + static_cast<int>(pick(MostSpoiled));
+    for (int number = 0; number < count; ++number) {
+        faults.push_back(static_cast<RunnerFault>(
+                1 + pick(static_cast<std::size_t>(RunnerFault::Trailing))));
+    }
+    return std::to_string(count) + " of server " + std::to_string(index);
+}
+
+std::string SoakFaults::changeConfiguration()
+{
+    const std::string taken = world_.nextConfiguration();
+    judge_.noteKeyTakenAway(taken, now_);
+    return "version " + std::to_string(world_.version());
+}
+
+std::string SoakFaults::replaceServer()
+{
+    const auto listed = world_.listedServers();
+    if (listed.size() < 2) {
+        return {};
+    }
+    const std::size_t index = listed[pick(listed.size())];
+    world_.addServer();
+    SoakServer &leaving = world_.servers()[index];
+    leaving.listed = false;
+    world_.list(leaving, "draining");
+    judge_.noteLeaving(leaving.runner->name(), now_);
+    until(span(), [this, index] { world_.unlist(world_.servers()[index]); });
+    return std::to_string(index);
+}
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakFaults.h
@@ -0,0 +1,78 @@
+/** \file
+ * The faults of a soak: which may come, when each begins and how it is lifted. A seed allows a few
+ * kinds, so that some soaks have only planned work and others pile everything up.
+ */
+#pragma once
+
+#include "platform/soak/SoakWorld.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace limereel::soak {
+
+/** The schedule. */
+class SoakFaults
+{
+public:
+    SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, std::uint64_t seed);
+
+    /** Begins and lifts what is due; starts processes that have ended. */
+    void tick(kernel::Instant now);
+
+    /** Lifts everything and starts all that is down. */
+    void liftAll(kernel::Instant now);
+
+    /** Starts the boxes whose processes have ended, once it is time. */
+    void startEnded(kernel::Instant now);
+
+    const std::vector<std::string> &history() const { return history_; }
+
+private:
+    struct Active
+    {
+        kernel::Instant until;
+        std::function<void()> lift;
+    };
+
+    /** One kind: begins it and returns its text for the history; empty if it can't come now. */
+    struct Kind
+    {
+        std::string name;
+        bool planned; ///< Planned work disturbs nothing.
+        std::function<std::string()> begin;
+    };
+
+    std::vector<Kind> allKinds();
+    std::string pauseBox();
+    std::string killBox();
+    std::string stopBox();
+    std::string reloadBox();
+    std::string killAll();
+    std::string harmStoreLink();
+    std::string harmStore();
+    std::string harmServerLink();
+    std::string spoilAnswers();
+    std::string changeConfiguration();
+    std::string replaceServer();
+
+    std::size_t pick(std::size_t count) { return random_() % count; }
+    kernel::Duration span();
+    Harm anyHarm();
+    void until(kernel::Duration after, std::function<void()> lift);
+
+    SoakFleet &fleet_;
+    SoakWorld &world_;
+    SoakJudge &judge_;
+    std::mt19937_64 random_;
+    std::vector<Kind> kinds_;
+    std::vector<Active> active_;
+    std::vector<std::string> history_;
+    kernel::Instant began_;
+    kernel::Instant now_;
+    int unplanned_ = 0; ///< Faults that are on now, planned work aside.
+};
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakJudge.cpp
@@ -0,0 +1,168 @@
+#include "platform/soak/SoakJudge.h"
+
+namespace limereel::soak {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Unauthorized = 401;
+
+// Statuses that promise that the request did not run and never will.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool onceOnly(Kind kind)
+{
+    return kind == Kind::Once || kind == Kind::OnceStream;
+}
+
+bool isStream(Kind kind)
+{
+    return kind == Kind::OnceStream || kind == Kind::ResumableStream;
+}
+
+} // namespace
+
+std::string SoakJudge::wholeStream()
+{
+    std::string text;
+    for (int event = 1; event <= 5; ++event) {
+        const std::string number = std::to_string(event);
+        text += "id: " + number + "\ndata: piece " + number + "\n\n";
+    }
+    return text;
+}
+
+void SoakJudge::breach(const std::string &promise, const std::string &what)
+{
+    violations_.push_back({promise, what});
+}
+
+void SoakJudge::noteAttempt(const SoakAttempt &attempt)
+{
+    attempts_[attempt.id] = attempt;
+}
+
+void SoakJudge::noteAnswer(const std::string &id, const SoakAnswer &answer)
+{
+    const SoakAttempt &attempt = attempts_.at(id);
+    if (answer.status == Ok && answer.whole) {
+        ++served_;
+        checkSuccess(attempt, answer);
+    } else if (answer.status == 0 || !answer.whole) {
+        ++cut_;
+        checkCut(attempt, answer);
+    } else {
+        checkFailure(attempt, answer);
+    }
+    if (isStream(attempt.kind) && answer.status == Ok && !wholeStream().starts_with(answer.body)) {
+        breach("pieces in order", id + " got '" + answer.body + "'");
+    }
+}
+
+void SoakJudge::checkSuccess(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    const std::size_t dot = answer.stamp.rfind('.');
+    if (dot == std::string::npos || answer.stamp.substr(dot + 1) != attempt.id) {
+        breach("whole answer to its own request", attempt.id + " got " + answer.stamp);
+        return;
+    }
+    const std::string server = answer.stamp.substr(0, dot);
+    const std::string expected = isStream(attempt.kind) ? wholeStream() : "done by " + server;
+    if (answer.body != expected) {
+        breach("whole answer to its own request",
+               attempt.id + " got '" + answer.body + "' of " + server);
+    }
+    if (runs_[attempt.id] == 0) {
+        breach("whole answer to its own request", attempt.id + " was served and never ran");
+    }
+    checkVersion(attempt, answer);
+}
+
+void SoakJudge::checkFailure(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    if (answer.status == Unauthorized && attempt.key == "key-one") {
+        breach("no refusal of what is allowed", attempt.id + " got 401 with a good key");
+    }
+    if (!promisesNotRun(answer.status)) {
+        return;
+    }
+    ++refusedCount_;
+    if (onceOnly(attempt.kind)) {
+        refused_.insert(attempt.id);
+        if (runs_[attempt.id] > 0) {
+            breach("refused means not run",
+                   attempt.id + " got " + std::to_string(answer.status) + " and had run");
+        }
+    }
+}
+
+// A later request must not be served as only an older version allows, by the same process.
+void SoakJudge::checkVersion(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    if (attempt.kind != Kind::VersionProbe) {
+        return;
+    }
+    auto &seen = seen_[{attempt.box, attempt.process}];
+    for (const SeenVersion &earlier : seen) {
+        if (earlier.at < attempt.sent && earlier.version > attempt.version) {
+            breach("settings never go back", attempt.id + " was served by version "
+                                                     + std::to_string(attempt.version) + " after "
+                                                     + std::to_string(earlier.version));
+        }
+    }
+    seen.push_back({attempt.version, answer.at});
+}
+
+// A process that was told to stop finishes what it has read.
+void SoakJudge::checkCut(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    const auto stop = stops_.find({attempt.box, attempt.process});
+    if (stop != stops_.end() && attempt.sent < stop->second && calmSince(attempt.sent)) {
+        breach("a planned stop cuts nothing", attempt.id + " at box " + std::to_string(attempt.box)
+                                                      + ", status "
+                                                      + std::to_string(answer.status));
+    }
+}
+
+void SoakJudge::checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival)
+{
+    const auto place = leaving_.find(arrival.server);
+    if (place != leaving_.end() && attempt.sent > place->second + bounds_.drain
+        && calmSince(place->second)) {
+        breach("a leaving server gets nothing new", arrival.id + " reached " + arrival.server);
+    }
+}
+
+void SoakJudge::noteArrival(const SoakArrival &arrival)
+{
+    const auto place = attempts_.find(arrival.id);
+    if (place == attempts_.end()) {
+        breach("nothing runs unasked", arrival.id + " reached " + arrival.server);
+        return;
+    }
+    const SoakAttempt &attempt = place->second;
+    checkLeaving(attempt, arrival);
+    if (!arrival.ran) {
+        return;
+    }
+    const int runs = ++runs_[arrival.id];
+    if (onceOnly(attempt.kind) && runs > 1) {
+        breach("at most once", arrival.id + " ran again at " + arrival.server);
+    }
+    if (refused_.contains(arrival.id)) {
+        breach("refused means not run", arrival.id + " ran at " + arrival.server + " afterwards");
+    }
+    if (!attempt.key.empty() && arrival.organisation != "one") {
+        breach("the organisation is the key's",
+               arrival.id + " came as '" + arrival.organisation + "'");
+    }
+    const auto taken = takenAway_.find(attempt.key);
+    if (taken != takenAway_.end() && attempt.sent > taken->second + bounds_.revoke) {
+        breach("a key that was taken away runs nothing", arrival.id + " ran with " + attempt.key);
+    }
+}
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakJudge.h
@@ -0,0 +1,134 @@
+/** \file
+ * What a soak checks while it runs: the promises to callers and backend servers, from what these
+ * see. Pure: events go in, broken promises come out.
+ */
+#pragma once
+
+#include "http/Message.h"
+#include "kernel/decisions/Time.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limereel::soak {
+
+/** Whether a request may run more than once. */
+enum class Kind : std::uint8_t { Once, Repeatable, OnceStream, ResumableStream, VersionProbe };
+
+/** One attempt of a caller. */
+struct SoakAttempt
+{
+    std::string id;
+    Kind kind = Kind::Once;
+    std::string key;
+    std::size_t box = 0;
+    int process = 0; ///< Which process of the box took it.
+    int version = 0; ///< Of a VersionProbe: the configuration that alone allows it.
+    kernel::Instant sent;
+};
+
+/** What the caller got. */
+struct SoakAnswer
+{
+    bool whole = false; ///< It came to its proper end.
+    int status = 0;     ///< 0: no head came.
+    std::string stamp;  ///< Of the backend server.
+    std::string body;
+    kernel::Instant at;
+};
+
+/** One arrival at a backend server. */
+struct SoakArrival
+{
+    std::string id;
+    std::string server;
+    std::string organisation;
+    bool ran = false;
+    kernel::Instant at;
+};
+
+/** A promise that was broken. */
+struct Violation
+{
+    std::string promise;
+    std::string what;
+};
+
+/** The bounds of the promises. */
+struct JudgeBounds
+{
+    kernel::Duration revoke{}; ///< How long after it was taken away a key may still run a request.
+    kernel::Duration drain{};  ///< How long after it began to leave a server may get new work.
+    kernel::Duration calm{};   ///< Without a disturbance, before the word of the store is binding.
+};
+
+/** The judge of one soak. */
+class SoakJudge
+{
+public:
+    explicit SoakJudge(JudgeBounds bounds)
+        : bounds_(bounds)
+    {
+    }
+
+    void noteAttempt(const SoakAttempt &attempt);
+    void noteAnswer(const std::string &id, const SoakAnswer &answer);
+    void noteArrival(const SoakArrival &arrival);
+    void noteKeyTakenAway(const std::string &key, kernel::Instant at) { takenAway_[key] = at; }
+
+    /** The store has taken the word that \a server leaves. */
+    void noteLeaving(const std::string &server, kernel::Instant at) { leaving_[server] = at; }
+
+    /** A process was told to stop. */
+    void noteStop(std::size_t box, int process, kernel::Instant at) { stops_[{box, process}] = at; }
+
+    /** Something other than planned work is wrong at this moment. */
+    void noteDisturbance(kernel::Instant at) { disturbed_ = at; }
+
+    /** A promise that others have checked is broken. */
+    void breach(const std::string &promise, const std::string &what);
+
+    const std::vector<Violation> &violations() const { return violations_; }
+    std::size_t attempts() const { return attempts_.size(); }
+    std::size_t served() const { return served_; }
+    std::size_t refused() const { return refusedCount_; }
+    std::size_t cut() const { return cut_; }
+
+    /** The events of a whole stream. */
+    static std::string wholeStream();
+
+private:
+    void checkSuccess(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkFailure(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkVersion(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkCut(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival);
+
+    /** Whether nothing was disturbed since the time that calm asks for before \a moment. */
+    bool calmSince(kernel::Instant moment) const { return disturbed_ + bounds_.calm < moment; }
+
+    JudgeBounds bounds_;
+    kernel::Instant disturbed_;
+    std::map<std::string, kernel::Instant> leaving_;
+    std::map<std::pair<std::size_t, int>, kernel::Instant> stops_; ///< By box and process.
+    std::map<std::string, SoakAttempt> attempts_;
+    std::map<std::string, int> runs_;
+    std::set<std::string> refused_; ///< Once-only attempts that were promised not to run.
+    std::map<std::string, kernel::Instant> takenAway_;
+
+    struct SeenVersion
+    {
+        int version = 0;
+        kernel::Instant at;
+    };
+
+    std::map<std::pair<std::size_t, int>, std::vector<SeenVersion>> seen_; ///< By box and process.
+    std::vector<Violation> violations_;
+    std::size_t served_ = 0;
+    std::size_t refusedCount_ = 0;
+    std::size_t cut_ = 0;
+};
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakWorld.cpp
@@ -0,0 +1,136 @@
+#include "platform/soak/SoakWorld.h"
+
+#include "support/Ports.h"
+
+namespace limereel::soak {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr kernel::Duration BetweenEvents = 5ms;
+
+json route(const std::string &prefix, const std::string &kind, int attempts)
+{
+    return {{"name", "r" + prefix},
+            {"host", "calls.example"},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"timeout_ms", 3000},
+            {"goal_ms", 500},
+            {"priority", 1},
+            {"service", "pool"},
+            {"max_attempts", attempts},
+            {"anonymous", false},
+            {"sticky", kind == "streaming"},
+            {"can_resume", false},
+            {"gap_goal_ms", 400}};
+}
+
+json configurationOf(int version, const std::string &changingKey)
+{
+    json resume = route("/resume/", "streaming", 2);
+    resume["can_resume"] = true;
+    json probe = route("/version-" + std::to_string(version) + "/", "idempotent", 2);
+    probe["anonymous"] = true;
+    return {{"version", version},
+            {"routes",
+             json::array({route("/once/", "non_idempotent", 1), route("/again/", "idempotent", 2),
+                          route("/stream/", "streaming", 1), resume, probe})},
+            {"services", json::array({{{"name", "pool"},
+                                       {"health_path", "/health"},
+                                       {"max_conns", 100},
+                                       {"engine", {{"slots", 8}, {"moves", true}}}}})},
+            {"limits",
+             {{"max_header_bytes", 8192},
+              {"max_body_bytes", 65536},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 60000}}},
+            {"tenants", json::array({{{"name", "one"},
+                                      {"api_keys", json::array({"key-one", changingKey})},
+                                      {"priority", 3}}})}};
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers)
+    : io_(io)
+{
+    const kernel::Endpoint storeAt = support::freeEndpoint();
+    store_ = std::make_unique<standin::StoreStandin>(io, storeAt);
+    for (const SoakBox &box : fleet.boxes()) {
+        storeProxies_.push_back(std::make_unique<LoopbackProxy>(io, box.store, storeAt));
+    }
+    nextConfiguration();
+    for (std::size_t count = 0; count < servers; ++count) {
+        addServer();
+    }
+}
+
+std::string SoakWorld::nextConfiguration()
+{
+    std::string taken = changingKey_;
+    ++version_;
+    changingKey_ = "key-changing-" + std::to_string(version_);
+    store_->put("config", "main", configurationOf(version_, changingKey_));
+    return taken;
+}
+
+void SoakWorld::addServer()
+{
+    SoakServer server;
+    server.runner = std::make_unique<standin::RunnerStandin>(
+            io_, "i-" + std::to_string(servers_.size()), support::freeEndpoint());
+    server.runner->pause = BetweenEvents;
+    server.proxy =
+            std::make_unique<LoopbackProxy>(io_, support::freeEndpoint(), server.runner->where());
+    servers_.push_back(std::move(server));
+    servers_.back().listed = true;
+    list(servers_.back(), "ready");
+}
+
+void SoakWorld::list(const SoakServer &server, const std::string &state)
+{
+    store_->put("servers", server.runner->name(),
+                {{"service", "pool"},
+                 {"address", kernel::text(server.proxy->where())},
+                 {"zone", "hall-0"},
+                 {"version", "v1"},
+                 {"slots", 8},
+                 {"state", state},
+                 {"cold_left_ms", 0},
+                 {"call_seq", 1}});
+}
+
+void SoakWorld::unlist(SoakServer &server)
+{
+    server.listed = false;
+    store_->remove("servers", server.runner->name());
+}
+
+std::vector<std::size_t> SoakWorld::listedServers() const
+{
+    std::vector<std::size_t> positions;
+    for (std::size_t position = 0; position < servers_.size(); ++position) {
+        if (servers_[position].listed) {
+            positions.push_back(position);
+        }
+    }
+    return positions;
+}
+
+void SoakWorld::collect(SoakJudge &judge, kernel::Instant now)
+{
+    for (SoakServer &server : servers_) {
+        const auto &records = server.runner->records();
+        for (; server.judged < records.size(); ++server.judged) {
+            const standin::RunnerRecord &record = records[server.judged];
+            SoakArrival arrival{record.id, server.runner->name(),
+                                std::string(record.request.fields.get("X-Tenant")), record.ran,
+                                now};
+            judge.noteArrival(arrival);
+        }
+    }
+}
+
+} // namespace limereel::soak
--- /dev/null
+++ b/test/platform/soak/SoakWorld.h
@@ -0,0 +1,63 @@
+/** \file
+ * What stands around the gateways of a soak: the store behind a proxy for each box, backend servers
+ * behind a proxy each, and the configuration with its versions and keys.
+ */
+#pragma once
+
+#include "platform/RunnerStandin.h"
+#include "platform/StoreStandin.h"
+#include "platform/soak/LoopbackProxy.h"
+#include "platform/soak/SoakFleet.h"
+#include "platform/soak/SoakJudge.h"
+
+#include <memory>
+#include <vector>
+
+namespace limereel::soak {
+
+/** One backend server; the ones that left stay until the end, as their runs count. */
+struct SoakServer
+{
+    std::unique_ptr<standin::RunnerStandin> runner;
+    std::unique_ptr<LoopbackProxy> proxy;
+    std::size_t judged = 0; ///< Records that the judge has.
+    bool listed = false;
+};
+
+/** The surroundings. */
+class SoakWorld
+{
+public:
+    SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers);
+
+    /** Puts the next configuration; it takes the changing key away and makes a new one. \return the
+     * key that was taken away. */
+    std::string nextConfiguration();
+    int version() const { return version_; }
+    const std::string &changingKey() const { return changingKey_; }
+
+    /** Starts a server and lists it. */
+    void addServer();
+    void list(const SoakServer &server, const std::string &state);
+    void unlist(SoakServer &server);
+
+    /** Tells \a judge of all arrivals since the last time. */
+    void collect(SoakJudge &judge, kernel::Instant now);
+
+    standin::StoreStandin &store() { return *store_; }
+    std::vector<std::unique_ptr<LoopbackProxy>> &storeProxies() { return storeProxies_; }
+    std::vector<SoakServer> &servers() { return servers_; }
+
+    /** The positions of the servers that are listed. */
+    std::vector<std::size_t> listedServers() const;
+
+private:
+    boost::asio::io_context &io_;
+    std::unique_ptr<standin::StoreStandin> store_;
+    std::vector<std::unique_ptr<LoopbackProxy>> storeProxies_;
+    std::vector<SoakServer> servers_;
+    int version_ = 0;
+    std::string changingKey_;
+};
+
+} // namespace limereel::soak
