Owners remember which engines hold a prompt's shared parts and name them with their answer

Each time another box had sent the parts past a full engine, and the box that came next could only guess. Change: an ask for a place carries the key of the shared parts; the engine's owner answers with the engines that lately got them, and hears of it when a prompt went elsewhere (HolderIndex, bounded; Placed as chats use it). Tests: HolderIndexTest; a named holder goes before the guess, a server that is named takes from nobody.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -48,9 +48,13 @@
     return "full";
 }
 
-void ServerBook::put(const ListedServer &server)
+void ServerBook::put(const ListedServer &server, kernel::Instant since)
 {
-    Entry &entry = entries_[server.id];
+    const auto [place, added] = entries_.try_emplace(server.id);
+    Entry &entry = place->second;
+    if (added) {
+        entry.since = since;
+    }
     entry.server = server;
     entry.hash = kernel::hashOf(server.id);
 }
@@ -215,14 +219,42 @@
     return from[random() % from.size()];
 }
 
-// Another server from which \a target may take what it lacks of the prompt: one that this box knows
-// to hold it, else the one to which the prompt would go without \a target, since the list may have
-// been another one when the parts were read.
+bool ServerBook::hinted(const Entry &entry, const Wish &wish)
+{
+    const auto shortened = static_cast<std::uint32_t>(entry.hash);
+    return std::ranges::find(wish.holders, shortened) != wish.holders.end();
+}
+
+std::optional<ListedServer> ServerBook::firstFor(const Wish &wish) const
+{
+    EntryList entries;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.server.service == wish.service && !entry.server.leaving) {
+            entries.push_back(&entry);
+        }
+    }
+    const Entry *first = firstInOrder(entries, *wish.prompt);
+    return first == nullptr ? std::nullopt : std::optional(first->server);
+}
+
+const ServerBook::Entry *ServerBook::firstInOrder(const EntryList &entries, const Prompt &prompt)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(entries.size());
+    for (const Entry *entry : entries) {
+        hashes.push_back(entry->hash);
+    }
+    const auto order = membership::rendezvousOrder(sharedPartsKey(prompt), hashes, 1);
+    return order.empty() ? nullptr : entries[order.front()];
+}
+
+// Another server from which \a target may take what it lacks of the prompt: one that is known to
+// hold it, else the one to which the prompt would go without \a target and without those that
+// came lately, since the list was another one when the parts were read.
 std::optional<kernel::Endpoint> ServerBook::sourceFor(const Entry &target, const Wish &wish,
-                                                      kernel::Instant now) const
+                                                      std::size_t held, kernel::Instant now) const
 {
     const Prompt &prompt = *wish.prompt;
-    const std::size_t held = parts_.depth(prompt, target.server.id, now);
     const std::size_t shared = sharedPrefixes(prompt).size();
     if (held >= shared) {
         return std::nullopt;
@@ -232,22 +264,32 @@
         return entry.server.service == wish.service && &entry != &target && !tried
                && !doubted(entry, now);
     };
+    for (const std::uint32_t holder : wish.holders) {
+        const auto place = std::ranges::find_if(entries_, [holder](const auto &item) {
+            return static_cast<std::uint32_t>(item.second.hash) == holder;
+        });
+        if (place != entries_.end() && mayGive(place->second)) {
+            return place->second.server.address;
+        }
+    }
     for (const std::string &id : parts_.holders(prompt, held, now)) {
         const auto place = entries_.find(id);
         if (place != entries_.end() && mayGive(place->second)) {
             return place->second.server.address;
         }
     }
-    std::vector<const Entry *> others;
-    std::vector<std::uint64_t> hashes;
+    EntryList others;
+    EntryList old;
     for (const auto &[id, entry] : entries_) {
         if (mayGive(entry)) {
             others.push_back(&entry);
-            hashes.push_back(entry.hash);
+            if (now - entry.since >= policy_.newcomer) {
+                old.push_back(&entry);
+            }
         }
     }
-    const auto order = membership::rendezvousOrder(sharedPartsKey(prompt), hashes, 1);
-    return order.empty() ? std::nullopt : std::optional(others[order.front()]->server.address);
+    const Entry *giver = firstInOrder(old.empty() ? others : old, prompt);
+    return giver == nullptr ? std::nullopt : std::optional(giver->server.address);
 }
 
 std::optional<Choice> ServerBook::choose(const Wish &wish, kernel::Instant now,
@@ -259,11 +301,25 @@
     }
     const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
     if (!byParts) {
-        return Choice{chooseIdlest(entries, now, random)->server, std::nullopt};
+        return Choice{chooseIdlest(entries, now, random)->server, std::nullopt, 0};
     }
     const Entry *chosen =
             wish.spread ? chooseSpread(entries, wish, random) : chooseForPrompt(entries, wish, now);
-    return Choice{chosen->server, wish.takeParts ? sourceFor(*chosen, wish, now) : std::nullopt};
+    Choice choice{chosen->server, std::nullopt, 0};
+    settleSource(wish, choice, now);
+    return choice;
+}
+
+void ServerBook::settleSource(const Wish &wish, Choice &choice, kernel::Instant now) const
+{
+    const auto place = entries_.find(choice.server.id);
+    if (wish.prompt == nullptr || place == entries_.end()) {
+        return;
+    }
+    const Entry &chosen = place->second;
+    choice.held = hinted(chosen, wish) ? sharedPrefixes(*wish.prompt).size()
+                                       : parts_.depth(*wish.prompt, chosen.server.id, now);
+    choice.takeFrom = wish.takeParts ? sourceFor(chosen, wish, choice.held, now) : std::nullopt;
 }
 
 void ServerBook::begin(const std::string &id, const Prompt *prompt, kernel::Instant now)
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -43,7 +43,8 @@
     std::string hall;        ///< Of the box: its own hall is preferred.
     double loadMultiple = 2; ///< Most load, as a multiple of the mean.
     kernel::Duration partRemembered = 10s;
-    kernel::Duration silence = 250ms;       ///< Of a plain server while an answer is due.
+    kernel::Duration newcomer = 10s;  ///< For so long, a new server is not thought to hold parts.
+    kernel::Duration silence = 250ms; ///< Of a plain server while an answer is due.
     kernel::Duration engineSilence = 900ms; ///< Of an engine, which may be reading a long prompt.
     kernel::Duration firstDoubt = 250ms;
     kernel::Duration longestDoubt = 4s;
@@ -53,10 +54,12 @@
 struct Wish
 {
     std::string service;
-    const Prompt *prompt = nullptr; ///< Set where parts of prompts are kept.
-    bool takeParts = false;         ///< Servers may take parts of prompts from each other.
-    std::vector<std::string> tried; ///< Servers not to be chosen.
-    std::vector<std::string> full;  ///< Servers over the bound, as their owners say.
+    const Prompt *prompt = nullptr;     ///< Set where parts of prompts are kept.
+    bool takeParts = false;             ///< Servers may take parts of prompts from each other.
+    std::vector<std::string> tried;     ///< Servers not to be chosen.
+    std::vector<std::string> full;      ///< Servers over the bound, as their owners say.
+    std::vector<std::uint32_t> holders; ///< Servers that others know to hold its shared parts, by
+                                        ///< the last 32 bits of their hashes.
     bool spread = false; ///< Enough owners said so: any other server, not the next for all boxes.
 };
 
@@ -65,6 +68,7 @@
 {
     ListedServer server;
     std::optional<kernel::Endpoint> takeFrom; ///< A server that should hold more of the prompt.
+    std::size_t held = 0; ///< Shared prefixes of the prompt that the server should hold.
 };
 
 /** The book of one box. Pure: time and chance are handed in. */
@@ -77,8 +81,9 @@
     {
     }
 
-    /** Takes in a listed server, new or changed. */
-    void put(const ListedServer &server);
+    /** Takes in a listed server, new or changed. \param since when it was first listed, if that
+     * was seen; one that was there before counts as old. */
+    void put(const ListedServer &server, kernel::Instant since = {});
 
     /** A server is listed no more. */
     void remove(const std::string &id);
@@ -93,6 +98,10 @@
     std::optional<Choice> choose(const Wish &wish, kernel::Instant now,
                                  std::mt19937_64 &random) const;
 
+    /** Works out anew what the chosen server holds and takes, as \a wish has come to know more
+     * holders since. */
+    void settleSource(const Wish &wish, Choice &choice, kernel::Instant now) const;
+
     /** A request goes to \a id; with a prompt, its parts will lie there. */
     void begin(const std::string &id, const Prompt *prompt, kernel::Instant now);
 
@@ -117,6 +126,10 @@
     /** How many servers of the same service take work, the one with this hash included. */
     std::size_t serversBeside(std::uint64_t hash) const;
 
+    /** The server that a prompt asks for first, loads aside; nothing without one that takes work.
+     */
+    std::optional<ListedServer> firstFor(const Wish &wish) const;
+
     /** Whether some listed server of \a service has a free place, as far as the box knows. */
     bool hasRoom(const std::string &service, kernel::Instant now) const;
 
@@ -134,6 +147,7 @@
     {
         ListedServer server;
         std::uint64_t hash = 0;
+        kernel::Instant since; ///< When it was first listed.
         std::uint32_t own = 0;
         double others = 0;
         kernel::Instant othersAt;
@@ -159,8 +173,10 @@
                               std::mt19937_64 &random) const;
     static const Entry *chooseSpread(const EntryList &entries, const Wish &wish,
                                      std::mt19937_64 &random);
+    static bool hinted(const Entry &entry, const Wish &wish);
+    static const Entry *firstInOrder(const EntryList &entries, const Prompt &prompt);
     std::optional<kernel::Endpoint> sourceFor(const Entry &target, const Wish &wish,
-                                              kernel::Instant now) const;
+                                              std::size_t held, kernel::Instant now) const;
 
     BookPolicy policy_;
     std::map<std::string, Entry> entries_;
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -50,6 +50,7 @@
     sweep_ = std::make_unique<services::Repeat>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
                 ledger_.expire(context_.now());
+                holders_.expire(context_.now());
                 const auto &members =
                         context_.kernel.find<services::MembershipService>("membership");
                 world_.budget().setBoxes(fleet_.note(members.owners().size(), context_.now()));
@@ -69,7 +70,28 @@
             std::max<std::size_t>(world_.servers().serversBeside(engine), 1)};
 }
 
-asio::awaitable<std::optional<Place>> PlaceService::take(forward::ListedServer server)
+// The decision of the owner, for another box as for itself.
+peer::PermitAnswer PlaceService::decide(const peer::AskPermit &ask)
+{
+    const kernel::Instant now = context_.now();
+    const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(ask.resource), now);
+    peer::PermitAnswer reply;
+    reply.request = ask.request;
+    reply.result = answer.granted ? peer::PermitResult::Granted : peer::PermitResult::Full;
+    reply.load = answer.load;
+    if (ask.chat != 0) {
+        for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
+            reply.suggestions.push_back({engine, 0});
+        }
+    }
+    if (ask.chat != 0 && answer.granted) {
+        holders_.note(ask.chat, membership::shortHash(ask.resource), now);
+    }
+    return reply;
+}
+
+asio::awaitable<PlaceOutcome> PlaceService::take(forward::ListedServer server,
+                                                 std::uint64_t partsKey)
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
     Place place;
@@ -82,34 +104,59 @@
     ask.router = members.self();
     ask.resource = place.engine;
     ask.organisation = kernel::hashOf(server.service);
+    ask.chat = partsKey;
     ask.load = world_.servers().ownLoad(server.service);
     ask.asks = countAsk(server.service);
+    PlaceOutcome outcome;
+    outcome.place = place;
     if (!owner) {
-        co_return place;
+        co_return outcome;
     }
-    std::uint32_t load = 0;
+    std::optional<peer::PermitAnswer> answer;
     if (*owner == members.self()) {
-        const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(place.engine), context_.now());
-        load = answer.load;
-        place.owner = answer.granted ? *owner : 0;
+        answer = decide(ask);
     } else {
         const std::uint64_t asked = *owner;
-        const auto answer = co_await askOwner(asked, ask);
-        if (!answer) {
-            context_.counters.add("places", {{"result", "no-answer"}});
-            co_return place;
-        }
-        load = answer->load;
-        place.owner = answer->result == peer::PermitResult::Granted ? asked : 0;
+        answer = co_await askOwner(asked, ask);
     }
-    const std::uint32_t own = world_.servers().ownLoadAt(server.id);
-    const std::uint32_t mine = own + (place.owner != 0 ? 1 : 0);
+    if (!answer) {
+        context_.counters.add("places", {{"result", "no-answer"}});
+        co_return outcome;
+    }
+    const bool granted = answer->result == peer::PermitResult::Granted;
+    const std::uint32_t mine = world_.servers().ownLoadAt(server.id) + (granted ? 1 : 0);
+    const std::uint32_t load = answer->load;
     world_.servers().setOthers(server.id, load > mine ? load - mine : 0, context_.now());
-    context_.counters.add("places", {{"result", place.owner != 0 ? "granted" : "full"}});
-    if (place.owner == 0) {
-        co_return std::nullopt;
+    context_.counters.add("places", {{"result", granted ? "granted" : "full"}});
+    for (const peer::Suggestion &suggestion : answer->suggestions) {
+        outcome.holders.push_back(suggestion.engine);
+    }
+    outcome.place->owner = *owner;
+    if (!granted) {
+        outcome.place.reset();
+    }
+    co_return outcome;
+}
+
+void PlaceService::tellHolder(const forward::ListedServer &first,
+                              const forward::ListedServer &server, std::uint64_t partsKey)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    const std::uint64_t home = kernel::hashOf(first.id);
+    const membership::ShortHash engine = membership::shortHash(kernel::hashOf(server.id));
+    const auto owner = membership::ownerOf(home, members.owners());
+    if (!owner) {
+        return;
+    }
+    if (*owner == members.self()) {
+        holders_.note(partsKey, engine, context_.now());
+    } else if (const auto address = members.addressOf(*owner)) {
+        peer::Placed placed;
+        placed.chat = partsKey;
+        placed.home = home;
+        placed.engine = engine;
+        context_.kernel.find<services::PeerService>("peer").send(*address, placed);
     }
-    co_return place;
 }
 
 asio::awaitable<std::optional<peer::PermitAnswer>> PlaceService::askOwner(std::uint64_t owner,
@@ -162,12 +209,9 @@
 void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
 {
     if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
-        const auto answer = ledger_.ask(placeAskOf(*ask), fleetFor(ask->resource), context_.now());
-        peer::PermitAnswer reply;
-        reply.request = ask->request;
-        reply.result = answer.granted ? peer::PermitResult::Granted : peer::PermitResult::Full;
-        reply.load = answer.load;
-        context_.kernel.find<services::PeerService>("peer").send(from, reply);
+        context_.kernel.find<services::PeerService>("peer").send(from, decide(*ask));
+    } else if (const auto *const placed = std::get_if<peer::Placed>(&message)) {
+        holders_.note(placed->chat, placed->engine, context_.now());
     } else if (const auto *const back = std::get_if<peer::GiveBack>(&message)) {
         ledger_.giveBack(back->resource, back->request);
     } else if (const auto *const answer = std::get_if<peer::PermitAnswer>(&message)) {
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "forward/FleetMemory.h"
+#include "forward/HolderIndex.h"
 #include "forward/PlaceLedger.h"
 #include "forward/RecentCount.h"
 #include "gateway/World.h"
@@ -28,6 +29,13 @@
     std::uint64_t owner = 0; ///< 0: no owner granted it.
 };
 
+/** What came of asking for a place. */
+struct PlaceOutcome
+{
+    std::optional<Place> place; ///< Nothing if the owner says that the engine is full.
+    std::vector<membership::ShortHash> holders; ///< Engines that hold the prompt's shared parts.
+};
+
 /** The service. */
 class PlaceService : public kernel::Service
 {
@@ -38,8 +46,13 @@
     void start() override;
     void stop() override;
 
-    /** A place at \a server; nothing if its owner says that it is full. */
-    boost::asio::awaitable<std::optional<Place>> take(forward::ListedServer server);
+    /** Asks for a place at \a server for a prompt whose shared parts have \a partsKey. */
+    boost::asio::awaitable<PlaceOutcome> take(forward::ListedServer server, std::uint64_t partsKey);
+
+    /** Tells the owner of \a first, whom all boxes ask first for these parts, that they lie at
+     * \a server from now on. */
+    void tellHolder(const forward::ListedServer &first, const forward::ListedServer &server,
+                    std::uint64_t partsKey);
 
     void giveBack(const Place &place);
 
@@ -51,6 +64,7 @@
     };
 
     forward::FleetSize fleetFor(std::uint64_t engine) const;
+    peer::PermitAnswer decide(const peer::AskPermit &ask);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
     boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
                                                                        peer::AskPermit ask);
@@ -60,6 +74,7 @@
     services::Context &context_;
     World &world_;
     forward::PlaceLedger ledger_;
+    forward::HolderIndex holders_;
     std::map<std::string, forward::RecentCount> asks_;          ///< Of this box, by service.
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< By request.
     forward::FleetMemory fleet_;                                ///< Divides the retry budget.
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -195,6 +195,7 @@
         }
         ListedServer chosen = choice->server;
         takeFrom_ = choice->takeFrom;
+        heldPrefixes_ = choice->held;
         lastServer_ = chosen.id;
         const End end = co_await attempt(std::move(chosen));
         givePlaceBack();
@@ -229,8 +230,12 @@
             co_return choice;
         }
         ListedServer asked = choice->server;
-        place_ = co_await places_.take(std::move(asked));
+        const std::uint64_t partsKey = forward::sharedPartsKey(call_.prompt);
+        PlaceOutcome outcome = co_await places_.take(std::move(asked), partsKey);
+        place_ = outcome.place;
+        std::ranges::move(outcome.holders, std::back_inserter(wish.holders));
         if (place_ || wish.spread) {
+            settleParts(wish, *choice);
             co_return choice;
         }
         wish.full.push_back(choice->server.id);
@@ -238,6 +243,17 @@
     }
 }
 
+// The server is chosen: what the owners said of the prompt's parts decides where it takes them
+// from, and those who ask for them next hear of it.
+void RequestRun::settleParts(const forward::Wish &wish, forward::Choice &choice)
+{
+    world_.servers().settleSource(wish, choice, context_.now());
+    const auto first = world_.servers().firstFor(wish);
+    if (first && first->id != choice.server.id) {
+        places_.tellHolder(*first, choice.server, forward::sharedPartsKey(call_.prompt));
+    }
+}
+
 void RequestRun::givePlaceBack()
 {
     if (place_) {
@@ -564,6 +580,11 @@
                              {"left_ms", left() / 1ms},
                              {"config", world_.snapshot()->version()},
                              {"config_age_ms", age ? *age / 1ms : -1}};
+    if (prompt() != nullptr) {
+        fields["parts_key"] = forward::sharedPartsKey(call_.prompt);
+        fields["parts_shared"] = forward::sharedPrefixes(call_.prompt).size();
+        fields["parts_held"] = heldPrefixes_;
+    }
     if (takeFrom_) {
         fields["parts_from"] = kernel::text(*takeFrom_);
     }
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -70,6 +70,7 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<forward::Choice>> chooseServer();
+    void settleParts(const forward::Wish &wish, forward::Choice &choice);
     void givePlaceBack();
     void count(End end);
     bool mayTryAgain(End end);
@@ -113,6 +114,7 @@
     std::optional<std::uint32_t> priority_;
     bool movesParts_ = false; ///< Servers of the service take prompt parts from each other.
     std::optional<kernel::Endpoint> takeFrom_;
+    std::size_t heldPrefixes_ = 0; ///< That the chosen server should hold.
     std::optional<Place> place_;
     kernel::Instant began_;
     kernel::Instant deadline_;
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -162,7 +162,7 @@
                      {"leaving", server->leaving}},
                     server->leaving ? "A backend server leaves." : "A backend server takes work.");
     }
-    servers_.put(*server);
+    servers_.put(*server, serversKnown_ ? context_.now() : kernel::Instant());
 }
 
 void World::replaceServers(const std::vector<store::StoredObject> &objects)
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -368,6 +368,32 @@
     BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(first)->address));
 }
 
+// After a scale-out a prompt may go to one newcomer, and the next in the order is another newcomer.
+BOOST_AUTO_TEST_CASE(choose_boxThatKnowsNoHolder_takesPartsFromTheServerBeforeTheNewcomers)
+{
+    std::map<std::uint64_t, std::string> before;
+    for (std::uint64_t part = 0; part < 200; ++part) {
+        const Prompt prompt = promptOf({part, 99});
+        before[part] = chosen(wishFor(&prompt));
+    }
+    for (const char *id : {"new-1", "new-2", "new-3"}) {
+        book.put(server(id, true), at(0s));
+    }
+    int moved = 0;
+    for (std::uint64_t part = 0; part < 200; ++part) {
+        const Prompt prompt = promptOf({part, 99});
+        const auto choice = book.choose(wishFor(&prompt), at(2s), random);
+        if (choice->server.id == before[part]) {
+            continue;
+        }
+        ++moved;
+        BOOST_REQUIRE(choice->takeFrom.has_value());
+        BOOST_TEST(kernel::text(*choice->takeFrom)
+                   == kernel::text(book.find(before[part])->address));
+    }
+    BOOST_TEST(moved > 50);
+}
+
 // A finding of the grown site: once the first three were full, all boxes sent to the fourth.
 BOOST_AUTO_TEST_CASE(choose_firstOnesFull_othersAreSharedOutAndNotTakenInTurn)
 {
--- /dev/null
+++ b/test/correctness/HolderIndexTest.cpp
@@ -0,0 +1,127 @@
+// Where shared prompt parts lie, as an owner remembers it, and what a box makes of an owner's word.
+
+#include "forward/HolderIndex.h"
+#include "forward/ServerBook.h"
+#include "kernel/decisions/Name.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace limereel;
+using namespace limereel::forward;
+
+namespace {
+
+kernel::Instant at(kernel::Duration since)
+{
+    return kernel::Instant(1000s) + since;
+}
+
+class BookFixture
+{
+public:
+    BookFixture()
+    {
+        for (std::uint16_t number = 1; number <= 6; ++number) {
+            ListedServer server;
+            server.id = "s" + std::to_string(number);
+            server.service = "pool";
+            server.address = {"10.0.0.1", number};
+            server.slots = 8;
+            server.engine = true;
+            book.put(server);
+        }
+        prompt.model = "m";
+        prompt.parts = {{1, 500}, {2, 10000}, {3, 900}};
+        wish.service = "pool";
+        wish.prompt = &prompt;
+        wish.takeParts = true;
+    }
+
+    static std::uint32_t shortOf(const std::string &id)
+    {
+        return static_cast<std::uint32_t>(kernel::hashOf(id));
+    }
+
+    ServerBook book{BookPolicy{}};
+    Prompt prompt;
+    Wish wish;
+    std::mt19937_64 random{1};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HolderIndexTest)
+
+BOOST_AUTO_TEST_CASE(holders_lastOneFirst_forgottenWhenOldAndBounded)
+{
+    HolderIndex index({.remembered = 60s, .holders = 2, .keys = 4});
+    index.note(1, 10, at(0s));
+    index.note(1, 11, at(1s));
+    index.note(1, 10, at(2s));
+    BOOST_TEST((index.holders(1, at(3s)) == std::vector<membership::ShortHash>{10, 11}));
+    BOOST_TEST((index.holders(1, at(61500ms)) == std::vector<membership::ShortHash>{10}));
+    index.note(1, 12, at(4s));
+    BOOST_TEST((index.holders(1, at(4s)) == std::vector<membership::ShortHash>{12, 10}));
+    BOOST_TEST(index.holders(2, at(4s)).empty());
+    for (std::uint64_t key = 2; key < 100; ++key) {
+        index.note(key, 1, at(5s));
+    }
+    BOOST_TEST(index.size() <= 4U);
+    index.expire(at(100s));
+    BOOST_TEST(index.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(HintedBookTest, BookFixture)
+
+// A finding of both sites: parts had been sent to the third in the order, and a box that did not
+// know it had them taken from the first, which lacked them.
+BOOST_AUTO_TEST_CASE(choose_ownerNamesAHolder_partsAreTakenFromIt)
+{
+    const auto guess = book.choose(wish, at(0s), random);
+    std::string holder;
+    for (const std::string &id : book.ids()) {
+        const auto address = book.find(id)->address;
+        if (id != guess->server.id && address != *guess->takeFrom) {
+            holder = id;
+        }
+    }
+    wish.holders = {shortOf(holder)};
+    const auto choice = book.choose(wish, at(0s), random);
+    BOOST_TEST(choice->server.id == guess->server.id);
+    BOOST_REQUIRE(choice->takeFrom.has_value());
+    BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(holder)->address));
+}
+
+BOOST_AUTO_TEST_CASE(choose_chosenServerIsNamedAsHolder_takesFromNobody)
+{
+    const auto guess = book.choose(wish, at(0s), random);
+    wish.holders = {shortOf("s1"), shortOf(guess->server.id)};
+    const auto choice = book.choose(wish, at(0s), random);
+    BOOST_TEST(!choice->takeFrom.has_value());
+    BOOST_TEST(choice->held == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(settleSource_holdersHeardAfterTheChoice_areUsed)
+{
+    auto choice = book.choose(wish, at(0s), random);
+    const std::string other = choice->server.id == "s1" ? "s2" : "s1";
+    wish.holders = {shortOf(other)};
+    book.settleSource(wish, *choice, at(0s));
+    BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(other)->address));
+}
+
+BOOST_AUTO_TEST_CASE(firstFor_loadsAndDoubts_changeNothing)
+{
+    const auto first = book.firstFor(wish);
+    for (int request = 0; request < 30; ++request) {
+        book.begin(first->id, &prompt, at(0s));
+    }
+    book.noteFailure(first->id, Failure::Unreachable, at(0s));
+    BOOST_TEST(book.firstFor(wish)->id == first->id);
+    BOOST_TEST(book.choose(wish, at(0s), random)->server.id != first->id);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
