--- /dev/null
+++ b/src/gateway/BackendExchange.cpp
@@ -0,0 +1,266 @@
+#include "gateway/BackendExchange.h"
+
+#include "gateway/RunLog.h"
+#include "http/EndToEnd.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+using forward::AnswerHead;
+using forward::Failure;
+
+namespace {
+
+constexpr std::size_t MostAnswerBytes = std::size_t{16} * 1024 * 1024;
+constexpr int MostSurplusAnswers = 3;
+constexpr kernel::Duration LongestConnect = 300ms;
+constexpr kernel::Duration SilenceLook = 100ms;
+// An engine that reads a prompt is silent; this many tokens a millisecond is slow reading.
+constexpr std::int64_t SlowReading = 30;
+constexpr kernel::Duration BesideReading = 400ms;
+constexpr kernel::Duration LeastSilence = 100ms;
+constexpr int ServerFailure = 500;
+
+// When a server that says nothing is looked at: later than it should have answered.
+kernel::Duration firstLook(const RunState &run, const forward::ListedServer &server)
+{
+    if (server.engine) {
+        return 1ms * (run.call.prompt.tokensIn / SlowReading) + BesideReading;
+    }
+    return std::max<kernel::Duration>(run.route.objective * 3 / 2, LeastSilence);
+}
+
+} // namespace
+
+BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool)
+    : run_(run)
+    , pool_(pool)
+    , server_(run.choice.server)
+    , silenceTimer_(run.context.io)
+{
+}
+
+void BackendExchange::release()
+{
+    pool_.give(server_, connection_, std::nullopt);
+    connection_.reset();
+}
+
+asio::awaitable<AttemptEnd> BackendExchange::play()
+{
+    run_.interrupt->connection = connection_;
+    run_.world.servers().begin(server_.id, run_.prompt(), run_.context.now());
+    if (run_.repeatable() && run_.route.mostAttempts > run_.counts.sends + 1) {
+        armSilence(firstLook(run_, server_));
+    }
+    const AttemptEnd end = co_await exchange();
+    silenceTimer_.cancel();
+    run_.interrupt->connection.reset();
+    run_.world.servers().end(server_.id);
+    co_return end;
+}
+
+void BackendExchange::armSilence(kernel::Duration after)
+{
+    silenceTimer_.expires_after(after);
+    silenceTimer_.async_wait([this, interrupt = run_.interrupt, connection = connection_,
+                              after](boost::system::error_code stopped) {
+        // The interrupt and the connection outlive this object.
+        if (stopped || interrupt->over || interrupt->connection != connection) {
+            return;
+        }
+        if (run_.world.servers().silent(server_.id, run_.context.now())) {
+            interrupt->end(Interruption::Silent);
+        } else {
+            armSilence(std::min(after, SilenceLook));
+        }
+    });
+}
+
+AttemptEnd BackendExchange::fail(Failure failure, const std::string &message, bool sent)
+{
+    run_.lastMessage = message;
+    const Interruption reason = run_.interrupt->reason;
+    if (reason == Interruption::None || reason == Interruption::Silent) {
+        const Failure seen = reason == Interruption::Silent ? Failure::Silent : failure;
+        run_.world.servers().noteFailure(server_.id, seen, run_.context.now());
+        run_.context.counters.add("attempt_failures", {{"reason", text(seen)}});
+        logFailure(run_, seen, message, sent);
+    }
+    return sent ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent;
+}
+
+asio::awaitable<bool> BackendExchange::connect()
+{
+    connection_ = pool_.take(server_, !run_.repeatable());
+    if (connection_) {
+        co_return true;
+    }
+    run_.context.counters.add("backend_connections");
+    const kernel::Duration longest = std::min<kernel::Duration>(LongestConnect, run_.left());
+    auto connected =
+            co_await http::KeptConnection::connect(run_.context.io, server_.address, longest);
+    if (!connected) {
+        fail(Failure::Unreachable, "connect: " + connected.error().message, false);
+        co_return false;
+    }
+    connection_ = *connected;
+    co_return true;
+}
+
+asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> BackendExchange::readOwnHead()
+{
+    // An answer to an earlier request may come late, in the place of this one's.
+    for (int surplus = 0;; ++surplus) {
+        auto start = co_await connection_->readHead();
+        if (!start) {
+            co_return tl::unexpected(start.error());
+        }
+        const AnswerHead head = run_.world.adapter().dialect.readHead(start->status, start->fields);
+        if (head.id == run_.call.id || (head.id.empty() && head.notRun)) {
+            co_return start;
+        }
+        run_.context.counters.add("foreign_answers");
+        if (surplus == MostSurplusAnswers) {
+            co_return tl::unexpected(http::CallFailure{outcome::Point::AnswerForeign, false,
+                                                       "answers of other requests came"});
+        }
+        auto body = co_await connection_->readAll(MostAnswerBytes);
+        if (!body) {
+            co_return tl::unexpected(body.error());
+        }
+    }
+}
+
+asio::awaitable<AttemptEnd> BackendExchange::exchange()
+{
+    forward::SendOrder order;
+    order.server = server_;
+    order.left = run_.left();
+    order.organisation = run_.organisation;
+    order.priority = run_.priority;
+    order.takeFrom = run_.choice.takeFrom;
+    order.resumeAfter = run_.lastEvent;
+    http::Request passed = run_.world.adapter().dialect.writeRequest(run_.request, order);
+    passed.fields = http::endToEnd(passed.fields);
+    logSend(run_);
+    connection_->send(std::move(passed));
+    auto start = co_await readOwnHead();
+    if (!start) {
+        connection_->close();
+        const bool sent = start.error().point != outcome::Point::ConnectedUnsent;
+        co_return fail(Failure::Lost, "answer: " + start.error().message, sent);
+    }
+    const kernel::Instant now = run_.context.now();
+    AnswerHead head = run_.world.adapter().dialect.readHead(start->status, start->fields);
+    run_.world.servers().noteHeard(server_.id, now);
+    if (head.load) {
+        run_.world.servers().noteLoad(server_.id, *head.load, now);
+    }
+    http::AnswerStart first = std::move(*start);
+    const bool good = head.status / 100 == 2;
+    if (run_.route.stream && good && !head.notRun) {
+        co_return co_await passStream(std::move(first), std::move(head));
+    }
+    co_return co_await passWhole(std::move(first), std::move(head));
+}
+
+asio::awaitable<AttemptEnd> BackendExchange::passWhole(http::AnswerStart start, AnswerHead head)
+{
+    auto body = co_await connection_->readAll(MostAnswerBytes);
+    if (!body) {
+        connection_->close();
+        if (head.notRun && !run_.stopped()) {
+            fail(Failure::Full, "rejected, then cut", true);
+            co_return AttemptEnd::Rejected;
+        }
+        co_return fail(Failure::Lost, "body: " + body.error().message, true);
+    }
+    pool_.give(server_, connection_, head.keptFor);
+    if (head.notRun) {
+        const Failure failure = head.wrongInstance ? Failure::Unreachable : Failure::Full;
+        fail(failure, "rejected with " + std::to_string(head.status), true);
+        co_return AttemptEnd::Rejected;
+    }
+    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(*body));
+    if (head.status >= ServerFailure) {
+        fail(Failure::Error, "failed with " + std::to_string(head.status), true);
+        run_.failedAnswer = std::move(answer);
+        co_return AttemptEnd::MayHaveRun;
+    }
+    run_.world.servers().noteSuccess(server_.id, run_.context.now());
+    if (run_.reply.begun()) {
+        co_return AttemptEnd::MayHaveRun;
+    }
+    if (!run_.repeatable() && promisesNotRun(head.status)) {
+        co_return AttemptEnd::MayHaveRun;
+    }
+    run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
+    logEnd(run_, "ok");
+    co_await run_.reply.send(std::move(answer));
+    co_return AttemptEnd::Answered;
+}
+
+std::string BackendExchange::newEvents(std::string_view part)
+{
+    std::string bytes;
+    for (forward::RawEvent &event : cutter_.take(part)) {
+        // A run that was taken up may repeat what the caller has.
+        if (event.id && run_.lastEvent && *event.id <= *run_.lastEvent) {
+            continue;
+        }
+        if (event.id) {
+            run_.lastEvent = event.id;
+        }
+        bytes += event.bytes;
+    }
+    return bytes;
+}
+
+asio::awaitable<bool> BackendExchange::passEvents(const http::AnswerStart &start, std::string bytes)
+{
+    if (!run_.reply.begun()) {
+        http::Fields fields = http::endToEnd(start.fields);
+        const bool begun = co_await run_.reply.begin(start.status, std::move(fields));
+        if (!begun) {
+            co_return false;
+        }
+    }
+    co_return co_await run_.reply.write(bytes);
+}
+
+asio::awaitable<AttemptEnd> BackendExchange::passStream(http::AnswerStart start, AnswerHead head)
+{
+    while (true) {
+        auto part = co_await connection_->readPart();
+        if (!part) {
+            connection_->close();
+            co_return fail(Failure::Lost, "stream: " + part.error().message, true);
+        }
+        run_.world.servers().noteHeard(server_.id, run_.context.now());
+        const bool whole = part->empty();
+        std::string bytes = whole ? cutter_.takeRest() : newEvents(*part);
+        if (!bytes.empty() || whole) {
+            const bool passed = co_await passEvents(start, std::move(bytes));
+            if (!passed) {
+                connection_->close();
+                run_.context.counters.add("results", {{"kind", "stream"}, {"code", "caller-left"}});
+                logEnd(run_, "caller-left");
+                co_return AttemptEnd::Answered;
+            }
+        }
+        if (whole) {
+            break;
+        }
+    }
+    pool_.give(server_, connection_, head.keptFor);
+    run_.world.servers().noteSuccess(server_.id, run_.context.now());
+    run_.context.counters.add("results", {{"kind", "stream"}, {"code", "ok"}});
+    logEnd(run_, "ok");
+    co_await run_.reply.finish();
+    co_return AttemptEnd::Answered;
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/RunLog.cpp
@@ -0,0 +1,80 @@
+#include "gateway/RunLog.h"
+
+#include "kernel/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limereel::gateway {
+
+namespace {
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("run");
+    return Log;
+}
+
+} // namespace
+
+void logSend(const RunState &run)
+{
+    const kernel::Instant now = run.context.now();
+    const auto age = run.world.freshness().age(now);
+    nlohmann::json fields = {{"request", run.call.id},
+                             {"route", run.route.name},
+                             {"server", run.choice.server.id},
+                             {"server_load", run.world.servers().load(run.choice.server.id, now)},
+                             {"attempt", run.counts.all() + 1},
+                             {"left_ms", run.left() / 1ms},
+                             {"config", run.world.snapshot()->version()},
+                             {"config_age_ms", age ? *age / 1ms : -1}};
+    if (run.prompt() != nullptr) {
+        fields["parts_key"] = forward::sharedPartsKey(run.call.prompt);
+        fields["parts_shared"] = forward::sharedPrefixes(run.call.prompt).size();
+        fields["parts_held"] = run.choice.held;
+    }
+    if (run.choice.takeFrom) {
+        fields["parts_from"] = kernel::text(*run.choice.takeFrom);
+    }
+    if (run.place) {
+        fields["place"] = run.place->owner != 0 ? "granted" : "unanswered";
+    }
+    if (run.lastEvent) {
+        fields["after_event"] = *run.lastEvent;
+    }
+    log().event("sent", fields, "The request goes to a backend server.");
+}
+
+void logFailure(const RunState &run, forward::Failure failure, const std::string &message,
+                bool sent)
+{
+    log().event("attempt-failed",
+                {{"request", run.call.id},
+                 {"server", run.choice.server.id},
+                 {"reason", text(failure)},
+                 {"sent", sent},
+                 {"why", message},
+                 {"left_ms", run.left() / 1ms}},
+                "An attempt failed.");
+}
+
+void logEnd(const RunState &run, std::string_view result, const std::string &why)
+{
+    const kernel::Duration took = run.context.now() - run.began;
+    nlohmann::json fields = {
+            {"request", run.call.id},
+            {"result", result},
+            {"route", run.route.name},
+            {"server", run.choice.server.id},
+            {"sends", run.counts.sends},
+            {"rejected", run.counts.rejected},
+            {"unsent", run.counts.unsent},
+            {"took_ms", took / 1ms},
+            {"budget_left", run.world.budget().left(run.service, run.context.now())}};
+    if (!why.empty()) {
+        fields["why"] = why;
+    }
+    log().event("ended", fields, "The request is over.");
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/RunLog.h
@@ -0,0 +1,24 @@
+/** \file
+ * The lines that a request leaves in the log, with the inputs of each decision: an on-call engineer
+ * gets from its id to what was known when it was sent, failed or ended.
+ */
+#pragma once
+
+#include "gateway/RunState.h"
+
+#include <string>
+#include <string_view>
+
+namespace limereel::gateway {
+
+/** The request goes to the chosen server. */
+void logSend(const RunState &run);
+
+/** An attempt failed. \param sent whether anything had left for the server. */
+void logFailure(const RunState &run, forward::Failure failure, const std::string &message,
+                bool sent);
+
+/** The request is over. */
+void logEnd(const RunState &run, std::string_view result, const std::string &why = {});
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/RunState.cpp
@@ -0,0 +1,48 @@
+#include "gateway/RunState.h"
+
+namespace limereel::gateway {
+
+void Interrupt::end(Interruption why)
+{
+    // Silence ends only an attempt; what ends the run goes before it.
+    if (reason == Interruption::None || reason == Interruption::Silent) {
+        reason = why;
+    }
+    if (connection) {
+        connection->close();
+    }
+}
+
+void AttemptCounts::add(AttemptEnd end)
+{
+    unsent += end == AttemptEnd::Unsent ? 1 : 0;
+    rejected += end == AttemptEnd::Rejected ? 1 : 0;
+    sends += end == AttemptEnd::MayHaveRun ? 1 : 0;
+}
+
+RunState::RunState(services::Context &ofContext, World &ofWorld, http::Request ofCaller,
+                   http::Reply &toCaller)
+    : context(ofContext)
+    , world(ofWorld)
+    , request(std::move(ofCaller))
+    , reply(toCaller)
+    , began(ofContext.now())
+{
+}
+
+const forward::Prompt *RunState::prompt() const
+{
+    return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
+}
+
+bool promisesNotRun(int status)
+{
+    constexpr int RequestTimeout = 408;
+    constexpr int Misdirected = 421;
+    constexpr int TooManyRequests = 429;
+    constexpr int ServiceUnavailable = 503;
+    return status == RequestTimeout || status == Misdirected || status == TooManyRequests
+           || status == ServiceUnavailable;
+}
+
+} // namespace limereel::gateway
