--- a/src/command/OperatorCommands.cpp
+++ b/src/command/OperatorCommands.cpp
@@ -4,6 +4,7 @@
 #include "config/Tree.h"
 #include "config/TreeJson.h"
 #include "config/Values.h"
+#include "gateway/GatewayStatus.h"
 
 #include <algorithm>
 #include <iostream>
@@ -188,7 +189,12 @@
     if (!answer) {
         return fail(answer.error());
     }
-    std::cout << answer->dump(2) << '\n';
+    // A gateway's has a configuration with an age, a router's a revision.
+    if (!words.target.asJson && answer->contains("configuration")) {
+        std::cout << gateway::statusText(*answer);
+    } else {
+        std::cout << answer->dump(2) << '\n';
+    }
     return Success;
 }
 
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -438,13 +438,4 @@
     }));
 }
 
-bool ServerBook::hasRoom(const std::string &service, kernel::Instant now) const
-{
-    return std::ranges::any_of(entries_, [&](const auto &item) {
-        const Entry &entry = item.second;
-        return entry.server.service == service && !entry.server.leaving && !doubted(entry, now)
-               && load(entry, now) < entry.server.slots;
-    });
-}
-
 } // namespace limereel::forward
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -130,9 +130,6 @@
      */
     std::optional<ListedServer> firstFor(const Wish &wish) const;
 
-    /** Whether some listed server of \a service has a free place, as far as the box knows. */
-    bool hasRoom(const std::string &service, kernel::Instant now) const;
-
     /** Whether nothing has come from \a id for too long while answers are due. */
     bool silent(const std::string &id, kernel::Instant now) const;
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -4,11 +4,11 @@
 #include "kernel/Log.h"
 #include "services/MembershipService.h"
 #include "services/PeerService.h"
+#include "services/Start.h"
 
 #include <boost/asio.hpp>
 #include <csignal>
 #include <fstream>
-#include <random>
 #include <sstream>
 
 namespace limereel::gateway {
@@ -25,12 +25,6 @@
     return Log;
 }
 
-void seedChance(services::Context &context)
-{
-    const std::uint64_t seed = context.settings.seed;
-    context.random.seed(seed != 0 ? seed : std::random_device()() ^ context.settings.box.hash());
-}
-
 // Only some addresses are told; the ports are the same on all boxes.
 services::Acquaintance acquaintanceOf(const services::Context &context)
 {
@@ -41,15 +35,6 @@
     return acquaintance;
 }
 
-// Greater than that of any process before on this box; one whose clock was set back learns so from
-// the others (MembershipService).
-std::uint64_t incarnationNow()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 // Bounds take effect at once; addresses and names are those of the start.
 void reload(services::Context &context, const std::string &file)
 {
@@ -96,8 +81,7 @@
 {
     asio::io_context io(1);
     services::Context context(io, std::move(settings));
-    context.incarnation = incarnationNow();
-    seedChance(context);
+    services::identifyProcess(context);
     addGatewayServices(context, std::move(adapter), [&io] { io.stop(); });
     asio::signal_set ends(io, SIGTERM, SIGINT);
     ends.async_wait([&context](boost::system::error_code error, int) {
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayServices.h"
 
+#include "gateway/GatewayStatus.h"
 #include "kernel/Log.h"
 #include "services/MembershipService.h"
 
@@ -69,6 +70,10 @@
         const bool ready = !leaving_ && world_.ready();
         answer.status = ready ? 200 : 503;
         answer.body = ready ? "ready\n" : "not ready\n";
+    } else if (request.path() == StatusPath) {
+        answer.status = 200;
+        answer.fields = http::Fields().with("Content-Type", "application/json");
+        answer.body = statusOf(context_, world_, leaving_).dump();
     } else if (request.path() == MetricsPath) {
         answer.status = 200;
         answer.body = context_.counters.exposition();
--- a/src/gateway/GatewayServices.h
+++ b/src/gateway/GatewayServices.h
@@ -10,7 +10,7 @@
 
 namespace limereel::gateway {
 
-/** Tells the balancer whether the box is ready, and serves the metrics. */
+/** Tells the balancer whether the box is ready, and serves the metrics and the status. */
 class ReadyService : public kernel::Service
 {
 public:
--- /dev/null
+++ b/src/gateway/GatewayStatus.cpp
@@ -0,0 +1,106 @@
+#include "gateway/GatewayStatus.h"
+
+#include "services/MembershipService.h"
+
+#include <sstream>
+
+namespace limereel::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+json configurationOf(const World &world, kernel::Instant now)
+{
+    const auto age = world.freshness().age(now);
+    return {{"version", world.snapshot() ? json(world.snapshot()->version()) : json()},
+            {"confirmed_ms_ago", age ? json(*age / 1ms) : json()},
+            {"keys_honoured", world.freshness().usable(now)}};
+}
+
+json boxesOf(services::Context &context)
+{
+    const auto &members = context.kernel.find<services::MembershipService>("membership");
+    json boxes = json::array();
+    for (const auto &state : members.states()) {
+        const auto address = members.addressOf(state.box);
+        const bool live = members.liveness(state.box) == membership::Liveness::Live;
+        boxes.push_back({{"box", members.nameOf(state.box)},
+                         {"address", address ? json(kernel::text(*address)) : json()},
+                         {"live", live},
+                         {"leaving", state.leaving}});
+    }
+    return boxes;
+}
+
+json serversOf(World &world, kernel::Instant now)
+{
+    json servers = json::array();
+    for (const std::string &id : world.servers().ids()) {
+        const auto server = world.servers().find(id);
+        servers.push_back({{"server", id},
+                           {"service", server->service},
+                           {"hall", server->hall},
+                           {"address", kernel::text(server->address)},
+                           {"leaving", server->leaving},
+                           {"doubted", world.servers().doubted(id, now)},
+                           {"load", world.servers().load(id, now)},
+                           {"of_this_box", world.servers().ownLoadAt(id)}});
+    }
+    return servers;
+}
+
+std::string textOf(const json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+} // namespace
+
+json statusOf(services::Context &context, World &world, bool leaving)
+{
+    const kernel::Instant now = context.now();
+    return {{"box", context.settings.box.text()},
+            {"hall", context.settings.hall.text()},
+            {"ready", world.ready() && !leaving},
+            {"leaving", leaving},
+            {"configuration", configurationOf(world, now)},
+            {"boxes", boxesOf(context)},
+            {"servers", serversOf(world, now)}};
+}
+
+std::string statusText(const json &status)
+{
+    std::ostringstream text;
+    const json &configuration = status.at("configuration");
+    text << "box " << textOf(status.at("box")) << " of hall " << textOf(status.at("hall")) << ": "
+         << (status.at("leaving") == true ? "leaving"
+             : status.at("ready") == true ? "ready"
+                                          : "not ready")
+         << '\n';
+    if (configuration.at("version").is_null()) {
+        text << "no configuration yet\n";
+    } else {
+        text << "configuration version " << configuration.at("version") << ", confirmed "
+             << configuration.at("confirmed_ms_ago") << " ms ago; keys are "
+             << (configuration.at("keys_honoured") == true ? "" : "not ") << "honoured\n";
+    }
+    text << status.at("boxes").size() << " boxes are known\n";
+    for (const json &box : status.at("boxes")) {
+        if (box.at("live") != true || box.at("leaving") == true) {
+            text << "  " << textOf(box.at("box")) << " is "
+                 << (box.at("leaving") == true ? "leaving" : "not heard of") << '\n';
+        }
+    }
+    text << status.at("servers").size() << " backend servers are listed\n";
+    for (const json &server : status.at("servers")) {
+        text << "  " << textOf(server.at("server")) << " of " << textOf(server.at("service"))
+             << " at " << textOf(server.at("address")) << ": load " << server.at("load") << ", "
+             << server.at("of_this_box") << " of this box"
+             << (server.at("leaving") == true ? ", leaving" : "")
+             << (server.at("doubted") == true ? ", doubted" : "") << '\n';
+    }
+    return text.str();
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/GatewayStatus.h
@@ -0,0 +1,22 @@
+/** \file
+ * What a gateway knows at this moment, for people: its configuration and how fresh it is, the other
+ * boxes, the backend servers with their loads.
+ */
+#pragma once
+
+#include "gateway/World.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limereel::gateway {
+
+/** The path at the control address. */
+inline constexpr const char *StatusPath = "/v1/status";
+
+/** The status of this box; holds no secret. */
+nlohmann::json statusOf(services::Context &context, World &world, bool leaving);
+
+/** The same in a person's words, a line each. */
+std::string statusText(const nlohmann::json &status);
+
+} // namespace limereel::gateway
--- a/src/services/Router.cpp
+++ b/src/services/Router.cpp
@@ -14,6 +14,7 @@
 #include "services/PlacementService.h"
 #include "services/PlatformService.h"
 #include "services/SpillService.h"
+#include "services/Start.h"
 #include "services/StopService.h"
 
 #include <boost/asio.hpp>
@@ -31,16 +32,6 @@
     return Log;
 }
 
-// A box keeps nothing, so what tells this process from the one before it is the time of its start.
-// Were a box's clock set back far, its heartbeats would be taken for old ones until the others
-// forget it.
-std::uint64_t incarnationNow()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 // Boxes of the own hall, as the platform lists them.
 Acquaintance acquaintanceOf(Context &context)
 {
@@ -81,9 +72,7 @@
 {
     asio::io_context io(1);
     Context context(io, std::move(settings));
-    context.incarnation = incarnationNow();
-    const std::uint64_t seed = context.settings.seed;
-    context.random.seed(seed != 0 ? seed : std::random_device()() + context.incarnation);
+    identifyProcess(context);
     addRouterServices(context, [&io] { io.stop(); });
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&context](boost::system::error_code error, int) {
--- a/test/platform/GatewayProcessTest.cpp
+++ b/test/platform/GatewayProcessTest.cpp
@@ -123,6 +123,14 @@
     BOOST_TEST(
             call(request("GET", "/again/x", http::Fields().with("X-Api-Key", "wrong-key"))).status
             == 401);
+    Process status({LIMEREEL_BINARY, "status", "--box", kernel::text(controlEndpoint())},
+                   (folder_ / "status.log").string());
+    until([&] { return !status.running(); }, "the status");
+    BOOST_TEST(status.wait() == 0);
+    const std::string told = fileText(folder_ / "status.log");
+    BOOST_TEST(told.find("box box-1 of hall hall-a: ready") != std::string::npos, told);
+    BOOST_TEST(told.find("configuration version 1, confirmed ") != std::string::npos, told);
+    BOOST_TEST(told.find("2 backend servers are listed") != std::string::npos, told);
     writeSettings("4000");
     process.signal(SIGHUP);
     until([this] { return fileText(logFile()).find("read again") != std::string::npos; },
