Two test types no longer share one name; the address sanitizer has run on the gateway's tests

Ruled out: the program. Cause found: support::CallerAnswer stood in two headers with different members, and the linker took one constructor for both.

--- a/test/platform/GatewayFixture.cpp
+++ b/test/platform/GatewayFixture.cpp
@@ -201,13 +201,13 @@
     return pending;
 }
 
-CallerAnswer GatewayFixture::finish(const std::shared_ptr<PendingCall> &pending)
+GatewayAnswer GatewayFixture::finish(const std::shared_ptr<PendingCall> &pending)
 {
     until([&] { return pending->done; }, "the answer");
     return pending->answer;
 }
 
-CallerAnswer GatewayFixture::call(http::Request request)
+GatewayAnswer GatewayFixture::call(http::Request request)
 {
     return finish(begin(std::move(request)));
 }
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -20,7 +20,7 @@
 namespace limereel::support {
 
 /** What a caller got. */
-struct CallerAnswer
+struct GatewayAnswer
 {
     bool answered = false; ///< The head came.
     bool whole = false;    ///< The body came to its proper end.
@@ -33,7 +33,7 @@
 struct PendingCall
 {
     bool done = false;
-    CallerAnswer answer;
+    GatewayAnswer answer;
     http::KeptConnection::Ptr connection;
 };
 
@@ -70,8 +70,8 @@
 
     /** Sends it on a connection of its own, or on \a kept. */
     std::shared_ptr<PendingCall> begin(http::Request request, http::KeptConnection::Ptr kept = {});
-    CallerAnswer call(http::Request request);
-    CallerAnswer finish(const std::shared_ptr<PendingCall> &pending);
+    GatewayAnswer call(http::Request request);
+    GatewayAnswer finish(const std::shared_ptr<PendingCall> &pending);
 
     bool ready();
 
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -22,7 +22,7 @@
 class OneFault : public GatewayFixture
 {
 public:
-    CallerAnswer callMeeting(RunnerFault fault, http::Request request)
+    GatewayAnswer callMeeting(RunnerFault fault, http::Request request)
     {
         startReady();
         nextMeets(fault);
