An ask of an earlier version is understood

Cause: read once more, the count of asks in AskPermit made messages of boxes of the version before unreadable, so a fleet that is upgraded box by box would have had no places for that while. Change: a missing count reads as one. Test that failed first: PeerTest/decode_askOfAnEarlierVersion_* (nothing was decoded).

--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -152,7 +152,7 @@
             .chat = wordAt(array, 6),
             .model = array.at(7).get<std::uint32_t>(),
             .load = array.at(8).get<std::uint32_t>(),
-            .asks = array.at(9).get<std::uint32_t>()};
+            .asks = array.size() > 9 ? array.at(9).get<std::uint32_t>() : 1};
 }
 
 PermitAnswer permitAnswer(const json &array)
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -47,7 +47,8 @@
     std::uint64_t chat = 0;         ///< Key of the chat.
     membership::ShortHash model = 0;
     std::uint32_t load = 0; ///< In flight on the asker's own engines of the model.
-    std::uint32_t asks = 0; ///< Engine asks of the asker within the last seconds.
+    std::uint32_t asks = 1; ///< Engine asks of the asker within the last seconds; boxes of an
+                            ///< earlier version don't tell.
 
     auto operator<=>(const AskPermit &) const = default;
 };
