The linter's two complaints in the soak are mended

Change: a returned report is not const; the look at all boxes keeps its state in the play. Test code only.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -54,7 +54,7 @@
     plan.faultsFor = faultsFor;
     plan.folder = std::filesystem::temp_directory_path()
                   / ("limereel-soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed));
-    const SoakReport report = playSoak(plan);
+    SoakReport report = playSoak(plan);
     for (const Violation &violation : report.violations) {
         BOOST_ERROR(violation.promise + ": " + violation.what);
     }
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -99,23 +99,25 @@
         co_return true;
     }
 
+    asio::awaitable<void> look()
+    {
+        good_ = co_await allServe();
+        looked_ = true;
+    }
+
     bool runUntilAllServe(kernel::Duration longest)
     {
         const kernel::Instant deadline = now() + longest;
-        bool good = false;
-        while (!good && now() < deadline) {
-            bool done = false;
-            const auto look = [](Play &play, bool &over, bool &result) -> asio::awaitable<void> {
-                result = co_await play.allServe();
-                over = true;
-            };
-            asio::co_spawn(io_, look(*this, done, good), asio::detached);
-            while (!done) {
+        good_ = false;
+        while (!good_ && now() < deadline) {
+            looked_ = false;
+            asio::co_spawn(io_, look(), asio::detached);
+            while (!looked_) {
                 turn(Tick);
                 faults_.startEnded(now());
             }
         }
-        return good;
+        return good_;
     }
 
     void finishCallers()
@@ -134,6 +136,8 @@
     SoakWorld world_;
     SoakFaults faults_;
     CallerWorld callers_;
+    bool looked_ = false; ///< The last look at all boxes is over,
+    bool good_ = false;   ///< and all served.
 };
 
 } // namespace
