Keys may go on by the last configuration known while the store is away

Readiness follows; log, counter and status tell it. Tests: table of the decision, gateway serving and ready with a silent store, newest version taken when the store is back. Deployments with strict revocation take the same path as before.

--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -15,6 +15,7 @@
     const auto age = world.freshness().age(now);
     return {{"version", world.snapshot() ? json(world.snapshot()->version()) : json()},
             {"confirmed_ms_ago", age ? json(*age / 1ms) : json()},
+            {"confirmed", world.freshness().confirmed(now)},
             {"keys_honoured", world.freshness().usable(now)}};
 }
 
@@ -83,7 +84,8 @@
     } else {
         text << "configuration version " << configuration.at("version") << ", confirmed "
              << configuration.at("confirmed_ms_ago") << " ms ago; keys are "
-             << (configuration.at("keys_honoured") == true ? "" : "not ") << "honoured\n";
+             << (configuration.at("keys_honoured") == true ? "" : "not ") << "honoured"
+             << (configuration.at("confirmed") == true ? "" : ", unconfirmed") << '\n';
     }
     text << status.at("boxes").size() << " boxes are known\n";
     for (const json &box : status.at("boxes")) {
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -36,6 +36,12 @@
     return std::max(settings.revokeWithin - RevokeMargin, settings.revokeWithin / 2);
 }
 
+forward::UnconfirmedKeys unconfirmedKeys(const kernel::GatewaySettings &settings)
+{
+    return settings.refuseUnconfirmedKeys ? forward::UnconfirmedKeys::Refuse
+                                          : forward::UnconfirmedKeys::Honour;
+}
+
 forward::BookPolicy policyOf(const kernel::BoxSettings &settings)
 {
     forward::BookPolicy policy;
@@ -45,12 +51,33 @@
     return policy;
 }
 
+/** How a state of trust is named in counters and logs. */
+struct TrustWords
+{
+    const char *name;
+    const char *sentence;
+};
+
+TrustWords wordsOf(KeyTrust trust)
+{
+    switch (trust) {
+    case KeyTrust::Fresh:
+        return {"fresh", "The configuration is confirmed; keys are honoured."};
+    case KeyTrust::Unconfirmed:
+        return {"unconfirmed", "The configuration wasn't confirmed in time; keys go on by the last "
+                               "one that is known."};
+    case KeyTrust::Stale:
+        break;
+    }
+    return {"stale", "The configuration wasn't confirmed in time; keys are not honoured."};
+}
+
 } // namespace
 
 World::World(services::Context &context, Adapter adapter)
     : context_(context)
     , adapter_(std::move(adapter))
-    , freshness_(usableFor(context.settings.gateway))
+    , freshness_(usableFor(context.settings.gateway), unconfirmedKeys(context.settings.gateway))
     , servers_(policyOf(context.settings))
     , budget_({context.settings.gateway.retryRatio, context.settings.gateway.retryWindow,
                static_cast<double>(context.settings.gateway.retrySlack)})
@@ -107,7 +134,7 @@
 void World::applySettings()
 {
     const kernel::GatewaySettings &settings = context_.settings.gateway;
-    freshness_.setUsableFor(usableFor(settings));
+    freshness_.setPolicy(usableFor(settings), unconfirmedKeys(settings));
     budget_.setBound(
             {settings.retryRatio, settings.retryWindow, static_cast<double>(settings.retrySlack)});
 }
@@ -227,18 +254,24 @@
 // What keys are refused for must stand in the log: their requests name only the symptom.
 void World::noteFreshness()
 {
-    const bool fresh = freshness_.usable(context_.now());
-    if (fresh == fresh_) {
+    const kernel::Instant now = context_.now();
+    KeyTrust trust = KeyTrust::Stale;
+    if (freshness_.confirmed(now)) {
+        trust = KeyTrust::Fresh;
+    } else if (freshness_.usable(now)) {
+        trust = KeyTrust::Unconfirmed;
+    }
+    if (trust == trust_) {
         return;
     }
-    fresh_ = fresh;
-    context_.counters.add("freshness_changes", {{"to", fresh ? "fresh" : "stale"}});
-    const auto age = freshness_.age(context_.now());
-    log().event(fresh ? "fresh" : "stale",
+    trust_ = trust;
+    const TrustWords words = wordsOf(trust);
+    context_.counters.add("freshness_changes", {{"to", words.name}});
+    const auto age = freshness_.age(now);
+    log().event(words.name,
                 {{"config_age_ms", age ? *age / 1ms : -1},
                  {"version", snapshot_ ? snapshot_->version() : 0}},
-                fresh ? "The configuration is confirmed; keys are honoured."
-                      : "The configuration wasn't confirmed in time; keys are not honoured.");
+                words.sentence);
 }
 
 void World::dropServer(const std::string &id)
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -16,6 +16,13 @@
 
 namespace limereel::gateway {
 
+/** How far API keys are trusted. */
+enum class KeyTrust : std::uint8_t {
+    Fresh,       ///< The configuration was confirmed lately.
+    Unconfirmed, ///< It wasn't; keys are honoured all the same.
+    Stale        ///< It wasn't; keys are refused.
+};
+
 /** The service that follows the store. */
 class World : public kernel::Service
 {
@@ -69,7 +76,7 @@
     forward::Freshness freshness_;
     forward::ServerBook servers_;
     forward::FleetRetryBudget budget_;
-    bool fresh_ = false; ///< As it was last logged.
+    KeyTrust trust_ = KeyTrust::Stale; ///< As it was last logged.
     bool serversKnown_ = false;
     std::map<std::string, kernel::Instant> missing_; ///< Listed no more; dropped when it is time.
     std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -33,9 +33,13 @@
     using G = GatewaySettings;
     return {
             {{"gateway", "revoke-within", "1s to 600s", "5s",
-              "how long after a key was taken away it may still run a request; without a "
-              "configuration confirmed this recently, requests with keys are refused"},
+              "how long after a key was taken away it may still run a request at a box that "
+              "reaches the store"},
              duration(field(&G::revokeWithin), 1s, 600s)},
+            {{"gateway", "refuse-unconfirmed-keys", "true, false or nothing: true", "true",
+              "whether requests with keys are refused once the configuration wasn't confirmed "
+              "within revoke-within; else they go on by the last configuration known"},
+             flagOrTrue(field(&G::refuseUnconfirmedKeys))},
             {{"gateway", "drain-within", "100ms to 600s", "2s",
               "how long after a backend server began to leave it may get new work"},
              duration(field(&G::drainWithin), 100ms, 600s)},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -18,7 +18,8 @@
 /** Bounds that the deployment promises, and what a gateway needs to keep them. */
 struct GatewaySettings
 {
-    Duration revokeWithin{};        ///< A key that was taken away runs nothing later than this.
+    Duration revokeWithin{};           ///< A key that was taken away runs nothing later than this.
+    bool refuseUnconfirmedKeys = true; ///< Whether that holds for a box cut off from the store.
     Duration drainWithin{};         ///< A leaving backend server gets nothing new later than this.
     Duration stopWithin{};          ///< A planned stop ends by then.
     Duration contact{};             ///< A disturbance this long ago still excuses.
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -165,12 +165,12 @@
 
 BOOST_AUTO_TEST_CASE(usable_neverConfirmed_isFalse)
 {
-    BOOST_TEST(!Freshness(5s).usable(at(0s)));
+    BOOST_TEST(!Freshness(5s, UnconfirmedKeys::Refuse).usable(at(0s)));
 }
 
 BOOST_AUTO_TEST_CASE(usable_processStoodStillPastTheBound_isFalseAtOnce)
 {
-    Freshness freshness(5s);
+    Freshness freshness(5s, UnconfirmedKeys::Refuse);
     freshness.confirm(at(0s));
     BOOST_TEST(freshness.usable(at(4999ms)));
     BOOST_TEST(!freshness.usable(at(5s)));
@@ -178,12 +178,52 @@
 
 BOOST_AUTO_TEST_CASE(confirm_olderAnswerComesLate_doesNotGoBack)
 {
-    Freshness freshness(5s);
+    Freshness freshness(5s, UnconfirmedKeys::Refuse);
     freshness.confirm(at(4s));
     freshness.confirm(at(1s));
     BOOST_TEST(freshness.usable(at(8s)));
 }
 
+struct KeyCase
+{
+    UnconfirmedKeys policy;
+    std::optional<kernel::Duration> age; ///< Of the confirmation; nothing: there was none.
+    bool confirmed;
+    bool usable;
+};
+
+BOOST_AUTO_TEST_CASE(usable_eachPolicyAndAge_followsTheTable)
+{
+    const std::vector<KeyCase> cases = {
+            {UnconfirmedKeys::Refuse, std::nullopt, false, false},
+            {UnconfirmedKeys::Refuse, 4999ms, true, true},
+            {UnconfirmedKeys::Refuse, 5s, false, false},
+            {UnconfirmedKeys::Refuse, 600s, false, false},
+            {UnconfirmedKeys::Honour, std::nullopt, false, false},
+            {UnconfirmedKeys::Honour, 4999ms, true, true},
+            {UnconfirmedKeys::Honour, 5s, false, true},
+            {UnconfirmedKeys::Honour, 600s, false, true},
+    };
+    for (const KeyCase &row : cases) {
+        Freshness freshness(5s, row.policy);
+        if (row.age) {
+            freshness.confirm(at(0s));
+        }
+        const kernel::Instant now = at(row.age.value_or(0s));
+        BOOST_TEST(freshness.confirmed(now) == row.confirmed);
+        BOOST_TEST(freshness.usable(now) == row.usable);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(setPolicy_toRefuse_takesEffectAtOnce)
+{
+    Freshness freshness(5s, UnconfirmedKeys::Honour);
+    freshness.confirm(at(0s));
+    BOOST_TEST(freshness.usable(at(6s)));
+    freshness.setPolicy(5s, UnconfirmedKeys::Refuse);
+    BOOST_TEST(!freshness.usable(at(6s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(FleetRetryBudgetTest)
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -73,6 +73,9 @@
     GatewayAnswer call(http::Request request);
     GatewayAnswer finish(const std::shared_ptr<PendingCall> &pending);
 
+    /** Lines for the gateway's section of the settings; read by start(). */
+    std::string moreSettings;
+
     bool ready();
 
     const kernel::Endpoint &callerEndpoint() const { return caller_; }
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -306,6 +306,36 @@
     BOOST_TEST(call(request("GET", "/open/x")).status == 200);
 }
 
+BOOST_FIXTURE_TEST_CASE(storeAway_unconfirmedKeysAreHonoured_boxServesAndStaysReady, GatewayFixture)
+{
+    moreSettings = "refuse-unconfirmed-keys = false\n";
+    startReady();
+    store().faults.silent = true;
+    stepForward(60s);
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    BOOST_TEST(call(request("POST", "/once/x")).status == 200);
+    BOOST_TEST(ready());
+    until(
+            [this] {
+                return context().counters.value("freshness_changes", {{"to", "unconfirmed"}}) == 1;
+            },
+            "the word of an unconfirmed configuration");
+}
+
+BOOST_FIXTURE_TEST_CASE(storeComesBack_unconfirmedBoxTakesWhatItMissed, GatewayFixture)
+{
+    moreSettings = "refuse-unconfirmed-keys = false\n";
+    startReady();
+    store().faults.status = 503;
+    stepForward(60s);
+    auto next = configuration(2);
+    next["tenants"][0]["api_keys"] = nlohmann::json::array({"key-two"});
+    putConfiguration(next);
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    store().faults.status = 0;
+    until([this] { return call(request("GET", "/again/x")).status == 401; }, "the new version");
+}
+
 BOOST_FIXTURE_TEST_CASE(storeRefuses_whatIsKnownServesUntilTheBound, GatewayFixture)
 {
     startReady();
