A hall from which nothing is heard is doubted as a whole; a connect waits a quarter of the objective

Cause: while halls are cut apart, a box learned of each server of the other halls on its own, by 300 ms of connecting at a time, up to three times a request; kept connections into the cut took once-only requests, which are lost after 2 s. Ruled out: fewer attempts (the same servers would fail the next request), probes (priced as dearly as requests). Change: two servers of a hall that say nothing, with none of the hall heard since, close it but for one request each half second, which takes a new connection; refused connections don't count, the host answered. A connect waits a quarter of the route's objective, 50 to 300 ms. Mended beside it: a connect timer that ran out in the same turn closed the good connection. Tests: CutHallTest, pure: eight cases.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -23,6 +23,8 @@
 // The bound that is kept leaves room for what other boxes do at the same moment.
 constexpr double BoundPart = 0.85;
 constexpr double OtherHallCost = 0.25;
+// After this, that connecting brought nothing back is no word on the hall any more.
+constexpr kernel::Duration NoResponseKept = 10s;
 
 double faded(double value, kernel::Duration age, double halfLife)
 {
@@ -36,6 +38,8 @@
     switch (failure) {
     case Failure::Unreachable:
         return "unreachable";
+    case Failure::NoResponse:
+        return "no-response";
     case Failure::Lost:
         return "lost";
     case Failure::Silent:
@@ -128,6 +132,51 @@
     return place != entries_.end() && doubted(place->second, now);
 }
 
+bool ServerBook::quiet(const Entry &entry, kernel::Instant now) const
+{
+    return now - entry.noResponseAt < NoResponseKept || silent(entry, now);
+}
+
+// A hall that is cut off answers for none of its servers: what was heard of one of them clears all.
+bool ServerBook::hallDoubted(const std::string &hall, kernel::Instant now) const
+{
+    kernel::Instant heard;
+    EntryList quietOnes;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.server.hall == hall) {
+            heard = std::max(heard, entry.lastHeard);
+            if (quiet(entry, now)) {
+                quietOnes.push_back(&entry);
+            }
+        }
+    }
+    const bool nothingLately = now - heard > policy_.silence;
+    const auto count = std::ranges::count_if(quietOnes, [&](const Entry *entry) {
+        return entry->noResponseAt > heard || (nothingLately && silent(*entry, now));
+    });
+    return static_cast<std::size_t>(count) >= policy_.quietServers;
+}
+
+// Halls that are doubted and had a request lately: they get the next one after a while.
+std::set<std::string> ServerBook::closedHalls(kernel::Instant now) const
+{
+    std::map<std::string, std::size_t> quietServers;
+    for (const auto &[id, entry] : entries_) {
+        if (quiet(entry, now)) {
+            ++quietServers[entry.server.hall];
+        }
+    }
+    std::set<std::string> closed;
+    for (const auto &[hall, count] : quietServers) {
+        const auto last = attempts_.find(hall);
+        const bool lately = last != attempts_.end() && now - last->second < policy_.hallTrial;
+        if (count >= policy_.quietServers && lately && hallDoubted(hall, now)) {
+            closed.insert(hall);
+        }
+    }
+    return closed;
+}
+
 ServerBook::EntryList ServerBook::usable(const Wish &wish, kernel::Instant now) const
 {
     EntryList listed;
@@ -142,8 +191,9 @@
     const double mean = listed.empty() ? 0 : errorSum / static_cast<double>(listed.size());
     EntryList good;
     EntryList fair;
+    const std::set<std::string> closed = closedHalls(now);
     for (const Entry *entry : listed) {
-        if (doubted(*entry, now)) {
+        if (doubted(*entry, now) || closed.contains(entry->server.hall)) {
             continue;
         }
         fair.push_back(entry);
@@ -300,13 +350,14 @@
         return std::nullopt;
     }
     const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
-    if (!byParts) {
-        return Choice{chooseIdlest(entries, now, random)->server, std::nullopt, 0};
+    const Entry *chosen = !byParts      ? chooseIdlest(entries, now, random)
+                          : wish.spread ? chooseSpread(entries, wish, random)
+                                        : chooseForPrompt(entries, wish, now);
+    const bool trial = chosen->failuresInARow > 0 || hallDoubted(chosen->server.hall, now);
+    Choice choice{chosen->server, std::nullopt, 0, trial};
+    if (byParts) {
+        settleSource(wish, choice, now);
     }
-    const Entry *chosen =
-            wish.spread ? chooseSpread(entries, wish, random) : chooseForPrompt(entries, wish, now);
-    Choice choice{chosen->server, std::nullopt, 0};
-    settleSource(wish, choice, now);
     return choice;
 }
 
@@ -346,6 +397,14 @@
     }
 }
 
+void ServerBook::noteAttempt(const std::string &id, kernel::Instant now)
+{
+    const auto place = entries_.find(id);
+    if (place != entries_.end()) {
+        attempts_[place->second.server.hall] = now;
+    }
+}
+
 void ServerBook::noteHeard(const std::string &id, kernel::Instant now)
 {
     const auto place = entries_.find(id);
@@ -397,6 +456,9 @@
         entry.fullUntil = now + FullPause;
         return;
     }
+    if (failure == Failure::NoResponse) {
+        entry.noResponseAt = now;
+    }
     entry.errors = errors(entry, now) * (1 - ErrorWeight) + ErrorWeight;
     entry.errorsAt = now;
     if (failure == Failure::Error || failure == Failure::Lost) {
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -4,7 +4,8 @@
  *
  * Health comes from the requests themselves, since probes are dear: failures to connect, lost
  * answers, failed answers, and silence while answers are due. A doubted server gets single requests
- * again after a pause that doubles.
+ * again after a pause that doubles. Where several servers of a hall say nothing and none of it was
+ * heard since, the way to the hall is doubted rather than each server in turn.
  *
  * Prompts go to the first server in the rendezvous order of their shared parts, which is the same
  * on every box; a server whose load passes a multiple of the mean is passed over (bounded loads:
@@ -20,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +29,8 @@
 
 /** How an attempt at a backend server went wrong. */
 enum class Failure : std::uint8_t {
-    Unreachable, ///< No connection came about.
+    Unreachable, ///< A connection was refused.
+    NoResponse,  ///< Nothing came back while connecting.
     Lost,        ///< The connection ended, or bytes came that form no answer.
     Silent,      ///< No answer in the time that it should take.
     Error,       ///< It answered that it failed.
@@ -48,6 +51,8 @@
     kernel::Duration engineSilence = 900ms; ///< Of an engine, which may be reading a long prompt.
     kernel::Duration firstDoubt = 250ms;
     kernel::Duration longestDoubt = 4s;
+    std::size_t quietServers = 2;       ///< Of a hall; then the way to it is doubted.
+    kernel::Duration hallTrial = 500ms; ///< Between two requests to a doubted hall.
 };
 
 /** What is wanted of a backend server. */
@@ -69,6 +74,7 @@
     ListedServer server;
     std::optional<kernel::Endpoint> takeFrom; ///< A server that should hold more of the prompt.
     std::size_t held = 0; ///< Shared prefixes of the prompt that the server should hold.
+    bool trial = false;   ///< The server or its hall is doubted: kept connections may be dead.
 };
 
 /** The book of one box. Pure: time and chance are handed in. */
@@ -102,6 +108,9 @@
      * holders since. */
     void settleSource(const Wish &wish, Choice &choice, kernel::Instant now) const;
 
+    /** A request is about to be tried at \a id, connected or not. */
+    void noteAttempt(const std::string &id, kernel::Instant now);
+
     /** A request goes to \a id; with a prompt, its parts will lie there. */
     void begin(const std::string &id, const Prompt *prompt, kernel::Instant now);
 
@@ -154,11 +163,15 @@
         double errors = 0; ///< Decaying share of failed answers.
         kernel::Instant errorsAt;
         kernel::Instant lastHeard;
-        kernel::Instant dueSince; ///< When the first of the running requests was sent.
+        kernel::Instant noResponseAt; ///< When connecting to it last brought nothing back.
+        kernel::Instant dueSince;     ///< When the first of the running requests was sent.
     };
 
     using EntryList = std::vector<const Entry *>;
 
+    bool quiet(const Entry &entry, kernel::Instant now) const;
+    bool hallDoubted(const std::string &hall, kernel::Instant now) const;
+    std::set<std::string> closedHalls(kernel::Instant now) const;
     EntryList usable(const Wish &wish, kernel::Instant now) const;
     bool doubted(const Entry &entry, kernel::Instant now) const;
     bool silent(const Entry &entry, kernel::Instant now) const;
@@ -177,6 +190,7 @@
 
     BookPolicy policy_;
     std::map<std::string, Entry> entries_;
+    std::map<std::string, kernel::Instant> attempts_; ///< The last one, by hall.
     PartIndex parts_;
 };
 
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::size_t MostAnswerBytes = std::size_t{16} * 1024 * 1024;
 constexpr int MostSurplusAnswers = 3;
+// A connection comes about within a few round trips or not in time: this part of the objective.
+constexpr int ConnectPart = 4;
+constexpr kernel::Duration ShortestConnect = 50ms;
 constexpr kernel::Duration LongestConnect = 300ms;
 constexpr kernel::Duration SilenceLook = 100ms;
 // An engine that reads a prompt is silent; this many tokens a millisecond is slow reading.
@@ -23,6 +26,13 @@
 constexpr kernel::Duration LeastSilence = 100ms;
 constexpr int ServerFailure = 500;
 
+kernel::Duration connectWait(const RunState &run)
+{
+    const kernel::Duration wanted = std::clamp<kernel::Duration>(run.route.objective / ConnectPart,
+                                                                 ShortestConnect, LongestConnect);
+    return std::min<kernel::Duration>(wanted, run.left());
+}
+
 // When a server that says nothing is looked at: later than it should have answered.
 kernel::Duration firstLook(const RunState &run, const forward::ListedServer &server)
 {
@@ -94,16 +104,21 @@
 
 asio::awaitable<bool> BackendExchange::connect()
 {
-    connection_ = pool_.take(server_, !run_.repeatable());
+    run_.world.servers().noteAttempt(server_.id, run_.context.now());
+    // A new connection shows that there is a way before anything is sent.
+    if (!run_.choice.trial) {
+        connection_ = pool_.take(server_, !run_.repeatable());
+    }
     if (connection_) {
         co_return true;
     }
     run_.context.counters.add("backend_connections");
-    const kernel::Duration longest = std::min<kernel::Duration>(LongestConnect, run_.left());
-    auto connected =
-            co_await http::KeptConnection::connect(run_.context.io, server_.address, longest);
+    auto connected = co_await http::KeptConnection::connect(run_.context.io, server_.address,
+                                                            connectWait(run_));
     if (!connected) {
-        fail(Failure::Unreachable, "connect: " + connected.error().message, false);
+        const bool refused = !connected.error().timedOut;
+        fail(refused ? Failure::Unreachable : Failure::NoResponse,
+             "connect: " + connected.error().message, false);
         co_return false;
     }
     connection_ = *connected;
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -53,6 +53,7 @@
     beast::flat_buffer buffer;
     std::optional<Message> message;
     std::optional<Parser> parser;
+    bool connected = false;
     bool headRequest = false;
     bool sending = false;
     bool anySent = false;
@@ -85,15 +86,17 @@
         co_return tl::unexpected(CallFailure{Point::BeforeConnect, false, bad.message()});
     }
     asio::steady_timer timer(io, longest);
+    // The timer may have run out in the same turn of the loop in which the connection came about.
     timer.async_wait([state = connection->state_](boost::system::error_code stopped) {
         boost::system::error_code ignored;
-        if (!stopped) {
+        if (!stopped && !state->connected) {
             state->socket.close(ignored);
         }
     });
     tcp::socket &socket = connection->state_->socket;
     const tcp::endpoint where(address, endpoint.port);
     const auto [error] = co_await socket.async_connect(where, Quiet);
+    connection->state_->connected = !error;
     timer.cancel();
     if (error || !socket.is_open()) {
         const bool timedOut = error == asio::error::operation_aborted;
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -551,3 +551,127 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** Two halls with three servers each, the box in hall "a"; requests go out to all. */
+class CutHall
+{
+public:
+    CutHall()
+    {
+        for (const char *hall : {"a", "b"}) {
+            for (int index = 1; index <= 3; ++index) {
+                book.put(server(hall + std::to_string(index), false, hall));
+            }
+        }
+    }
+
+    /** Whether any of many choices at \a when falls on hall "b". */
+    bool chooses(kernel::Duration when)
+    {
+        Wish wish;
+        wish.service = "pool";
+        wish.tried = {"a1", "a2"};
+        bool found = false;
+        for (int time = 0; time < 200; ++time) {
+            const auto choice = book.choose(wish, at(when), random);
+            found = found || choice->server.hall == "b";
+        }
+        return found;
+    }
+
+    void quietWhileConnecting(const std::string &id, kernel::Duration when)
+    {
+        book.noteAttempt(id, at(when));
+        book.noteFailure(id, Failure::NoResponse, at(when));
+    }
+
+    BookPolicy policy{.hall = "x"};
+    ServerBook book{policy};
+    std::mt19937_64 random{3};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CutHallTest)
+
+BOOST_FIXTURE_TEST_CASE(twoServersSayNothing_theWholeHallIsLeftOut, CutHall)
+{
+    book.noteHeard("b3", at(0s));
+    quietWhileConnecting("b1", 100ms);
+    BOOST_TEST(chooses(110ms));
+    quietWhileConnecting("b2", 120ms);
+    BOOST_TEST(!chooses(130ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(oneServerSaysNothing_othersOfTheHallAreUsed, CutHall)
+{
+    quietWhileConnecting("b1", 100ms);
+    quietWhileConnecting("b1", 120ms);
+    BOOST_TEST(chooses(130ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(anotherServerIsHeardSince_hallIsUsed, CutHall)
+{
+    quietWhileConnecting("b1", 100ms);
+    quietWhileConnecting("b2", 120ms);
+    book.noteHeard("b3", at(140ms));
+    BOOST_TEST(chooses(150ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(connectionsAreRefused_hallIsUsed, CutHall)
+{
+    for (const char *id : {"b1", "b2"}) {
+        book.noteAttempt(id, at(100ms));
+        book.noteFailure(id, Failure::Unreachable, at(100ms));
+    }
+    BOOST_TEST(chooses(110ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(runningRequestsGetNothing_theWholeHallIsLeftOut, CutHall)
+{
+    for (const char *id : {"b1", "b2"}) {
+        book.noteAttempt(id, at(0s));
+        book.begin(id, nullptr, at(0s));
+    }
+    BOOST_TEST(chooses(200ms));
+    book.noteAttempt("b1", at(300ms));
+    BOOST_TEST(!chooses(400ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(doubtedHall_getsOneRequestEachWhileUntilItIsHeard, CutHall)
+{
+    quietWhileConnecting("b1", 100ms);
+    quietWhileConnecting("b2", 120ms);
+    BOOST_TEST(!chooses(600ms));
+    BOOST_TEST(chooses(630ms));
+    book.noteAttempt("b3", at(630ms));
+    BOOST_TEST(!chooses(640ms));
+    book.noteHeard("b3", at(650ms));
+    BOOST_TEST(chooses(660ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(trialOfADoubtedHall_saysThatKeptConnectionsMayBeDead, CutHall)
+{
+    quietWhileConnecting("b1", 100ms);
+    quietWhileConnecting("b2", 120ms);
+    Wish wish;
+    wish.service = "pool";
+    wish.tried = {"a1", "a2", "a3"};
+    BOOST_TEST(book.choose(wish, at(2s), random)->trial);
+    wish.tried = {"b1", "b2", "b3"};
+    BOOST_TEST(!book.choose(wish, at(2s), random)->trial);
+}
+
+BOOST_FIXTURE_TEST_CASE(allHallsSayNothing_someServerIsTriedAllTheSame, CutHall)
+{
+    for (const char *id : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+        quietWhileConnecting(id, 100ms);
+    }
+    Wish wish;
+    wish.service = "pool";
+    BOOST_TEST(book.choose(wish, at(110ms), random).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
