The first list after an outage confirms the configuration

A list that had failed kept the time of its first try, so its confirmation was as old as the outage; where keys need confirming they had to wait for a watch as well. Ruled out: a slow store (its answers came in time), lost watches (no store-lost line between). Change: a list of which no page has been read begins anew with each try; pages that were read are kept as before.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -156,7 +156,8 @@
 asio::awaitable<bool> ObjectFeed::list()
 {
     const kernel::Instant now = context_.now();
-    if (!listing_ || now - listing_->begun > LongestListing) {
+    const bool begun = listing_ && !listing_->objects.empty();
+    if (!begun || now - listing_->begun > LongestListing) {
         listing_ = Listing{now, 0, {}};
     }
     bool more = true;
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -390,6 +390,31 @@
     BOOST_TEST(store().bytesSent() - before < 3 * configuration(40).dump().size());
 }
 
+// A recorded day: after an outage the first list counted from when it had first been asked for, so
+// that keys had to wait for a watch as well.
+BOOST_FIXTURE_TEST_CASE(storeComesBack_firstListConfirmsTheConfiguration, GatewayFixture)
+{
+    const auto answered = [this] {
+        const kernel::Labels config = {{"kind", "config"}};
+        return context().counters.value("store_calls", config)
+               - context().counters.value("store_failures", config);
+    };
+    startReady();
+    store().faults.status = 503;
+    until(
+            [this] {
+                return context().counters.value("store_failures", {{"kind", "config"}}) > 1;
+            },
+            "refused calls");
+    stepForward(6s);
+    BOOST_TEST(!ready());
+    const auto before = answered();
+    store().faults.status = 0;
+    until([this] { return ready(); }, "readiness");
+    // The list, and the watch that waits already.
+    BOOST_TEST(answered() - before <= 2U);
+}
+
 // A finding on the users' bench: boxes with an eighth of a core stood still for 200 ms when a large
 // configuration changed again and again, and callers left.
 BOOST_FIXTURE_TEST_CASE(severalVersionsInOneAnswer_onlyTheNewestIsRead, GatewayFixture)
