--- a/src/kernel/SettingRows.cpp
+++ b/src/kernel/SettingRows.cpp
@@ -177,7 +177,7 @@
             {{"backends", "load-lag", "0ms to 60s", "3s",
               "how old the load may be that an engine reports; a report is only held against what "
               "the box "
-              "itself counted since then, eight heartbeat-periods at most"},
+              "itself counted since then"},
              duration(&S::loadLag, 0ms, 60s)},
             {{"backends", "retry-ratio", "decimal from 0 to 1", "0.1",
               "retries for each first attempt, at most"},
--- a/src/routing/LoadBook.cpp
+++ b/src/routing/LoadBook.cpp
@@ -31,16 +31,6 @@
     std::erase_if(spoken_, [age, now](const auto &entry) { return now - entry.second.at > age; });
 }
 
-std::uint32_t LoadBook::greatestOwn(std::uint64_t engine, std::size_t beats) const
-{
-    std::uint32_t greatest = 0;
-    for (std::size_t beat = 0; beat < std::min(beats, past_.size()); ++beat) {
-        const auto place = past_[beat].find(engine);
-        greatest = place == past_[beat].end() ? greatest : std::max(greatest, place->second);
-    }
-    return greatest;
-}
-
 std::uint64_t LoadBook::inFlight(ShortHash model, std::span<const KnownLoad> engines,
                                  Instant now) const
 {
--- a/src/routing/LoadBook.h
+++ b/src/routing/LoadBook.h
@@ -50,9 +50,6 @@
     /** Forgets words older than \a age. */
     void forget(kernel::Duration age, kernel::Instant now);
 
-    /** The greatest load that the own engine \a engine had at the last \a beats heartbeats. */
-    std::uint32_t greatestOwn(std::uint64_t engine, std::size_t beats) const;
-
     /** In flight on all of \a engines, which hold \a model, as far as can be told. */
     std::uint64_t inFlight(membership::ShortHash model, std::span<const KnownLoad> engines,
                            kernel::Instant now) const;
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -30,6 +30,8 @@
 namespace {
 
 constexpr std::size_t MostSuggestions = 5;
+// A probe's answer may be read late, by a loop that stood still.
+constexpr int ProbesKept = 2;
 constexpr std::size_t LineLength =
         2; ///< Boxes that may answer for a resource: its owner and the next.
 constexpr int MostSkips =
@@ -86,7 +88,7 @@
     , chats_(context.settings.chatIndex)
     , drain_(context.now())
     , loads_(context.settings.heartbeatPeriod)
-    , permitsThen_(context.settings.heartbeatPeriod)
+    , permitsThen_(context.settings.loadLag + ProbesKept * context.settings.probePeriod)
 {
 }
 
@@ -240,7 +242,7 @@
     }
     loads_.forget(context_.settings.permitLease, context_.now());
     loads_.noteBeat(std::move(loads), reportAge());
-    permitsThen_.noteBeat(std::move(permits), 1);
+    permitsThen_.note(std::move(permits), context_.now());
     context_.counters.set("backends_owned", static_cast<double>(backends_.size()));
 }
 
@@ -343,6 +345,7 @@
         co_return;
     }
     owned->probing = true;
+    const kernel::Instant asked = context_.now();
     const http::CallTimeouts timeouts{.connect = context_.settings.connectTimeout,
                                       .head = context_.settings.connectTimeout,
                                       .part = context_.settings.connectTimeout};
@@ -357,7 +360,7 @@
     context_.counters.add("probes", {{"result", answer ? "answered" : "failed"}});
     const bool before = owned->health.usable();
     if (answer && answer->status == 200) {
-        takeProbe(*owned, answer->body);
+        takeProbe(*owned, answer->body, asked);
     } else {
         owned->health.noteBad(context_.now());
     }
@@ -368,7 +371,7 @@
     }
 }
 
-void OwnerService::takeProbe(OwnedBackend &owned, const std::string &body)
+void OwnerService::takeProbe(OwnedBackend &owned, const std::string &body, kernel::Instant asked)
 {
     const auto status = nlohmann::json::parse(body, nullptr, false);
     if (!status.is_object()) {
@@ -381,11 +384,10 @@
     owned.ledger.setLeaving(owned.leaving || owned.listed.leaving);
     const auto running = status.value("running", 0U);
     // The report is old. What this box had granted at any moment since then explains it.
-    const auto beats =
-            static_cast<std::size_t>(context_.settings.loadLag / context_.settings.heartbeatPeriod)
-            + 1;
-    const std::uint32_t explained = std::max(
-            owned.ledger.inFlight(), permitsThen_.greatestOwn(owned.listed.backend.hash(), beats));
+    const std::uint64_t engine = owned.listed.backend.hash();
+    const std::uint32_t explained =
+            std::max(owned.ledger.inFlight(),
+                     permitsThen_.greatest(engine, asked - context_.settings.loadLag));
     owned.unknownLoad = running > explained ? running - explained : 0;
     owned.models = modelsIn(status, "models");
     owned.loading = modelsIn(status, "loading");
--- a/src/services/OwnerService.h
+++ b/src/services/OwnerService.h
@@ -15,6 +15,7 @@
 #include "peer/Messages.h"
 #include "routing/ChatIndex.h"
 #include "routing/LoadBook.h"
+#include "routing/PermitHistory.h"
 #include "routing/PermitLedger.h"
 #include "routing/Placement.h"
 #include "services/Context.h"
@@ -84,7 +85,7 @@
     membership::BackendState stateOf(const OwnedBackend &owned) const;
     boost::asio::awaitable<kernel::Duration> probeRound();
     boost::asio::awaitable<void> probe(std::uint64_t backend);
-    void takeProbe(OwnedBackend &owned, const std::string &body);
+    void takeProbe(OwnedBackend &owned, const std::string &body, kernel::Instant asked);
 
     OwnedBackend *findOwned(std::uint64_t backend);
     bool inLine(std::uint64_t resource) const;
@@ -106,7 +107,7 @@
     routing::ChatIndex chats_;
     admission::DrainRate drain_;
     routing::LoadBook loads_;
-    routing::LoadBook permitsThen_; ///< Of permits alone, which explain what an engine reports.
+    routing::PermitHistory permitsThen_; ///< Explains what an engine reports.
     HallView view_;
     bool viewStale_ = true;
     std::unique_ptr<Repeat> probeLoop_;
--- a/test/correctness/RoutingTest.cpp
+++ b/test/correctness/RoutingTest.cpp
@@ -7,6 +7,7 @@
 #include "routing/LoadBook.h"
 #include "routing/LoadBound.h"
 #include "routing/LoadEstimate.h"
+#include "routing/PermitHistory.h"
 #include "routing/Placement.h"
 
 #include <algorithm>
@@ -173,6 +174,33 @@
     BOOST_TEST(book.inFlight(Model, engines, at(5600)) == 10U + 10U + 2U);
 }
 
+// Against looking at all that was ever noted.
+BOOST_AUTO_TEST_CASE(permitHistory_randomBeats_agreesWithTheWholeHistory)
+{
+    std::mt19937_64 random(17);
+    constexpr kernel::Duration Kept = 2s;
+    routing::PermitHistory history(Kept);
+    std::vector<std::pair<kernel::Instant, std::uint32_t>> all;
+    kernel::Instant now(1000s);
+    for (int beat = 0; beat < 3000; ++beat) {
+        // Mostly in time, now and then after a standstill.
+        now += 1ms * (random() % 20 == 0 ? 900 : 10 + random() % 100);
+        const auto permits = static_cast<std::uint32_t>(random() % 30);
+        history.note({{7, permits}}, now);
+        all.emplace_back(now, permits);
+        const kernel::Instant since = now - 1ms * (random() % 2000);
+        std::uint32_t expected = 0;
+        for (auto entry = all.rbegin(); entry != all.rend(); ++entry) {
+            expected = std::max(expected, entry->second);
+            if (entry->first < since) {
+                break;
+            }
+        }
+        BOOST_REQUIRE(history.greatest(7, since) == expected);
+        BOOST_REQUIRE(history.greatest(8, since) == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(chatIndex_randomHistory_agreesWithNaiveList)
 {
     std::mt19937_64 random(11);
