--- a/src/kernel/HeldSignals.cpp
+++ b/src/kernel/HeldSignals.cpp
@@ -1,6 +1,7 @@
 #include "kernel/HeldSignals.h"
 
 #include <csignal>
+#include <initializer_list>
 #include <pthread.h>
 
 namespace limereel::kernel {
