A time of contact shorter than the margins gives no negative waits

Cause: read once more: contact may be set to 100 ms, the margin taken off it is 400 ms; the wait for a list after an outage became negative. Figures: the new check failed before by reading (25 ms where 900 are needed), passes now. With contact of 3 s and more nothing changes.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -57,7 +57,8 @@
     if (!listed || pace.giveUpWithin == 0s) {
         return longest;
     }
-    return std::min<kernel::Duration>(longest, pace.giveUpWithin / 2);
+    const kernel::Duration look = std::max<kernel::Duration>(pace.answer, pace.giveUpWithin / 2);
+    return std::min<kernel::Duration>(longest, look);
 }
 
 ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -57,7 +57,8 @@
 {
     FeedPace pace;
     pace.answer = StoreAnswer;
-    pace.giveUpWithin = settings.contact - AskAgain;
+    pace.giveUpWithin =
+            std::max<kernel::Duration>(settings.contact - AskAgain, settings.contact / 2);
     pace.wait = pace.giveUpWithin;
     if (settings.refuseUnconfirmedKeys) {
         pace.confirmWithin = usableFor(settings) - ConfirmMargin;
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -581,6 +581,9 @@
         BOOST_TEST((wait + pace.longestPause <= kernel::Duration(2300ms)));
     }
     BOOST_TEST((gateway::pageWait(pace, 3, false) == kernel::Duration(7200ms)));
+    // A bound that no store could keep still leaves it the time to answer.
+    pace.giveUpWithin = 50ms;
+    BOOST_TEST((gateway::pageWait(pace, 3, true) == kernel::Duration(900ms)));
 }
 
 BOOST_AUTO_TEST_CASE(pageWait_failuresInARow_growsWithinABound)
