--- /dev/null
+++ b/src/http/SocketState.cpp
@@ -0,0 +1,51 @@
+#include "http/SocketState.h"
+
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace limereel::http {
+
+std::string_view text(Arrived arrived)
+{
+    switch (arrived) {
+    case Arrived::Nothing:
+        return "nothing";
+    case Arrived::Bytes:
+        return "bytes";
+    case Arrived::End:
+        return "end";
+    case Arrived::Broken:
+        break;
+    }
+    return "broken";
+}
+
+Arrived arrivedAt(int socket)
+{
+    char byte = 0;
+    ssize_t peeked = 0;
+    do {
+        peeked = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    } while (peeked < 0 && errno == EINTR);
+    if (peeked > 0) {
+        return Arrived::Bytes;
+    }
+    if (peeked == 0) {
+        return Arrived::End;
+    }
+    const bool nothing = errno == EAGAIN || errno == EWOULDBLOCK;
+    return nothing ? Arrived::Nothing : Arrived::Broken;
+}
+
+bool connectIsOver(int socket)
+{
+    pollfd look{socket, POLLOUT, 0};
+    int ready = 0;
+    do {
+        ready = ::poll(&look, 1, 0);
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0;
+}
+
+} // namespace limereel::http
