Sight: why each caller's connection ended, what was unread, and how long the loop stood still

Cause: nothing told who closes a caller's connection and why, nor that the event loop stood still, so the incident's three hypotheses could not be told apart from logs. Ruled out: Beast's own time limit, which closes the socket before anyone can look at it; one limit of our own takes its place and still closes without regard to what has come, so decisions stay as they were. Change: TimeLimit, ConnectionEnd with a counter by reason and by what was unread, a line connection-ended where that may have cost a request; LoopWatch with stood-still; the idle limit in the line of each configuration. The reply has a file of its own.

--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/RequestRun.h"
 #include "services/Answers.h"
+#include "services/ConnectionLog.h"
 
 #include <boost/asio.hpp>
 
@@ -45,6 +46,9 @@
                                                  return handle(std::move(request), reply);
                                              });
     server_->setRefusal([this](http::Refused why) { return refusalOf(why); });
+    server_->onConnectionEnd([this](const http::ConnectionEnd &end) {
+        services::noteConnectionEnd(context_.counters, end);
+    });
     world_.onConfiguration([this](const forward::Snapshot &) { server_->setLimits(limits()); });
     world_.onServerGone([this](const std::string &id) { pool_.drop(id); });
     server_->listen(context_.settings.caller);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/GatewayServices.h"
 #include "kernel/HeldSignals.h"
 #include "kernel/Log.h"
+#include "services/LoopWatch.h"
 #include "services/MembershipService.h"
 #include "services/PeerService.h"
 #include "services/Start.h"
@@ -69,6 +70,7 @@
 void addGatewayServices(services::Context &context, Adapter adapter, std::function<void()> stopped)
 {
     kernel::Kernel &kernel = context.kernel;
+    kernel.add(std::make_unique<services::LoopWatch>(context));
     kernel.add(std::make_unique<services::PeerService>(context));
     kernel.add(std::make_unique<services::MembershipService>(context, acquaintanceOf(context)));
     World &world = kernel.add(std::make_unique<World>(context, std::move(adapter)));
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -205,7 +205,9 @@
     }
     snapshot_ = std::make_shared<const forward::Snapshot>(std::move(*content));
     log().event("configuration",
-                {{"version", snapshot_->version()}, {"routes", snapshot_->content().routes.size()}},
+                {{"version", snapshot_->version()},
+                 {"routes", snapshot_->content().routes.size()},
+                 {"idle_ms", snapshot_->limits().idleTimeout / 1ms}},
                 "A new configuration is in force.");
     for (const auto &called : onConfiguration_) {
         called(*snapshot_);
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,10 +1,13 @@
 #include "http/Server.h"
 
+#include "http/ConnectionReply.h"
+#include "http/TimeLimit.h"
+
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
-#include <sys/socket.h>
 
 namespace limereel::http {
 
@@ -18,14 +21,6 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
-template <typename Body>
-void copyFields(const Fields &fields, bhttp::response<Body> &head)
-{
-    for (const auto &[name, value] : fields) {
-        head.insert(name, value);
-    }
-}
-
 } // namespace
 
 struct Server::Shared
@@ -42,137 +37,23 @@
     ServerLimits limits;
     Handler handler;
     std::function<Answer(Refused)> refusal = [](Refused) { return Answer(400); };
+    std::function<void(const ConnectionEnd &)> ended = [](const ConnectionEnd &) {};
     tcp::acceptor acceptor;
     std::size_t connections = 0;
     std::size_t active = 0;
     bool closing = false;
-    std::set<beast::tcp_stream *> idle; ///< Between two requests; closed at once by a drain.
-};
-
-namespace {
-
-/** The reply over one connection. */
-class StreamReply : public Reply
-{
-public:
-    StreamReply(beast::tcp_stream &stream, const ServerLimits &limits, unsigned version,
-                const bool &closing, bool keepAlive, bool headOnly)
-        : stream_(stream)
-        , limits_(limits)
-        , version_(version)
-        , closing_(closing)
-        , keepAlive_(keepAlive)
-        , headOnly_(headOnly)
-        , watch_(std::make_shared<Watch>())
-    {
-    }
-
-    ~StreamReply() override { watch_->gone = nullptr; }
-    StreamReply(const StreamReply &) = delete;
-    StreamReply &operator=(const StreamReply &) = delete;
-
-    asio::awaitable<bool> send(Answer answer) override
-    {
-        begun_ = true;
-        bhttp::response<bhttp::string_body> response(static_cast<bhttp::status>(answer.status),
-                                                     version_);
-        copyFields(answer.fields, response);
-        if (!headOnly_) {
-            response.body() = std::move(answer.body);
-        }
-        response.keep_alive(keepsAlive());
-        response.prepare_payload();
-        stream_.expires_after(limits_.writeTimeout);
-        const auto [error, bytes] = co_await bhttp::async_write(stream_, response, Quiet);
-        whole_ = !error;
-        co_return whole_;
-    }
-
-    asio::awaitable<bool> begin(int status, Fields fields) override
-    {
-        begun_ = true;
-        bhttp::response<bhttp::empty_body> response(static_cast<bhttp::status>(status), version_);
-        copyFields(fields, response);
-        // A client of HTTP/1.0 knows no chunks; the end of the connection would look whole to it.
-        // It is refused before it gets here.
-        response.chunked(true);
-        response.keep_alive(keepsAlive());
-        bhttp::response_serializer<bhttp::empty_body> serializer(response);
-        stream_.expires_after(limits_.writeTimeout);
-        const auto [error, bytes] = co_await bhttp::async_write_header(stream_, serializer, Quiet);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> write(std::string_view part) override
-    {
-        if (part.empty()) {
-            co_return true;
-        }
-        stream_.expires_after(limits_.writeTimeout);
-        const auto chunk = bhttp::make_chunk(asio::const_buffer(part.data(), part.size()));
-        const auto [error, bytes] = co_await asio::async_write(stream_, chunk, Quiet);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> finish() override
-    {
-        stream_.expires_after(limits_.writeTimeout);
-        const auto [error, bytes] =
-                co_await asio::async_write(stream_, bhttp::make_chunk_last(), Quiet);
-        whole_ = !error;
-        co_return whole_;
-    }
-
-    bool clientGone() override
-    {
-        char byte = 0;
-        const auto peeked =
-                ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    bool begun() const override { return begun_; }
-    bool whole() const { return whole_; }
-    bool keepsAlive() const { return keepAlive_ && !closing_; }
-    void closeAfter() override { keepAlive_ = false; }
-
-    void watchClient(std::function<void()> gone) override
-    {
-        watch_->gone = std::move(gone);
-        stream_.socket().async_wait(tcp::socket::wait_read,
-                                    [this, watch = watch_](boost::system::error_code) {
-                                        if (watch->gone && clientGone()) {
-                                            const auto call = std::move(watch->gone);
-                                            watch->gone = nullptr;
-                                            call();
-                                        }
-                                    });
-    }
-
-private:
-    /** What a wait holds that may outlast the reply. */
-    struct Watch
-    {
-        std::function<void()> gone; ///< Empty once the reply is over.
-    };
-
-    beast::tcp_stream &stream_;
-    const ServerLimits &limits_;
-    unsigned version_;
-    const bool &closing_; ///< Of the server: each answer closes its connection.
-    bool keepAlive_;
-    bool headOnly_; ///< The request was a HEAD: the answer has no body.
-    std::shared_ptr<Watch> watch_;
-    bool begun_ = false;
-    bool whole_ = false;
+    std::set<tcp::socket *> resting; ///< Between two requests; closed at once by a drain.
 };
 
-} // namespace
-
 namespace {
 
 using Parser = bhttp::request_parser<bhttp::string_body>;
 
+kernel::Instant steadyNow()
+{
+    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
+}
+
 Request toRequest(bhttp::request<bhttp::string_body> message)
 {
     Request request{std::string(message.method_string()),
@@ -201,95 +82,164 @@
            && error != bhttp::error::end_of_stream && error != bhttp::error::partial_message;
 }
 
+/** One caller's connection. Lives in the coroutine that serves it. */
 template <typename SharedPtr>
-asio::awaitable<void> refuse(SharedPtr server, beast::tcp_stream &stream, Refused why)
+class Connection
 {
-    StreamReply reply(stream, server->limits, 11, server->closing, false, false);
-    co_await reply.send(server->refusal(why));
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    // Closing with unread bytes would reset the connection and take the answer with it, so what the
-    // client still sends is read away, a bounded amount in a bounded time.
-    constexpr std::size_t MostBytes = 262144;
-    std::array<char, 4096> sink{};
-    std::size_t read = 0;
-    stream.expires_after(1s);
-    while (read < MostBytes) {
-        const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(sink), Quiet);
-        if (error) {
-            break;
+public:
+    Connection(SharedPtr server, tcp::socket socket)
+        : server_(std::move(server))
+        , socket_(std::move(socket))
+        , limit_(socket_)
+        , buffer_(server_->limits.headBytes + server_->limits.bodyBytes)
+        , restsSince_(steadyNow())
+    {
+    }
+
+    asio::awaitable<void> serve()
+    {
+        beast::error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        if (server_->connections > server_->limits.connections) {
+            co_await refuse(Refused::TooManyConnections);
+            end_.reason = EndReason::Refused;
+        } else {
+            bool more = true;
+            while (more) {
+                more = co_await serveOne();
+            }
         }
-        read += bytes;
+        noteEnd();
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
     }
-}
 
-// Waits for the first bytes of the next request. A connection that waits here holds nothing, and
-// a drain may close it at once.
-template <typename SharedPtr>
-asio::awaitable<bool> waitForRequest(SharedPtr server, beast::tcp_stream &stream,
-                                     beast::flat_buffer &buffer)
-{
-    constexpr std::size_t FirstRead = 4096;
-    stream.expires_after(server->limits.idleTimeout);
-    server->idle.insert(&stream);
-    const auto [error, bytes] = co_await stream.async_read_some(buffer.prepare(FirstRead), Quiet);
-    server->idle.erase(&stream);
-    buffer.commit(bytes);
-    co_return !error;
-}
+private:
+    void noteEnd()
+    {
+        end_.unread = limit_.expired().value_or(arrivedAt(socket_.native_handle()));
+        end_.rested = std::chrono::duration_cast<kernel::Duration>(steadyNow() - restsSince_);
+        server_->ended(end_);
+    }
 
-template <typename SharedPtr>
-asio::awaitable<bool> serveOne(SharedPtr server, beast::tcp_stream &stream,
-                               beast::flat_buffer &buffer)
-{
-    Parser parser;
-    parser.header_limit(server->limits.headBytes);
-    parser.body_limit(server->limits.bodyBytes);
-    if (buffer.size() == 0) {
-        const bool came = co_await waitForRequest(server, stream, buffer);
-        if (!came) {
-            co_return false;
+    bool endsFor(EndReason reason)
+    {
+        end_.reason = reason;
+        return false;
+    }
+
+    // Waits for the first bytes of the next request. A connection that waits here holds nothing,
+    // and a drain may close it at once.
+    asio::awaitable<bool> waitForRequest()
+    {
+        constexpr std::size_t FirstRead = 4096;
+        limit_.expireAfter(server_->limits.idleTimeout);
+        server_->resting.insert(&socket_);
+        const auto [error, bytes] =
+                co_await socket_.async_read_some(buffer_.prepare(FirstRead), Quiet);
+        server_->resting.erase(&socket_);
+        buffer_.commit(bytes);
+        if (!error) {
+            co_return true;
+        }
+        if (limit_.expired()) {
+            co_return endsFor(EndReason::RestLimit);
+        }
+        const bool stopped = error == asio::error::operation_aborted;
+        co_return endsFor(stopped ? EndReason::Draining : EndReason::CallerClosed);
+    }
+
+    asio::awaitable<bool> serveOne()
+    {
+        Parser parser;
+        parser.header_limit(server_->limits.headBytes);
+        parser.body_limit(server_->limits.bodyBytes);
+        if (buffer_.size() == 0) {
+            const bool came = co_await waitForRequest();
+            if (!came) {
+                co_return false;
+            }
+        }
+        limit_.expireAfter(server_->limits.headTimeout);
+        const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
+        limit_.never();
+        if (error) {
+            co_return co_await endUnread(error);
+        }
+        auto message = parser.release();
+        if (message.version() < 11) {
+            co_await refuse(Refused::Malformed);
+            co_return endsFor(EndReason::Refused);
         }
+        co_return co_await answer(std::move(message));
     }
-    stream.expires_after(server->limits.headTimeout);
-    const auto [error, bytes] = co_await bhttp::async_read(stream, buffer, parser, Quiet);
-    if (error) {
+
+    asio::awaitable<bool> endUnread(beast::error_code error)
+    {
         if (isProtocolError(error)) {
-            co_await refuse(server, stream, refusedFor(error));
+            co_await refuse(refusedFor(error));
+            co_return endsFor(EndReason::Refused);
         }
-        co_return false;
+        co_return endsFor(limit_.expired() ? EndReason::HeadLimit : EndReason::CallerBroke);
     }
-    auto message = parser.release();
-    if (message.version() < 11) {
-        co_await refuse(server, stream, Refused::Malformed);
-        co_return false;
+
+    asio::awaitable<bool> answer(bhttp::request<bhttp::string_body> message)
+    {
+        ReplyForm form;
+        form.version = message.version();
+        form.keepAlive = message.keep_alive();
+        form.headOnly = message.method() == bhttp::verb::head;
+        ConnectionReply reply(way(), form);
+        ++end_.requests;
+        ++server_->active;
+        Request request = toRequest(std::move(message));
+        co_await server_->handler(std::move(request), reply);
+        --server_->active;
+        restsSince_ = steadyNow();
+        if (!reply.whole()) {
+            co_return endsFor(EndReason::Unanswered);
+        }
+        co_return reply.keepsAlive() || endsFor(EndReason::LastAnswer);
     }
-    const bool headOnly = message.method() == bhttp::verb::head;
-    StreamReply reply(stream, server->limits, message.version(), server->closing,
-                      message.keep_alive(), headOnly);
-    ++server->active;
-    stream.expires_never();
-    co_await server->handler(toRequest(std::move(message)), reply);
-    --server->active;
-    co_return reply.keepsAlive() && reply.whole();
-}
+
+    asio::awaitable<void> refuse(Refused why)
+    {
+        ConnectionReply reply(way(), ReplyForm());
+        Answer told = server_->refusal(why);
+        co_await reply.send(std::move(told));
+        beast::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        // Closing with unread bytes would reset the connection and take the answer with it, so what
+        // the client still sends is read away, a bounded amount in a bounded time.
+        constexpr std::size_t MostBytes = 262144;
+        std::array<char, 4096> sink{};
+        std::size_t read = 0;
+        limit_.expireAfter(1s);
+        while (read < MostBytes) {
+            const auto [error, bytes] = co_await socket_.async_read_some(asio::buffer(sink), Quiet);
+            if (error) {
+                break;
+            }
+            read += bytes;
+        }
+    }
+
+    ReplyWay way() { return {socket_, limit_, server_->limits, server_->closing}; }
+
+    SharedPtr server_;
+    tcp::socket socket_;
+    TimeLimit limit_;
+    beast::flat_buffer buffer_;
+    kernel::Instant restsSince_;
+    ConnectionEnd end_;
+};
 
 template <typename SharedPtr>
 asio::awaitable<void> serveConnection(SharedPtr server, tcp::socket socket)
 {
     ++server->connections;
-    beast::tcp_stream stream(std::move(socket));
-    beast::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
-    if (server->connections > server->limits.connections) {
-        co_await refuse(server, stream, Refused::TooManyConnections);
-    } else {
-        beast::flat_buffer buffer(server->limits.headBytes + server->limits.bodyBytes);
-        bool more = true;
-        while (more) {
-            more = co_await serveOne(server, stream, buffer);
-        }
-        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    {
+        Connection<SharedPtr> connection(server, std::move(socket));
+        co_await connection.serve();
     }
     --server->connections;
 }
@@ -321,6 +271,7 @@
 
 Server::~Server()
 {
+    shared_->ended = [](const ConnectionEnd &) {};
     drain();
 }
 
@@ -329,6 +280,11 @@
     shared_->refusal = std::move(refusal);
 }
 
+void Server::onConnectionEnd(std::function<void(const ConnectionEnd &)> ended)
+{
+    shared_->ended = std::move(ended);
+}
+
 void Server::listen(const kernel::Endpoint &endpoint)
 {
     const tcp::endpoint where(asio::ip::make_address(endpoint.address), endpoint.port);
@@ -354,8 +310,8 @@
     closeAfterAnswers();
     beast::error_code ignored;
     shared_->acceptor.close(ignored);
-    for (beast::tcp_stream *stream : shared_->idle) {
-        stream->cancel();
+    for (tcp::socket *socket : shared_->resting) {
+        socket->cancel(ignored);
     }
 }
 
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "http/ConnectionEnd.h"
 #include "http/Message.h"
 #include "kernel/BoxSettings.h"
 
@@ -66,6 +67,8 @@
     kernel::Duration headTimeout = 10s;
     kernel::Duration writeTimeout = 20s;
     kernel::Duration idleTimeout = 60s;
+    /** How long callers may take to learn of a lowered idleTimeout. */
+    kernel::Duration idleNotice{};
 };
 
 /** A listening server. Destroyed only after its io_context has stopped. */
@@ -80,6 +83,9 @@
     /** How a request that the limits refuse is answered. */
     void setRefusal(std::function<Answer(Refused)> refusal);
 
+    /** Sets what hears of the end of each connection. */
+    void onConnectionEnd(std::function<void(const ConnectionEnd &)> ended);
+
     /** Replaces the limits, for requests that are read from now on. */
     void setLimits(ServerLimits limits);
 
--- a/src/services/CallerService.cpp
+++ b/src/services/CallerService.cpp
@@ -4,6 +4,7 @@
 #include "kernel/Log.h"
 #include "services/Answers.h"
 #include "services/ConfigService.h"
+#include "services/ConnectionLog.h"
 #include "services/DirectoryService.h"
 
 #include <sstream>
@@ -79,6 +80,8 @@
                                {"code", std::string(outcome::info(refusal.verdict.code).name)}});
         return refusalAnswer(newRequestId(), refusal);
     });
+    server_->onConnectionEnd(
+            [this](const http::ConnectionEnd &end) { noteConnectionEnd(context_.counters, end); });
     server_->listen(context_.settings.caller);
     log().info("Callers are served at " + kernel::text(context_.settings.caller) + ".");
 }
--- /dev/null
+++ b/src/services/ConnectionLog.cpp
@@ -0,0 +1,41 @@
+#include "services/ConnectionLog.h"
+
+#include "kernel/Log.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace limereel::services {
+
+namespace {
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("callers");
+    return Log;
+}
+
+bool mayHaveCostARequest(const http::ConnectionEnd &end)
+{
+    return end.unread == http::Arrived::Bytes || end.reason == http::EndReason::HeadLimit
+           || end.reason == http::EndReason::CallerBroke;
+}
+
+} // namespace
+
+void noteConnectionEnd(kernel::Counters &counters, const http::ConnectionEnd &end)
+{
+    const std::string reason(http::text(end.reason));
+    const std::string unread(http::text(end.unread));
+    counters.add("caller_connections_ended", {{"reason", reason}, {"unread", unread}});
+    if (mayHaveCostARequest(end)) {
+        log().event("connection-ended",
+                    {{"reason", reason},
+                     {"unread", unread},
+                     {"requests", end.requests},
+                     {"rested_ms", end.rested / 1ms}},
+                    "A caller's connection ended with something unread.");
+    }
+}
+
+} // namespace limereel::services
--- /dev/null
+++ b/src/services/LoopWatch.cpp
@@ -0,0 +1,52 @@
+#include "services/LoopWatch.h"
+
+#include "kernel/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limereel::services {
+
+namespace {
+
+// Four turns a second cost next to nothing, and find most of what holds requests up for longer.
+constexpr kernel::Duration TurnEvery = 250ms;
+// Answers are due within a tenth of a second where callers are most in a hurry.
+constexpr kernel::Duration Standstill = 100ms;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("loop");
+    return Log;
+}
+
+} // namespace
+
+void LoopWatch::start()
+{
+    due_ = context_.now();
+    turns_ = std::make_unique<Repeat>(context_.io,
+                                      [this]() -> boost::asio::awaitable<kernel::Duration> {
+                                          const kernel::Instant now = context_.now();
+                                          note(due_, now);
+                                          due_ = now + TurnEvery;
+                                          co_return kernel::Duration(TurnEvery);
+                                      });
+}
+
+void LoopWatch::stop()
+{
+    turns_.reset();
+}
+
+void LoopWatch::note(kernel::Instant due, kernel::Instant now)
+{
+    const kernel::Duration late = now - due;
+    if (late < Standstill) {
+        return;
+    }
+    context_.counters.add("loop_standstills");
+    context_.counters.observe("loop_standstill_seconds", kernel::seconds(late));
+    log().event("stood-still", {{"late_ms", late / 1ms}}, "The event loop stood still.");
+}
+
+} // namespace limereel::services
--- a/src/services/Router.cpp
+++ b/src/services/Router.cpp
@@ -8,6 +8,7 @@
 #include "services/Context.h"
 #include "services/ControlService.h"
 #include "services/DirectoryService.h"
+#include "services/LoopWatch.h"
 #include "services/MembershipService.h"
 #include "services/OwnerService.h"
 #include "services/PeerService.h"
@@ -54,6 +55,7 @@
 void addRouterServices(Context &context, std::function<void()> stopped)
 {
     auto &kernel = context.kernel;
+    kernel.add(std::make_unique<LoopWatch>(context));
     kernel.add(std::make_unique<PeerService>(context));
     kernel.add(std::make_unique<PlatformService>(context));
     kernel.add(std::make_unique<DirectoryService>(context));
