A connection's time limit looks at what has arrived before it closes

Cause: a limit that ran out while the loop stood still closes the connection with a whole request on it unread. Ruled out: letting the loop take one more turn instead of looking, since one answer of the operating system tells of 128 connections and more may be ready; a longer limit, which only moves the moment. Change: the limit looks at the socket, and keeps it for 10 ms, at most 20 times, while what it waits for is there; it is counted.

--- a/src/http/ConnectionEnd.h
+++ b/src/http/ConnectionEnd.h
@@ -34,7 +34,8 @@
     EndReason reason = EndReason::CallerClosed;
     Arrived unread = Arrived::Nothing; ///< What the caller had sent and the box didn't read.
     std::uint32_t requests = 0;        ///< That were read on it.
-    kernel::Duration rested{};         ///< Since it was opened, or since its last answer.
+    std::uint32_t lateLooks = 0; ///< Limits that had run out when what they waited for had come.
+    kernel::Duration rested{};   ///< Since it was opened, or since its last answer.
 
     bool operator==(const ConnectionEnd &) const = default;
 };
--- a/src/http/SocketState.cpp
+++ b/src/http/SocketState.cpp
@@ -38,7 +38,7 @@
     return nothing ? Arrived::Nothing : Arrived::Broken;
 }
 
-bool connectIsOver(int socket)
+bool hasRoom(int socket)
 {
     pollfd look{socket, POLLOUT, 0};
     int ready = 0;
@@ -48,4 +48,10 @@
     return ready > 0;
 }
 
+// The operating system says so in the same way.
+bool connectIsOver(int socket)
+{
+    return hasRoom(socket);
+}
+
 } // namespace limereel::http
--- a/src/http/SocketState.h
+++ b/src/http/SocketState.h
@@ -26,6 +26,9 @@
 /** Looks at the socket with the native handle \a socket; never blocks. */
 Arrived arrivedAt(int socket);
 
+/** Whether \a socket takes bytes to send, or is broken; never blocks. */
+bool hasRoom(int socket);
+
 /** Whether an attempt to connect \a socket is over, well or badly; never blocks. */
 bool connectIsOver(int socket);
 
--- a/src/http/TimeLimit.cpp
+++ b/src/http/TimeLimit.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// The loop reads what has arrived in its next turn or two. A peer that sends a byte now and then
+// to keep a connection from its limit gains this much, a fifth of a second, and no more.
+constexpr kernel::Duration LookAgain = 10ms;
+constexpr std::uint32_t MostLooks = 20;
+
 kernel::Instant steadyNow()
 {
     return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
@@ -25,9 +30,11 @@
     {
     }
 
-    void set(kernel::Instant when)
+    void set(kernel::Instant when, Awaited what)
     {
         due = when;
+        awaited = what;
+        looks = 0;
         if (!running || when < *running) {
             run(when);
         }
@@ -54,9 +61,23 @@
             run(*due);
             return;
         }
+        if (looks < MostLooks && hasCome()) {
+            ++looks;
+            ++lateLooks;
+            run(steadyNow() + LookAgain);
+            return;
+        }
         close();
     }
 
+    // A request that the limit would lose without this: one of one when the loop stands still past
+    // the limit and other work runs ahead of its timer.
+    bool hasCome() const
+    {
+        const int handle = socket->native_handle();
+        return awaited == Awaited::Room ? hasRoom(handle) : arrivedAt(handle) == Arrived::Bytes;
+    }
+
     void close()
     {
         due.reset();
@@ -67,7 +88,10 @@
 
     tcp::socket *socket; ///< nullptr once the limit is gone.
     asio::steady_timer timer;
-    std::optional<kernel::Instant> due;     ///< Nothing: no limit.
+    std::optional<kernel::Instant> due; ///< Nothing: no limit.
+    Awaited awaited = Awaited::Bytes;
+    std::uint32_t looks = 0; ///< Since the limit was set.
+    std::uint32_t lateLooks = 0;
     std::optional<kernel::Instant> running; ///< When the timer fires; maybe before it is due.
     std::optional<Arrived> unread;          ///< Set when the limit has closed the socket.
 };
@@ -83,14 +107,14 @@
     state_->timer.cancel();
 }
 
-void TimeLimit::expireAfter(kernel::Duration wait)
+void TimeLimit::expireAfter(kernel::Duration wait, Awaited awaited)
 {
-    expireAt(steadyNow() + wait);
+    expireAt(steadyNow() + wait, awaited);
 }
 
-void TimeLimit::expireAt(kernel::Instant when)
+void TimeLimit::expireAt(kernel::Instant when, Awaited awaited)
 {
-    state_->set(when);
+    state_->set(when, awaited);
 }
 
 void TimeLimit::never()
@@ -103,4 +127,9 @@
     return state_->unread;
 }
 
+std::uint32_t TimeLimit::lateLooks() const
+{
+    return state_->lateLooks;
+}
+
 } // namespace limereel::http
--- a/src/http/TimeLimit.h
+++ b/src/http/TimeLimit.h
@@ -1,6 +1,10 @@
 /** \file
- * A time limit for what a connection waits for. When it runs out the connection is closed, and
- * what had arrived by then and wasn't read is kept for whoever asks why.
+ * A time limit for what a connection waits for. When it runs out and nothing has come, the
+ * connection is closed.
+ *
+ * A limit may run out while the event loop stands still, or while other work is done ahead of its
+ * timer. What was waited for may have come meanwhile without the loop having seen it, so the limit
+ * looks at the socket before it closes it: closing then would lose a whole request without a word.
  *
  * Setting a limit later than the one before costs no system call and no timer: the running timer
  * finds out when it fires. A connection sets several limits for each request.
@@ -16,6 +20,12 @@
 
 namespace limereel::http {
 
+/** What a connection waits for. */
+enum class Awaited : std::uint8_t {
+    Bytes, ///< From the peer.
+    Room   ///< To send to it.
+};
+
 /** The limit of one socket. */
 class TimeLimit
 {
@@ -26,11 +36,12 @@
     TimeLimit(const TimeLimit &) = delete;
     TimeLimit &operator=(const TimeLimit &) = delete;
 
-    /** Closes the socket \a wait from now, in place of the limit before. */
-    void expireAfter(kernel::Duration wait);
+    /** Closes the socket \a wait from now if what is \a awaited hasn't come by then; in place of
+     * the limit before. */
+    void expireAfter(kernel::Duration wait, Awaited awaited = Awaited::Bytes);
 
-    /** Closes the socket at \a when of the steady clock, in place of the limit before. */
-    void expireAt(kernel::Instant when);
+    /** The same at \a when of the steady clock. */
+    void expireAt(kernel::Instant when, Awaited awaited = Awaited::Bytes);
 
     /** No limit, until the next one is set. */
     void never();
@@ -38,6 +49,9 @@
     /** What waited unread when the limit closed the socket; nothing if it didn't. */
     std::optional<Arrived> expired() const;
 
+    /** How often a limit had run out and its socket was kept, since what was awaited had come. */
+    std::uint32_t lateLooks() const;
+
 private:
     struct State;
     std::shared_ptr<State> state_;
--- a/src/services/ConnectionLog.cpp
+++ b/src/services/ConnectionLog.cpp
@@ -28,6 +28,9 @@
     const std::string reason(http::text(end.reason));
     const std::string unread(http::text(end.unread));
     counters.add("caller_connections_ended", {{"reason", reason}, {"unread", unread}});
+    if (end.lateLooks > 0) {
+        counters.add("caller_late_looks", {}, end.lateLooks);
+    }
     if (mayHaveCostARequest(end)) {
         log().event("connection-ended",
                     {{"reason", reason},
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
+#include <iostream>
 #include <poll.h>
 
 using namespace limereel;
@@ -59,6 +60,8 @@
     {
         tcp::socket caller(io);
         caller.connect({asio::ip::address_v4::loopback(), server->port()});
+        // The second half of a request must not wait until the first one is acknowledged.
+        caller.set_option(tcp::no_delay(true));
         return caller;
     }
 
