A connection that rests goes by the limits of now, and a box that leaves answers what has arrived

Ruled out: closing later on all limits, which would only hide it. Change: drain looks first and takes what the listener holds; what an answer's head promised is kept; a raised limit counts at once, a lowered one once all callers can know it (the bound in which a configuration is in force). A stop counts what is being read or waits unread, and gives the loop one turn before it looks.

--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -90,6 +90,7 @@
     limits.bodyBytes = told.bodyBytes;
     limits.headTimeout = told.headTimeout;
     limits.idleTimeout = told.idleTimeout;
+    limits.idleNotice = context_.settings.gateway.applyWithin;
     limits.writeTimeout = context_.settings.writeTimeout;
     // As many again may be needed towards backend servers.
     limits.connections = context_.settings.gateway.descriptors / 2;
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -103,10 +103,11 @@
     timer.expires_after(std::min(BalancerLag, whole / 3));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     front.drain();
-    while (front.active() > 0 && context_.now() - began < whole - LastMoment) {
+    // A turn of the loop first: a connection may be on its way from the listener to its first read.
+    do {
         timer.expires_after(LookEvery);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    } while (front.active() > 0 && context_.now() - began < whole - LastMoment);
     log().info("The planned stop is done, " + std::to_string(front.active())
                + " requests are cut.");
     done_();
--- a/src/http/ConnectionReply.cpp
+++ b/src/http/ConnectionReply.cpp
@@ -46,9 +46,10 @@
     if (!form_.headOnly) {
         response.body() = std::move(answer.body);
     }
-    response.keep_alive(keepsAlive());
+    keptOpen_ = mayKeepOpen();
+    response.keep_alive(keptOpen_);
     response.prepare_payload();
-    way_.limit.expireAfter(way_.limits.writeTimeout);
+    way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto [error, bytes] = co_await bhttp::async_write(way_.socket, response, Quiet);
     way_.limit.never();
     whole_ = !error;
@@ -63,9 +64,10 @@
     // A client of HTTP/1.0 knows no chunks; the end of the connection would look whole to it.
     // It is refused before it gets here.
     response.chunked(true);
-    response.keep_alive(keepsAlive());
+    keptOpen_ = mayKeepOpen();
+    response.keep_alive(keptOpen_);
     bhttp::response_serializer<bhttp::empty_body> serializer(response);
-    way_.limit.expireAfter(way_.limits.writeTimeout);
+    way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto [error, bytes] = co_await bhttp::async_write_header(way_.socket, serializer, Quiet);
     way_.limit.never();
     co_return !error;
@@ -76,7 +78,7 @@
     if (part.empty()) {
         co_return true;
     }
-    way_.limit.expireAfter(way_.limits.writeTimeout);
+    way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto chunk = bhttp::make_chunk(asio::const_buffer(part.data(), part.size()));
     const auto [error, bytes] = co_await asio::async_write(way_.socket, chunk, Quiet);
     way_.limit.never();
@@ -85,7 +87,7 @@
 
 asio::awaitable<bool> ConnectionReply::finish()
 {
-    way_.limit.expireAfter(way_.limits.writeTimeout);
+    way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto [error, bytes] =
             co_await asio::async_write(way_.socket, bhttp::make_chunk_last(), Quiet);
     way_.limit.never();
--- a/src/http/ConnectionReply.h
+++ b/src/http/ConnectionReply.h
@@ -50,10 +50,13 @@
     /** Whether the answer went out to its end. */
     bool whole() const { return whole_; }
 
-    /** Whether another request may follow on the connection. */
-    bool keepsAlive() const { return form_.keepAlive && !way_.closing; }
+    /** Whether the head that went out left the connection open. The caller may have sent its next
+     * request by then, so this is kept to also if the box has begun to leave since. */
+    bool keptOpen() const { return keptOpen_; }
 
 private:
+    bool mayKeepOpen() const { return form_.keepAlive && !way_.closing; }
+
     /** What a wait holds that may outlast the reply. */
     struct Watch
     {
@@ -64,6 +67,7 @@
     ReplyForm form_;
     std::shared_ptr<Watch> watch_;
     bool begun_ = false;
+    bool keptOpen_ = false;
     bool whole_ = false;
 };
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -3,6 +3,7 @@
 #include "http/ConnectionReply.h"
 #include "http/TimeLimit.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -23,6 +24,26 @@
 
 } // namespace
 
+namespace {
+
+kernel::Instant steadyNow()
+{
+    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
+}
+
+/** A connection between two requests. It holds nothing, and a drain may close it at once. */
+struct Resting
+{
+    tcp::socket &socket;
+    TimeLimit &limit;
+    const kernel::Instant since = steadyNow();
+    kernel::Instant until; ///< It is closed then.
+
+    bool hasRequest() const { return arrivedAt(socket.native_handle()) == Arrived::Bytes; }
+};
+
+} // namespace
+
 struct Server::Shared
 {
     Shared(asio::io_context &context, ServerLimits serverLimits, Handler requestHandler)
@@ -33,27 +54,53 @@
     {
     }
 
+    // Callers may take up a connection by the limit that they know. One that was lowered counts
+    // only once all of them can have learned of it.
+    kernel::Duration restLimit() const
+    {
+        const bool known = steadyNow() >= loweredKnown;
+        return known ? limits.idleTimeout : std::max(limits.idleTimeout, idleBefore);
+    }
+
+    void noteLowered(const ServerLimits &next)
+    {
+        if (next.idleTimeout < restLimit()) {
+            idleBefore = restLimit();
+            loweredKnown = steadyNow() + next.idleNotice;
+        }
+    }
+
+    void extendRests()
+    {
+        for (Resting *rest : resting) {
+            const kernel::Instant until = rest->since + limits.idleTimeout;
+            if (until > rest->until) {
+                rest->until = until;
+                rest->limit.expireAt(until);
+            }
+        }
+    }
+
     asio::io_context &io;
     ServerLimits limits;
+    kernel::Duration idleBefore{};  ///< The limit before it was lowered.
+    kernel::Instant loweredKnown{}; ///< When all callers know of it.
     Handler handler;
     std::function<Answer(Refused)> refusal = [](Refused) { return Answer(400); };
     std::function<void(const ConnectionEnd &)> ended = [](const ConnectionEnd &) {};
     tcp::acceptor acceptor;
     std::size_t connections = 0;
-    std::size_t active = 0;
-    bool closing = false;
-    std::set<tcp::socket *> resting; ///< Between two requests; closed at once by a drain.
+    std::size_t active = 0;    ///< Requests of which a part has been read.
+    std::size_t beginning = 0; ///< Taken by a drain, not served yet.
+    bool closing = false;      ///< Each answer closes its connection.
+    bool draining = false;     ///< No connection rests any more.
+    std::set<Resting *> resting;
 };
 
 namespace {
 
 using Parser = bhttp::request_parser<bhttp::string_body>;
 
-kernel::Instant steadyNow()
-{
-    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
-}
-
 Request toRequest(bhttp::request<bhttp::string_body> message)
 {
     Request request{std::string(message.method_string()),
@@ -117,6 +164,7 @@
     void noteEnd()
     {
         end_.unread = limit_.expired().value_or(arrivedAt(socket_.native_handle()));
+        end_.lateLooks = limit_.lateLooks();
         end_.rested = std::chrono::duration_cast<kernel::Duration>(steadyNow() - restsSince_);
         server_->ended(end_);
     }
@@ -127,16 +175,20 @@
         return false;
     }
 
-    // Waits for the first bytes of the next request. A connection that waits here holds nothing,
-    // and a drain may close it at once.
+    // Waits for the first bytes of the next request.
     asio::awaitable<bool> waitForRequest()
     {
         constexpr std::size_t FirstRead = 4096;
-        limit_.expireAfter(server_->limits.idleTimeout);
-        server_->resting.insert(&socket_);
+        Resting rest{.socket = socket_, .limit = limit_};
+        if (server_->draining && !rest.hasRequest()) {
+            co_return endsFor(EndReason::Draining);
+        }
+        rest.until = rest.since + server_->restLimit();
+        limit_.expireAt(rest.until);
+        server_->resting.insert(&rest);
         const auto [error, bytes] =
                 co_await socket_.async_read_some(buffer_.prepare(FirstRead), Quiet);
-        server_->resting.erase(&socket_);
+        server_->resting.erase(&rest);
         buffer_.commit(bytes);
         if (!error) {
             co_return true;
@@ -150,16 +202,28 @@
 
     asio::awaitable<bool> serveOne()
     {
-        Parser parser;
-        parser.header_limit(server_->limits.headBytes);
-        parser.body_limit(server_->limits.bodyBytes);
         if (buffer_.size() == 0) {
             const bool came = co_await waitForRequest();
             if (!came) {
                 co_return false;
             }
         }
-        limit_.expireAfter(server_->limits.headTimeout);
+        ++server_->active;
+        const bool more = co_await readAndAnswer();
+        --server_->active;
+        co_return more;
+    }
+
+    // The limits of now count, not those of when the connection began to rest.
+    asio::awaitable<bool> readAndAnswer()
+    {
+        const ServerLimits &limits = server_->limits;
+        Parser parser;
+        parser.header_limit(limits.headBytes);
+        parser.body_limit(limits.bodyBytes);
+        buffer_.max_size(
+                std::max<std::size_t>(limits.headBytes + limits.bodyBytes, buffer_.size()));
+        limit_.expireAfter(limits.headTimeout);
         const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
         limit_.never();
         if (error) {
@@ -190,15 +254,13 @@
         form.headOnly = message.method() == bhttp::verb::head;
         ConnectionReply reply(way(), form);
         ++end_.requests;
-        ++server_->active;
         Request request = toRequest(std::move(message));
         co_await server_->handler(std::move(request), reply);
-        --server_->active;
         restsSince_ = steadyNow();
         if (!reply.whole()) {
             co_return endsFor(EndReason::Unanswered);
         }
-        co_return reply.keepsAlive() || endsFor(EndReason::LastAnswer);
+        co_return reply.keptOpen() || endsFor(EndReason::LastAnswer);
     }
 
     asio::awaitable<void> refuse(Refused why)
@@ -244,6 +306,30 @@
     --server->connections;
 }
 
+template <typename SharedPtr>
+asio::awaitable<void> serveFirst(SharedPtr server, tcp::socket socket)
+{
+    --server->beginning;
+    co_await serveConnection(server, std::move(socket));
+}
+
+// Connections that the operating system has taken and the loop hasn't: closing the listener would
+// reset them. The ones with a request on them are served; the others may go elsewhere.
+template <typename SharedPtr>
+void takeWaiting(SharedPtr server)
+{
+    boost::system::error_code error;
+    server->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(server->io);
+        server->acceptor.accept(socket, error);
+        if (!error && arrivedAt(socket.native_handle()) == Arrived::Bytes) {
+            ++server->beginning;
+            asio::co_spawn(server->io, serveFirst(server, std::move(socket)), asio::detached);
+        }
+    }
+}
+
 template <typename SharedPtr>
 asio::awaitable<void> acceptAll(SharedPtr server)
 {
@@ -297,7 +383,9 @@
 
 void Server::setLimits(ServerLimits limits)
 {
+    shared_->noteLowered(limits);
     shared_->limits = limits;
+    shared_->extendRests();
 }
 
 std::uint16_t Server::port() const
@@ -308,10 +396,17 @@
 void Server::drain()
 {
     closeAfterAnswers();
+    shared_->draining = true;
     beast::error_code ignored;
-    shared_->acceptor.close(ignored);
-    for (tcp::socket *socket : shared_->resting) {
-        socket->cancel(ignored);
+    if (shared_->acceptor.is_open()) {
+        takeWaiting(shared_);
+        shared_->acceptor.close(ignored);
+    }
+    for (const Resting *rest : shared_->resting) {
+        // A request that has arrived and isn't read yet is answered: closing would lose it.
+        if (!rest->hasRequest()) {
+            rest->socket.cancel(ignored);
+        }
     }
 }
 
@@ -322,7 +417,9 @@
 
 std::size_t Server::active() const
 {
-    return shared_->active;
+    const auto waiting = std::ranges::count_if(
+            shared_->resting, [](const Resting *rest) { return rest->hasRequest(); });
+    return shared_->active + shared_->beginning + static_cast<std::size_t>(waiting);
 }
 
 } // namespace limereel::http
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -86,7 +86,8 @@
     /** Sets what hears of the end of each connection. */
     void onConnectionEnd(std::function<void(const ConnectionEnd &)> ended);
 
-    /** Replaces the limits, for requests that are read from now on. */
+    /** Replaces the limits, for requests that are read from now on, and for connections that rest:
+     * they gain by a raised idleTimeout, and aren't bound by a lowered one. */
     void setLimits(ServerLimits limits);
 
     /** Listens on \a endpoint; port 0 takes a free one. Throws boost::system::system_error. */
@@ -95,13 +96,14 @@
     /** The port that is listened on. */
     std::uint16_t port() const;
 
-    /** Takes no more connections, and closes each after the request that it is on. */
+    /** Takes no more connections, and closes each after the request that it is on or that has
+     * arrived on it. */
     void drain();
 
     /** From now on each answer closes its connection, so that clients move to other boxes. */
     void closeAfterAnswers();
 
-    /** Requests that are being handled. */
+    /** Requests that are being read or handled, or have arrived. */
     std::size_t active() const;
 
 private:
--- a/src/services/StopService.cpp
+++ b/src/services/StopService.cpp
@@ -52,10 +52,11 @@
     timer.expires_after(std::max(context_.settings.balancerLag, farewell));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     caller.drain();
-    while (caller.active() > 0 && context_.now() < deadline) {
+    // A turn of the loop first: a connection may be on its way from the listener to its first read.
+    do {
         timer.expires_after(LookEvery);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    } while (caller.active() > 0 && context_.now() < deadline);
     const std::size_t cut = caller.active();
     if (cut > 0) {
         log().error("The deadline of the planned stop has come; " + std::to_string(cut)
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -230,4 +230,105 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(drainingServer_requestWaitsUnread_isAnsweredAndTheConnectionClosed)
+{
+    start();
+    tcp::socket caller = restingCaller();
+    send(caller, WholeRequest);
+    server->drain();
+    BOOST_TEST(server->active() == 1U);
+    const std::string answer = nextOn(caller);
+    BOOST_TEST(good(answer));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(drainingServer_connectionIsNotTakenYet_itsRequestIsAnswered)
+{
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    server->drain();
+    BOOST_TEST(server->active() == 1U);
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(drainingServer_nothingWaits_connectionIsClosed)
+{
+    start();
+    tcp::socket caller = restingCaller();
+    server->drain();
+    BOOST_TEST(server->active() == 0U);
+    BOOST_TEST(nextOn(caller) == "closed");
+    until([&] { return !ends.empty(); });
+    BOOST_TEST((ends.front().reason == http::EndReason::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(leavingServer_answerHadPromisedToKeepTheConnection_nextRequestIsAnswered)
+{
+    start();
+    tcp::socket caller = connect();
+    // The server begins to leave while the answer's head is already on its way.
+    whenHandled = [this] { asio::post(io, [this] { server->closeAfterAnswers(); }); };
+    send(caller, WholeRequest);
+    const std::string first = nextOn(caller);
+    BOOST_TEST(first.find("Connection: close") == std::string::npos);
+    send(caller, WholeRequest);
+    const std::string second = nextOn(caller);
+    BOOST_TEST(good(second));
+    BOOST_TEST(second.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(restLimitRaised_connectionThatRests_goesByTheNewOne)
+{
+    limits.idleTimeout = ShortLimit;
+    start();
+    tcp::socket caller = restingCaller();
+    const auto rests = Clock::now();
+    limits.idleTimeout = LongLimit;
+    server->setLimits(limits);
+    runPast(rests + 2 * ShortLimit);
+    send(caller, WholeRequest);
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(restLimitLowered_callersMayNotKnowYet_connectionMayRestAsBefore)
+{
+    limits.idleTimeout = LongLimit;
+    limits.idleNotice = LongLimit;
+    start();
+    tcp::socket rested = restingCaller();
+    limits.idleTimeout = ShortLimit;
+    server->setLimits(limits);
+    tcp::socket restsAfterwards = restingCaller();
+    runPast(Clock::now() + 2 * ShortLimit);
+    send(rested, WholeRequest);
+    BOOST_TEST(good(nextOn(rested)));
+    send(restsAfterwards, WholeRequest);
+    BOOST_TEST(good(nextOn(restsAfterwards)));
+}
+
+BOOST_AUTO_TEST_CASE(restLimitLowered_noticeIsOver_connectionGoesByTheNewOne)
+{
+    limits.idleTimeout = LongLimit;
+    limits.idleNotice = 0s;
+    start();
+    limits.idleTimeout = ShortLimit;
+    server->setLimits(limits);
+    tcp::socket caller = restingCaller();
+    BOOST_TEST(nextOn(caller) == "closed");
+}
+
+BOOST_AUTO_TEST_CASE(sizeLimitRaised_connectionThatRests_takesTheLargerRequest)
+{
+    limits.headBytes = 4096;
+    limits.bodyBytes = 1000;
+    start();
+    tcp::socket caller = restingCaller();
+    limits.bodyBytes = 100000;
+    server->setLimits(limits);
+    const std::string body(50000, 'x');
+    send(caller, "POST /x HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 50000\r\n\r\n" + body);
+    BOOST_TEST(good(nextOn(caller)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
