--- a/src/http/ConnectionEnd.h
+++ b/src/http/ConnectionEnd.h
@@ -8,6 +8,7 @@
 #include "http/SocketState.h"
 #include "kernel/decisions/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -36,6 +37,8 @@
     std::uint32_t requests = 0;        ///< That were read on it.
     std::uint32_t lateLooks = 0; ///< Limits that had run out when what they waited for had come.
     kernel::Duration rested{};   ///< Since it was opened, or since its last answer.
+    kernel::Duration reading{};  ///< Since the first bytes of a request that wasn't whole.
+    std::size_t readBytes = 0;   ///< Of that request.
 
     bool operator==(const ConnectionEnd &) const = default;
 };
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -223,10 +223,13 @@
         parser.body_limit(limits.bodyBytes);
         buffer_.max_size(
                 std::max<std::size_t>(limits.headBytes + limits.bodyBytes, buffer_.size()));
-        limit_.expireAfter(limits.headTimeout);
+        const kernel::Instant begun = steadyNow();
+        limit_.expireAfter(server_->limits.headTimeout);
         const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
         limit_.never();
         if (error) {
+            end_.reading = std::chrono::duration_cast<kernel::Duration>(steadyNow() - begun);
+            end_.readBytes = bytes + buffer_.size();
             co_return co_await endUnread(error);
         }
         auto message = parser.release();
--- a/src/services/ConnectionLog.cpp
+++ b/src/services/ConnectionLog.cpp
@@ -17,7 +17,8 @@
 
 bool mayHaveCostARequest(const http::ConnectionEnd &end)
 {
-    return end.unread == http::Arrived::Bytes || end.reason == http::EndReason::HeadLimit
+    return end.lateLooks > 0 || end.unread == http::Arrived::Bytes
+           || end.reason == http::EndReason::HeadLimit
            || end.reason == http::EndReason::CallerBroke;
 }
 
@@ -36,8 +37,11 @@
                     {{"reason", reason},
                      {"unread", unread},
                      {"requests", end.requests},
-                     {"rested_ms", end.rested / 1ms}},
-                    "A caller's connection ended with something unread.");
+                     {"rested_ms", end.rested / 1ms},
+                     {"reading_ms", end.reading / 1ms},
+                     {"read_bytes", end.readBytes},
+                     {"late_looks", end.lateLooks}},
+                    "A request may have been lost with this connection, or nearly was.");
     }
 }
 
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -52,6 +52,9 @@
     {
         ++handled;
         whenHandled();
+        if (watchesCallers) {
+            reply.watchClient([this] { ++leftCallers; });
+        }
         http::Answer answer(200, {}, request.body);
         co_await reply.send(std::move(answer));
     }
@@ -139,6 +142,8 @@
     http::ServerLimits limits;
     std::optional<http::Server> server;
     std::size_t handled = 0;
+    bool watchesCallers = false; ///< As the runs of requests do.
+    std::size_t leftCallers = 0;
     std::function<void()> whenHandled = [] {};
     std::vector<http::ConnectionEnd> ends;
 };
@@ -161,6 +166,22 @@
     BOOST_TEST(good(nextOn(caller)));
 }
 
+BOOST_AUTO_TEST_CASE(restingConnection_requestIsReadButNotHandledWhenTheLimitRunsOut_isAnswered)
+{
+    limits.idleTimeout = ShortLimit;
+    watchesCallers = true;
+    start();
+    tcp::socket caller = restingCaller();
+    const auto limit = Clock::now() + ShortLimit;
+    asio::post(io, [&] {
+        send(caller, WholeRequest);
+        while (Clock::now() <= limit) {
+        }
+    });
+    BOOST_TEST(good(nextOn(caller)));
+    BOOST_TEST(leftCallers == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(restingConnection_nothingIsSent_isClosedAtItsLimit)
 {
     limits.idleTimeout = ShortLimit;
