A time limit lets what is queued go first before it closes a connection

Cause: the read of a request may be done with its handler queued behind the limit's timer, since the wait for a caller's end that the run before left behind ends first on the same socket. Ruled out: taking that wait away alone, which mends this order of two waits and no other. Change: a limit that has run out with nothing unread gives the loop one turn, and closes only if nothing was handled in it and still nothing has come. A connection that its limit has closed takes no request any more: such a request went to a backend server and ran, with nobody to give its answer to.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -190,12 +190,12 @@
                 co_await socket_.async_read_some(buffer_.prepare(FirstRead), Quiet);
         server_->resting.erase(&rest);
         buffer_.commit(bytes);
-        if (!error) {
-            co_return true;
-        }
         if (limit_.expired()) {
             co_return endsFor(EndReason::RestLimit);
         }
+        if (!error) {
+            co_return true;
+        }
         const bool stopped = error == asio::error::operation_aborted;
         co_return endsFor(stopped ? EndReason::Draining : EndReason::CallerClosed);
     }
--- a/src/http/TimeLimit.cpp
+++ b/src/http/TimeLimit.cpp
@@ -1,5 +1,6 @@
 #include "http/TimeLimit.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace limereel::http {
@@ -35,6 +36,7 @@
         due = when;
         awaited = what;
         looks = 0;
+        ++sets;
         if (!running || when < *running) {
             run(when);
         }
@@ -61,17 +63,44 @@
             run(*due);
             return;
         }
-        if (looks < MostLooks && hasCome()) {
+        if (staysFor(hasCome())) {
+            return;
+        }
+        // What came may have been read already, with its handler queued behind this timer, where
+        // another wait on the same socket ended first. It goes first: without this turn, one
+        // request of one is lost when the loop stands still past the limit.
+        asio::post(socket->get_executor(),
+                   [self = shared_from_this(), forLimit = sets] { self->lastLook(forLimit); });
+    }
+
+    void lastLook(std::uint64_t forLimit)
+    {
+        if (socket == nullptr) {
+            return;
+        }
+        const bool handled = !due || forLimit != sets;
+        if (handled) {
+            ++lateLooks;
+            return;
+        }
+        if (!staysFor(hasCome())) {
+            close();
+        }
+    }
+
+    bool staysFor(bool come)
+    {
+        const bool stays = come && looks < MostLooks;
+        if (stays) {
             ++looks;
             ++lateLooks;
             run(steadyNow() + LookAgain);
-            return;
         }
-        close();
+        return stays;
     }
 
-    // A request that the limit would lose without this: one of one when the loop stands still past
-    // the limit and other work runs ahead of its timer.
+    // Without this look, one request of one is lost when the loop stands still past the limit and
+    // other work then runs ahead of its timer.
     bool hasCome() const
     {
         const int handle = socket->native_handle();
@@ -90,7 +119,8 @@
     asio::steady_timer timer;
     std::optional<kernel::Instant> due; ///< Nothing: no limit.
     Awaited awaited = Awaited::Bytes;
-    std::uint32_t looks = 0; ///< Since the limit was set.
+    std::uint64_t sets = 0;  ///< Limits that were set.
+    std::uint32_t looks = 0; ///< Since the last one was.
     std::uint32_t lateLooks = 0;
     std::optional<kernel::Instant> running; ///< When the timer fires; maybe before it is due.
     std::optional<Arrived> unread;          ///< Set when the limit has closed the socket.
--- a/src/http/TimeLimit.h
+++ b/src/http/TimeLimit.h
@@ -3,8 +3,9 @@
  * connection is closed.
  *
  * A limit may run out while the event loop stands still, or while other work is done ahead of its
- * timer. What was waited for may have come meanwhile without the loop having seen it, so the limit
- * looks at the socket before it closes it: closing then would lose a whole request without a word.
+ * timer. What was waited for may have come meanwhile without the loop having seen it, or may have
+ * been read without having been handled. So the limit looks at the socket, and lets what is queued
+ * go first, before it closes: closing then would lose a whole request without a word.
  *
  * Setting a limit later than the one before costs no system call and no timer: the running timer
  * finds out when it fires. A connection sets several limits for each request.
