Answers tell callers how long the connection may rest

A request that is on its way when the limit runs out crosses the close; the standstill only made that window long. Ruled out: a longer limit. Change: an answer that leaves the connection open says Keep-Alive with four fifths of the limit, in whole seconds. New case fails without it.

--- a/src/http/ConnectionReply.cpp
+++ b/src/http/ConnectionReply.cpp
@@ -23,6 +23,18 @@
     }
 }
 
+// Callers that know the limit don't send on a connection that is about to be closed. They count
+// from when the answer reached them and need their way to the box, so a fifth is kept back. In
+// whole seconds; shorter limits can't be told.
+template <typename Body>
+void tellRest(bhttp::response<Body> &head, kernel::Duration limit)
+{
+    const auto told = std::chrono::duration_cast<std::chrono::seconds>(limit * 4 / 5);
+    if (told > 0s) {
+        head.set(bhttp::field::keep_alive, "timeout=" + std::to_string(told.count()));
+    }
+}
+
 } // namespace
 
 ConnectionReply::ConnectionReply(const ReplyWay &way, const ReplyForm &form)
@@ -37,6 +49,16 @@
     watch_->gone = nullptr;
 }
 
+template <typename Response>
+void ConnectionReply::keepOpen(Response &response)
+{
+    keptOpen_ = form_.keepAlive && !way_.closing;
+    response.keep_alive(keptOpen_);
+    if (keptOpen_) {
+        tellRest(response, way_.limits.idleTimeout);
+    }
+}
+
 asio::awaitable<bool> ConnectionReply::send(Answer answer)
 {
     begun_ = true;
@@ -46,8 +68,7 @@
     if (!form_.headOnly) {
         response.body() = std::move(answer.body);
     }
-    keptOpen_ = mayKeepOpen();
-    response.keep_alive(keptOpen_);
+    keepOpen(response);
     response.prepare_payload();
     way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto [error, bytes] = co_await bhttp::async_write(way_.socket, response, Quiet);
@@ -64,8 +85,7 @@
     // A client of HTTP/1.0 knows no chunks; the end of the connection would look whole to it.
     // It is refused before it gets here.
     response.chunked(true);
-    keptOpen_ = mayKeepOpen();
-    response.keep_alive(keptOpen_);
+    keepOpen(response);
     bhttp::response_serializer<bhttp::empty_body> serializer(response);
     way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
     const auto [error, bytes] = co_await bhttp::async_write_header(way_.socket, serializer, Quiet);
--- a/src/http/ConnectionReply.h
+++ b/src/http/ConnectionReply.h
@@ -55,7 +55,9 @@
     bool keptOpen() const { return keptOpen_; }
 
 private:
-    bool mayKeepOpen() const { return form_.keepAlive && !way_.closing; }
+    /** Decides whether the connection stays open, and says so in the head of \a response. */
+    template <typename Response>
+    void keepOpen(Response &response);
 
     /** What a wait holds that may outlast the reply. */
     struct Watch
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -299,6 +299,22 @@
     BOOST_TEST(second.find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(answer_connectionStaysOpen_tellsHowLongItMayRest)
+{
+    limits.idleTimeout = 15s;
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    BOOST_TEST(nextOn(caller).find("Keep-Alive: timeout=12\r\n") != std::string::npos);
+    limits.idleTimeout = 1s;
+    server->setLimits(limits);
+    send(caller, WholeRequest);
+    BOOST_TEST(nextOn(caller).find("Keep-Alive:") == std::string::npos);
+    server->closeAfterAnswers();
+    send(caller, WholeRequest);
+    BOOST_TEST(nextOn(caller).find("Keep-Alive:") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(restLimitRaised_connectionThatRests_goesByTheNewOne)
 {
     limits.idleTimeout = ShortLimit;
