Tests: an answer that came while the loop stood still is lost to the timer, towards servers and the store

Cause: connect, deadline, silence and store timers close a connection without a look at what has arrived. What arrives while a handler of the same pass runs ahead of the timer, or is longer than one read, is unread then. Ruled out: that only a handler ahead of the timer does harm: an answer of 40,000 bytes that came whole during the standstill is lost too, since its reading takes several passes and the timer is in the first. No change of logic.

--- /dev/null
+++ b/test/platform/GatewayStallTest.cpp
@@ -0,0 +1,257 @@
+// Seen: requests ended with 504 or were sent again, and stores were called lost, though the answer
+// had come. How: the gateway's event loop stood still, by a long handler on a slow box, past the
+// end of a wait, and the answer arrived while another handler of the next pass ran ahead of the
+// timer. Cause: the timer closed the connection without a look at what had arrived on it; a pass
+// handles only what had come when it began.
+
+#include "gateway/ObjectFeed.h"
+#include "platform/GatewayFixture.h"
+#include "support/HeldServer.h"
+#include "support/Ports.h"
+#include "support/Standstill.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using namespace limereel::support;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Several reads long, and short enough for the system's buffers of a new connection.
+const std::string LongBody(40000, 'x');
+const std::string EmptyList =
+        wholeAnswer("200 OK", "", R"({"items":[],"more":false,"at":7})" + std::string(40000, ' '));
+
+/** A gateway with one backend server, whose answers the test holds back. */
+class HeldGateway : public GatewayFixture
+{
+public:
+    /** \param objectiveMilliseconds of all routes. */
+    void startHeld(int objectiveMilliseconds)
+    {
+        nlohmann::json spec = configuration(1);
+        for (nlohmann::json &route : spec["routes"]) {
+            route["goal_ms"] = objectiveMilliseconds;
+        }
+        putConfiguration(spec);
+        store().put("servers", "i-held",
+                    {{"service", "pool"},
+                     {"address", kernel::text(server.where())},
+                     {"zone", "hall-a"},
+                     {"version", "v1"},
+                     {"slots", 8},
+                     {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"call_seq", 1}});
+        start();
+        until([this] { return ready(); }, "readiness");
+    }
+
+    /** Begins a call and runs the loop until the server has it. */
+    std::shared_ptr<PendingCall> beginHeld(http::Request request)
+    {
+        auto pending = begin(std::move(request));
+        until([this] { return server.asked(); }, "the request's arrival");
+        return pending;
+    }
+
+    /** The loop stands still for \a longest; \a bytes arrive when its next pass has begun. */
+    void sendAfterStandstill(kernel::Duration longest, const std::string &bytes)
+    {
+        standStill(io_, {Clock::now() + longest, {}, [this, bytes] { server.send(bytes); }});
+    }
+
+    /** The loop stands still for \a longest; \a bytes arrive meanwhile. */
+    void sendInStandstill(kernel::Duration longest, const std::string &bytes)
+    {
+        standStill(io_, {Clock::now() + longest, [this, bytes] { server.send(bytes); }, {}});
+    }
+
+    static std::string head(const std::string &more)
+    {
+        return "X-Attempt-Id: a1\r\nX-Response-Stamp: i-held.a1\r\n" + more;
+    }
+
+    HeldServer server;
+};
+
+http::Request patient(const std::string &method, const std::string &target,
+                      const std::string &milliseconds)
+{
+    return GatewayFixture::request(method, target,
+                                   http::Fields().with("X-Deadline-Ms", milliseconds));
+}
+
+/** A feed on a loop of its own whose store is held by the test. */
+class HeldFeed
+{
+public:
+    HeldFeed()
+        : context(io, settings())
+    {
+        gateway::FeedPace pace;
+        pace.answer = Answer;
+        pace.firstPause = 10s;
+        pace.longestPause = 10s;
+        gateway::FeedHooks hooks;
+        hooks.replaced = [this](std::vector<store::StoredObject> objects) {
+            listed = objects.size();
+        };
+        hooks.changed = [](std::vector<store::StoredObject>) {};
+        hooks.confirmed = [](kernel::Instant) {};
+        feed.emplace(context, adapter.store, adapter.serverKind, pace, std::move(hooks));
+    }
+
+    void until(const std::function<bool()> &condition)
+    {
+        const Clock::time_point latest = Clock::now() + 30s;
+        while (!condition()) {
+            BOOST_REQUIRE(Clock::now() < latest);
+            io.run_one_for(10ms);
+            io.restart();
+        }
+    }
+
+    static constexpr kernel::Duration Answer = 100ms;
+
+    HeldServer store;
+    boost::asio::io_context io{1};
+    gateway::Adapter adapter = platform::adapter();
+    services::Context context;
+    std::optional<std::size_t> listed;
+    std::optional<gateway::ObjectFeed> feed;
+
+private:
+    kernel::BoxSettings settings() const
+    {
+        const std::string own = kernel::text(freeEndpoint());
+        return kernel::settingsFrom("[box]\nname = box-1\nhall = hall-a\nregion = region-a\n"
+                                    "seed = 1\n[listen]\ncaller = "
+                                    + own + "\ncontrol = " + kernel::text(freeEndpoint())
+                                    + "\npeer = " + kernel::text(freeEndpoint())
+                                    + "\n[platform]\naddress = " + kernel::text(store.where())
+                                    + "\n[peers]\nkeys = " + std::string(64, 'a') + "\n")
+                .value();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewayStallTest)
+
+BOOST_FIXTURE_TEST_CASE(wholeAnswer_arrivedWhenDeadlineIsHandled_isDelivered, HeldGateway)
+{
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "200"));
+    sendAfterStandstill(200ms, wholeAnswer("200 OK", head(""), LongBody));
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.whole);
+    BOOST_TEST((answer.body == LongBody));
+}
+
+BOOST_FIXTURE_TEST_CASE(longAnswer_arrivedInStandstillPastDeadline_isDelivered, HeldGateway)
+{
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "200"));
+    sendInStandstill(200ms, wholeAnswer("200 OK", head(""), LongBody));
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST((answer.body == LongBody));
+}
+
+BOOST_FIXTURE_TEST_CASE(bodyOfBegunAnswer_arrivedWhenDeadlineIsHandled_isDelivered, HeldGateway)
+{
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "200"));
+    const std::string whole = wholeAnswer("200 OK", head(""), LongBody);
+    const std::size_t begun = whole.size() - LongBody.size() / 2;
+    server.send(whole.substr(0, begun));
+    sendAfterStandstill(200ms, whole.substr(begun));
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST((answer.body == LongBody));
+}
+
+BOOST_FIXTURE_TEST_CASE(endOfStream_arrivedWhenDeadlineIsHandled_isDelivered, HeldGateway)
+{
+    startHeld(10000);
+    http::Fields fields = http::Fields().with("X-Deadline-Ms", "200");
+    const auto pending = beginHeld(promptRequest("/stream/x", fields));
+    const std::string first = "id: 1\ndata: piece 1\n\n";
+    const std::string second = "id: 2\ndata: piece 2\n\n";
+    server.send("HTTP/1.1 200 OK\r\n" + head("Transfer-Encoding: chunked\r\n\r\n") + "15\r\n"
+                + first + "\r\n");
+    until([&] { return pending->answer.body == first; }, "the first event");
+    sendAfterStandstill(200ms, "15\r\n" + second + "\r\n0\r\n\r\n");
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.whole);
+    BOOST_TEST(answer.body == first + second);
+}
+
+BOOST_FIXTURE_TEST_CASE(streamThatGoesOn_deadlinePassed_isCut, HeldGateway)
+{
+    startHeld(10000);
+    http::Fields fields = http::Fields().with("X-Deadline-Ms", "200");
+    const auto pending = beginHeld(promptRequest("/stream/x", fields));
+    server.send("HTTP/1.1 200 OK\r\n" + head("Transfer-Encoding: chunked\r\n\r\n"));
+    const auto sendOneMore = [&] {
+        if (!pending->done) {
+            server.sendIfOpen("f\r\ndata: piece 1\n\n\r\n");
+        }
+        return pending->done;
+    };
+    until(sendOneMore, "the end of the stream");
+    BOOST_TEST(pending->answer.status == 200);
+    BOOST_TEST(!pending->answer.whole);
+}
+
+BOOST_FIXTURE_TEST_CASE(nothingArrived_deadlineHandledLate_isGivenUp, HeldGateway)
+{
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "200"));
+    standStill(io_, {Clock::now() + 200ms, {}, {}});
+    BOOST_TEST(finish(pending).status == 504);
+    BOOST_TEST(context().counters.total("late_looks") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_arrivedWhenSilenceIsHandled_serverIsNotSilent, HeldGateway)
+{
+    startHeld(100);
+    const auto pending = beginHeld(patient("GET", "/again/x", "15000"));
+    // Longer than any server may be silent.
+    sendAfterStandstill(1s, wholeAnswer("200 OK", head(""), LongBody));
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(context().counters.total("attempt_failures") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(list_arrivedWhenEndOfCallIsHandled_storeIsNotLost, HeldFeed)
+{
+    until([this] { return store.asked(); });
+    standStill(io, {Clock::now() + Answer, {}, [&] { store.send(EmptyList); }});
+    until([this] { return listed || feed->lastFailure(); });
+    BOOST_TEST(listed.has_value());
+    BOOST_TEST(!feed->lastFailure().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(longList_arrivedInStandstillPastEndOfCall_storeIsNotLost, HeldFeed)
+{
+    until([this] { return store.asked(); });
+    standStill(io, {Clock::now() + Answer, [&] { store.send(EmptyList); }, {}});
+    until([this] { return listed || feed->lastFailure(); });
+    BOOST_TEST(listed.has_value());
+    BOOST_TEST(!feed->lastFailure().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(list_nothingArrivedWhenEndOfCallIsHandled_storeIsLost, HeldFeed)
+{
+    until([this] { return store.asked(); });
+    standStill(io, {Clock::now() + Answer, {}, {}});
+    until([this] { return listed || feed->lastFailure(); });
+    BOOST_TEST(!listed.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
