A connection that came about is kept, also if its timer is handled first

Cause: the timer of a connect closed the socket whenever the loop had not yet said that the connection was there. Ruled out: ConnectWaitTest's other case, a connection that never comes about, still ends as timed out. Change: the timer looks (connectIsOver) and leaves a socket alone whose attempt is over, well or badly; the loop says which in its next pass. Counted as late_looks{wait="connect"}. Conclusion: mended; no look is repeated, since an attempt that is over can't be over again.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -122,6 +122,9 @@
         co_return false;
     }
     connection_ = *connected;
+    if (connection_->connectedLate()) {
+        run_.context.counters.add("late_looks", {{"wait", "connect"}});
+    }
     co_return true;
 }
 
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -128,6 +128,9 @@
             co_return tl::unexpected(connected.error().message);
         }
         connection_ = *connected;
+        if (connection_->connectedLate()) {
+            context_.counters.add("late_looks", {{"wait", "connect"}});
+        }
     }
     context_.counters.add("store_calls", {{"kind", kind_}});
     const http::KeptConnection::Ptr connection = connection_;
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/KeptConnection.h"
 
+#include "http/SocketState.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -49,17 +51,32 @@
     {
     }
 
+    /** The time to connect is over. */
+    void endConnecting();
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     std::optional<Message> message;
     std::optional<Parser> parser;
     bool connected = false;
+    bool connectedLate = false;
     bool headRequest = false;
     bool sending = false;
     bool anySent = false;
     bool failed = false;
 };
 
+// The connection may have come about while the process stood still, and the loop then says so after
+// it has handled the timer.
+void KeptConnection::State::endConnecting()
+{
+    connectedLate = socket.is_open() && connectIsOver(socket.native_handle());
+    if (!connectedLate) {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+}
+
 KeptConnection::KeptConnection(asio::io_context &io)
     : state_(std::make_shared<State>(io))
 {
@@ -86,11 +103,9 @@
         co_return tl::unexpected(CallFailure{Point::BeforeConnect, false, bad.message()});
     }
     asio::steady_timer timer(io, longest);
-    // The timer may have run out in the same turn of the loop in which the connection came about.
     timer.async_wait([state = connection->state_](boost::system::error_code stopped) {
-        boost::system::error_code ignored;
         if (!stopped && !state->connected) {
-            state->socket.close(ignored);
+            state->endConnecting();
         }
     });
     tcp::socket &socket = connection->state_->socket;
@@ -110,6 +125,11 @@
     co_return connection;
 }
 
+bool KeptConnection::connectedLate() const
+{
+    return state_->connectedLate;
+}
+
 void KeptConnection::send(Request request)
 {
     State &state = *state_;
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -34,6 +34,9 @@
     static boost::asio::awaitable<tl::expected<Ptr, CallFailure>>
     connect(boost::asio::io_context &io, kernel::Endpoint endpoint, kernel::Duration longest);
 
+    /** Whether it came about in time but was noticed only after its time. */
+    bool connectedLate() const;
+
     /** Begins to send \a request, with the fields that it has and its body's length. */
     void send(Request request);
 
--- a/test/correctness/ConnectWaitTest.cpp
+++ b/test/correctness/ConnectWaitTest.cpp
@@ -77,7 +77,8 @@
     support::standStill(attempt.io, {attempt.over, {}, [&] { attempt.listener.takeBoth(); }});
     attempt.io.run();
     BOOST_REQUIRE(attempt.result);
-    BOOST_TEST(attempt.result->has_value());
+    BOOST_REQUIRE(attempt.result->has_value());
+    BOOST_TEST((**attempt.result)->connectedLate());
 }
 
 BOOST_AUTO_TEST_CASE(connect_neverCameAbout_endsInTime)
