An answer that has arrived is taken, also after the end of its wait

Cause: the deadline of a request, the silence of a server and the time of a store call closed a connection though bytes of the answer lay in the socket, or in the reader's buffer, unread; a standstill of the box is enough. Ruled out: one look at the end alone. An answer of 40,000 bytes takes several passes, and between two looks its bytes may all have been read, so what was read since the last look counts too. Change: AnswerTimer (deadline, store) looks at its end and every 20 ms while the answer comes, for 200 ms at most; LateLooks decides, with a table test. Silence has its repeated look already and asks the socket there: a server whose bytes wait isn't silent, however slow its caller is. KeptConnection::heard(); quiet() without a peek of its own. Test: streamThatGoesOn_ hung in one of its runs, since its server wrote faster than the loop read, and waited for room within the loop's one thread; it now sends each event after its predecessor has come, and checks the same. A stream that goes on is still cut, at most 200 ms after its timer first ran.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -81,10 +81,14 @@
         if (stopped || interrupt->over || interrupt->connection != connection) {
             return;
         }
-        if (run_.world.servers().silent(server_.id, run_.context.now())) {
-            interrupt->end(Interruption::Silent);
-        } else {
+        if (!run_.world.servers().silent(server_.id, run_.context.now())) {
+            armSilence(std::min(after, SilenceLook));
+        } else if (connection->heard().waiting != http::Arrived::Nothing) {
+            // It has answered; this process stood still or its caller is slow.
+            run_.context.counters.add("late_looks", {{"wait", "silence"}});
             armSilence(std::min(after, SilenceLook));
+        } else {
+            interrupt->end(Interruption::Silent);
         }
     });
 }
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -1,5 +1,6 @@
 #include "gateway/ObjectFeed.h"
 
+#include "http/AnswerTimer.h"
 #include "kernel/Log.h"
 
 #include <boost/asio.hpp>
@@ -134,22 +135,20 @@
     }
     context_.counters.add("store_calls", {{"kind", kind_}});
     const http::KeptConnection::Ptr connection = connection_;
-    asio::steady_timer timer(context_.io, longest);
-    timer.async_wait([connection](boost::system::error_code stopped) {
-        if (!stopped) {
-            connection->close();
-        }
-    });
+    // A standstill of this process is no loss of the store.
+    http::AnswerTimer timer(context_.io, context_.counters, "store");
+    timer.start(
+            longest, [connection] { return connection->heard(); },
+            [connection] { connection->close(); });
     http::Request request("GET", std::move(target),
                           http::Fields().with("Host", kernel::text(context_.settings.platform)));
     connection->send(std::move(request));
     auto head = co_await connection->readHead();
     if (!head) {
-        timer.cancel();
         co_return tl::unexpected(head.error().message);
     }
     auto body = co_await connection->readAll(MostAnswerBytes);
-    timer.cancel();
+    timer.stop();
     if (!body) {
         co_return tl::unexpected(body.error().message);
     }
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -25,7 +25,7 @@
     : run_(context, world, std::move(request), reply)
     , pool_(pool)
     , places_(places)
-    , deadlineTimer_(context.io)
+    , deadlineTimer_(context.io, context.counters, "deadline")
 {
 }
 
@@ -106,12 +106,12 @@
 
 void RequestRun::armTimers()
 {
-    deadlineTimer_.expires_at(run_.deadline);
-    deadlineTimer_.async_wait([interrupt = run_.interrupt](boost::system::error_code stopped) {
-        if (!stopped && !interrupt->over) {
-            interrupt->end(Interruption::Deadline);
-        }
-    });
+    // An answer that came while the process stood still is delivered, also late.
+    const auto heard = [interrupt = run_.interrupt] {
+        return interrupt->connection ? interrupt->connection->heard() : http::Heard{};
+    };
+    const auto over = [interrupt = run_.interrupt] { interrupt->end(Interruption::Deadline); };
+    deadlineTimer_.start(run_.left(), heard, over);
 }
 
 asio::awaitable<void> RequestRun::runAttempts()
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -9,9 +9,9 @@
 #pragma once
 
 #include "gateway/BackendExchange.h"
+#include "http/AnswerTimer.h"
 #include "outcome/ResultCode.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,7 +56,7 @@
     RunState run_;
     ConnectionPool &pool_;
     PlaceService &places_;
-    boost::asio::steady_timer deadlineTimer_;
+    http::AnswerTimer deadlineTimer_;
     std::vector<std::string> tried_; ///< Servers that are not chosen again.
 };
 
--- /dev/null
+++ b/src/http/AnswerTimer.cpp
@@ -0,0 +1,104 @@
+#include "http/AnswerTimer.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Some passes of the event loop, on a box with a part of a core too.
+constexpr kernel::Duration BetweenLooks = 20ms;
+// A few standstills of a box with an eighth of a core, each of up to 90 ms of the scheduler's
+// period of 100 ms. A caller's final answer may come half a second after its time, which leaves the
+// rest to the standstill before the first look.
+constexpr kernel::Duration LongestLooks = 200ms;
+
+kernel::Instant steadyNow()
+{
+    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+struct AnswerTimer::Wait : std::enable_shared_from_this<AnswerTimer::Wait>
+{
+    Wait(asio::io_context &io, kernel::Counters &ofProcess)
+        : timer(io)
+        , counters(ofProcess)
+    {
+    }
+
+    void arm(kernel::Instant at);
+    void look();
+
+    asio::steady_timer timer;
+    kernel::Counters &counters;
+    std::string name;
+    std::function<Heard()> heard;
+    std::function<void()> over;
+    LateLooks looks{LongestLooks};
+    bool late = false;
+    bool stopped = false;
+};
+
+void AnswerTimer::Wait::arm(kernel::Instant at)
+{
+    timer.expires_at(at);
+    timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+        // A handler that is under way already can't be cancelled.
+        if (!self->stopped) {
+            self->look();
+        }
+    });
+}
+
+void AnswerTimer::Wait::look()
+{
+    const kernel::Instant now = steadyNow();
+    if (!looks.goOn(now, heard())) {
+        stopped = true;
+        over();
+        return;
+    }
+    if (!late) {
+        late = true;
+        counters.add("late_looks", {{"wait", name}});
+    }
+    arm(now + BetweenLooks);
+}
+
+AnswerTimer::AnswerTimer(asio::io_context &io, kernel::Counters &counters, std::string wait)
+    : io_(io)
+    , counters_(counters)
+    , name_(std::move(wait))
+{
+}
+
+AnswerTimer::~AnswerTimer()
+{
+    stop();
+}
+
+void AnswerTimer::start(kernel::Duration longest, std::function<Heard()> heard,
+                        std::function<void()> over)
+{
+    stop();
+    wait_ = std::make_shared<Wait>(io_, counters_);
+    wait_->name = name_;
+    wait_->heard = std::move(heard);
+    wait_->over = std::move(over);
+    wait_->arm(steadyNow() + longest);
+}
+
+void AnswerTimer::stop()
+{
+    if (wait_) {
+        wait_->stopped = true;
+        wait_->timer.cancel();
+        wait_.reset();
+    }
+}
+
+} // namespace limereel::http
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 #include <optional>
-#include <sys/socket.h>
 
 namespace limereel::http {
 
@@ -58,6 +57,7 @@
     beast::flat_buffer buffer;
     std::optional<Message> message;
     std::optional<Parser> parser;
+    std::uint64_t read = 0; ///< Bytes of all answers so far.
     bool connected = false;
     bool connectedLate = false;
     bool headRequest = false;
@@ -156,6 +156,7 @@
     state->parser->skip(state->headRequest);
     const auto [error, bytes] =
             co_await bhttp::async_read_header(state->socket, state->buffer, *state->parser, Quiet);
+    state->read += bytes;
     if (error) {
         state->failed = true;
         co_return tl::unexpected(failure(error));
@@ -181,6 +182,7 @@
         body.more = true;
         const auto [error, bytes] = co_await bhttp::async_read_some(state->socket, state->buffer,
                                                                     *state->parser, Quiet);
+        state->read += bytes;
         part.resize(PartBytes - body.size);
         if (error && error != bhttp::error::need_buffer) {
             state->failed = true;
@@ -230,11 +232,16 @@
            && !state.parser->need_eof() && state.buffer.size() == 0;
 }
 
-bool KeptConnection::quiet()
+bool KeptConnection::quiet() const
 {
-    char byte = 0;
-    const auto peeked = ::recv(state_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return arrivedAt(state_->socket.native_handle()) == Arrived::Nothing;
+}
+
+Heard KeptConnection::heard() const
+{
+    // What lies in the buffer was taken from the socket together with what came before it.
+    const bool buffered = state_->buffer.size() > 0;
+    return {state_->read, buffered ? Arrived::Bytes : arrivedAt(state_->socket.native_handle())};
 }
 
 } // namespace limereel::http
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "http/Client.h"
+#include "http/LateLooks.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -56,7 +57,10 @@
     bool reusable() const;
 
     /** Whether nothing has come on an idle connection, neither bytes nor its end. */
-    bool quiet();
+    bool quiet() const;
+
+    /** What has come on the connection, read or not. */
+    Heard heard() const;
 
 private:
     struct State;
--- /dev/null
+++ b/src/http/LateLooks.h
@@ -0,0 +1,45 @@
+/** \file
+ * Whether a wait for a peer's bytes goes on after its time has run out.
+ *
+ * A process that stood still handles the end of a wait before it has read what arrived meanwhile.
+ * So the end of a wait only begins some looks, and the wait goes on while the connection brings
+ * bytes.
+ */
+#pragma once
+
+#include "http/SocketState.h"
+#include "kernel/decisions/Time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace limereel::http {
+
+/** What a connection has brought. */
+struct Heard
+{
+    std::uint64_t read = 0;             ///< Bytes that its reader has got so far.
+    Arrived waiting = Arrived::Nothing; ///< What its reader can get at once.
+};
+
+/** The looks after the end of one wait. */
+class LateLooks
+{
+public:
+    /** \param longest from the first look to the last one, so that a peer that always brings
+     * something can't hold the wait open. */
+    explicit LateLooks(kernel::Duration longest)
+        : longest_(longest)
+    {
+    }
+
+    /** Whether the wait goes on after a look at \a now that found \a heard. */
+    bool goOn(kernel::Instant now, const Heard &heard);
+
+private:
+    kernel::Duration longest_;
+    std::optional<kernel::Instant> first_;
+    std::uint64_t read_ = 0; ///< At the last look.
+};
+
+} // namespace limereel::http
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -150,6 +150,7 @@
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(answer.whole);
     BOOST_TEST((answer.body == LongBody));
+    BOOST_TEST(context().counters.value("late_looks", {{"wait", "deadline"}}) == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(longAnswer_arrivedInStandstillPastDeadline_isDelivered, HeldGateway)
@@ -197,9 +198,13 @@
     http::Fields fields = http::Fields().with("X-Deadline-Ms", "200");
     const auto pending = beginHeld(promptRequest("/stream/x", fields));
     server.send("HTTP/1.1 200 OK\r\n" + head("Transfer-Encoding: chunked\r\n\r\n"));
+    const std::string event = "data: piece\n\n";
+    std::size_t sent = 0;
+    // Each event only after its predecessor has come, so that this server never waits for room.
     const auto sendOneMore = [&] {
-        if (!pending->done) {
-            server.sendIfOpen("f\r\ndata: piece 1\n\n\r\n");
+        if (!pending->done && pending->answer.body.size() == sent) {
+            server.sendIfOpen("d\r\n" + event + "\r\n");
+            sent += event.size();
         }
         return pending->done;
     };
@@ -226,6 +231,7 @@
     const auto answer = finish(pending);
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(context().counters.total("attempt_failures") == 0U);
+    BOOST_TEST(context().counters.value("late_looks", {{"wait", "silence"}}) == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(list_arrivedWhenEndOfCallIsHandled_storeIsNotLost, HeldFeed)
@@ -235,6 +241,7 @@
     until([this] { return listed || feed->lastFailure(); });
     BOOST_TEST(listed.has_value());
     BOOST_TEST(!feed->lastFailure().has_value());
+    BOOST_TEST(context.counters.value("late_looks", {{"wait", "store"}}) == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(longList_arrivedInStandstillPastEndOfCall_storeIsNotLost, HeldFeed)
