A connection given back is its next request's alone

Cause: a run gave its connection to the pool and kept hold of it while its caller took the answer. Its deadline, or its caller's leaving, closed the connection, which another request was using by then: 502 for a request that had run. Ruled out: the mend of the waits (AnswerTimer) as the cause; the hold is older, the late looks only make the time between giving back and the end of a run likelier to hold a deadline. Change: the run lets go of the connection before it gives it back. The test lets a slow caller stand in for a long send.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -58,6 +58,14 @@
     connection_.reset();
 }
 
+// The caller may still be taking the answer, while another request uses the connection: what ends
+// this run must not close it any more.
+void BackendExchange::giveBack(std::optional<kernel::Duration> keptFor)
+{
+    run_.interrupt->connection.reset();
+    pool_.give(server_, connection_, keptFor);
+}
+
 asio::awaitable<AttemptEnd> BackendExchange::play()
 {
     run_.interrupt->connection = connection_;
@@ -200,7 +208,7 @@
         }
         co_return fail(Failure::Lost, "body: " + body.error().message, true);
     }
-    pool_.give(server_, connection_, head.keptFor);
+    giveBack(head.keptFor);
     if (head.notRun) {
         const Failure failure = head.wrongInstance ? Failure::Unreachable : Failure::Full;
         fail(failure, "rejected with " + std::to_string(head.status), true);
@@ -277,7 +285,7 @@
             break;
         }
     }
-    pool_.give(server_, connection_, head.keptFor);
+    giveBack(head.keptFor);
     run_.world.servers().noteSuccess(server_.id, run_.context.now());
     run_.context.counters.add("results", {{"kind", "stream"}, {"code", "ok"}});
     logEnd(run_, "ok");
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -33,6 +33,7 @@
     boost::asio::awaitable<AttemptEnd> play();
 
 private:
+    void giveBack(std::optional<kernel::Duration> keptFor);
     void armSilence(kernel::Duration after);
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> readOwnHead();
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -262,3 +262,50 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Seen while the waits above were looked at: the deadline of a request whose whole answer was being
+// passed to a slow caller closed the connection to the server, which was in use for another request
+// by then. Cause: the run gave the connection back and kept hold of it.
+BOOST_AUTO_TEST_SUITE(GatewayGivenBackTest)
+
+BOOST_FIXTURE_TEST_CASE(connection_givenBackBySlowCallersRun_isNotClosedAtItsDeadline, HeldGateway)
+{
+    startHeld(10000);
+    boost::asio::io_context unused;
+    boost::asio::ip::tcp::socket slow(unused, boost::asio::ip::tcp::v4());
+    slow.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    slow.connect({boost::asio::ip::make_address(callerEndpoint().address), callerEndpoint().port});
+    // Long enough for all that comes before its end, on a busy machine too.
+    const std::string question =
+            "POST /again/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: a1\r\n"
+            "X-Deadline-Ms: 3000\r\nX-Api-Key: key-one\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(slow, boost::asio::buffer(question));
+    until([this] { return server.asked(); }, "the first request's arrival");
+    const Clock::time_point over = Clock::now() + 3s;
+    server.forgetRequest();
+    // More than the system takes for a caller that reads nothing.
+    std::string answer = wholeAnswer("200 OK", head(""), std::string(12000000, 'x'));
+    const auto sendMore = [&] {
+        server.sendSome(answer);
+        return answer.empty();
+    };
+    until(sendMore, "the first answer's departure");
+    until(
+            [this] {
+                return context().counters.value("results", {{"kind", "passed"}, {"code", "ok"}})
+                       == 1U;
+            },
+            "the first answer's arrival");
+    const auto pending = beginHeld(patient("POST", "/once/x", "15000"));
+    // Timers are handled in the order of their ends.
+    bool isOver = false;
+    boost::asio::steady_timer later(io_, over);
+    later.async_wait([&](boost::system::error_code) { isOver = true; });
+    until([&] { return isOver; }, "the end of the first request's time");
+    server.sendIfOpen(wholeAnswer("200 OK", head(""), "second"));
+    const auto second = finish(pending);
+    BOOST_TEST(second.status == 200);
+    BOOST_TEST(second.body == "second");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/HeldServer.cpp
+++ b/test/support/HeldServer.cpp
@@ -44,6 +44,14 @@
     }
 }
 
+void HeldServer::sendSome(std::string &bytes)
+{
+    boost::system::error_code noRoom;
+    socket_.non_blocking(true);
+    bytes.erase(0, socket_.write_some(asio::buffer(bytes), noRoom));
+    socket_.non_blocking(false);
+}
+
 void HeldServer::sendIfOpen(const std::string &bytes)
 {
     boost::system::error_code ignored;
--- a/test/support/HeldServer.h
+++ b/test/support/HeldServer.h
@@ -24,9 +24,15 @@
     /** Whether a request's head has come; never waits. */
     bool asked();
 
+    /** What has come is done with; asked() is about the next request. */
+    void forgetRequest() { received_.clear(); }
+
     /** Sends \a bytes and waits until the peer's system has them. */
     void send(const std::string &bytes);
 
+    /** Sends as much of \a bytes as there is room for, and takes it off. */
+    void sendSome(std::string &bytes);
+
     /** Sends \a bytes unless the peer has closed the connection. */
     void sendIfOpen(const std::string &bytes);
 
