--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -1,11 +1,12 @@
 #include "http/KeptConnection.h"
 
+#include "http/SocketState.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 #include <optional>
-#include <sys/socket.h>
 
 namespace limereel::http {
 
@@ -49,17 +50,33 @@
     {
     }
 
+    /** The time to connect is over. */
+    void endConnecting();
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     std::optional<Message> message;
     std::optional<Parser> parser;
+    std::uint64_t read = 0; ///< Bytes of all answers so far.
     bool connected = false;
+    bool connectedLate = false;
     bool headRequest = false;
     bool sending = false;
     bool anySent = false;
     bool failed = false;
 };
 
+// The connection may have come about while the process stood still, and the loop then says so after
+// it has handled the timer.
+void KeptConnection::State::endConnecting()
+{
+    connectedLate = socket.is_open() && connectIsOver(socket.native_handle());
+    if (!connectedLate) {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+}
+
 KeptConnection::KeptConnection(asio::io_context &io)
     : state_(std::make_shared<State>(io))
 {
@@ -86,11 +103,9 @@
         co_return tl::unexpected(CallFailure{Point::BeforeConnect, false, bad.message()});
     }
     asio::steady_timer timer(io, longest);
-    // The timer may have run out in the same turn of the loop in which the connection came about.
     timer.async_wait([state = connection->state_](boost::system::error_code stopped) {
-        boost::system::error_code ignored;
         if (!stopped && !state->connected) {
-            state->socket.close(ignored);
+            state->endConnecting();
         }
     });
     tcp::socket &socket = connection->state_->socket;
@@ -110,6 +125,11 @@
     co_return connection;
 }
 
+bool KeptConnection::connectedLate() const
+{
+    return state_->connectedLate;
+}
+
 void KeptConnection::send(Request request)
 {
     State &state = *state_;
@@ -136,6 +156,7 @@
     state->parser->skip(state->headRequest);
     const auto [error, bytes] =
             co_await bhttp::async_read_header(state->socket, state->buffer, *state->parser, Quiet);
+    state->read += bytes;
     if (error) {
         state->failed = true;
         co_return tl::unexpected(failure(error));
@@ -161,6 +182,7 @@
         body.more = true;
         const auto [error, bytes] = co_await bhttp::async_read_some(state->socket, state->buffer,
                                                                     *state->parser, Quiet);
+        state->read += bytes;
         part.resize(PartBytes - body.size);
         if (error && error != bhttp::error::need_buffer) {
             state->failed = true;
@@ -210,11 +232,16 @@
            && !state.parser->need_eof() && state.buffer.size() == 0;
 }
 
-bool KeptConnection::quiet()
+bool KeptConnection::quiet() const
+{
+    return arrivedAt(state_->socket.native_handle()) == Arrived::Nothing;
+}
+
+Heard KeptConnection::heard() const
 {
-    char byte = 0;
-    const auto peeked = ::recv(state_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    // What lies in the buffer was taken from the socket together with what came before it.
+    const bool buffered = state_->buffer.size() > 0;
+    return {state_->read, buffered ? Arrived::Bytes : arrivedAt(state_->socket.native_handle())};
 }
 
 } // namespace limereel::http
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "http/Client.h"
+#include "http/LateLooks.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,6 +35,9 @@
     static boost::asio::awaitable<tl::expected<Ptr, CallFailure>>
     connect(boost::asio::io_context &io, kernel::Endpoint endpoint, kernel::Duration longest);
 
+    /** Whether it came about in time but was noticed only after its time. */
+    bool connectedLate() const;
+
     /** Begins to send \a request, with the fields that it has and its body's length. */
     void send(Request request);
 
@@ -53,7 +57,10 @@
     bool reusable() const;
 
     /** Whether nothing has come on an idle connection, neither bytes nor its end. */
-    bool quiet();
+    bool quiet() const;
+
+    /** What has come on the connection, read or not. */
+    Heard heard() const;
 
 private:
     struct State;
