The client looks at its socket before a time limit ends a wait

Cause: as the test says: the end of a limit acted before an event that the system had already noted, and Beast's limit closes the socket unseen. Chats, services, probes, orders and calls on the platform go through this client: an answer in hand became a failure, a write on the platform an unknown one. Ruled out: longer limits, which only move the moment; reading the socket from the timer's handler, which would race with the pending read. Change: WaitLimit, a limit of our own on a plain socket. When it runs out, it lets the loop make one more pass, which hands over what was read already, then waits on while the socket shows what is waited for, 100 looks a millisecond apart at most. One timer a call as before. Conclusion: no counter, as the client has none at hand; probes and platform calls are mended with it and need no code of their own.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,5 +1,7 @@
 #include "http/Client.h"
 
+#include "http/WaitLimit.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -17,11 +19,6 @@
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t PartBytes = 16384;
 
-CallFailure failure(Point point, const beast::error_code &error)
-{
-    return {point, error == beast::error::timeout, error.message()};
-}
-
 bhttp::request<bhttp::string_body> toMessage(const kernel::Endpoint &endpoint, Request request)
 {
     bhttp::request<bhttp::string_body> message;
@@ -43,12 +40,23 @@
 struct Stream::Connection
 {
     explicit Connection(asio::io_context &io)
-        : stream(io)
+        : socket(io)
+        , limit(socket)
     {
         parser.body_limit(boost::none);
     }
 
-    beast::tcp_stream stream;
+    CallFailure failure(Point point, beast::error_code error) const
+    {
+        // The limit closes the socket, so the operation itself only says that it was cancelled.
+        if (limit.ranOut()) {
+            error = beast::error::timeout;
+        }
+        return {point, limit.ranOut(), error.message()};
+    }
+
+    tcp::socket socket;
+    WaitLimit limit;
     beast::flat_buffer buffer;
     bhttp::response_parser<bhttp::buffer_body> parser;
     CallTimeouts timeouts;
@@ -71,35 +79,38 @@
 {
     auto connection = std::make_unique<Connection>(io);
     connection->timeouts = timeouts;
-    beast::tcp_stream &stream = connection->stream;
+    tcp::socket &socket = connection->socket;
+    WaitLimit &limit = connection->limit;
     beast::error_code bad;
     const auto address = asio::ip::make_address(endpoint.address, bad);
     if (bad) {
-        co_return tl::unexpected(failure(Point::BeforeConnect, bad));
+        co_return tl::unexpected(connection->failure(Point::BeforeConnect, bad));
     }
-    stream.expires_after(timeouts.connect);
-    const auto [connectError] =
-            co_await stream.async_connect(tcp::endpoint(address, endpoint.port), Quiet);
+    const tcp::endpoint server(address, endpoint.port);
+    limit.begin(WaitFor::Writable, timeouts.connect);
+    const auto [connectError] = co_await socket.async_connect(server, Quiet);
     if (connectError) {
-        co_return tl::unexpected(failure(Point::BeforeConnect, connectError));
+        co_return tl::unexpected(connection->failure(Point::BeforeConnect, connectError));
     }
     beast::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
     // The answer to a HEAD has the length of a body that doesn't come.
     connection->parser.skip(request.method == "HEAD");
     auto message = toMessage(endpoint, std::move(request));
-    stream.expires_after(timeouts.head);
-    const auto [writeError, sent] = co_await bhttp::async_write(stream, message, Quiet);
+    limit.begin(WaitFor::Writable, timeouts.head);
+    const auto [writeError, sent] = co_await bhttp::async_write(socket, message, Quiet);
     connection->bytes.sent = sent;
     if (writeError) {
         const Point point = sent == 0 ? Point::ConnectedUnsent : Point::PartSent;
-        co_return tl::unexpected(failure(point, writeError));
+        co_return tl::unexpected(connection->failure(point, writeError));
     }
+    limit.goOn(WaitFor::Bytes);
     const auto [headError, headBytes] = co_await bhttp::async_read_header(
-            stream, connection->buffer, connection->parser, Quiet);
+            socket, connection->buffer, connection->parser, Quiet);
+    limit.end();
     connection->bytes.received = headBytes;
     if (headError) {
-        co_return tl::unexpected(failure(Point::AllSent, headError));
+        co_return tl::unexpected(connection->failure(Point::AllSent, headError));
     }
     co_return Stream(std::move(connection));
 }
@@ -126,14 +137,15 @@
         body.data = part.data();
         body.size = part.size();
         body.more = true;
-        connection.stream.expires_after(connection.timeouts.part);
+        connection.limit.begin(WaitFor::Bytes, connection.timeouts.part);
         const auto [error, bytes] = co_await bhttp::async_read_some(
-                connection.stream, connection.buffer, connection.parser, Quiet);
+                connection.socket, connection.buffer, connection.parser, Quiet);
+        connection.limit.end();
         connection.bytes.received += bytes;
         part.resize(PartBytes - body.size);
         if (error && error != bhttp::error::need_buffer) {
             if (part.empty()) {
-                co_return tl::unexpected(failure(Point::AnswerBegun, error));
+                co_return tl::unexpected(connection.failure(Point::AnswerBegun, error));
             }
             // What came before the failure counts; the next read meets the failure again.
             break;
