Test: an owner's answer that lies unread when the wait for it ends is lost; it fails

A place is then taken without the owner's word, and after two such waits the owner is suspected: all that it owns goes to other owners until it is heard again. A permit is asked for again and given up, with the same suspicion. Ruled out: a lost answer: the test sees in the system's table that it lies unread before the loop goes on. Change: AskWaitTest, a gateway and a router against a box that the test plays in a second thread; one more test holds that an ask which is never answered ends after its two tries.

--- /dev/null
+++ b/test/platform/AskWaitTest.cpp
@@ -0,0 +1,288 @@
+// Asks of owners against an event loop that stood still.
+//
+// Seen: on boxes with little of a processor, owners were taken for silent again and again, and
+// their resources went to other owners for some heartbeats, though they had answered in time. How
+// it came about: the loop was held up for longer than the wait for an owner's answer, some tens of
+// milliseconds. The answer came meanwhile and lay unread in the socket when the wait's timer ran.
+// Cause: the end of the wait was taken for silence without reading what had come.
+// The tests make just that state within one handler of the loop, see support/Crowd.h.
+
+#include "gateway/PlaceService.h"
+#include "membership/Ownership.h"
+#include "peer/Envelope.h"
+#include "platform/GatewayFixture.h"
+#include "services/MembershipService.h"
+#include "services/PermitService.h"
+#include "support/Crowd.h"
+#include "support/Fleet.h"
+#include "support/Ports.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <thread>
+
+using namespace limereel;
+using boost::asio::ip::udp;
+using kernel::Duration;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration AskWait = 100ms;
+constexpr int Rounds = 10;
+
+std::uint64_t numberFrom(const std::string &hexadecimal)
+{
+    return std::stoull(hexadecimal, nullptr, 16);
+}
+
+/** Bytes that lie unread in the UDP socket at \a port, as the system's own table says. */
+std::uint64_t unreadAt(std::uint16_t port)
+{
+    std::ifstream table("/proc/net/udp");
+    std::string line;
+    std::getline(table, line);
+    while (std::getline(table, line)) {
+        std::istringstream fields(line);
+        std::string slot;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        fields >> slot >> local >> remote >> state >> queues;
+        if (numberFrom(local.substr(local.find(':') + 1)) == port) {
+            return numberFrom(queues.substr(queues.find(':') + 1));
+        }
+    }
+    return 0;
+}
+
+/** Another box, on a blocking socket; its steps run in a thread of their own. */
+class OtherBox
+{
+public:
+    OtherBox(const kernel::Endpoint &box, const std::string &key)
+        : socket_(io_, udp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , box_(asio::ip::make_address(box.address), box.port)
+        , key_(peer::peerKeyFromHex(key).value())
+    {
+    }
+
+    kernel::Endpoint endpoint() const { return {"127.0.0.1", socket_.local_endpoint().port()}; }
+
+    void send(const peer::Message &message)
+    {
+        socket_.send_to(asio::buffer(peer::seal(peer::encode(message), key_)), box_);
+    }
+
+    /** The next ask that comes; all else is passed over. */
+    peer::AskPermit nextAsk()
+    {
+        while (true) {
+            std::array<std::uint8_t, 65536> buffer{};
+            udp::endpoint from;
+            const std::size_t bytes = socket_.receive_from(asio::buffer(buffer), from);
+            const auto payload = peer::open(std::span(buffer).first(bytes),
+                                            std::span<const peer::PeerKey>(&key_, 1));
+            const auto message = payload ? peer::decode(*payload) : std::nullopt;
+            if (message && std::holds_alternative<peer::AskPermit>(*message)) {
+                return std::get<peer::AskPermit>(*message);
+            }
+        }
+    }
+
+    /** Grants \a ask and waits until the answer lies unread at the box. */
+    void grant(const peer::AskPermit &ask)
+    {
+        send(peer::PermitAnswer{.request = ask.request,
+                                .result = peer::PermitResult::Granted,
+                                .suggestions = {},
+                                .load = 1});
+        while (unreadAt(box_.port()) == 0) {
+            std::this_thread::yield();
+        }
+    }
+
+private:
+    asio::io_context io_;
+    udp::socket socket_;
+    udp::endpoint box_;
+    peer::PeerKey key_;
+};
+
+/** Holds a loop up past the end of an ask's wait until the answer has come behind it. */
+class HoldUp
+{
+public:
+    explicit HoldUp(asio::io_context &io)
+        : crowd_(io)
+    {
+    }
+
+    /** Runs in the loop. */
+    void operator()()
+    {
+        support::blockPast(AskWait);
+        crowd_.becomeReadable();
+        standing_.set_value();
+        answered_.get_future().wait();
+    }
+
+    void untilStanding() { standing_.get_future().wait(); }
+    void release() { answered_.set_value(); }
+
+private:
+    support::Crowd crowd_;
+    std::promise<void> standing_;
+    std::promise<void> answered_;
+};
+
+/** Waits in the other thread for the ask number \a which and answers it while the loop stands
+ * still. */
+void answerLate(asio::io_context &io, OtherBox &box, HoldUp &holdUp, int which)
+{
+    peer::AskPermit ask = box.nextAsk();
+    for (int passedOver = 1; passedOver < which; ++passedOver) {
+        ask = box.nextAsk();
+    }
+    asio::post(io, [&holdUp] { holdUp(); });
+    holdUp.untilStanding();
+    box.grant(ask);
+    holdUp.release();
+}
+
+/** A gateway that knows one other box. */
+struct TwoBoxes : support::GatewayFixture
+{
+    TwoBoxes()
+    {
+        startReady();
+        context().settings.askTimeout = AskWait;
+        other = std::make_unique<OtherBox>(peerEndpoint(), std::string(64, 'a'));
+        const membership::BoxState state{
+                .box = kernel::hashOf("box-2"), .incarnation = 1, .version = 1};
+        other->send(peer::Heartbeat{{state}, {}});
+        until([this] { return owners().size() == 2; }, "the other box is known");
+    }
+
+    std::vector<std::uint64_t> owners()
+    {
+        return context().kernel.find<services::MembershipService>("membership").owners();
+    }
+
+    /** A server that the other box owns. */
+    forward::ListedServer foreignServer()
+    {
+        forward::ListedServer server;
+        server.service = "pool";
+        for (int number = 0; server.id.empty(); ++number) {
+            const std::string id = "engine-" + std::to_string(number);
+            if (membership::ownerOf(kernel::hashOf(id), owners()) == kernel::hashOf("box-2")) {
+                server.id = id;
+            }
+        }
+        return server;
+    }
+
+    /** Asks for a place there; the other box answers while the loop stands still. */
+    gateway::PlaceOutcome takeWithLateAnswer()
+    {
+        HoldUp holdUp(io_);
+        std::optional<gateway::PlaceOutcome> outcome;
+        std::jthread thread([&] { answerLate(io_, *other, holdUp, 1); });
+        asio::co_spawn(io_, take(foreignServer(), outcome), asio::detached);
+        until([&] { return outcome.has_value(); }, "the place");
+        return *outcome;
+    }
+
+    asio::awaitable<void> take(forward::ListedServer server,
+                               std::optional<gateway::PlaceOutcome> &outcome)
+    {
+        auto &places = context().kernel.find<gateway::PlaceService>("places");
+        auto taken = co_await places.take(std::move(server), 0);
+        outcome.emplace(std::move(taken));
+    }
+
+    std::unique_ptr<OtherBox> other;
+};
+
+/** A router whose asks go to a box that only this test plays. */
+struct OneRouter
+{
+    OneRouter()
+    {
+        fleet.engines("hall-a", 1).routers("hall-a", 1);
+        fleet.start();
+        const auto &settings = fleet.context(0).settings;
+        other = std::make_unique<OtherBox>(settings.peer, settings.peerKeys.front());
+    }
+
+    /** Asks twice at most; the ask number \a which is answered while the loop stands still. */
+    std::optional<peer::PermitAnswer> askWithLateAnswer(int which)
+    {
+        HoldUp holdUp(fleet.io());
+        std::optional<peer::PermitAnswer> answer;
+        std::jthread thread([&] { answerLate(fleet.io(), *other, holdUp, which); });
+        fleet.await([&]() -> asio::awaitable<void> {
+            auto &permits = fleet.context(0).kernel.find<services::PermitService>("permits");
+            const peer::AskPermit ask{.request = fleet.context(0).random(), .resource = 1};
+            answer = co_await permits.askAt(other->endpoint(), ask, AskWait);
+        });
+        return answer;
+    }
+
+    std::uint64_t retries()
+    {
+        return fleet.context(0).counters.value("retries", {{"reason", "ask-unanswered"}});
+    }
+
+    support::Fleet fleet;
+    std::unique_ptr<OtherBox> other;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AskWaitTest)
+
+BOOST_FIXTURE_TEST_CASE(placeAsk_answerUnreadWhenWaitEnds_isTaken, TwoBoxes)
+{
+    for (int round = 0; round < Rounds; ++round) {
+        const auto outcome = takeWithLateAnswer();
+        BOOST_REQUIRE(outcome.place.has_value());
+        BOOST_TEST(outcome.place->owner == kernel::hashOf("box-2"));
+        BOOST_REQUIRE(owners().size() == 2U);
+    }
+    BOOST_TEST(context().counters.value("owners_unreachable") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(permitAsk_answerUnreadWhenFirstWaitEnds_isNotAskedAgain, OneRouter)
+{
+    for (int round = 0; round < Rounds; ++round) {
+        BOOST_TEST(askWithLateAnswer(1).has_value());
+    }
+    BOOST_TEST(retries() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(permitAsk_answerUnreadWhenLastWaitEnds_isTaken, OneRouter)
+{
+    for (int round = 0; round < Rounds; ++round) {
+        BOOST_TEST(askWithLateAnswer(2).has_value());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(permitAsk_neverAnswered_endsWithNothing, OneRouter)
+{
+    std::optional<peer::PermitAnswer> answer;
+    fleet.await([&]() -> asio::awaitable<void> {
+        auto &permits = fleet.context(0).kernel.find<services::PermitService>("permits");
+        const peer::AskPermit ask{.request = 1, .resource = 1};
+        answer = co_await permits.askAt(other->endpoint(), ask, AskWait);
+    });
+    BOOST_TEST(!answer.has_value());
+    BOOST_TEST(retries() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
