An owner's answer that lies unread when the wait for it ends is taken

Cause: as the test says: the end of a wait of 50 ms was taken for silence without reading the socket. Boxes with little of a processor stand still for longer than that now and then. Ruled out: a longer wait, which requests would pay for whenever an owner is really gone; reading the datagrams from the waiter itself, which would overtake one that has been taken from the socket and whose handler still waits in the loop. Change: PeerService::readWaiting lets the loop go on until nothing lies unread, or the answer is there, for 256 looks at most; asks for places and for permits use it before they count a silence. A counter, waits_rescued, says how often it helped. Conclusion: cheap: nothing is done unless a wait has ended unanswered.

--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -170,8 +170,14 @@
     auto pending = std::make_shared<Pending>(
             Pending{asio::steady_timer(context_.io, context_.settings.askTimeout), std::nullopt});
     pending_[ask.request] = pending;
-    context_.kernel.find<services::PeerService>("peer").send(*address, ask);
+    auto &peer = context_.kernel.find<services::PeerService>("peer");
+    peer.send(*address, ask);
     co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!pending->answer) {
+        std::function<bool()> answered = [pending] { return pending->answer.has_value(); };
+        co_await peer.readWaiting(std::move(answered));
+        context_.counters.add("waits_rescued", {{"what", "place"}}, pending->answer ? 1 : 0);
+    }
     pending_.erase(ask.request);
     if (pending->answer) {
         silences_.erase(owner);
--- a/src/services/PeerService.cpp
+++ b/src/services/PeerService.cpp
@@ -1,5 +1,7 @@
 #include "services/PeerService.h"
 
+#include "http/SocketState.h"
+
 #include <boost/asio.hpp>
 
 namespace limereel::services {
@@ -10,6 +12,9 @@
 namespace {
 
 constexpr std::size_t Ipv4AndUdpHeaders = 28;
+// One datagram or more is read between two looks. The system's usual buffer of 208 kB holds some
+// hundred of ours; a peer that keeps sending must not hold a waiter up.
+constexpr int MostLooks = 256;
 
 const char *kindOf(const peer::Message &message)
 {
@@ -63,6 +68,16 @@
                           datagram.size() + Ipv4AndUdpHeaders);
 }
 
+asio::awaitable<void> PeerService::readWaiting(std::function<bool()> enough)
+{
+    bool waiting = true;
+    for (int looks = 0; looks < MostLooks && waiting && !enough(); ++looks) {
+        // First, as a datagram may have been taken from the socket and wait for its handler.
+        co_await asio::post(context_.io, asio::use_awaitable);
+        waiting = http::arrivedAt(socket_.native_handle()) != http::Arrived::Nothing;
+    }
+}
+
 void PeerService::receiveNext()
 {
     socket_.async_receive_from(asio::buffer(buffer_), from_,
--- a/src/services/PeerService.h
+++ b/src/services/PeerService.h
@@ -14,6 +14,7 @@
 #include "services/Context.h"
 
 #include <array>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <vector>
@@ -44,6 +45,11 @@
     /** Sends \a message. Nothing tells whether it arrives. */
     void send(const kernel::Endpoint &to, const peer::Message &message);
 
+    /** Lets the loop read what lies unread in the socket, until \a enough holds or nothing is left.
+     * To be awaited before a message that didn't come in time is given up: after a standstill of
+     * the loop the end of a wait may be handled ahead of it. */
+    boost::asio::awaitable<void> readWaiting(std::function<bool()> enough);
+
 private:
     void receiveNext();
     void take(std::span<const std::uint8_t> datagram, const kernel::Endpoint &from);
--- a/src/services/PermitService.cpp
+++ b/src/services/PermitService.cpp
@@ -242,6 +242,11 @@
         pending->timer.expires_after(timeout);
         peer.send(where, ask);
         co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!pending->answer) {
+            std::function<bool()> answered = [pending] { return pending->answer.has_value(); };
+            co_await peer.readWaiting(std::move(answered));
+            context_.counters.add("waits_rescued", {{"what", "permit"}}, pending->answer ? 1 : 0);
+        }
     }
     pending_.erase(ask.request);
     if (!pending->answer) {
