Test: a box that stood still takes all others for dead; it fails

Cause: the heartbeat table counts the silence of others up to now, also over time in which its own box could hear nothing. After a standstill of more than 14 heartbeat periods (8 for suspicion) it owns all by itself until heartbeats are read; from the second time on it damps all others. Ruled out: reading heartbeats before the first round alone: the return itself counts the death, so damping stays. Change: four tests in MembershipTest, with the clock handed in: owners right after a standstill and after three of them, peers that no list names, and one that holds what a mend might break: a box that dies meanwhile isn't brought back for the others by ages told after the standstill.

--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr HeartbeatPolicy Policy{};
+constexpr int LongStandstill = 20; ///< Periods; a box that is silent for so long counts as dead.
 
 /** Whom the boxes know at the start. */
 enum class Acquainted : std::uint8_t { All, WithThreeSeeds };
@@ -62,6 +63,14 @@
     void stop(std::uint64_t box) { stopped_.insert(box); }
     void resume(std::uint64_t box) { stopped_.erase(box); }
 
+    /** The box neither sends nor hears for so many periods. */
+    void standStill(std::uint64_t box, int count)
+    {
+        stop(box);
+        periods(count);
+        resume(box);
+    }
+
     /** One period for everyone; \a passes says whether a message from one to another arrives. */
     void period(const std::function<bool(std::uint64_t, std::uint64_t)> &passes)
     {
@@ -272,6 +281,65 @@
     BOOST_TEST(waits[3] > waits[2]);
 }
 
+// Seen: a box that had been frozen took over everything, and went on so long after it ran again.
+// How it came about: it had heard nobody for longer than the failure time. Its first round counted
+// all others as dead although their heartbeats lay unread in its socket; after the second time it
+// held them for flapping and damped them.
+// Cause: silence was counted over the time in which the box itself could hear nothing.
+BOOST_AUTO_TEST_CASE(owners_rightAfterOwnStandstill_areAsBefore)
+{
+    // The first box ticks before the others have sent to it again, the last one after that.
+    for (const std::uint64_t frozen : {1U, 5U}) {
+        Hall hall(5);
+        hall.periods(20);
+        hall.standStill(frozen, LongStandstill);
+        BOOST_TEST((hall.table(frozen).owners(hall.now()) == hall.all()));
+        for (int period = 0; period < 30; ++period) {
+            hall.periods(1);
+            BOOST_TEST((hall.table(frozen).owners(hall.now()) == hall.all()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(owners_boxStandsStillRepeatedly_othersAreNotDamped)
+{
+    for (const std::uint64_t frozen : {1U, 5U}) {
+        Hall hall(5);
+        hall.periods(20);
+        for (int time = 0; time < 3; ++time) {
+            hall.standStill(frozen, LongStandstill);
+            hall.periods(5);
+            BOOST_TEST((hall.table(frozen).owners(hall.now()) == hall.all()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(setListed_unlistedPeersAfterOwnStandstill_areKept)
+{
+    Hall hall(5, Acquainted::WithThreeSeeds);
+    hall.greetSeeds();
+    hall.periods(20);
+    hall.standStill(1, LongStandstill);
+    hall.table(1).setListed({}, hall.now());
+    BOOST_TEST((hall.table(1).owners(hall.now()) == hall.all()));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_boxDiesWhileAnotherStandsStill_isNotBroughtBack)
+{
+    for (const std::uint64_t frozen : {1U, 5U}) {
+        Hall hall(5);
+        hall.periods(20);
+        hall.stop(2);
+        hall.standStill(frozen, LongStandstill);
+        BOOST_TEST((hall.table(3).liveness(2, hall.now()) == Liveness::Dead));
+        for (int period = 0; period < 30; ++period) {
+            hall.periods(1);
+            BOOST_TEST((hall.table(3).liveness(2, hall.now()) == Liveness::Dead));
+        }
+        BOOST_TEST((hall.table(frozen).liveness(2, hall.now()) == Liveness::Dead));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(receive_olderOrRepeatedStates_changesNothing)
 {
     const Instant now{kernel::Duration(3600s)};
