A box's own standstill isn't counted as the silence of others

Cause: as the test says: silence ran on while the box stood still and heartbeats lay unread in its socket. Ruled out: forgiving the time in what is told to others as well: a box that stood still would then bring back for its hall one that died meanwhile; ages on the wire therefore still count it. Setting all signs to now: each standstill would hide a death for a whole failure time more. Change: the table notes when the box last ticked or heard something; what goes beyond two periods since then isn't counted in judging others. Conclusion: a box that really was alone meanwhile finds out a failure time after it runs again; unanswered asks tell it sooner.

--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t QuartersPerPeriod = 4;
+// A box that runs ticks each period; one that neither ticks nor hears for longer than this stood
+// still. Twice a period leaves room for ticks that come late on a busy machine.
+constexpr std::int64_t PeriodsAwake = 2;
 
 } // namespace
 
@@ -35,13 +38,14 @@
     // A box that is neither listed nor heard of is forgotten; the list lags, so a heard one stays.
     std::erase_if(peers_, [&](const auto &entry) {
         const bool listed = std::ranges::find(boxes, entry.first) != boxes.end();
-        return !listed && now - entry.second.lastSign > policy_.deadAfter;
+        return !listed && silence(entry.second, now) > policy_.deadAfter;
     });
 }
 
 std::size_t HeartbeatTable::receive(const std::vector<BoxState> &states,
                                     const std::vector<BoxAge> &ages, Instant now)
 {
+    noteAwake(now);
     std::size_t news = 0;
     for (const BoxState &state : states) {
         news += takeState(state, now) ? 1 : 0;
@@ -76,7 +80,8 @@
     };
     std::vector<BoxState> missing;
     for (const auto &[box, entry] : peers_) {
-        // Of one who has long been silent the other may rightly know nothing any more.
+        // Of one who has long been silent the other may rightly know nothing any more, whether this
+        // box could have heard it or not.
         const bool sure = entry.heard && now - entry.lastSign <= policy_.suspectAfter / 2;
         if (sure && !known(box)) {
             missing.push_back(entry.state);
@@ -100,6 +105,7 @@
 
 std::vector<HeartbeatMessage> HeartbeatTable::tick(Instant now, std::mt19937_64 &random)
 {
+    noteAwake(now);
     renewSelf();
     countDeaths(now);
     const std::vector<BoxAge> known = ages(now);
@@ -120,7 +126,7 @@
         return Liveness::Dead;
     }
     const Peer &entry = found->second;
-    const Duration silent = now - entry.lastSign;
+    const Duration silent = silence(entry, now);
     if (silent > policy_.deadAfter) {
         return Liveness::Dead;
     }
@@ -165,6 +171,30 @@
     return found == peers_.end() || !found->second.heard ? nullptr : &found->second.state;
 }
 
+// While this box stood still, heartbeats lay unread in its socket: that time says nothing of
+// others.
+Duration HeartbeatTable::silence(const Peer &entry, Instant now) const
+{
+    return now - entry.lastSign - entry.unheard - standstill(entry, now);
+}
+
+Duration HeartbeatTable::standstill(const Peer &entry, Instant now) const
+{
+    if (!awakeAt_) {
+        return Duration(0);
+    }
+    const Instant awakeUntil = *awakeAt_ + policy_.period * PeriodsAwake;
+    return std::max(Duration(0), now - std::max(awakeUntil, entry.lastSign));
+}
+
+void HeartbeatTable::noteAwake(Instant now)
+{
+    for (auto &[box, entry] : peers_) {
+        entry.unheard += standstill(entry, now);
+    }
+    awakeAt_ = now;
+}
+
 HeartbeatTable::Peer &HeartbeatTable::peer(std::uint64_t box, Instant now)
 {
     const auto [place, added] = peers_.try_emplace(box);
@@ -198,11 +228,12 @@
         return;
     }
     // A sign that is itself too old to count doesn't bring anybody back.
-    const bool wasDead = now - entry.lastSign > policy_.deadAfter;
+    const bool wasDead = silence(entry, now) > policy_.deadAfter;
     if (wasDead && now - sign <= policy_.deadAfter) {
         noteReturn(entry, now);
     }
     entry.lastSign = sign;
+    entry.unheard = Duration(0);
 }
 
 void HeartbeatTable::noteReturn(Peer &entry, Instant now) const
@@ -224,7 +255,7 @@
 void HeartbeatTable::countDeaths(Instant now)
 {
     for (auto &[box, entry] : peers_) {
-        const Duration silent = now - entry.lastSign;
+        const Duration silent = silence(entry, now);
         if (entry.heard && !entry.deathCounted && silent > policy_.deadAfter) {
             ++entry.deaths;
             entry.deathCounted = true;
@@ -235,7 +266,7 @@
         }
     }
     std::erase_if(peers_, [&](const auto &entry) {
-        return now - entry.second.lastSign > policy_.forgetAfter;
+        return silence(entry.second, now) > policy_.forgetAfter;
     });
 }
 
@@ -293,6 +324,8 @@
     return states;
 }
 
+// What is told to others counts the own standstill, else a box that stood still would bring back
+// for them one that died meanwhile.
 std::vector<BoxAge> HeartbeatTable::ages(Instant now) const
 {
     std::vector<BoxAge> result;
--- a/src/membership/HeartbeatTable.h
+++ b/src/membership/HeartbeatTable.h
@@ -15,6 +15,9 @@
  * knows sends their states back at once (the push-pull of epidemic algorithms: Demers and others
  * 1987). Once all know all, nothing is sent back.
  *
+ * Silence counts only while this box could hear: one that was frozen, or whose event loop was held
+ * up, finds the others' heartbeats unread in its socket and doesn't take them for dead.
+ *
  * A box without a sign of life is suspected, then dead. One that comes back again and again after
  * its death is damped: it owns nothing for a while, each time longer, so that a flapping box
  * doesn't pull ownership back and forth.
@@ -25,6 +28,7 @@
 #include "membership/BoxState.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -107,7 +111,8 @@
         BoxState state;
         bool heard = false; ///< Its state is known.
         kernel::Instant lastSign;
-        kernel::Instant returned; ///< From its last death.
+        kernel::Duration unheard{}; ///< Time since the last sign in which this box stood still.
+        kernel::Instant returned;   ///< From its last death.
         kernel::Instant dampedUntil;
         std::size_t deaths = 0;
         bool deathCounted = false;
@@ -115,6 +120,9 @@
         std::size_t passedOn = 0;
     };
 
+    kernel::Duration silence(const Peer &entry, kernel::Instant now) const;
+    kernel::Duration standstill(const Peer &entry, kernel::Instant now) const;
+    void noteAwake(kernel::Instant now);
     Peer &peer(std::uint64_t box, kernel::Instant now);
     bool takeState(const BoxState &state, kernel::Instant now);
     void takeSign(Peer &peer, kernel::Instant sign, kernel::Instant now) const;
@@ -127,8 +135,9 @@
 
     HeartbeatPolicy policy_;
     BoxState self_;
-    BoxState told_;               ///< The own state as it was last given a version.
-    std::uint64_t sinceTold_ = 0; ///< Periods since then.
+    BoxState told_;                          ///< The own state as it was last given a version.
+    std::uint64_t sinceTold_ = 0;            ///< Periods since then.
+    std::optional<kernel::Instant> awakeAt_; ///< When the box last ticked or heard something.
     std::map<std::uint64_t, Peer> peers_;
     std::vector<std::uint64_t> round_; ///< Peers not yet sent to in this round.
 };
