A box's own standstill isn't counted as the silence of its servers

Cause: as the test says: silence ran on while the box stood still and its servers' bytes lay unread. Ruled out: starting the silence anew after each standstill: a box that stands still often would never find a dead server. One more test of the book itself, with the clock handed in. Conclusion: while the marks aren't moved yet, what is heard may count as up to 100 ms newer than it is.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -117,7 +117,32 @@
 {
     const kernel::Instant quietSince = std::max(entry.lastHeard, entry.dueSince);
     const kernel::Duration most = entry.server.engine ? policy_.engineSilence : policy_.silence;
-    return entry.own > 0 && now - quietSince > most;
+    return entry.own > 0 && silence(quietSince, now) > most;
+}
+
+// While the box stood still, bytes of servers lay unread in its sockets.
+kernel::Duration ServerBook::silence(kernel::Instant since, kernel::Instant now) const
+{
+    return now - since - standstill(since, now);
+}
+
+kernel::Duration ServerBook::standstill(kernel::Instant since, kernel::Instant now) const
+{
+    if (!awakeAt_) {
+        return kernel::Duration(0);
+    }
+    return std::max(kernel::Duration(0), now - std::max(*awakeAt_ + policy_.awake, since));
+}
+
+void ServerBook::noteAwake(kernel::Instant now)
+{
+    // All marks move alike, so that what was later than another stays so.
+    for (auto &[id, entry] : entries_) {
+        entry.lastHeard += standstill(entry.lastHeard, now);
+        entry.dueSince += standstill(entry.dueSince, now);
+        entry.noResponseAt += standstill(entry.noResponseAt, now);
+    }
+    awakeAt_ = now;
 }
 
 bool ServerBook::silent(const std::string &id, kernel::Instant now) const
@@ -150,7 +175,7 @@
             }
         }
     }
-    const bool nothingLately = now - heard > policy_.silence;
+    const bool nothingLately = silence(heard, now) > policy_.silence;
     const auto count = std::ranges::count_if(quietOnes, [&](const Entry *entry) {
         return entry->noResponseAt > heard || (nothingLately && silent(*entry, now));
     });
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -53,6 +53,8 @@
     kernel::Duration longestDoubt = 4s;
     std::size_t quietServers = 2;       ///< Of a hall; then the way to it is doubted.
     kernel::Duration hallTrial = 500ms; ///< Between two requests to a doubted hall.
+    kernel::Duration awake = 150ms; ///< Longer between two calls of noteAwake(), made each 100 ms,
+                                    ///< is a standstill.
 };
 
 /** What is wanted of a backend server. */
@@ -117,6 +119,10 @@
     /** The request is over. */
     void end(const std::string &id);
 
+    /** The box runs; to be called regularly. Time beyond \c BookPolicy::awake since the last call
+     * is a standstill, in which nothing could be heard: it doesn't count as silence of servers. */
+    void noteAwake(kernel::Instant now);
+
     /** Bytes came from \a id. */
     void noteHeard(const std::string &id, kernel::Instant now);
     void noteLoad(const std::string &id, const ReportedLoad &load, kernel::Instant now);
@@ -169,6 +175,8 @@
 
     using EntryList = std::vector<const Entry *>;
 
+    kernel::Duration silence(kernel::Instant since, kernel::Instant now) const;
+    kernel::Duration standstill(kernel::Instant since, kernel::Instant now) const;
     bool quiet(const Entry &entry, kernel::Instant now) const;
     bool hallDoubted(const std::string &hall, kernel::Instant now) const;
     std::set<std::string> closedHalls(kernel::Instant now) const;
@@ -189,6 +197,7 @@
                                               std::size_t held, kernel::Instant now) const;
 
     BookPolicy policy_;
+    std::optional<kernel::Instant> awakeAt_;
     std::map<std::string, Entry> entries_;
     std::map<std::string, kernel::Instant> attempts_; ///< The last one, by hall.
     PartIndex parts_;
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -151,6 +151,7 @@
                                                std::move(serverHooks));
     sweep_ = std::make_unique<services::Repeat>(context_.io,
                                                 [this]() -> asio::awaitable<kernel::Duration> {
+                                                    servers_.noteAwake(context_.now());
                                                     dropMissing();
                                                     noteFreshness();
                                                     co_return kernel::Duration(SweepEvery);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -640,6 +640,22 @@
     BOOST_TEST(!chooses(400ms));
 }
 
+BOOST_FIXTURE_TEST_CASE(boxStoodStill_onlyTheTimeAwakeCountsAsSilence, CutHall)
+{
+    for (const char *id : {"b1", "b2"}) {
+        book.noteAttempt(id, at(0s));
+        book.begin(id, nullptr, at(0s));
+    }
+    book.noteAwake(at(50ms));
+    BOOST_TEST(!book.silent("b1", at(5s)));
+    book.noteAwake(at(5s));
+    // 200 ms are counted: 50 before the call, and 150 that may pass until the next one.
+    BOOST_TEST(!book.silent("b1", at(5040ms)));
+    BOOST_TEST(book.silent("b1", at(5060ms)));
+    book.noteAttempt("b1", at(5040ms));
+    BOOST_TEST(!chooses(5060ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(doubtedHall_getsOneRequestEachWhileUntilItIsHeard, CutHall)
 {
     quietWhileConnecting("b1", 100ms);
