A place whose ask wasn't answered in time is given back at the end

Cause: as the test says: the box forgot whom it had asked, and only a place that was granted in time went back. Ruled out: giving it back when a late answer comes: that answer may be lost, and the request may still run. Change: a place names the box that was asked; its end is told to that box, which passes over what it doesn't count. Conclusion: one datagram more for each ask that was not answered in time, none otherwise.

--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -107,6 +107,7 @@
     ask.chat = partsKey;
     ask.load = world_.servers().ownLoad(server.service);
     ask.asks = countAsk(server.service);
+    place.asked = owner.value_or(0);
     PlaceOutcome outcome;
     outcome.place = place;
     if (!owner) {
@@ -204,9 +205,9 @@
 void PlaceService::giveBack(const Place &place)
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
-    if (place.owner == members.self()) {
+    if (place.asked == members.self()) {
         ledger_.giveBack(place.engine, place.request);
-    } else if (const auto address = members.addressOf(place.owner); place.owner != 0 && address) {
+    } else if (const auto address = members.addressOf(place.asked); place.asked != 0 && address) {
         context_.kernel.find<services::PeerService>("peer").send(
                 *address, peer::GiveBack{place.request, place.engine, peer::Observed::Served});
     }
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -27,6 +27,7 @@
     std::uint64_t request = 0;
     std::uint64_t engine = 0;
     std::uint64_t owner = 0; ///< 0: no owner granted it.
+    std::uint64_t asked = 0; ///< The box that may count it, whether its answer came or not.
 };
 
 /** What came of asking for a place. */
