Tests of late waits: their heads say that the faults were found by reading

Cause: four heads began with what was seen. The faults were found by reading the sources and reproduced by the tests; no record of a fleet shows them. Ruled out: leaving it to the commits, which nobody reads beside the test. Change: comments only.

--- a/test/correctness/ClientWaitTest.cpp
+++ b/test/correctness/ClientWaitTest.cpp
@@ -1,6 +1,7 @@
 // The client's time limits against an event loop that stood still.
 //
-// Seen: calls that were reported as timed out although the server had answered them in time. A box
+// Found by reading the sources and reproduced here, not in a record of a fleet:
+// calls that were reported as timed out although the server had answered them in time. A box
 // that had stood still took its backend servers and its platform for gone.
 // How it came about: the loop was held up by something else past the end of a call's limit, and the
 // answer came meanwhile. Each pass of the loop takes a bounded number of events from the system;
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -281,7 +281,8 @@
     BOOST_TEST(waits[3] > waits[2]);
 }
 
-// Seen: a box that had been frozen took over everything, and went on so long after it ran again.
+// Found by reading the sources and reproduced here, not in a record of a fleet:
+// a box that had been frozen took over everything, and went on so long after it ran again.
 // How it came about: it had heard nobody for longer than the failure time. Its first round counted
 // all others as dead although their heartbeats lay unread in its socket; after the second time it
 // held them for flapping and damped them.
--- a/test/platform/AskWaitTest.cpp
+++ b/test/platform/AskWaitTest.cpp
@@ -1,6 +1,7 @@
 // Asks of owners against an event loop that stood still.
 //
-// Seen: on boxes with little of a processor, owners were taken for silent again and again, and
+// Found by reading the sources and reproduced here, not in a record of a fleet:
+// on boxes with little of a processor, owners were taken for silent again and again, and
 // their resources went to other owners for some heartbeats, though they had answered in time. How
 // it came about: the loop was held up for longer than the wait for an owner's answer, some tens of
 // milliseconds. The answer came meanwhile and lay unread in the socket when the wait's timer ran.
--- a/test/platform/StandstillTest.cpp
+++ b/test/platform/StandstillTest.cpp
@@ -1,6 +1,7 @@
 // What a box thinks of its backend servers right after it stood still.
 //
-// Seen: after a standstill, requests went around the servers that were busy with this box's
+// Found by reading the sources and reproduced here, not in a record of a fleet:
+// after a standstill, requests went around the servers that were busy with this box's
 // requests, and on new connections instead of kept ones. How it came about: a server counts as
 // silent when nothing has come from it for a while although an answer is due, and a hall as cut off
 // when several of its servers are silent. After a standstill of that length this held for each
