--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -107,6 +107,7 @@
     ask.chat = partsKey;
     ask.load = world_.servers().ownLoad(server.service);
     ask.asks = countAsk(server.service);
+    place.asked = owner.value_or(0);
     PlaceOutcome outcome;
     outcome.place = place;
     if (!owner) {
@@ -170,8 +171,14 @@
     auto pending = std::make_shared<Pending>(
             Pending{asio::steady_timer(context_.io, context_.settings.askTimeout), std::nullopt});
     pending_[ask.request] = pending;
-    context_.kernel.find<services::PeerService>("peer").send(*address, ask);
+    auto &peer = context_.kernel.find<services::PeerService>("peer");
+    peer.send(*address, ask);
     co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!pending->answer) {
+        std::function<bool()> answered = [pending] { return pending->answer.has_value(); };
+        co_await peer.readWaiting(std::move(answered));
+        context_.counters.add("waits_rescued", {{"what", "place"}}, pending->answer ? 1 : 0);
+    }
     pending_.erase(ask.request);
     if (pending->answer) {
         silences_.erase(owner);
@@ -198,9 +205,9 @@
 void PlaceService::giveBack(const Place &place)
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
-    if (place.owner == members.self()) {
+    if (place.asked == members.self()) {
         ledger_.giveBack(place.engine, place.request);
-    } else if (const auto address = members.addressOf(place.owner); place.owner != 0 && address) {
+    } else if (const auto address = members.addressOf(place.asked); place.asked != 0 && address) {
         context_.kernel.find<services::PeerService>("peer").send(
                 *address, peer::GiveBack{place.request, place.engine, peer::Observed::Served});
     }
