--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,6 +1,6 @@
 #include "http/Client.h"
 
-#include "http/WaitLimit.h"
+#include "http/TimeLimit.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -49,14 +49,15 @@
     CallFailure failure(Point point, beast::error_code error) const
     {
         // The limit closes the socket, so the operation itself only says that it was cancelled.
-        if (limit.ranOut()) {
+        const bool timedOut = limit.expired().has_value();
+        if (timedOut) {
             error = beast::error::timeout;
         }
-        return {point, limit.ranOut(), error.message()};
+        return {point, timedOut, error.message()};
     }
 
     tcp::socket socket;
-    WaitLimit limit;
+    TimeLimit limit;
     beast::flat_buffer buffer;
     bhttp::response_parser<bhttp::buffer_body> parser;
     CallTimeouts timeouts;
@@ -80,14 +81,14 @@
     auto connection = std::make_unique<Connection>(io);
     connection->timeouts = timeouts;
     tcp::socket &socket = connection->socket;
-    WaitLimit &limit = connection->limit;
+    TimeLimit &limit = connection->limit;
     beast::error_code bad;
     const auto address = asio::ip::make_address(endpoint.address, bad);
     if (bad) {
         co_return tl::unexpected(connection->failure(Point::BeforeConnect, bad));
     }
     const tcp::endpoint server(address, endpoint.port);
-    limit.begin(WaitFor::Writable, timeouts.connect);
+    limit.expireAfter(timeouts.connect, Awaited::Room);
     const auto [connectError] = co_await socket.async_connect(server, Quiet);
     if (connectError) {
         co_return tl::unexpected(connection->failure(Point::BeforeConnect, connectError));
@@ -97,17 +98,17 @@
     // The answer to a HEAD has the length of a body that doesn't come.
     connection->parser.skip(request.method == "HEAD");
     auto message = toMessage(endpoint, std::move(request));
-    limit.begin(WaitFor::Writable, timeouts.head);
+    limit.expireAfter(timeouts.head, Awaited::Room);
     const auto [writeError, sent] = co_await bhttp::async_write(socket, message, Quiet);
     connection->bytes.sent = sent;
     if (writeError) {
         const Point point = sent == 0 ? Point::ConnectedUnsent : Point::PartSent;
         co_return tl::unexpected(connection->failure(point, writeError));
     }
-    limit.goOn(WaitFor::Bytes);
+    limit.nowAwait(Awaited::Bytes);
     const auto [headError, headBytes] = co_await bhttp::async_read_header(
             socket, connection->buffer, connection->parser, Quiet);
-    limit.end();
+    limit.never();
     connection->bytes.received = headBytes;
     if (headError) {
         co_return tl::unexpected(connection->failure(Point::AllSent, headError));
@@ -137,10 +138,10 @@
         body.data = part.data();
         body.size = part.size();
         body.more = true;
-        connection.limit.begin(WaitFor::Bytes, connection.timeouts.part);
+        connection.limit.expireAfter(connection.timeouts.part);
         const auto [error, bytes] = co_await bhttp::async_read_some(
                 connection.socket, connection.buffer, connection.parser, Quiet);
-        connection.limit.end();
+        connection.limit.never();
         connection.bytes.received += bytes;
         part.resize(PartBytes - body.size);
         if (error && error != bhttp::error::need_buffer) {
--- a/src/http/TimeLimit.cpp
+++ b/src/http/TimeLimit.cpp
@@ -104,7 +104,11 @@
     bool hasCome() const
     {
         const int handle = socket->native_handle();
-        return awaited == Awaited::Room ? hasRoom(handle) : arrivedAt(handle) == Arrived::Bytes;
+        if (awaited == Awaited::Room) {
+            return hasRoom(handle);
+        }
+        const Arrived arrived = arrivedAt(handle);
+        return arrived == Arrived::Bytes || arrived == Arrived::End;
     }
 
     void close()
@@ -147,6 +151,11 @@
     state_->set(when, awaited);
 }
 
+void TimeLimit::nowAwait(Awaited awaited)
+{
+    state_->awaited = awaited;
+}
+
 void TimeLimit::never()
 {
     state_->due.reset();
--- a/src/http/TimeLimit.h
+++ b/src/http/TimeLimit.h
@@ -23,8 +23,8 @@
 
 /** What a connection waits for. */
 enum class Awaited : std::uint8_t {
-    Bytes, ///< From the peer.
-    Room   ///< To send to it.
+    Bytes, ///< From the peer, or the end of what it sends.
+    Room   ///< To send to it; that a connection comes about.
 };
 
 /** The limit of one socket. */
@@ -44,6 +44,9 @@
     /** The same at \a when of the steady clock. */
     void expireAt(kernel::Instant when, Awaited awaited = Awaited::Bytes);
 
+    /** The limit stays, and \a awaited is what counts from now on. */
+    void nowAwait(Awaited awaited);
+
     /** No limit, until the next one is set. */
     void never();
 
