--- a/test/correctness/ConnectWaitTest.cpp
+++ b/test/correctness/ConnectWaitTest.cpp
@@ -1,6 +1,7 @@
-// Seen: attempts at backend servers that were there failed with "connect: operation canceled".
-// How: the event loop stood still past the end of the wait for a connection. Something else was
-// handled ahead of that timer in the same pass and took long; the connection came about meanwhile.
+// Found by reading, after a caller's request had been lost to a time limit; no record shows it:
+// attempts at backend servers that are there fail with "connect: operation canceled".
+// How: the event loop stands still past the end of the wait for a connection. Something else is
+// handled ahead of that timer in the same pass and takes long; the connection comes about meanwhile.
 // Cause: the timer closed the socket without a look at whether the connection had come about.
 
 #include "http/KeptConnection.h"
