One steady clock for sockets' limits

Cause: three files had the same function; two unnamed namespaces stood side by side. Behaviour stays.

--- a/src/http/AnswerTimer.cpp
+++ b/src/http/AnswerTimer.cpp
@@ -1,5 +1,7 @@
 #include "http/AnswerTimer.h"
 
+#include "http/SteadyClock.h"
+
 #include <boost/asio.hpp>
 
 namespace limereel::http {
@@ -15,11 +17,6 @@
 // rest to the standstill before the first look.
 constexpr kernel::Duration LongestLooks = 200ms;
 
-kernel::Instant steadyNow()
-{
-    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 struct AnswerTimer::Wait : std::enable_shared_from_this<AnswerTimer::Wait>
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "http/Server.h"
 
 #include "http/ConnectionReply.h"
+#include "http/SteadyClock.h"
 #include "http/TimeLimit.h"
 
 #include <algorithm>
@@ -22,22 +23,13 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
-} // namespace
-
-namespace {
-
-kernel::Instant steadyNow()
-{
-    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
-}
-
 /** A connection between two requests. It holds nothing, and a drain may close it at once. */
 struct Resting
 {
     tcp::socket &socket;
     TimeLimit &limit;
     const kernel::Instant since = steadyNow();
-    kernel::Instant until; ///< It is closed then.
+    kernel::Instant until{}; ///< It is closed then.
 
     bool hasRequest() const { return arrivedAt(socket.native_handle()) == Arrived::Bytes; }
 };
@@ -165,7 +157,7 @@
     {
         end_.unread = limit_.expired().value_or(arrivedAt(socket_.native_handle()));
         end_.lateLooks = limit_.lateLooks();
-        end_.rested = std::chrono::duration_cast<kernel::Duration>(steadyNow() - restsSince_);
+        end_.rested = steadyNow() - restsSince_;
         server_->ended(end_);
     }
 
@@ -224,11 +216,11 @@
         buffer_.max_size(
                 std::max<std::size_t>(limits.headBytes + limits.bodyBytes, buffer_.size()));
         const kernel::Instant begun = steadyNow();
-        limit_.expireAfter(server_->limits.headTimeout);
+        limit_.expireAfter(limits.headTimeout);
         const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
         limit_.never();
         if (error) {
-            end_.reading = std::chrono::duration_cast<kernel::Duration>(steadyNow() - begun);
+            end_.reading = steadyNow() - begun;
             end_.readBytes = bytes + buffer_.size();
             co_return co_await endUnread(error);
         }
--- a/src/http/TimeLimit.cpp
+++ b/src/http/TimeLimit.cpp
@@ -1,5 +1,7 @@
 #include "http/TimeLimit.h"
 
+#include "http/SteadyClock.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -15,11 +17,6 @@
 constexpr kernel::Duration LookAgain = 10ms;
 constexpr std::uint32_t MostLooks = 20;
 
-kernel::Instant steadyNow()
-{
-    return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 /** Shared with the timer's handler, which may run after the limit is gone. */
--- a/test/correctness/ConnectWaitTest.cpp
+++ b/test/correctness/ConnectWaitTest.cpp
@@ -1,8 +1,9 @@
 // Found by reading, after a caller's request had been lost to a time limit; no record shows it:
 // attempts at backend servers that are there fail with "connect: operation canceled".
 // How: the event loop stands still past the end of the wait for a connection. Something else is
-// handled ahead of that timer in the same pass and takes long; the connection comes about meanwhile.
-// Cause: the timer closed the socket without a look at whether the connection had come about.
+// handled ahead of that timer in the same pass and takes long; the connection comes about
+// meanwhile. Cause: the timer closed the socket without a look at whether the connection had come
+// about.
 
 #include "http/KeptConnection.h"
 #include "support/Standstill.h"
