A connection that is given back unused is no fresher than it was

Cause: a run that may not send after all gave its connection back as though it had just been used; a once-only request could then go out on one that its server was about to close. Found by reading after the incident; no record shows it. Ruled out: closing it, which would cost a new connection each time. Change: the pool hands out a connection with what is known of it, and takes it back so. Figures: ConnectionPoolTest, with a give-back like before: 2 of 3 cases fail (the one that stays fresh for once-only requests, and the one that lives past its server's word); with the change none. GatewayTest, GatewayStallTest and ForwardTest pass.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -54,7 +54,12 @@
 
 void BackendExchange::release()
 {
-    pool_.give(server_, connection_, std::nullopt);
+    if (pooled_) {
+        pool_.putBack(server_, std::move(*pooled_));
+        pooled_.reset();
+    } else {
+        connection_->close();
+    }
     connection_.reset();
 }
 
@@ -119,9 +124,10 @@
     run_.world.servers().noteAttempt(server_.id, run_.context.now());
     // A new connection shows that there is a way before anything is sent.
     if (!run_.choice.trial) {
-        connection_ = pool_.take(server_, !run_.repeatable());
+        pooled_ = pool_.take(server_, !run_.repeatable());
     }
-    if (connection_) {
+    if (pooled_) {
+        connection_ = pooled_->connection;
         co_return true;
     }
     run_.context.counters.add("backend_connections");
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -13,6 +13,7 @@
 #include "gateway/RunState.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
 
 namespace limereel::gateway {
@@ -47,6 +48,7 @@
     RunState &run_;
     ConnectionPool &pool_;
     const forward::ListedServer server_;
+    std::optional<PooledConnection> pooled_; ///< If the connection was taken from the pool.
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
     forward::EventCutter cutter_;
--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -13,36 +13,37 @@
 
 } // namespace
 
-http::KeptConnection::Ptr ConnectionPool::take(const forward::ListedServer &server, bool surelyOpen)
+std::optional<PooledConnection> ConnectionPool::take(const forward::ListedServer &server,
+                                                     bool surelyOpen)
 {
     const auto place = idle_.find(server.id);
     if (place == idle_.end()) {
-        return nullptr;
+        return std::nullopt;
     }
-    std::vector<Idle> &idle = place->second;
+    std::vector<PooledConnection> &idle = place->second;
     const kernel::Instant now = context_.now();
     // The one that was used last is the least likely to be closed.
     while (!idle.empty()) {
-        const Idle last = idle.back();
+        PooledConnection last = idle.back();
         const bool sound = now < last.until && last.connection->quiet();
         const bool sure = last.told || now - last.since < SurelyOpen;
         if (sound && surelyOpen && !sure) {
-            return nullptr;
+            return std::nullopt;
         }
         idle.pop_back();
         if (sound) {
-            return last.connection;
+            return last;
         }
         last.connection->close();
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 void ConnectionPool::give(const forward::ListedServer &server, http::KeptConnection::Ptr connection,
                           std::optional<kernel::Duration> keptFor)
 {
     const kernel::Duration kept = keptFor ? *keptFor - Margin : KeptUntold;
-    std::vector<Idle> &idle = idle_[server.id];
+    std::vector<PooledConnection> &idle = idle_[server.id];
     if (!connection->reusable() || kept <= 0s || idle.size() >= MostIdle) {
         connection->close();
         return;
@@ -51,13 +52,18 @@
     idle.push_back({std::move(connection), now, now + kept, keptFor.has_value()});
 }
 
+void ConnectionPool::putBack(const forward::ListedServer &server, PooledConnection unused)
+{
+    idle_[server.id].push_back(std::move(unused));
+}
+
 void ConnectionPool::drop(const std::string &id)
 {
     const auto place = idle_.find(id);
     if (place == idle_.end()) {
         return;
     }
-    for (const Idle &idle : place->second) {
+    for (const PooledConnection &idle : place->second) {
         idle.connection->close();
     }
     idle_.erase(place);
@@ -67,7 +73,7 @@
 {
     const kernel::Instant now = context_.now();
     for (auto &[id, idle] : idle_) {
-        std::erase_if(idle, [&](const Idle &item) {
+        std::erase_if(idle, [&](const PooledConnection &item) {
             const bool over = now >= item.until || !item.connection->quiet();
             if (over) {
                 item.connection->close();
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -15,6 +15,15 @@
 
 namespace limereel::gateway {
 
+/** An idle connection with what is known of how long it stays open. */
+struct PooledConnection
+{
+    http::KeptConnection::Ptr connection;
+    kernel::Instant since; ///< Of its last answer.
+    kernel::Instant until; ///< It isn't used from then on.
+    bool told = false;     ///< The server said how long it keeps it.
+};
+
 /** The pool. */
 class ConnectionPool
 {
@@ -25,10 +34,13 @@
     }
 
     /**
-     * An idle connection to \a server, or nullptr.
+     * An idle connection to \a server, if there is one.
      * \param surelyOpen only one of which the server can't be about to close it.
      */
-    http::KeptConnection::Ptr take(const forward::ListedServer &server, bool surelyOpen);
+    std::optional<PooledConnection> take(const forward::ListedServer &server, bool surelyOpen);
+
+    /** Gives back what was taken and not used. It is no fresher than it was. */
+    void putBack(const forward::ListedServer &server, PooledConnection unused);
 
     /** Keeps \a connection if it may be used again. \param keptFor what the server said of idling.
      */
@@ -42,16 +54,8 @@
     void sweep();
 
 private:
-    struct Idle
-    {
-        http::KeptConnection::Ptr connection;
-        kernel::Instant since;
-        kernel::Instant until;
-        bool told = false; ///< The server said how long it keeps it.
-    };
-
     services::Context &context_;
-    std::map<std::string, std::vector<Idle>> idle_;
+    std::map<std::string, std::vector<PooledConnection>> idle_;
 };
 
 } // namespace limereel::gateway
--- /dev/null
+++ b/test/correctness/ConnectionPoolTest.cpp
@@ -0,0 +1,108 @@
+// An idle connection that was taken and given back unused counted as fresh.
+//
+// Found by reading, after a caller's request had been lost to a time limit; no record shows it. A
+// run takes a connection, finds that the request may not be sent any more, and gives it back. It
+// then counted as just used, so that a once-only request could go out on a connection that its
+// server was about to close, and nobody knew whether it ran.
+
+#include "gateway/ConnectionPool.h"
+#include "http/Server.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+namespace asio = boost::asio;
+
+namespace {
+
+/** A pool on a clock of the test's, and a server that answers. */
+struct PoolFixture
+{
+    PoolFixture()
+        : context(io, kernel::BoxSettings())
+        , server(io, http::ServerLimits(),
+                 [](http::Request, http::Reply &reply) -> asio::awaitable<void> {
+                     http::Answer answer(200, {}, "whole");
+                     co_await reply.send(std::move(answer));
+                 })
+        , pool(context)
+    {
+        context.now = [this] { return now; };
+        server.listen({"127.0.0.1", 0});
+        listed.id = "i-one";
+        listed.address = {"127.0.0.1", server.port()};
+    }
+
+    asio::awaitable<void> exchange()
+    {
+        auto connected = co_await http::KeptConnection::connect(io, listed.address, 10s);
+        connection = connected.value();
+        http::Request request("GET", "/x", http::Fields().with("Host", "calls.example"));
+        connection->send(std::move(request));
+        co_await connection->readHead();
+        co_await connection->readAll(100);
+        done = true;
+    }
+
+    /** Connects, and makes an exchange after which the connection may be kept. */
+    void useOnce()
+    {
+        asio::co_spawn(io, exchange(), asio::detached);
+        while (!done) {
+            io.run_one();
+        }
+    }
+
+    asio::io_context io{1};
+    services::Context context;
+    http::Server server;
+    gateway::ConnectionPool pool;
+    forward::ListedServer listed;
+    http::KeptConnection::Ptr connection;
+    kernel::Instant now{};
+    bool done = false;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConnectionPoolTest, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(connection_givenBackUnused_isNoFresherThanBefore)
+{
+    useOnce();
+    pool.give(listed, connection, std::nullopt);
+    now += 900ms;
+    auto taken = pool.take(listed, true);
+    BOOST_REQUIRE(taken);
+    pool.putBack(listed, std::move(*taken));
+    now += 200ms;
+    BOOST_TEST(!pool.take(listed, true).has_value());
+    BOOST_TEST(pool.take(listed, false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(connection_givenBackUnused_isKeptAsLongAsItsServerSaid)
+{
+    useOnce();
+    pool.give(listed, connection, 10s);
+    now += 9s;
+    auto taken = pool.take(listed, true);
+    BOOST_REQUIRE(taken);
+    pool.putBack(listed, std::move(*taken));
+    now += 400ms;
+    BOOST_TEST(pool.take(listed, true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(connection_givenBackUnused_endsWhenItWouldHave)
+{
+    useOnce();
+    pool.give(listed, connection, 10s);
+    now += 9s;
+    auto taken = pool.take(listed, true);
+    BOOST_REQUIRE(taken);
+    pool.putBack(listed, std::move(*taken));
+    now += 600ms;
+    BOOST_TEST(!pool.take(listed, false).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
