--- a/src/http/AnswerTimer.cpp
+++ b/src/http/AnswerTimer.cpp
@@ -60,6 +60,7 @@
         lookAfterATurn();
         return;
     }
+    turnGiven = false;
     if (!late) {
         late = true;
         counters.add("late_looks", {{"wait", name}});
--- a/src/http/ConnectionEnd.cpp
+++ b/src/http/ConnectionEnd.cpp
@@ -19,6 +19,8 @@
         return "last-answer";
     case EndReason::Unanswered:
         return "unanswered";
+    case EndReason::RunFailed:
+        return "run-failed";
     case EndReason::Refused:
         break;
     }
--- a/src/http/ConnectionEnd.h
+++ b/src/http/ConnectionEnd.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace limereel::http {
@@ -23,6 +24,7 @@
     Draining,     ///< The box stops; it closes what rests.
     LastAnswer,   ///< The answer said that it closes the connection.
     Unanswered,   ///< The run of a request ended with no whole answer.
+    RunFailed,    ///< The run of a request failed in the box itself.
     Refused       ///< What came was no request, or too large, or one connection too many.
 };
 
@@ -39,6 +41,7 @@
     kernel::Duration rested{};   ///< Since it was opened, or since its last answer.
     kernel::Duration reading{};  ///< Since the first bytes of a request that wasn't whole.
     std::size_t readBytes = 0;   ///< Of that request.
+    std::string fault;           ///< What failed in the box itself.
 
     bool operator==(const ConnectionEnd &) const = default;
 };
--- a/src/http/ConnectionReply.cpp
+++ b/src/http/ConnectionReply.cpp
@@ -26,13 +26,9 @@
 // Callers that know the limit don't send on a connection that is about to be closed. They count
 // from when the answer reached them and need their way to the box, so a fifth is kept back. In
 // whole seconds; shorter limits can't be told.
-template <typename Body>
-void tellRest(bhttp::response<Body> &head, kernel::Duration limit)
+std::chrono::seconds restToTell(kernel::Duration limit)
 {
-    const auto told = std::chrono::duration_cast<std::chrono::seconds>(limit * 4 / 5);
-    if (told > 0s) {
-        head.set(bhttp::field::keep_alive, "timeout=" + std::to_string(told.count()));
-    }
+    return std::chrono::duration_cast<std::chrono::seconds>(limit * 4 / 5);
 }
 
 } // namespace
@@ -54,9 +50,14 @@
 {
     keptOpen_ = form_.keepAlive && !way_.closing;
     response.keep_alive(keptOpen_);
-    if (keptOpen_) {
-        tellRest(response, way_.limits.idleTimeout);
+    const std::chrono::seconds told = restToTell(way_.limits.idleTimeout);
+    if (!keptOpen_ || told == 0s) {
+        return;
     }
+    response.set(bhttp::field::keep_alive, "timeout=" + std::to_string(told.count()));
+    // A field of one connection has to be named here, else it is passed over.
+    response.set(bhttp::field::connection, "keep-alive");
+    toldRest_ = way_.limits.idleTimeout;
 }
 
 asio::awaitable<bool> ConnectionReply::send(Answer answer)
--- a/src/http/ConnectionReply.h
+++ b/src/http/ConnectionReply.h
@@ -54,6 +54,9 @@
      * request by then, so this is kept to also if the box has begun to leave since. */
     bool keptOpen() const { return keptOpen_; }
 
+    /** How long the caller was told that the connection may rest; nothing: zero. */
+    kernel::Duration toldRest() const { return toldRest_; }
+
 private:
     /** Decides whether the connection stays open, and says so in the head of \a response. */
     template <typename Response>
@@ -70,6 +73,7 @@
     std::shared_ptr<Watch> watch_;
     bool begun_ = false;
     bool keptOpen_ = false;
+    kernel::Duration toldRest_{};
     bool whole_ = false;
 };
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -23,15 +23,69 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
+class Rest;
+using Rests = std::set<Rest *>;
+
 /** A connection between two requests. It holds nothing, and a drain may close it at once. */
-struct Resting
+class Rest
+{
+public:
+    /** \param rests lists it for as long as it lasts. */
+    Rest(Rests &rests, tcp::socket &socket, TimeLimit &limit, kernel::Duration longest)
+        : rests_(rests)
+        , socket_(socket)
+        , limit_(limit)
+    {
+        rests_.insert(this);
+        extendTo(longest);
+    }
+
+    ~Rest() { rests_.erase(this); }
+    Rest(const Rest &) = delete;
+    Rest &operator=(const Rest &) = delete;
+
+    /** It may last for \a longest; never less than before. */
+    void extendTo(kernel::Duration longest)
+    {
+        if (since_ + longest > until_) {
+            until_ = since_ + longest;
+            limit_.expireAt(until_);
+        }
+    }
+
+    /** Ends the wait for the next request. */
+    void cancel()
+    {
+        beast::error_code ignored;
+        socket_.cancel(ignored);
+    }
+
+    bool hasRequest() const { return arrivedAt(socket_.native_handle()) == Arrived::Bytes; }
+
+private:
+    Rests &rests_;
+    tcp::socket &socket_;
+    TimeLimit &limit_;
+    const kernel::Instant since_ = steadyNow();
+    kernel::Instant until_{}; ///< It is closed then.
+};
+
+/** Counts something for as long as it lasts, however that ends. */
+class Counted
 {
-    tcp::socket &socket;
-    TimeLimit &limit;
-    const kernel::Instant since = steadyNow();
-    kernel::Instant until{}; ///< It is closed then.
+public:
+    explicit Counted(std::size_t &counter)
+        : counter_(counter)
+    {
+        ++counter_;
+    }
+
+    ~Counted() { --counter_; }
+    Counted(const Counted &) = delete;
+    Counted &operator=(const Counted &) = delete;
 
-    bool hasRequest() const { return arrivedAt(socket.native_handle()) == Arrived::Bytes; }
+private:
+    std::size_t &counter_;
 };
 
 } // namespace
@@ -56,7 +110,7 @@
 
     void noteLowered(const ServerLimits &next)
     {
-        if (next.idleTimeout < restLimit()) {
+        if (next.idleTimeout < limits.idleTimeout) {
             idleBefore = restLimit();
             loweredKnown = steadyNow() + next.idleNotice;
         }
@@ -64,12 +118,8 @@
 
     void extendRests()
     {
-        for (Resting *rest : resting) {
-            const kernel::Instant until = rest->since + limits.idleTimeout;
-            if (until > rest->until) {
-                rest->until = until;
-                rest->limit.expireAt(until);
-            }
+        for (Rest *rest : rests) {
+            rest->extendTo(limits.idleTimeout);
         }
     }
 
@@ -86,7 +136,7 @@
     std::size_t beginning = 0; ///< Taken by a drain, not served yet.
     bool closing = false;      ///< Each answer closes its connection.
     bool draining = false;     ///< No connection rests any more.
-    std::set<Resting *> resting;
+    Rests rests;
 };
 
 namespace {
@@ -139,20 +189,31 @@
     {
         beast::error_code ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
-        if (server_->connections > server_->limits.connections) {
-            co_await refuse(Refused::TooManyConnections);
-            end_.reason = EndReason::Refused;
-        } else {
-            bool more = true;
-            while (more) {
-                more = co_await serveOne();
-            }
+        try {
+            co_await serveAll();
+        } catch (const std::exception &fault) {
+            // Nobody else would hear of it: the caller would see a closed connection and no more.
+            end_.reason = EndReason::RunFailed;
+            end_.fault = fault.what();
         }
         noteEnd();
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
     }
 
 private:
+    asio::awaitable<void> serveAll()
+    {
+        if (server_->connections > server_->limits.connections) {
+            co_await refuse(Refused::TooManyConnections);
+            end_.reason = EndReason::Refused;
+            co_return;
+        }
+        bool more = true;
+        while (more) {
+            more = co_await serveOne();
+        }
+    }
+
     void noteEnd()
     {
         end_.unread = limit_.expired().value_or(arrivedAt(socket_.native_handle()));
@@ -170,26 +231,40 @@
     // Waits for the first bytes of the next request.
     asio::awaitable<bool> waitForRequest()
     {
-        constexpr std::size_t FirstRead = 4096;
-        Resting rest{.socket = socket_, .limit = limit_};
-        if (server_->draining && !rest.hasRequest()) {
-            co_return endsFor(EndReason::Draining);
+        // What the caller was told holds, also if the limit was lowered while it got its answer.
+        const kernel::Duration longest = std::max(server_->restLimit(), toldRest_);
+        Rest rest(server_->rests, socket_, limit_, longest);
+        while (!server_->draining || rest.hasRequest()) {
+            const beast::error_code error = co_await readFirst();
+            if (limit_.expired()) {
+                co_return endsFor(EndReason::RestLimit);
+            }
+            if (!error) {
+                co_return true;
+            }
+            // A drain ends the wait. A request may have arrived since it looked.
+            if (error != asio::error::operation_aborted) {
+                co_return endsFor(EndReason::CallerClosed);
+            }
         }
-        rest.until = rest.since + server_->restLimit();
-        limit_.expireAt(rest.until);
-        server_->resting.insert(&rest);
-        const auto [error, bytes] =
-                co_await socket_.async_read_some(buffer_.prepare(FirstRead), Quiet);
-        server_->resting.erase(&rest);
+        co_return endsFor(EndReason::Draining);
+    }
+
+    asio::awaitable<beast::error_code> readFirst()
+    {
+        constexpr std::size_t MostBytes = 4096;
+        fitBuffer();
+        const std::size_t most = std::min(MostBytes, buffer_.max_size());
+        const auto [error, bytes] = co_await socket_.async_read_some(buffer_.prepare(most), Quiet);
         buffer_.commit(bytes);
-        if (limit_.expired()) {
-            co_return endsFor(EndReason::RestLimit);
-        }
-        if (!error) {
-            co_return true;
-        }
-        const bool stopped = error == asio::error::operation_aborted;
-        co_return endsFor(stopped ? EndReason::Draining : EndReason::CallerClosed);
+        co_return error;
+    }
+
+    // The limits of now count, not those of when the connection was opened.
+    void fitBuffer()
+    {
+        const std::size_t most = std::size_t{server_->limits.headBytes} + server_->limits.bodyBytes;
+        buffer_.max_size(std::max(most, buffer_.size()));
     }
 
     asio::awaitable<bool> serveOne()
@@ -200,21 +275,17 @@
                 co_return false;
             }
         }
-        ++server_->active;
-        const bool more = co_await readAndAnswer();
-        --server_->active;
-        co_return more;
+        const Counted active(server_->active);
+        co_return co_await readAndAnswer();
     }
 
-    // The limits of now count, not those of when the connection began to rest.
     asio::awaitable<bool> readAndAnswer()
     {
         const ServerLimits &limits = server_->limits;
         Parser parser;
         parser.header_limit(limits.headBytes);
         parser.body_limit(limits.bodyBytes);
-        buffer_.max_size(
-                std::max<std::size_t>(limits.headBytes + limits.bodyBytes, buffer_.size()));
+        fitBuffer();
         const kernel::Instant begun = steadyNow();
         limit_.expireAfter(limits.headTimeout);
         const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
@@ -255,6 +326,7 @@
         if (!reply.whole()) {
             co_return endsFor(EndReason::Unanswered);
         }
+        toldRest_ = reply.toldRest();
         co_return reply.keptOpen() || endsFor(EndReason::LastAnswer);
     }
 
@@ -287,18 +359,16 @@
     TimeLimit limit_;
     beast::flat_buffer buffer_;
     kernel::Instant restsSince_;
+    kernel::Duration toldRest_{}; ///< How long the caller was last told that it may rest.
     ConnectionEnd end_;
 };
 
 template <typename SharedPtr>
 asio::awaitable<void> serveConnection(SharedPtr server, tcp::socket socket)
 {
-    ++server->connections;
-    {
-        Connection<SharedPtr> connection(server, std::move(socket));
-        co_await connection.serve();
-    }
-    --server->connections;
+    const Counted counted(server->connections);
+    Connection<SharedPtr> connection(server, std::move(socket));
+    co_await connection.serve();
 }
 
 template <typename SharedPtr>
@@ -397,10 +467,10 @@
         takeWaiting(shared_);
         shared_->acceptor.close(ignored);
     }
-    for (const Resting *rest : shared_->resting) {
+    for (Rest *rest : shared_->rests) {
         // A request that has arrived and isn't read yet is answered: closing would lose it.
         if (!rest->hasRequest()) {
-            rest->socket.cancel(ignored);
+            rest->cancel();
         }
     }
 }
@@ -412,8 +482,8 @@
 
 std::size_t Server::active() const
 {
-    const auto waiting = std::ranges::count_if(
-            shared_->resting, [](const Resting *rest) { return rest->hasRequest(); });
+    const auto waiting = std::ranges::count_if(shared_->rests,
+                                               [](const Rest *rest) { return rest->hasRequest(); });
     return shared_->active + shared_->beginning + static_cast<std::size_t>(waiting);
 }
 
--- a/src/http/TimeLimit.cpp
+++ b/src/http/TimeLimit.cpp
@@ -65,7 +65,8 @@
         }
         // What came may have been read already, with its handler queued behind this timer, where
         // another wait on the same socket ended first. It goes first: without this turn, one
-        // request of one is lost when the loop stands still past the limit.
+        // request of one is lost when the loop stands still past the limit. One turn is enough
+        // where one thread runs the loop: what is posted runs after all that was queued before.
         asio::post(socket->get_executor(),
                    [self = shared_from_this(), forLimit = sets] { self->lastLook(forLimit); });
     }
--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -233,7 +233,8 @@
         noteReturn(entry, now);
     }
     entry.lastSign = sign;
-    entry.unheard = Duration(0);
+    // A sign that others passed on may be older than the own standstill, which still excuses then.
+    entry.unheard = std::min(entry.unheard, now - sign);
 }
 
 void HeartbeatTable::noteReturn(Peer &entry, Instant now) const
--- a/src/services/ConnectionLog.cpp
+++ b/src/services/ConnectionLog.cpp
@@ -18,8 +18,8 @@
 bool mayHaveCostARequest(const http::ConnectionEnd &end)
 {
     return end.lateLooks > 0 || end.unread == http::Arrived::Bytes
-           || end.reason == http::EndReason::HeadLimit
-           || end.reason == http::EndReason::CallerBroke;
+           || end.reason == http::EndReason::HeadLimit || end.reason == http::EndReason::CallerBroke
+           || end.reason == http::EndReason::RunFailed;
 }
 
 } // namespace
@@ -40,7 +40,8 @@
                      {"rested_ms", end.rested / 1ms},
                      {"reading_ms", end.reading / 1ms},
                      {"read_bytes", end.readBytes},
-                     {"late_looks", end.lateLooks}},
+                     {"late_looks", end.lateLooks},
+                     {"fault", end.fault}},
                     "A request may have been lost with this connection, or nearly was.");
     }
 }
--- a/test/correctness/AnswerTimerTest.cpp
+++ b/test/correctness/AnswerTimerTest.cpp
@@ -62,6 +62,23 @@
     BOOST_TEST(!over);
 }
 
+BOOST_AUTO_TEST_CASE(wait_answerIsHandledRightBehindEachLook_goesOn)
+{
+    const auto behind = [this](std::function<void()> handler) {
+        return [this, handler = std::move(handler)] { asio::post(io, handler); };
+    };
+    standStill(behind([&] {
+        heard.read = 1;
+        standStill(behind([&] {
+            heard.read = 2;
+            asio::post(io, [&] { timer.stop(); });
+        }));
+    }));
+    io.run();
+    BOOST_TEST(heard.read == 2U);
+    BOOST_TEST(!over);
+}
+
 BOOST_AUTO_TEST_CASE(wait_nothingCame_ends)
 {
     standStill([] {});
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -1,21 +1,20 @@
 // A caller's connection that was closed with a whole request on it and no answer.
 //
-// Seen: beside a change of the limit for resting connections, on a box with an eighth of a core, a
-// caller sent a whole request on a connection that had rested; 676 ms later the connection was
-// closed. No line of the log and no counter told of the request.
-// How it came about: the event loop stood still past the limit. Then a piece of work that was
-// queued ahead of the limit's timer took long as well, and the request arrived during it. The timer
-// ran next and closed the connection: a request that has arrived is only found when the loop next
-// asks the operating system.
-// Cause: a time limit acted on what the loop had seen by then, not on what had arrived.
-// Proof: this order is brought about here without any chance, and the request is lost each time;
-// the box's own account of the connection's end says that bytes were unread.
+// Seen: beside a change of the configuration, on a box with an eighth of a core, a caller sent a
+// whole request; 676 ms later the connection was closed. No line of the log told of it.
+// How it came about: the event loop stood still, over a large configuration, past the limit of a
+// resting connection. A request came meanwhile. The run before had watched its caller's socket, and
+// that wait ended first, so the request was read and its handler queued behind the limit's timer,
+// which closed the connection. (With work queued ahead of the timer it is lost unread as well.)
+// Cause: a time limit acted on what the loop had handled by then, not on what had arrived.
+// Proof: this order is brought about here without any chance, and the request is lost each time,
+// also on the sources of the day; without the wait left behind none is.
+// Not shown: that the 676 ms of the record came about so; it takes a standstill that long.
 
 #include "http/Server.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
-#include <iostream>
 #include <poll.h>
 
 using namespace limereel;
@@ -52,6 +51,13 @@
     {
         ++handled;
         whenHandled();
+        if (throws) {
+            throw std::runtime_error("a fault in the run of a request");
+        }
+        if (streams) {
+            co_await stream(reply);
+            co_return;
+        }
         if (watchesCallers) {
             reply.watchClient([this] { ++leftCallers; });
         }
@@ -59,6 +65,16 @@
         co_await reply.send(std::move(answer));
     }
 
+    asio::awaitable<void> stream(http::Reply &reply)
+    {
+        co_await reply.begin(200, {});
+        co_await reply.write("begun");
+        while (!mayFinish) {
+            co_await asio::post(io, asio::use_awaitable);
+        }
+        co_await reply.finish();
+    }
+
     tcp::socket connect()
     {
         tcp::socket caller(io);
@@ -144,6 +160,9 @@
     std::size_t handled = 0;
     bool watchesCallers = false; ///< As the runs of requests do.
     std::size_t leftCallers = 0;
+    bool throws = false;
+    bool streams = false;
+    bool mayFinish = false;
     std::function<void()> whenHandled = [] {};
     std::vector<http::ConnectionEnd> ends;
 };
@@ -305,7 +324,9 @@
     start();
     tcp::socket caller = connect();
     send(caller, WholeRequest);
-    BOOST_TEST(nextOn(caller).find("Keep-Alive: timeout=12\r\n") != std::string::npos);
+    const std::string answer = nextOn(caller);
+    BOOST_TEST(answer.find("Keep-Alive: timeout=12\r\n") != std::string::npos);
+    BOOST_TEST(answer.find("Connection: keep-alive\r\n") != std::string::npos);
     limits.idleTimeout = 1s;
     server->setLimits(limits);
     send(caller, WholeRequest);
@@ -368,4 +389,94 @@
     BOOST_TEST(good(nextOn(caller)));
 }
 
+BOOST_AUTO_TEST_CASE(headLimitRaised_connectionThatRests_takesTheLargerHead)
+{
+    limits.headBytes = 2048;
+    limits.bodyBytes = 1024;
+    start();
+    tcp::socket caller = restingCaller();
+    limits.headBytes = 32768;
+    server->setLimits(limits);
+    send(caller, "GET /x HTTP/1.1\r\nHost: calls.example\r\nX-Long: " + std::string(20000, 'x')
+                         + "\r\n\r\n");
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(smallSizeLimits_requestWithinThem_isAnswered)
+{
+    limits.headBytes = 1000;
+    limits.bodyBytes = 1000;
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    BOOST_TEST(good(nextOn(caller)));
+    server->setLimits(limits);
+    send(caller, WholeRequest);
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(restLimitLoweredDuringAStream_connectionRestsAsLongAsItsHeadTold)
+{
+    streams = true;
+    limits.idleTimeout = 15s;
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    std::string got = nextOn(caller);
+    BOOST_TEST(got.find("Keep-Alive: timeout=12") != std::string::npos);
+    limits.idleTimeout = ShortLimit;
+    server->setLimits(limits);
+    mayFinish = true;
+    while (got.find("0\r\n\r\n") == std::string::npos) {
+        got += nextOn(caller);
+    }
+    runPast(Clock::now() + 2 * ShortLimit);
+    send(caller, WholeRequest);
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(restLimitLowered_moreConfigurationsComeWithinTheNotice_countsInTheEnd)
+{
+    limits.idleTimeout = LongLimit;
+    limits.idleNotice = 2 * ShortLimit;
+    start();
+    limits.idleTimeout = ShortLimit;
+    const auto known = Clock::now() + 2 * limits.idleNotice;
+    until([&] {
+        server->setLimits(limits);
+        return Clock::now() > known;
+    });
+    tcp::socket caller = connect();
+    until([&] {
+        server->setLimits(limits);
+        return answerOn(caller) == "closed";
+    });
+}
+
+BOOST_AUTO_TEST_CASE(drainingServer_requestArrivesBeforeTheCancelledReadIsHandled_isAnswered)
+{
+    start();
+    tcp::socket caller = restingCaller();
+    io.poll();
+    io.restart();
+    asio::post(io, [&] {
+        server->drain();
+        send(caller, WholeRequest);
+    });
+    BOOST_TEST(good(nextOn(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(run_throws_endIsToldAndNothingStaysActive)
+{
+    throws = true;
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    BOOST_TEST(nextOn(caller) == "closed");
+    BOOST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST((ends.front().reason == http::EndReason::RunFailed));
+    BOOST_TEST(ends.front().fault == "a fault in the run of a request");
+    BOOST_TEST(server->active() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -325,6 +325,36 @@
     BOOST_TEST((hall.table(1).owners(hall.now()) == hall.all()));
 }
 
+// Two boxes stand still at the same time. What one of them then tells of a third counts from before
+// that, and must not undo what the other has forgiven.
+BOOST_AUTO_TEST_CASE(receive_ageFromBeforeACommonStandstill_boxIsStillLive)
+{
+    std::mt19937_64 random(1);
+    kernel::Instant now{kernel::Duration(3600s)};
+    const BoxState one{.box = 1, .incarnation = 1, .version = 1};
+    const BoxState two{.box = 2, .incarnation = 1, .version = 1};
+    const BoxState three{.box = 3, .incarnation = 1, .version = 1};
+    HeartbeatTable first(HeartbeatPolicy{}, one);
+    HeartbeatTable third(HeartbeatPolicy{}, three);
+    first.receive({two}, {}, now);
+    first.receive({three}, {}, now);
+    third.receive({one}, {}, now);
+    now += 1s;
+    first.tick(now, random);
+    third.receive({two}, {}, now);
+    third.tick(now, random);
+    now += 12s;
+    first.tick(now, random);
+    BOOST_TEST((first.liveness(2, now) == Liveness::Live));
+    for (const auto &message : third.tick(now, random)) {
+        if (message.to == 1) {
+            BOOST_TEST(!message.ages.empty());
+            first.receive(message.states, message.ages, now);
+        }
+    }
+    BOOST_TEST((first.liveness(2, now) == Liveness::Live));
+}
+
 BOOST_AUTO_TEST_CASE(heartbeats_boxDiesWhileAnotherStandsStill_isNotBroughtBack)
 {
     for (const std::uint64_t frozen : {1U, 5U}) {
