--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,8 @@
 #include "http/Server.h"
 
 #include "http/ConnectionReply.h"
+#include "http/Counted.h"
+#include "http/Rest.h"
 #include "http/SteadyClock.h"
 #include "http/TimeLimit.h"
 
@@ -9,7 +11,6 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <set>
 
 namespace limereel::http {
 
@@ -23,71 +24,6 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
-class Rest;
-using Rests = std::set<Rest *>;
-
-/** A connection between two requests. It holds nothing, and a drain may close it at once. */
-class Rest
-{
-public:
-    /** \param rests lists it for as long as it lasts. */
-    Rest(Rests &rests, tcp::socket &socket, TimeLimit &limit, kernel::Duration longest)
-        : rests_(rests)
-        , socket_(socket)
-        , limit_(limit)
-    {
-        rests_.insert(this);
-        extendTo(longest);
-    }
-
-    ~Rest() { rests_.erase(this); }
-    Rest(const Rest &) = delete;
-    Rest &operator=(const Rest &) = delete;
-
-    /** It may last for \a longest; never less than before. */
-    void extendTo(kernel::Duration longest)
-    {
-        if (since_ + longest > until_) {
-            until_ = since_ + longest;
-            limit_.expireAt(until_);
-        }
-    }
-
-    /** Ends the wait for the next request. */
-    void cancel()
-    {
-        beast::error_code ignored;
-        socket_.cancel(ignored);
-    }
-
-    bool hasRequest() const { return arrivedAt(socket_.native_handle()) == Arrived::Bytes; }
-
-private:
-    Rests &rests_;
-    tcp::socket &socket_;
-    TimeLimit &limit_;
-    const kernel::Instant since_ = steadyNow();
-    kernel::Instant until_{}; ///< It is closed then.
-};
-
-/** Counts something for as long as it lasts, however that ends. */
-class Counted
-{
-public:
-    explicit Counted(std::size_t &counter)
-        : counter_(counter)
-    {
-        ++counter_;
-    }
-
-    ~Counted() { --counter_; }
-    Counted(const Counted &) = delete;
-    Counted &operator=(const Counted &) = delete;
-
-private:
-    std::size_t &counter_;
-};
-
 } // namespace
 
 struct Server::Shared
