A server whose entry went after an outage is kept no longer than its leaving allows

Changes are gathered for up to a second; then the server was kept for three quarters of the bound, since the store had been away. 1 s + 2.25 s is more than 3. Change: what was gathered counts towards the three quarters. Figures: the new case fails for each of three bounds before, none after; GatewayTest, GatewayStallTest, GatewayProcessTest pass.

--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -116,6 +116,13 @@
 
 } // namespace
 
+kernel::Duration keptAfterOutage(const kernel::GatewaySettings &settings)
+{
+    const kernel::Duration bound = settings.drainWithin * 3 / 4;
+    const kernel::Duration gathered = gatherFor(settings.drainWithin, GatherServersPart);
+    return std::min<kernel::Duration>(settings.listBeat * BeatsToReturn, bound - gathered);
+}
+
 World::World(services::Context &context, Adapter adapter)
     : context_(context)
     , adapter_(std::move(adapter))
@@ -275,8 +282,7 @@
     const auto &settings = context_.settings.gateway;
     const auto failure = serverFeed_ ? serverFeed_->lastFailure() : std::nullopt;
     const bool storeWasAway = failure && now - *failure < settings.contact;
-    const kernel::Duration grace = storeWasAway ? settings.listBeat * BeatsToReturn : 0s;
-    missing_[id] = now + std::min(grace, settings.drainWithin * 3 / 4);
+    missing_[id] = storeWasAway ? now + keptAfterOutage(settings) : now;
     if (!storeWasAway) {
         dropMissing();
     }
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -23,6 +23,14 @@
     Stale        ///< It wasn't; keys are refused.
 };
 
+/**
+ * How long a backend server is kept whose entry has gone soon after the store had been away: an
+ * entry may lapse because the store didn't hear its server, and is back after some beats. It may
+ * also have gone because the server leaves, so this and the time that changes are gathered for stay
+ * within three quarters of the bound in which a leaving server must get its last request.
+ */
+kernel::Duration keptAfterOutage(const kernel::GatewaySettings &settings);
+
 /** The service that follows the store. */
 class World : public kernel::Service
 {
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -602,6 +602,30 @@
     BOOST_TEST((gateway::answerWait(pace, 30s) == kernel::Duration(2s)));
 }
 
+// A server got a request 3,080 ms after its entry had gone, where 3,000 are allowed. The box had
+// gathered changes for a second when it learned of it, and then kept the server for three quarters
+// of the bound, since the store had been away shortly before.
+BOOST_AUTO_TEST_CASE(keptAfterOutage_changesAreGathered_bothStayWithinTheBound)
+{
+    for (const kernel::Duration bound : {2000ms, 3000ms, 6000ms}) {
+        kernel::GatewaySettings settings;
+        settings.listBeat = 10s;
+        settings.drainWithin = bound;
+        const kernel::Duration gathered = std::min<kernel::Duration>(1s, bound / 3);
+        const kernel::Duration kept = gateway::keptAfterOutage(settings);
+        BOOST_TEST((gathered + kept <= bound * 3 / 4));
+        BOOST_TEST((kept > 0s));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keptAfterOutage_shortBeat_isAFewBeats)
+{
+    kernel::GatewaySettings settings;
+    settings.listBeat = 200ms;
+    settings.drainWithin = 3000ms;
+    BOOST_TEST((gateway::keptAfterOutage(settings) == kernel::Duration(400ms)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(GatewayStopTest)
