The wait for an owner's answer ends only after what was taken from the socket is handled

Ruled out: more looks, which see the same empty socket. Change: look, then give the loop a turn, also when nothing is left. At most one datagram is taken and not handled, and its handler is queued ahead of that turn. Conclusion: mended; no wait takes longer than before by more than a turn of the loop.

--- a/src/services/PeerService.cpp
+++ b/src/services/PeerService.cpp
@@ -72,9 +72,10 @@
 {
     bool waiting = true;
     for (int looks = 0; looks < MostLooks && waiting && !enough(); ++looks) {
-        // First, as a datagram may have been taken from the socket and wait for its handler.
-        co_await asio::post(context_.io, asio::use_awaitable);
         waiting = http::arrivedAt(socket_.native_handle()) != http::Arrived::Nothing;
+        // Also when nothing is left: the last datagram may have been taken from the socket and wait
+        // for its handler, since the read that follows each one takes the next one at once.
+        co_await asio::post(context_.io, asio::use_awaitable);
     }
 }
 
