Test: a request whose connection the limit has closed still runs; it fails

Cause: the read of a request's last part may be done, with its handler queued behind the limit's last look, which finds the socket empty and closes it. The handler then passes the request on, though nobody can get its answer. Ruled out: a request that came in time; what came before the limit's first look is seen by it or handled before the last one. Change: a body in parts, of which the last comes between the two looks. Answered, or closed and not run: both are taken.

--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -239,6 +239,36 @@
     BOOST_TEST((ends.front().reason == http::EndReason::HeadLimit));
 }
 
+// The limit runs out with a part of the request read and not handled. The rest comes before its
+// last look, and is read by the handler of that part: nothing lies in the socket then.
+BOOST_AUTO_TEST_CASE(halfARequest_itsRestIsReadRightBeforeTheLastLook_isAnsweredOrNeverRun)
+{
+    constexpr std::size_t FirstRead = 4096; // Of the connection's buffer.
+    const std::string part(FirstRead + 200, 'x');
+    const std::string rest(100, 'y');
+    limits.headTimeout = ShortLimit;
+    start();
+    tcp::socket caller = restingCaller();
+    send(caller, "POST /x HTTP/1.1\r\nHost: calls.example\r\nContent-Length: "
+                         + std::to_string(part.size() + rest.size()) + "\r\n\r\n");
+    // The limit begins when the head is read.
+    io.poll();
+    io.restart();
+    const auto limit = Clock::now() + ShortLimit;
+    // Handled right behind the limit's timer, and ahead of what its pass reads.
+    asio::steady_timer behindTheLimit(io, limit);
+    behindTheLimit.async_wait([&](boost::system::error_code) { send(caller, rest); });
+    asio::post(io, [&] {
+        send(caller, part);
+        while (Clock::now() <= limit) {
+        }
+    });
+    const std::string answer = nextOn(caller);
+    const std::size_t runs = good(answer) ? 2 : 1;
+    runPast(Clock::now() + ShortLimit);
+    BOOST_TEST(handled == runs);
+}
+
 BOOST_AUTO_TEST_CASE(manyRestingConnections_allSendWhileTheLoopStandsStill_allAreAnswered)
 {
     // More than the operating system tells of at once, so that some of the requests are found only
