A request whose connection its limit has closed isn't run

Ruled out: one more turn before the limit closes, which the next part would outlast in the same way. Change: a request that is read to its end on a connection that its limit has closed counts as one that wasn't whole in time. Conclusion: a once-only request is no longer run for nobody in this order.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -226,7 +226,9 @@
         limit_.expireAfter(limits.headTimeout);
         const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
         limit_.never();
-        if (error) {
+        // The limit may close the connection between the read of the request's end and its
+        // handling; the request would run for nobody.
+        if (error || limit_.expired()) {
             end_.reading = steadyNow() - begun;
             end_.readBytes = bytes + buffer_.size();
             co_return co_await endUnread(error);
