--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -355,6 +355,34 @@
     BOOST_TEST((first.liveness(2, now) == Liveness::Live));
 }
 
+// A sign of life from after the standstill needs no excuse, also if others passed it on.
+BOOST_AUTO_TEST_CASE(receive_signFromAfterOwnStandstill_deathIsNotNoticedLater)
+{
+    std::mt19937_64 random(1);
+    const HeartbeatPolicy policy;
+    kernel::Instant now{kernel::Duration(3600s)};
+    const BoxState one{.box = 1, .incarnation = 1, .version = 1};
+    const BoxState two{.box = 2, .incarnation = 1, .version = 1};
+    HeartbeatTable table(policy, one);
+    table.receive({two}, {}, now);
+    table.tick(now, random);
+    now += 12s;
+    table.tick(now, random);
+    const auto runFor = [&](int periods) {
+        for (int period = 0; period < periods; ++period) {
+            now += policy.period;
+            table.tick(now, random);
+        }
+    };
+    runFor(6);
+    constexpr int Periods = 4;
+    constexpr std::uint8_t QuartersPerPeriod = 4;
+    table.receive({}, {{membership::shortHash(2), Periods * QuartersPerPeriod}}, now);
+    // Dead a period after its time, counted from the sign.
+    runFor(static_cast<int>(policy.deadAfter / policy.period) - Periods + 1);
+    BOOST_TEST((table.liveness(2, now) == Liveness::Dead));
+}
+
 BOOST_AUTO_TEST_CASE(heartbeats_boxDiesWhileAnotherStandsStill_isNotBroughtBack)
 {
     for (const std::uint64_t frozen : {1U, 5U}) {
