Only the part of a standstill that came after a box's last sign excuses its silence

Ruled out: forgiving nothing once a sign has come: one from before a standstill that both boxes had must still be excused (the case of a common standstill passes). Change: the table keeps when its last standstill ended. Conclusion: deaths are noticed no later after a standstill than without one; of two standstills around one sign a little more is excused, by the time between them.

--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -192,6 +192,9 @@
     for (auto &[box, entry] : peers_) {
         entry.unheard += standstill(entry, now);
     }
+    if (awakeAt_ && now > *awakeAt_ + policy_.period * PeriodsAwake) {
+        stoodStillUntil_ = now;
+    }
     awakeAt_ = now;
 }
 
@@ -233,8 +236,9 @@
         noteReturn(entry, now);
     }
     entry.lastSign = sign;
-    // A sign that others passed on may be older than the own standstill, which still excuses then.
-    entry.unheard = std::min(entry.unheard, now - sign);
+    // A sign that others passed on may be older than the own standstill, which still excuses what
+    // of it came after the sign.
+    entry.unheard = std::min(entry.unheard, std::max(Duration(0), stoodStillUntil_ - sign));
 }
 
 void HeartbeatTable::noteReturn(Peer &entry, Instant now) const
--- a/src/membership/HeartbeatTable.h
+++ b/src/membership/HeartbeatTable.h
@@ -138,6 +138,7 @@
     BoxState told_;                          ///< The own state as it was last given a version.
     std::uint64_t sinceTold_ = 0;            ///< Periods since then.
     std::optional<kernel::Instant> awakeAt_; ///< When the box last ticked or heard something.
+    kernel::Instant stoodStillUntil_;        ///< End of its last standstill.
     std::map<std::uint64_t, Peer> peers_;
     std::vector<std::uint64_t> round_; ///< Peers not yet sent to in this round.
 };
