Each lowered rest limit is forgotten at its own time

Cause: a limit that was lowered again within the notice kept the longest one before it for another whole notice. Under configurations that lower and raise it by little, a limit of long ago counted for ever. Ruled out: dropping the former limit at the second lowering: callers may still go by it. Change: each former limit counts until callers must know of the lower one. Conclusion: of little harm where limits hardly change.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <vector>
 
 namespace limereel::http {
 
@@ -24,6 +25,13 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
+/** A limit of rests that was lowered. */
+struct FormerLimit
+{
+    kernel::Duration idleTimeout;
+    kernel::Instant until; ///< All callers know of the lower one then.
+};
+
 } // namespace
 
 struct Server::Shared
@@ -40,15 +48,21 @@
     // only once all of them can have learned of it.
     kernel::Duration restLimit() const
     {
-        const bool known = steadyNow() >= loweredKnown;
-        return known ? limits.idleTimeout : std::max(limits.idleTimeout, idleBefore);
+        kernel::Duration longest = limits.idleTimeout;
+        for (const FormerLimit &former : formerLimits) {
+            if (steadyNow() < former.until) {
+                longest = std::max(longest, former.idleTimeout);
+            }
+        }
+        return longest;
     }
 
     void noteLowered(const ServerLimits &next)
     {
+        const kernel::Instant now = steadyNow();
+        std::erase_if(formerLimits, [&](const FormerLimit &former) { return now >= former.until; });
         if (next.idleTimeout < limits.idleTimeout) {
-            idleBefore = restLimit();
-            loweredKnown = steadyNow() + next.idleNotice;
+            formerLimits.push_back({limits.idleTimeout, now + next.idleNotice});
         }
     }
 
@@ -61,8 +75,7 @@
 
     asio::io_context &io;
     ServerLimits limits;
-    kernel::Duration idleBefore{};  ///< The limit before it was lowered.
-    kernel::Instant loweredKnown{}; ///< When all callers know of it.
+    std::vector<FormerLimit> formerLimits; ///< Each counts until its own time.
     Handler handler;
     std::function<Answer(Refused)> refusal = [](Refused) { return Answer(400); };
     std::function<void(const ConnectionEnd &)> ended = [](const ConnectionEnd &) {};
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -483,6 +483,29 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(restLimitLoweredAgainAndAgain_noticeOfTheFirstIsOver_longLimitIsForgotten)
+{
+    limits.idleTimeout = LongLimit;
+    limits.idleNotice = 2 * ShortLimit;
+    start();
+    const auto known = Clock::now() + 2 * limits.idleNotice;
+    bool shorter = false;
+    const auto configure = [&] {
+        shorter = !shorter;
+        limits.idleTimeout = shorter ? ShortLimit : ShortLimit + 1ms;
+        server->setLimits(limits);
+    };
+    until([&] {
+        configure();
+        return Clock::now() > known;
+    });
+    tcp::socket caller = connect();
+    until([&] {
+        configure();
+        return answerOn(caller) == "closed";
+    });
+}
+
 BOOST_AUTO_TEST_CASE(drainingServer_requestArrivesBeforeTheCancelledReadIsHandled_isAnswered)
 {
     start();
