A header field that Beast can't hold is refused instead of ending the process

Cause: Beast's parser throws for a field of 65,534 bytes or more, in a handler of the loop, so the exception leaves io_context::run() and the process ends with all its connections. The limit of a head, a setting (up to 1,048,576) and part of the configuration (no upper bound), lets such a field through where it was raised; the default, 16,384, doesn't. Ruled out: catching it in the connection: it isn't thrown within the connection's coroutine. Change: no head is read beyond 65,535 bytes, whatever the limit says; longer ones are refused as too large. Settings above 65,535 don't count any more; the setting's row and page still allow them.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -25,6 +25,9 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
+// Beast holds no longer field, and says so by an exception that would end the process.
+constexpr std::uint32_t MostHeadBytes = 65535;
+
 /** A limit of rests that was lowered. */
 struct FormerLimit
 {
@@ -232,7 +235,7 @@
     {
         const ServerLimits &limits = server_->limits;
         Parser parser;
-        parser.header_limit(limits.headBytes);
+        parser.header_limit(std::min(limits.headBytes, MostHeadBytes));
         parser.body_limit(limits.bodyBytes);
         fitBuffer();
         const kernel::Instant begun = steadyNow();
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -432,6 +432,20 @@
     BOOST_TEST(good(nextOn(caller)));
 }
 
+// The parser can't hold a field of 64 KiB, and says so by an exception in a handler of the loop.
+BOOST_AUTO_TEST_CASE(largeHeadLimit_fieldIsLongerThanTheParserHolds_isRefusedAndTheServerGoesOn)
+{
+    limits.headBytes = 131072;
+    start();
+    tcp::socket caller = connect();
+    send(caller, "GET /x HTTP/1.1\r\nHost: calls.example\r\nX-Long: " + std::string(70000, 'x')
+                         + "\r\n\r\n");
+    BOOST_TEST(nextOn(caller).starts_with("HTTP/1.1 4"));
+    tcp::socket other = connect();
+    send(other, WholeRequest);
+    BOOST_TEST(good(nextOn(other)));
+}
+
 BOOST_AUTO_TEST_CASE(smallSizeLimits_requestWithinThem_isAnswered)
 {
     limits.headBytes = 1000;
