A chat's home names no engine that has already failed the chat

Cause: the home of a chat names at most five engines to ask, and didn't know which ones the request had tried. With one engine of six refusing everything, the home went on naming it: it noted that engine as the chat's holder when it suggested it, and its load is always 0. The router skips it, so only four of the five others were asked; if these stood at the bound, the sixth, empty, wasn't. The chat was refused as engines-full. Seen besides: owners' estimates of the load lag (2 to 3 where 5 ran); by itself this refused nobody, as an empty engine is under any bound. Change: an ask carries the engines that failed the request; the home leaves them out of the choice, not out of the mean. Boxes of the version before ignore the list, and their asks are read without one (PeerTest, which checks two earlier versions now).

--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -79,7 +79,7 @@
 {
     return json::array({1, static_cast<int>(message.kind), message.request, message.router,
                         message.organisation, message.resource, message.chat, message.model,
-                        message.load, message.asks});
+                        message.load, message.asks, message.excluded});
 }
 
 json toJson(const PermitAnswer &message)
@@ -142,6 +142,7 @@
     return message;
 }
 
+// Boxes of earlier versions leave out the last ones.
 AskPermit askPermit(const json &array)
 {
     return {.kind = enumAt(array, 1, AskKind::Spill),
@@ -152,7 +153,9 @@
             .chat = wordAt(array, 6),
             .model = array.at(7).get<std::uint32_t>(),
             .load = array.at(8).get<std::uint32_t>(),
-            .asks = array.size() > 9 ? array.at(9).get<std::uint32_t>() : 1};
+            .asks = array.size() > 9 ? array.at(9).get<std::uint32_t>() : 1,
+            .excluded = array.size() > 10 ? array.at(10).get<std::vector<std::uint64_t>>()
+                                          : std::vector<std::uint64_t>()};
 }
 
 PermitAnswer permitAnswer(const json &array)
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -49,6 +49,8 @@
     std::uint32_t load = 0; ///< In flight on the asker's own engines of the model.
     std::uint32_t asks = 1; ///< Engine asks of the asker within the last seconds; boxes of an
                             ///< earlier version don't tell.
+    std::vector<std::uint64_t> excluded; ///< Hashes of engines that failed the request already: to
+                                         ///< name them again would push out one with room.
 
     auto operator<=>(const AskPermit &) const = default;
 };
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -478,7 +478,11 @@
     if (findOwned(ask.resource) == nullptr && !inLine(ask.resource)) {
         return answer;
     }
-    const auto engines = view().enginesOf(ask.model);
+    const auto all = view().enginesOf(ask.model);
+    auto engines = all;
+    std::erase_if(engines, [&ask](const routing::Candidate &engine) {
+        return std::ranges::find(ask.excluded, engine.engine) != ask.excluded.end();
+    });
     if (engines.empty()) {
         answer.result = PermitResult::Full;
         answer.comeBackMs = comeBackMs(drain_);
@@ -490,7 +494,7 @@
     const std::size_t count = pool == nullptr ? 1 : pool->candidates;
     const auto candidates = routing::candidatesFor(ask.chat, engines, count);
     const auto choices = routing::placeChat(candidates, chats_.find(ask.chat), engines,
-                                            poolView(ask.model, engines));
+                                            poolView(ask.model, all));
     for (const routing::Choice &choice : choices) {
         const peer::Suggestion suggestion{shortHash(choice.engine),
                                           static_cast<std::uint8_t>(choice.reason)};
--- a/src/services/PermitService.cpp
+++ b/src/services/PermitService.cpp
@@ -146,7 +146,9 @@
         }
     }
     for (std::size_t index = 0; index < suggestions.size(); ++index) {
-        if (auto permit = co_await tryEngine(need, askFor(need), suggestions[index], refusal)) {
+        AskPermit engineAsk = askFor(need);
+        if (auto permit =
+                    co_await tryEngine(need, std::move(engineAsk), suggestions[index], refusal)) {
             if (index > 0 || !answered) {
                 const auto owners = context_.kernel.find<MembershipService>("membership").owners();
                 const peer::Placed placed{need.chat, home, suggestions[index].engine, need.model,
@@ -321,7 +323,8 @@
             .resource = 0,
             .chat = need.chat,
             .model = need.model,
-            .load = context_.kernel.find<OwnerService>("owner").ownLoad(need.model)};
+            .load = context_.kernel.find<OwnerService>("owner").ownLoad(need.model),
+            .excluded = {need.excluded.begin(), need.excluded.end()}};
 }
 
 asio::awaitable<kernel::Duration> PermitService::renewRound()
--- /dev/null
+++ b/test/correctness/EngineChoiceTest.cpp
@@ -0,0 +1,185 @@
+// Which engines are asked for a chat when its first choices are full or have failed it.
+//
+// Seen: with one engine of six refusing everything, a chat was now and then refused as "engines
+// full" beside an empty engine. Its home had named five engines to ask: the one that had just
+// refused the chat, and four full ones; the empty one came sixth and was left out. The fixture
+// brings a hall into that state.
+
+#include "membership/Ownership.h"
+#include "services/ConfigService.h"
+#include "services/MembershipService.h"
+#include "services/OwnerService.h"
+#include "services/PermitService.h"
+#include "support/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+namespace asio = boost::asio;
+using peer::PermitResult;
+using support::Fleet;
+
+namespace {
+
+constexpr std::size_t Failed = 3;
+constexpr std::size_t WithRoom = 2;
+constexpr int Chats = 24; ///< Enough that each engine comes last for some.
+
+/** Six engines with a slot each, so that one request fills one whatever the mean. */
+struct SlotsFixture
+{
+    SlotsFixture()
+    {
+        // What a test fills stays full: nobody renews it.
+        fleet.settings([](kernel::BoxSettings &settings) { settings.permitLease = 300s; });
+        fleet.engines("hall-a", 6).routers("hall-a", 3);
+        fleet.start();
+        BOOST_REQUIRE(fleet.set(0, "pool:small", "slots", "1").status == 200);
+        BOOST_REQUIRE(fleet.until([this] { return slotsAreKnown(); }));
+    }
+
+    template <typename Service>
+    Service &at(std::size_t router, const char *name)
+    {
+        return fleet.context(router).kernel.find<Service>(name);
+    }
+
+    services::OwnerService &owner(std::size_t router)
+    {
+        return at<services::OwnerService>(router, "owner");
+    }
+
+    bool slotsAreKnown()
+    {
+        for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+            const auto &effective = at<services::ConfigService>(router, "config").effective();
+            if (effective.poolOfModelHash(model)->slots != 1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::uint64_t hashOf(std::size_t engine)
+    {
+        return owner(0).view().backends.at(engine).listed.backend.hash();
+    }
+
+    std::size_t ownerOf(std::size_t engine)
+    {
+        const auto owners = at<services::MembershipService>(0, "membership").owners();
+        const auto box = membership::ownerOf(hashOf(engine), owners);
+        std::size_t router = 0;
+        while (fleet.context(router).settings.box.hash() != box) {
+            ++router;
+        }
+        return router;
+    }
+
+    /** Takes the slots of all engines but \a free, and waits until every box has heard so. */
+    void fillAllBut(const std::set<std::size_t> &free)
+    {
+        for (std::size_t engine = 0; engine < fleet.engineCount(); ++engine) {
+            if (free.contains(engine)) {
+                continue;
+            }
+            const std::size_t router = ownerOf(engine);
+            const peer::AskPermit ask{.kind = peer::AskKind::Engine,
+                                      .request = engine + 1,
+                                      .router = fleet.context(router).settings.box.hash(),
+                                      .resource = hashOf(engine),
+                                      .model = model};
+            BOOST_REQUIRE((owner(router).decide(ask).result == PermitResult::Granted));
+        }
+        BOOST_REQUIRE(fleet.until([this, free] { return onlyFree(free); }));
+    }
+
+    /** Whether every box takes just the engines \a free for empty. */
+    bool onlyFree(const std::set<std::size_t> &free)
+    {
+        for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+            const auto &backends = owner(router).view().backends;
+            for (std::size_t engine = 0; engine < backends.size(); ++engine) {
+                if ((backends[engine].state.inFlight == 0) != free.contains(engine)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    services::Need needOf(int chat)
+    {
+        const kernel::OrganisationId organisation("/accra/hauler-a");
+        return {.organisation = organisation.hash(),
+                .chat = kernel::chatKey(organisation, kernel::ModelId("small"),
+                                        "c" + std::to_string(chat)),
+                .model = model,
+                .candidates = 5};
+    }
+
+    tl::expected<services::Permit, services::NoPermit> acquire(std::size_t router,
+                                                               services::Need need)
+    {
+        tl::expected<services::Permit, services::NoPermit> result;
+        fleet.await([&]() -> asio::awaitable<void> {
+            result = co_await at<services::PermitService>(router, "permits").acquireEngine(need);
+        });
+        return result;
+    }
+
+    /** Lets chats at all routers take the only place there is, one after the other. */
+    void eachChatFindsTheRoom(const std::set<std::size_t> &free,
+                              const std::set<std::uint64_t> &excluded)
+    {
+        fillAllBut(free);
+        for (int chat = 0; chat < Chats; ++chat) {
+            const std::size_t router = static_cast<std::size_t>(chat) % fleet.routerCount();
+            services::Need need = needOf(chat);
+            need.excluded = excluded;
+            const auto permit = acquire(router, need);
+            BOOST_TEST_CONTEXT("chat " << chat)
+            {
+                BOOST_TEST(permit.has_value());
+            }
+            if (permit) {
+                BOOST_TEST(permit->resource == hashOf(WithRoom));
+                at<services::PermitService>(router, "permits")
+                        .giveBack(*permit, peer::Observed::Unused);
+            }
+            BOOST_REQUIRE(fleet.until([this, free] { return onlyFree(free); }));
+        }
+    }
+
+    Fleet fleet;
+    const membership::ShortHash model = membership::shortHash(kernel::ModelId("small").hash());
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineChoiceTest, SlotsFixture)
+
+BOOST_AUTO_TEST_CASE(anEngineFailedTheChat_itTakesNoPlaceAmongThoseThatAreAsked)
+{
+    eachChatFindsTheRoom({Failed, WithRoom}, {hashOf(Failed)});
+}
+
+BOOST_AUTO_TEST_CASE(candidatesAreFull_theEngineWithRoomBeyondThemIsAsked)
+{
+    eachChatFindsTheRoom({WithRoom}, {});
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheEngineThatFailedTheChatHasRoom_chatIsRefusedAsFull)
+{
+    fillAllBut({Failed});
+    for (int chat = 0; chat < Chats; ++chat) {
+        services::Need need = needOf(chat);
+        need.excluded = {hashOf(Failed)};
+        const auto permit = acquire(static_cast<std::size_t>(chat) % fleet.routerCount(), need);
+        BOOST_REQUIRE(!permit.has_value());
+        BOOST_TEST((permit.error().code == outcome::ResultCode::EnginesFull));
+        BOOST_REQUIRE(fleet.until([this] { return onlyFree({Failed}); }));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -29,7 +29,7 @@
                        .configRevision = 70,
                        .backends = {engine, {}}};
     return {Heartbeat{{box, {}}, {{5, 0}, {~0U, 127}}},
-            AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8},
+            AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9, ~0ULL}},
             PermitAnswer{9, PermitResult::Redirected, {{1, 2}, {3, 0}}, 1500, 8},
             GiveBack{1, 2, Observed::RefusedLeaving},
             Renew{4, {{1, 2, 3}, {4, 5, 6}}},
@@ -55,12 +55,17 @@
 // While a fleet is upgraded, boxes of both versions ask each other.
 BOOST_AUTO_TEST_CASE(decode_askOfAnEarlierVersion_isUnderstood)
 {
-    const auto bytes = nlohmann::json::to_msgpack(
-            nlohmann::json::array({1, static_cast<int>(AskKind::Engine), 1, 2, 3, 4, 5, 6, 7}));
-    const auto message = decode(bytes);
-    BOOST_REQUIRE(message.has_value());
-    const AskPermit expected{AskKind::Engine, 1, 2, 3, 4, 5, 6, 7, 1};
-    BOOST_TEST((std::get<AskPermit>(*message) == expected));
+    auto fields =
+            nlohmann::json::array({1, static_cast<int>(AskKind::Engine), 1, 2, 3, 4, 5, 6, 7});
+    AskPermit expected{AskKind::Engine, 1, 2, 3, 4, 5, 6, 7, 1};
+    const auto withoutAsks = decode(nlohmann::json::to_msgpack(fields));
+    BOOST_REQUIRE(withoutAsks.has_value());
+    BOOST_TEST((std::get<AskPermit>(*withoutAsks) == expected));
+    fields.push_back(8);
+    expected.asks = 8;
+    const auto withoutExcluded = decode(nlohmann::json::to_msgpack(fields));
+    BOOST_REQUIRE(withoutExcluded.has_value());
+    BOOST_TEST((std::get<AskPermit>(*withoutExcluded) == expected));
 }
 
 BOOST_AUTO_TEST_CASE(decode_anyPrefix_isNothing)
