A chat's home always names the least loaded engines of the pool

Cause: the choice for a chat ends with the two least loaded engines of the whole pool, on which the promise rests that one engine has room. The home cut its list at five: behind a holder of another box and four or five candidates nothing of them was left, and a chat whose candidates were full was refused beside an engine with room. Ruled out: a home that tries its own first candidate itself leaves one place more; then all was well (candidatesAreFull_* passed before). Change: at most eight engines are asked, which is all of them with the default of five candidates; with more candidates the last of these are left out, not those of the pool. A refused chat costs up to eight asks instead of five. Owners' estimates still lag by two or three requests at times; no refusal was seen for that alone.

--- a/src/routing/Placement.cpp
+++ b/src/routing/Placement.cpp
@@ -96,4 +96,17 @@
     return order;
 }
 
+std::vector<Choice> shortlist(std::vector<Choice> order, std::size_t most)
+{
+    if (order.size() <= most) {
+        return order;
+    }
+    const auto ofPool = std::ranges::find(order, Reason::Spilled, &Choice::reason);
+    const auto candidates = static_cast<std::size_t>(ofPool - order.begin());
+    const std::size_t dropped = std::min(order.size() - most, candidates);
+    order.erase(ofPool - static_cast<std::ptrdiff_t>(dropped), ofPool);
+    order.resize(std::min(order.size(), most));
+    return order;
+}
+
 } // namespace limereel::routing
--- a/src/routing/Placement.h
+++ b/src/routing/Placement.h
@@ -67,4 +67,10 @@
                               const std::optional<Holder> &holder, std::span<const Candidate> pool,
                               const PoolView &view);
 
+/**
+ * The \a most engines of \a order, as of placeChat(), that are worth an ask. The last candidates
+ * go first: those of the whole pool stand for the promise that one engine has room.
+ */
+std::vector<Choice> shortlist(std::vector<Choice> order, std::size_t most);
+
 } // namespace limereel::routing
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -29,7 +29,9 @@
 
 namespace {
 
-constexpr std::size_t MostSuggestions = 5;
+// With the default of five candidates all are asked, the chat's last engine and the two least
+// loaded of the pool besides.
+constexpr std::size_t MostChoices = 8;
 // A probe's answer may be read late, by a loop that stood still.
 constexpr int ProbesKept = 2;
 constexpr std::size_t LineLength =
@@ -493,8 +495,9 @@
             config.ready() ? config.effective().poolOfModelHash(ask.model) : nullptr;
     const std::size_t count = pool == nullptr ? 1 : pool->candidates;
     const auto candidates = routing::candidatesFor(ask.chat, engines, count);
-    const auto choices = routing::placeChat(candidates, chats_.find(ask.chat), engines,
-                                            poolView(ask.model, all));
+    const auto choices = routing::shortlist(routing::placeChat(candidates, chats_.find(ask.chat),
+                                                               engines, poolView(ask.model, all)),
+                                            MostChoices);
     for (const routing::Choice &choice : choices) {
         const peer::Suggestion suggestion{shortHash(choice.engine),
                                           static_cast<std::uint8_t>(choice.reason)};
@@ -508,9 +511,7 @@
             }
             continue;
         }
-        if (answer.suggestions.size() < MostSuggestions) {
-            answer.suggestions.push_back(suggestion);
-        }
+        answer.suggestions.push_back(suggestion);
     }
     answer.result = answer.suggestions.empty() ? PermitResult::Full : PermitResult::Redirected;
     answer.comeBackMs = comeBackMs(drain_);
--- a/test/correctness/EngineChoiceTest.cpp
+++ b/test/correctness/EngineChoiceTest.cpp
@@ -6,6 +6,7 @@
 // brings a hall into that state.
 
 #include "membership/Ownership.h"
+#include "routing/Placement.h"
 #include "services/ConfigService.h"
 #include "services/MembershipService.h"
 #include "services/OwnerService.h"
@@ -157,6 +158,30 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(ShortlistTest)
+
+BOOST_AUTO_TEST_CASE(shortlist_anyOrder_dropsTheLastCandidatesAndKeepsThoseOfThePool)
+{
+    for (std::uint64_t candidates = 0; candidates <= 16; ++candidates) {
+        for (std::uint64_t ofPool = 0; ofPool <= 2; ++ofPool) {
+            std::vector<routing::Choice> order;
+            for (std::uint64_t engine = 0; engine < candidates + ofPool; ++engine) {
+                order.push_back({engine, engine < candidates ? routing::Reason::LeastLoaded
+                                                             : routing::Reason::Spilled});
+            }
+            const auto kept = routing::shortlist(order, 8);
+            BOOST_TEST(kept.size() == std::min<std::size_t>(order.size(), 8));
+            BOOST_TEST((std::equal(kept.rbegin(), kept.rbegin() + static_cast<int>(ofPool),
+                                   order.rbegin())));
+            const auto front = kept.size() - ofPool;
+            BOOST_TEST((std::equal(kept.begin(), kept.begin() + static_cast<int>(front),
+                                   order.begin())));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(EngineChoiceTest, SlotsFixture)
 
 BOOST_AUTO_TEST_CASE(anEngineFailedTheChat_itTakesNoPlaceAmongThoseThatAreAsked)
@@ -169,6 +194,24 @@
     eachChatFindsTheRoom({WithRoom}, {});
 }
 
+// A holder that another box owns goes before all candidates, so that none of these is tried by the
+// chat's home itself.
+BOOST_AUTO_TEST_CASE(holderAndCandidatesAreFull_theEngineWithRoomBeyondThemIsAsked)
+{
+    for (int chat = 0; chat < Chats; ++chat) {
+        constexpr std::array<std::size_t, 3> Holders = {0, 1, 4};
+        const std::uint64_t holder = hashOf(Holders.at(static_cast<std::size_t>(chat) % 3));
+        for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+            owner(router).take(peer::Placed{.chat = needOf(chat).chat,
+                                            .home = holder,
+                                            .engine = membership::shortHash(holder),
+                                            .model = model,
+                                            .passedOn = true});
+        }
+    }
+    eachChatFindsTheRoom({WithRoom}, {});
+}
+
 BOOST_AUTO_TEST_CASE(onlyTheEngineThatFailedTheChatHasRoom_chatIsRefusedAsFull)
 {
     fillAllBut({Failed});
