A request that runs in another hall isn't sent back to the engine there that failed it

One that refuses everything runs nothing and is chosen again, until the attempts are spent. Ruled out: the own hall's choice (it has no engine in the test); the retry budget (the chats before and after were served). Change: the box asked takes the excluded engines of the ask over into its own need.

--- a/src/services/SpillService.cpp
+++ b/src/services/SpillService.cpp
@@ -148,7 +148,8 @@
     Need need{.organisation = ask.organisation,
               .chat = ask.chat,
               .model = ask.model,
-              .candidates = pool->candidates};
+              .candidates = pool->candidates,
+              .excluded = {ask.excluded.begin(), ask.excluded.end()}};
     const auto permit =
             co_await context_.kernel.find<PermitService>("permits").acquireEngine(std::move(need));
     delegating_.erase(ask.request);
--- a/test/correctness/HallsTest.cpp
+++ b/test/correctness/HallsTest.cpp
@@ -85,6 +85,21 @@
                == 2);
 }
 
+// The engine that refuses runs nothing, so the other hall would choose it again and again.
+BOOST_AUTO_TEST_CASE(spill_engineElsewhereRefusesTheChat_anotherOneThereServesIt)
+{
+    Fleet fleet;
+    fleet.routers("hall-a", 1).engines("hall-b", 2).routers("hall-b", 1);
+    fleet.start();
+    BOOST_TEST(fleet.until([&] { return fleet.chat(0, Turn{}).whole; }));
+    fleet.engine(0).faults.refuseFull = 100000;
+    for (int chat = 0; chat < 10; ++chat) {
+        const auto answer = fleet.chat(0, Turn{.chat = "c" + std::to_string(chat)});
+        BOOST_TEST(answer.whole);
+        BOOST_TEST(answer.engine == "hall-b-engine-1");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(spill_forbiddenForThePool_isRefusedInsteadAtOnce)
 {
     Fleet fleet;
