A server that stops within its answer's head is silent

Cause: the look at a server's connection took what lay in the reader's buffer for an answer that waits. A part of a head lies there as long as the rest doesn't come, so such a server was never silent, and its request was held to its deadline instead of going elsewhere. Ruled out: asking the socket alone: the rest of an answer may lie in the buffer while a slow caller holds its reader up; and a head of two reads has its second one taken and not handled when the silence ends. Change: what is in the buffer counts only while nothing is being read; before a server counts as silent, what is queued goes first. Conclusion: the deadline's and the store's waits keep their looks as they were: half a head still adds 200 ms to them at most.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -96,10 +96,28 @@
         }
         if (!run_.world.servers().silent(server_.id, run_.context.now())) {
             armSilence(std::min(after, SilenceLook));
-        } else if (connection->heard().waiting != http::Arrived::Nothing) {
+        } else if (connection->answerWaits()) {
             // It has answered; this process stood still or its caller is slow.
             run_.context.counters.add("late_looks", {{"wait", "silence"}});
             armSilence(std::min(after, SilenceLook));
+        } else {
+            endAfterATurn(after);
+        }
+    });
+}
+
+// What was read may have its handler queued behind the timer of the silence; it goes first.
+void BackendExchange::endAfterATurn(kernel::Duration after)
+{
+    asio::post(run_.context.io, [this, interrupt = run_.interrupt, connection = connection_, after,
+                                 taken = connection_->taken()] {
+        // The interrupt and the connection outlive this object.
+        if (interrupt->over || interrupt->connection != connection) {
+            return;
+        }
+        if (connection->taken() != taken || connection->answerWaits()) {
+            run_.context.counters.add("late_looks", {{"wait", "silence"}});
+            armSilence(std::min(after, SilenceLook));
         } else {
             interrupt->end(Interruption::Silent);
         }
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -36,6 +36,7 @@
 private:
     void giveBack(std::optional<kernel::Duration> keptFor);
     void armSilence(kernel::Duration after);
+    void endAfterATurn(kernel::Duration after);
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> readOwnHead();
     boost::asio::awaitable<AttemptEnd> passWhole(http::AnswerStart start, forward::AnswerHead head);
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -62,6 +62,7 @@
     bool connectedLate = false;
     bool headRequest = false;
     bool sending = false;
+    bool reading = false;
     bool anySent = false;
     bool failed = false;
 };
@@ -154,8 +155,10 @@
     state->parser->body_limit(boost::none);
     state->parser->header_limit(MostHeadBytes);
     state->parser->skip(state->headRequest);
+    state->reading = true;
     const auto [error, bytes] =
             co_await bhttp::async_read_header(state->socket, state->buffer, *state->parser, Quiet);
+    state->reading = false;
     state->read += bytes;
     if (error) {
         state->failed = true;
@@ -180,8 +183,10 @@
         body.data = part.data();
         body.size = part.size();
         body.more = true;
+        state->reading = true;
         const auto [error, bytes] = co_await bhttp::async_read_some(state->socket, state->buffer,
                                                                     *state->parser, Quiet);
+        state->reading = false;
         state->read += bytes;
         part.resize(PartBytes - body.size);
         if (error && error != bhttp::error::need_buffer) {
@@ -244,4 +249,15 @@
     return {state_->read, buffered ? Arrived::Bytes : arrivedAt(state_->socket.native_handle())};
 }
 
+bool KeptConnection::answerWaits() const
+{
+    const bool buffered = state_->buffer.size() > 0 && !state_->reading;
+    return buffered || !quiet();
+}
+
+std::uint64_t KeptConnection::taken() const
+{
+    return state_->read + state_->buffer.size();
+}
+
 } // namespace limereel::http
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -62,6 +62,13 @@
     /** What has come on the connection, read or not. */
     Heard heard() const;
 
+    /** Whether more of the answer, or the connection's end, can be read at once. A part that its
+     * reader has taken already, and can't handle without the rest, isn't meant. */
+    bool answerWaits() const;
+
+    /** Bytes that were taken from the socket so far, handled or not. */
+    std::uint64_t taken() const;
+
 private:
     struct State;
     explicit KeptConnection(boost::asio::io_context &io);
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -8,6 +8,7 @@
 #include "gateway/ObjectFeed.h"
 #include "gateway/World.h"
 #include "platform/GatewayFixture.h"
+#include "support/Crowd.h"
 #include "support/HeldServer.h"
 #include "support/Ports.h"
 #include "support/Standstill.h"
@@ -253,6 +254,43 @@
     BOOST_TEST(context().counters.value("late_looks", {{"wait", "silence"}}) == 1U);
 }
 
+// The head's first part is read ahead of the end of the silence, the rest right behind it.
+BOOST_FIXTURE_TEST_CASE(longHead_isReadButNotHandledWhenSilenceEnds_serverIsNotSilent, HeldGateway)
+{
+    startHeld(100);
+    const auto pending = beginHeld(patient("GET", "/again/x", "15000"));
+    // Two reads of a new connection, of 512 bytes each.
+    const std::string fields = head("X-Long: " + std::string(600, 'x') + "\r\n");
+    const std::string whole = wholeAnswer("200 OK", fields, "whole");
+    boost::asio::post(io_, [this, &whole] {
+        blockPast(1s);
+        passAwake(300ms);
+        server.send(whole.substr(0, whole.size() - 1));
+    });
+    const auto looked = [this] {
+        return context().counters.value("late_looks", {{"wait", "silence"}}) > 0U
+               || context().counters.total("attempt_failures") > 0U;
+    };
+    until(looked, "the end of the silence");
+    server.sendIfOpen(whole.substr(whole.size() - 1));
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "whole");
+    BOOST_TEST(context().counters.total("attempt_failures") == 0U);
+}
+
+// What has come of a head and can't be read to its end is no answer that waits for its reader.
+BOOST_FIXTURE_TEST_CASE(halfAHead_serverThenSaysNothing_serverIsSilent, HeldGateway)
+{
+    startHeld(100);
+    const auto pending = beginHeld(patient("GET", "/again/x", "5000"));
+    server.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n");
+    passAwake(1s);
+    until([&] { return pending->done; }, "the end of the request");
+    const auto silent = context().counters.value("attempt_failures", {{"reason", "silent"}});
+    BOOST_TEST(silent == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(list_arrivedWhenEndOfCallIsHandled_storeIsNotLost, HeldFeed)
 {
     until([this] { return store.asked(); });
