The greatest head size that a setting allows is one that the parser holds

Cause: callers/head-bytes allowed up to 1,048,576 bytes, while the parser holds no field over 65,535; the limit is now capped there, so the setting promised what can't be kept. Change: 65,535 is the greatest; a settings file with more is refused at the start, naming the range.

--- a/src/kernel/SettingRows.cpp
+++ b/src/kernel/SettingRows.cpp
@@ -145,9 +145,9 @@
               "operators that may change settings and stop the box; hashes as printed by 'limereel "
               "hash-key'"},
              storeOperators},
-            {{"callers", "head-bytes", "integer from 1024 to 1048576", "16384",
+            {{"callers", "head-bytes", "integer from 1024 to 65535", "16384",
               "most bytes of a request's head"},
-             count(&S::headBytes, 1024, 1048576)},
+             count(&S::headBytes, 1024, 65535)},
             {{"callers", "body-bytes", "integer from 1024 to 67108864", "1048576",
               "most bytes of a request's body"},
              count(&S::bodyBytes, 1024, 67108864)},
