Tests: limits that act after a standstill before what came meanwhile is handled

Cause: the incident's class, "a timer that ran out while the loop stood still acts before what came meanwhile is handled", was read in four more places and not reproduced. The cases bring the order about without chance, with the means of the incident's other tests. Ruled out: faults put in by the test's own store: a gateway whose store runs on a loop of its own, so that it tells while the gateway stands still.

--- a/test/platform/AskWaitTest.cpp
+++ b/test/platform/AskWaitTest.cpp
@@ -13,11 +13,13 @@
 #include "peer/Envelope.h"
 #include "platform/GatewayFixture.h"
 #include "services/MembershipService.h"
+#include "services/OwnerService.h"
 #include "services/PeerService.h"
 #include "services/PermitService.h"
 #include "support/Crowd.h"
 #include "support/Fleet.h"
 #include "support/Ports.h"
+#include "support/Standstill.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fstream>
@@ -111,6 +113,14 @@
                                            .load = 1});
     }
 
+    /** Waits until something lies unread at the box. */
+    void untilUnread() const
+    {
+        while (unreadAt(box_.port()) == 0) {
+            std::this_thread::yield();
+        }
+    }
+
 private:
     /** Sends \a message while the box reads nothing, and waits until its system has it. */
     void sendUntilUnread(const peer::Message &message)
@@ -268,6 +278,62 @@
     std::unique_ptr<OtherBox> other;
 };
 
+/** A router that owns its hall's only engine, and another box that asks it for permits. */
+struct OneOwner
+{
+    OneOwner()
+    {
+        fleet.settings([](kernel::BoxSettings &settings) { settings.permitLease = Lease; });
+        fleet.engines("hall-a", 1).routers("hall-a", 1);
+        fleet.start();
+        const auto &settings = fleet.context(0).settings;
+        other = std::make_unique<OtherBox>(settings.peer, settings.peerKeys.front());
+        permit.resource = owner().view().backends.front().listed.backend.hash();
+    }
+
+    services::OwnerService &owner()
+    {
+        return fleet.context(0).kernel.find<services::OwnerService>("owner");
+    }
+
+    peer::AskPermit ask(peer::AskKind kind) const
+    {
+        return {.kind = kind,
+                .request = permit.request,
+                .router = Router,
+                .resource = permit.resource,
+                .model = Model};
+    }
+
+    /** The loop stands still past the lease; the renewal arrives before the lease's end is
+     * handled. */
+    void standStillWithRenewal()
+    {
+        const auto renew = [this] {
+            other->send(peer::Renew{Router, {permit}});
+            other->untilUnread();
+        };
+        support::standStill(fleet.io(), {std::chrono::steady_clock::now() + Lease, {}, renew});
+        BOOST_REQUIRE(fleet.until([this] { return renewals() > 0; }));
+    }
+
+    std::uint64_t renewals()
+    {
+        return fleet.context(0).counters.value("peer_bytes",
+                                               {{"direction", "in"}, {"kind", "renew"}});
+    }
+
+    std::uint64_t expired() { return fleet.context(0).counters.value("permits_expired"); }
+
+    static constexpr Duration Lease = 600ms;
+    const std::uint64_t Router = kernel::hashOf("box-2");
+    const membership::ShortHash Model = membership::shortHash(kernel::hashOf("small"));
+
+    support::Fleet fleet;
+    std::unique_ptr<OtherBox> other;
+    peer::HeldPermit permit{.request = 77, .resource = 0, .organisation = 0};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(AskWaitTest)
@@ -343,4 +409,58 @@
     BOOST_TEST(retries() == 1U);
 }
 
+// An owner that takes a permit for lapsed though its request runs grants one over the bound.
+BOOST_FIXTURE_TEST_CASE(permit_renewalUnreadWhenOwnerFindsTheLeaseOver_isKept, OneOwner)
+{
+    BOOST_REQUIRE(
+            (owner().decide(ask(peer::AskKind::Engine)).result == peer::PermitResult::Granted));
+    standStillWithRenewal();
+    BOOST_TEST(expired() == 0U);
+    BOOST_TEST(owner().ownLoad(Model) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(permit_neverRenewed_ends, OneOwner)
+{
+    BOOST_REQUIRE(
+            (owner().decide(ask(peer::AskKind::Engine)).result == peer::PermitResult::Granted));
+    support::standStill(fleet.io(), {std::chrono::steady_clock::now() + Lease, {}, {}});
+    BOOST_TEST(fleet.until([this] { return expired() == 1U; }));
+    BOOST_TEST(owner().ownLoad(Model) == 0U);
+}
+
+// The same for a place that this box holds for a box of another hall.
+BOOST_FIXTURE_TEST_CASE(permitForAnotherHall_renewalUnreadWhenLeaseIsOver_isKept, OneOwner)
+{
+    other->send(ask(peer::AskKind::Spill));
+    BOOST_REQUIRE(fleet.until([this] { return owner().ownLoad(Model) == 1U; }));
+    // The owner of that resource must not adopt the permit beside.
+    permit.resource = 0;
+    standStillWithRenewal();
+    BOOST_TEST(owner().ownLoad(Model) == 1U);
+}
+
+// A box renews the permits of its own requests itself, at a timer that stood still as well.
+BOOST_FIXTURE_TEST_CASE(permitOfOwnRequest_ownerStoodStillPastTheLease_isKept, OneOwner)
+{
+    bool done = false;
+    const auto chat = [&]() -> asio::awaitable<void> {
+        support::Turn turn;
+        turn.tokens = 500;
+        co_await fleet.chatAsync(0, std::move(turn));
+        done = true;
+    };
+    asio::co_spawn(fleet.io(), chat, asio::detached);
+    BOOST_REQUIRE(fleet.until([this] { return fleet.engine(0).running() == 1U; }));
+    bool handled = false;
+    const auto lookFirst = [&] {
+        // The owner's look goes before the renewal's timer.
+        fleet.context(0).kernel.find<services::MembershipService>("membership").hurry();
+        asio::post(fleet.io(), [&] { handled = true; });
+    };
+    support::standStill(fleet.io(), {std::chrono::steady_clock::now() + Lease, lookFirst, {}});
+    BOOST_REQUIRE(fleet.until([&] { return handled; }));
+    BOOST_TEST(expired() == 0U);
+    BOOST_TEST(fleet.until([&] { return done; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -5,6 +5,7 @@
 // Cause: the timer closed the connection without a look at what had arrived on it; a pass handles
 // only what had come when it began.
 
+#include "gateway/GatewayServices.h"
 #include "gateway/ObjectFeed.h"
 #include "gateway/World.h"
 #include "platform/GatewayFixture.h"
@@ -72,6 +73,22 @@
         standStill(io_, {Clock::now() + longest, [this, bytes] { server.send(bytes); }, {}});
     }
 
+    /** Begins a planned stop and runs the loop until no connection is taken any more. */
+    void beginStop()
+    {
+        context().kernel.find<gateway::GatewayStop>("stop").leave();
+        const boost::asio::ip::tcp::endpoint where(
+                boost::asio::ip::make_address(callerEndpoint().address), callerEndpoint().port);
+        // A connection that rests is closed then.
+        boost::asio::io_context unused;
+        boost::asio::ip::tcp::socket rests(unused);
+        rests.connect(where);
+        const auto closed = [&] {
+            return http::arrivedAt(rests.native_handle()) == http::Arrived::End;
+        };
+        until(closed, "the drain");
+    }
+
     /** The gateway's clock goes on by \a time, and the box is awake in it. */
     void passAwake(kernel::Duration time)
     {
@@ -152,6 +169,63 @@
     }
 };
 
+/** A gateway whose store goes on while the gateway's loop stands still. */
+class OwnStoreGateway : public GatewayFixture
+{
+public:
+    OwnStoreGateway()
+    {
+        store_.reset();
+        store_ = std::make_unique<standin::StoreStandin>(storeIo_, storeEndpoint());
+    }
+
+    /** The store goes before its loop. */
+    ~OwnStoreGateway() { store_.reset(); }
+
+    void startWithOneServer()
+    {
+        putConfiguration(configuration(1));
+        list(runner(0), "pool");
+        start();
+        untilHere([this] { return listed() && ready(); }, "readiness");
+    }
+
+    /** Like until(), with the store running. */
+    void untilHere(const std::function<bool()> &condition, const std::string &what)
+    {
+        const auto both = [&] {
+            runStore();
+            return condition();
+        };
+        until(both, what);
+    }
+
+    void runStore()
+    {
+        storeIo_.poll();
+        storeIo_.restart();
+    }
+
+    /** The store sends what it has to the watches that wait there, and the gateway's system has
+     * it. */
+    void storeTells()
+    {
+        runStore();
+        runStore();
+    }
+
+    bool listed()
+    {
+        return context().kernel.find<gateway::World>("world").servers().find("i-one").has_value();
+    }
+
+    /** Whether both kinds of objects are followed and nothing is on its way. */
+    bool watches() const { return store_->watching() == 2; }
+
+private:
+    boost::asio::io_context storeIo_{1};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GatewayStallTest)
@@ -318,6 +392,111 @@
     BOOST_TEST(!listed.has_value());
 }
 
+// Its server counts the rest from when the answer left. A once-only request that goes out as the
+// server closes is lost, and nobody knows whether it ran.
+BOOST_FIXTURE_TEST_CASE(answer_waitedUnreadForMostOfTheRest_connectionIsNotTakenAgain, HeldGateway)
+{
+    startHeld(10000);
+    const auto first = beginHeld(patient("POST", "/once/x", "15000"));
+    sendInStandstill(600ms, wholeAnswer("200 OK", head("Keep-Alive: timeout=1\r\n"), "first"));
+    BOOST_TEST(finish(first).status == 200);
+    server.forgetRequest();
+    const auto before = context().counters.value("backend_connections");
+    const auto second = begin(patient("POST", "/once/x", "15000"));
+    const auto went = [&] {
+        return server.asked() || context().counters.value("backend_connections") > before;
+    };
+    until(went, "the second request");
+    BOOST_TEST(context().counters.value("backend_connections") == before + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_arrivedInStandstillPastEndOfStop_isDelivered, HeldGateway)
+{
+    moreSettings = "stop-within = 1s\n";
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "15000"));
+    beginStop();
+    sendInStandstill(1s, wholeAnswer("200 OK", head(""), LongBody));
+    until([this] { return stopped_; }, "the end of the stop");
+    BOOST_TEST(context().kernel.find<gateway::FrontService>("front").active() == 0U);
+    const auto answer = finish(pending);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST((answer.body == LongBody));
+}
+
+BOOST_FIXTURE_TEST_CASE(nothingArrived_standstillPastEndOfStop_stopEndsAllTheSame, HeldGateway)
+{
+    moreSettings = "stop-within = 1s\n";
+    startHeld(10000);
+    const auto pending = beginHeld(patient("POST", "/once/x", "15000"));
+    beginStop();
+    standStill(io_, {Clock::now() + 1s, {}, {}});
+    until([this] { return stopped_; }, "the end of the stop");
+    BOOST_TEST(!pending->done);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(GatewayStallListTest, OwnStoreGateway)
+
+BOOST_AUTO_TEST_CASE(leavingOfServer_arrivedInStandstillBeforeTheRequest_serverGetsNothing)
+{
+    startWithOneServer();
+    const auto first = begin(request("POST", "/once/x"));
+    untilHere([&] { return first->done; }, "the first answer");
+    BOOST_REQUIRE(first->answer.status == 200);
+    untilHere([this] { return watches(); }, "the store's watches");
+    const std::string question =
+            "POST /once/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: a2\r\n"
+            "X-Deadline-Ms: 15000\r\nX-Api-Key: key-one\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::io_context unused;
+    boost::asio::ip::tcp::socket caller(unused);
+    caller.connect(
+            {boost::asio::ip::make_address(callerEndpoint().address), callerEndpoint().port});
+    boost::asio::write(caller, boost::asio::buffer(question.substr(0, 1)));
+    io_.poll();
+    io_.restart();
+    const auto leavesThenAsked = [&] {
+        list(runner(0), "pool", "draining");
+        storeTells();
+        boost::asio::write(caller, boost::asio::buffer(question.substr(1)));
+    };
+    standStill(io_, {Clock::now() + 300ms, leavesThenAsked, {}});
+    untilHere([&] { return caller.available() > 0; }, "the answer");
+    BOOST_TEST(runner(0).records().size() == 1U);
+}
+
+// An entry that has gone soon after an outage is kept until its server had time to be listed again.
+BOOST_AUTO_TEST_CASE(serverThatWentInOutage_isListedAgainInStandstill_isKept)
+{
+    moreSettings = "drain-within = 60s\nlist-beat = 20s\n";
+    startWithOneServer();
+    int gone = 0;
+    const auto noteGone = [&](const std::string &) { ++gone; };
+    context().kernel.find<gateway::World>("world").onServerGone(noteGone);
+    store().faults.status = 503;
+    store().remove("servers", "i-one");
+    const auto failures = [this] {
+        return context().counters.value("store_failures", {{"kind", "servers"}});
+    };
+    untilHere([&] { return failures() > 0; }, "the outage");
+    store().faults.status = 0;
+    untilHere([this] { return watches(); }, "the list without the server");
+    BOOST_REQUIRE(gone == 0);
+    bool told = false;
+    const auto listAgain = [&] {
+        // Past the time for which the server is kept.
+        stepForward(60s);
+        list(runner(0), "pool");
+        storeTells();
+        told = true;
+    };
+    standStill(io_, {Clock::now() + 300ms, listAgain, {}});
+    untilHere([&] { return told && watches(); }, "the list with the server");
+    BOOST_TEST(gone == 0);
+    BOOST_TEST(listed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Seen while the waits above were looked at: the deadline of a request whose whole answer was being
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -40,6 +40,9 @@
 
     int calls() const { return calls_; }
 
+    /** Watches that wait for a change. */
+    std::size_t watching() const { return waiting_.size(); }
+
     /** Bytes of all lists and changes that were sent. */
     std::uint64_t bytesSent() const { return bytesSent_; }
 
