A kept connection's rest counts from when the answer arrived

Cause: the pool counted a connection's rest from when its answer was handled. After a standstill, or behind a slow caller, the answer had lain unread for longer than the margin, and a once-only request went out on a connection that its server was about to close: lost, and nobody knows whether it ran. Ruled out: taking the last turn of the loop for the arrival: it is known to a quarter of a second only, and says nothing of slow callers. Change: the operating system knows when the last bytes came (TCP_INFO, to a few milliseconds); the pool takes the rest off. Conclusion: a connection is used again only for as long as its server said, from when the server's answer came.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -68,7 +68,7 @@
 void BackendExchange::giveBack(std::optional<kernel::Duration> keptFor)
 {
     run_.interrupt->connection.reset();
-    pool_.give(server_, connection_, keptFor);
+    pool_.give(server_, connection_, keptFor, connection_->rested());
 }
 
 asio::awaitable<AttemptEnd> BackendExchange::play()
--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -40,16 +40,19 @@
 }
 
 void ConnectionPool::give(const forward::ListedServer &server, http::KeptConnection::Ptr connection,
-                          std::optional<kernel::Duration> keptFor)
+                          std::optional<kernel::Duration> keptFor,
+                          std::optional<kernel::Duration> rested)
 {
     const kernel::Duration kept = keptFor ? *keptFor - Margin : KeptUntold;
     std::vector<PooledConnection> &idle = idle_[server.id];
-    if (!connection->reusable() || kept <= 0s || idle.size() >= MostIdle) {
+    const bool usable = connection->reusable() && rested && *rested < kept;
+    if (!usable || idle.size() >= MostIdle) {
         connection->close();
         return;
     }
-    const kernel::Instant now = context_.now();
-    idle.push_back({std::move(connection), now, now + kept, keptFor.has_value()});
+    // This process may have stood still, or its caller been slow, while the answer lay there.
+    const kernel::Instant since = context_.now() - *rested;
+    idle.push_back({std::move(connection), since, since + kept, keptFor.has_value()});
 }
 
 void ConnectionPool::putBack(const forward::ListedServer &server, PooledConnection unused)
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -19,7 +19,7 @@
 struct PooledConnection
 {
     http::KeptConnection::Ptr connection;
-    kernel::Instant since; ///< Of its last answer.
+    kernel::Instant since; ///< Its last answer arrived, read or not.
     kernel::Instant until; ///< It isn't used from then on.
     bool told = false;     ///< The server said how long it keeps it.
 };
@@ -42,10 +42,13 @@
     /** Gives back what was taken and not used. It is no fresher than it was. */
     void putBack(const forward::ListedServer &server, PooledConnection unused);
 
-    /** Keeps \a connection if it may be used again. \param keptFor what the server said of idling.
+    /**
+     * Keeps \a connection if it may be used again.
+     * \param keptFor what the server said of idling.
+     * \param rested since its answer arrived; nothing if that isn't known.
      */
     void give(const forward::ListedServer &server, http::KeptConnection::Ptr connection,
-              std::optional<kernel::Duration> keptFor);
+              std::optional<kernel::Duration> keptFor, std::optional<kernel::Duration> rested);
 
     /** Closes all connections to \a id. */
     void drop(const std::string &id);
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -242,6 +242,11 @@
     return arrivedAt(state_->socket.native_handle()) == Arrived::Nothing;
 }
 
+std::optional<kernel::Duration> KeptConnection::rested() const
+{
+    return sinceLastBytes(state_->socket.native_handle());
+}
+
 Heard KeptConnection::heard() const
 {
     // What lies in the buffer was taken from the socket together with what came before it.
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -59,6 +60,9 @@
     /** Whether nothing has come on an idle connection, neither bytes nor its end. */
     bool quiet() const;
 
+    /** How long ago its last bytes came, read or not; nothing if it isn't open. */
+    std::optional<kernel::Duration> rested() const;
+
     /** What has come on the connection, read or not. */
     Heard heard() const;
 
--- a/src/http/SocketState.cpp
+++ b/src/http/SocketState.cpp
@@ -1,6 +1,7 @@
 #include "http/SocketState.h"
 
 #include <cerrno>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -54,4 +55,14 @@
     return hasRoom(socket);
 }
 
+std::optional<kernel::Duration> sinceLastBytes(int socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 } // namespace limereel::http
--- a/src/http/SocketState.h
+++ b/src/http/SocketState.h
@@ -7,7 +7,10 @@
  */
 #pragma once
 
+#include "kernel/decisions/Time.h"
+
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace limereel::http {
@@ -32,4 +35,8 @@
 /** Whether an attempt to connect \a socket is over, well or badly; never blocks. */
 bool connectIsOver(int socket);
 
+/** How long ago the last bytes came on the TCP connection \a socket, read or not; since it was
+ * made if none have. Nothing if it isn't open. */
+std::optional<kernel::Duration> sinceLastBytes(int socket);
+
 } // namespace limereel::http
--- a/test/correctness/ConnectionPoolTest.cpp
+++ b/test/correctness/ConnectionPoolTest.cpp
@@ -71,7 +71,7 @@
 BOOST_AUTO_TEST_CASE(connection_givenBackUnused_isNoFresherThanBefore)
 {
     useOnce();
-    pool.give(listed, connection, std::nullopt);
+    pool.give(listed, connection, std::nullopt, 0ms);
     now += 900ms;
     auto taken = pool.take(listed, true);
     BOOST_REQUIRE(taken);
@@ -84,7 +84,7 @@
 BOOST_AUTO_TEST_CASE(connection_givenBackUnused_isKeptAsLongAsItsServerSaid)
 {
     useOnce();
-    pool.give(listed, connection, 10s);
+    pool.give(listed, connection, 10s, 0ms);
     now += 9s;
     auto taken = pool.take(listed, true);
     BOOST_REQUIRE(taken);
@@ -96,7 +96,7 @@
 BOOST_AUTO_TEST_CASE(connection_givenBackUnused_endsWhenItWouldHave)
 {
     useOnce();
-    pool.give(listed, connection, 10s);
+    pool.give(listed, connection, 10s, 0ms);
     now += 9s;
     auto taken = pool.take(listed, true);
     BOOST_REQUIRE(taken);
@@ -105,4 +105,34 @@
     BOOST_TEST(!pool.take(listed, false).has_value());
 }
 
+// Found by reading as well: the rest counted from when the answer was handled. Its server counts
+// from when the answer left, and the answer may have lain unread for long.
+BOOST_AUTO_TEST_CASE(connection_answerLayUnread_restCountsFromItsArrival)
+{
+    useOnce();
+    pool.give(listed, connection, 2s, 1400ms);
+    now += 90ms;
+    auto taken = pool.take(listed, true);
+    BOOST_REQUIRE(taken);
+    pool.putBack(listed, std::move(*taken));
+    now += 20ms;
+    BOOST_TEST(!pool.take(listed, false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(connection_answerLayUnreadAndServerSaidNothing_isNotSurelyOpen)
+{
+    useOnce();
+    pool.give(listed, connection, std::nullopt, 1100ms);
+    BOOST_TEST(!pool.take(listed, true).has_value());
+    BOOST_TEST(pool.take(listed, false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(connection_answerLayUnreadForTheWholeRest_isClosed)
+{
+    useOnce();
+    pool.give(listed, connection, 2s, 1500ms);
+    BOOST_TEST(!pool.take(listed, false).has_value());
+    BOOST_TEST(!connection->reusable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/SocketStateTest.cpp
+++ b/test/correctness/SocketStateTest.cpp
@@ -76,4 +76,15 @@
     BOOST_TEST(http::connectIsOver(near.native_handle()));
 }
 
+BOOST_AUTO_TEST_CASE(sinceLastBytes_openConnection_isKnown)
+{
+    BOOST_TEST(http::sinceLastBytes(near.native_handle()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(sinceLastBytes_closedSocket_isUnknown)
+{
+    near.close();
+    BOOST_TEST(!http::sinceLastBytes(near.native_handle()).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
