Leases of permits go by the time in which their owner is awake

Cause: an owner that stood still past a lease took permits for lapsed whose renewals lay unread in its socket, and those of its own requests, which its own timer renews. It granted as many over the bound. A place held for another hall was given back likewise, and a later renewal doesn't bring it back. A new owner's settling time also ran out in a standstill. Ruled out: only reading the socket first (as for asks): own renewals are in no socket, and a standstill of a lease's length overflows the system's buffer. Places behind a gateway: not a fault; they are never renewed, so their 20 s end alike with and without a standstill, and a give-back that lies unread frees no more than the end does. Change: AwakeTime, a clock that leaves out what is beyond one and a half of the period in which it is asked; permits, quotas and places for other halls go by it. A dead router's permits live longer by a standstill of their owner: fewer grants, not more. Conclusion: a lease runs out only while its owner could hear of its renewal.

--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -86,6 +86,7 @@
 OwnerService::OwnerService(Context &context)
     : context_(context)
     , policy_{.lease = context.settings.permitLease, .settle = context.settings.settle}
+    , awake_(context.settings.heartbeatPeriod)
     , quotas_(policy_)
     , chats_(context.settings.chatIndex)
     , drain_(context.now())
@@ -136,7 +137,7 @@
 
 void OwnerService::take(const peer::GiveBack &giveBack)
 {
-    if (quotas_.giveBack(giveBack.resource, giveBack.request, context_.now())) {
+    if (quotas_.giveBack(giveBack.resource, giveBack.request, awake())) {
         return;
     }
     OwnedBackend *const owned = findOwned(giveBack.resource);
@@ -168,9 +169,9 @@
     for (const peer::HeldPermit &permit : renew.permits) {
         const routing::Ask ask{permit.request, renew.router, permit.organisation};
         if (OwnedBackend *const owned = findOwned(permit.resource); owned != nullptr) {
-            owned->ledger.renew(ask, context_.now());
+            owned->ledger.renew(ask, awake());
         } else if (organisation(permit.resource) != nullptr) {
-            quotas_.renew(permit.resource, {permit.request, renew.router, 0}, context_.now());
+            quotas_.renew(permit.resource, {permit.request, renew.router, 0}, awake());
         }
     }
 }
@@ -234,11 +235,11 @@
     routing::OwnLoads loads;
     routing::OwnLoads permits;
     for (auto &[hash, owned] : backends_) {
-        expired += owned.ledger.expire(context_.now());
+        expired += owned.ledger.expire(awake());
         loads[hash] = owned.ledger.inFlight() + owned.unknownLoad;
         permits[hash] = owned.ledger.inFlight();
     }
-    expired += quotas_.expire(context_.now());
+    expired += quotas_.expire(awake());
     if (expired > 0) {
         context_.counters.add("permits_expired", {}, expired);
     }
@@ -248,6 +249,13 @@
     context_.counters.set("backends_owned", static_cast<double>(backends_.size()));
 }
 
+// After a standstill, permits whose renewals lie unread or are this box's own to make would look
+// lapsed, and as many requests would be let in over the bound.
+Instant OwnerService::awake()
+{
+    return awake_.at(context_.now());
+}
+
 void OwnerService::review()
 {
     const auto &membership = context_.kernel.find<MembershipService>("membership");
@@ -277,7 +285,7 @@
     const BackendView *const before = view_.find(listed.backend.hash());
     const bool takeover = before != nullptr && before->reported;
     OwnedBackend owned{.listed = listed,
-                       .ledger = routing::PermitLedger(policy_, context_.now(), takeover),
+                       .ledger = routing::PermitLedger(policy_, awake(), takeover),
                        .health = {},
                        .leaving = false,
                        .probing = false,
@@ -467,7 +475,7 @@
                                          routing::loadBound(1, pool.inFlight, pool.engines),
                                  .slots = settings == nullptr ? 1 : settings->slots,
                                  .unknownLoad = owned.unknownLoad};
-    const GrantResult result = owned.ledger.ask(ledgerAsk(ask), bounds, context_.now());
+    const GrantResult result = owned.ledger.ask(ledgerAsk(ask), bounds, awake());
     if (result == GrantResult::Full || result == GrantResult::Unfair) {
         drain_.noteRefusal(context_.now());
     }
@@ -553,8 +561,8 @@
         return answer;
     }
     const admission::QuotaLimits limits{settings->maxInFlight, settings->requestsPerMinute};
-    const auto quota = quotas_.ask(ask.resource, limits, {ask.request, ask.router, 0},
-                                   context_.now(), context_.random);
+    const auto quota = quotas_.ask(ask.resource, limits, {ask.request, ask.router, 0}, awake(),
+                                   context_.random);
     answer.result = resultOf(quota.result);
     answer.comeBackMs = static_cast<std::uint32_t>(quota.comeBackIn / 1ms);
     return answer;
--- a/src/services/OwnerService.h
+++ b/src/services/OwnerService.h
@@ -10,6 +10,7 @@
 #include "admission/DrainRate.h"
 #include "admission/QuotaBook.h"
 #include "config/Effective.h"
+#include "kernel/decisions/AwakeTime.h"
 #include "membership/BackendHealth.h"
 #include "membership/BoxState.h"
 #include "peer/Messages.h"
@@ -79,6 +80,7 @@
     };
 
     void beat();
+    kernel::Instant awake();
     void review();
     void adopt(const store::ListedBackend &listed);
     void completeState(membership::BoxState &state) const;
@@ -102,6 +104,7 @@
 
     Context &context_;
     routing::PermitPolicy policy_;
+    kernel::AwakeTime awake_; ///< Leases of permits go by it.
     std::map<std::uint64_t, OwnedBackend> backends_;
     admission::QuotaBook quotas_;
     routing::ChatIndex chats_;
--- a/src/services/SpillService.cpp
+++ b/src/services/SpillService.cpp
@@ -24,11 +24,18 @@
 constexpr std::size_t HallsTried = 2;       ///< Halls that are asked before a request is refused.
 constexpr std::size_t BoxesTriedAbroad = 2; ///< Boxes of one other hall that are asked.
 constexpr kernel::Duration ComeBackWithoutWord = 1s;
+constexpr int RoundsPerLease = 6; ///< Looks for what lapsed.
+
+kernel::Duration lapseEvery(const Context &context)
+{
+    return context.settings.permitLease / RoundsPerLease;
+}
 
 } // namespace
 
 SpillService::SpillService(Context &context)
     : context_(context)
+    , awake_(lapseEvery(context))
 {
 }
 
@@ -154,7 +161,7 @@
             co_await context_.kernel.find<PermitService>("permits").acquireEngine(std::move(need));
     delegating_.erase(ask.request);
     if (permit) {
-        delegated_[ask.request] = {*permit, context_.now() + context_.settings.permitLease};
+        delegated_[ask.request] = {*permit, awake() + context_.settings.permitLease};
         sendAnswer(ask, from);
         co_return;
     }
@@ -191,21 +198,28 @@
 {
     for (const peer::HeldPermit &permit : renew.permits) {
         if (const auto place = delegated_.find(permit.request); place != delegated_.end()) {
-            place->second.until = context_.now() + context_.settings.permitLease;
+            place->second.until = awake() + context_.settings.permitLease;
         }
     }
 }
 
+// The renewals of other halls lie unread while this box stands still.
+kernel::Instant SpillService::awake()
+{
+    return awake_.at(context_.now());
+}
+
 asio::awaitable<kernel::Duration> SpillService::lapseRound()
 {
     dropLapsed();
-    co_return context_.settings.permitLease / 6;
+    co_return lapseEvery(context_);
 }
 
 void SpillService::dropLapsed()
 {
+    const kernel::Instant now = awake();
     for (auto place = delegated_.begin(); place != delegated_.end();) {
-        if (place->second.until > context_.now()) {
+        if (place->second.until > now) {
             ++place;
             continue;
         }
--- a/src/services/SpillService.h
+++ b/src/services/SpillService.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "kernel/decisions/AwakeTime.h"
 #include "services/PermitService.h"
 #include "services/Repeat.h"
 
@@ -53,10 +54,12 @@
                                                           NoPermit &refusal);
     boost::asio::awaitable<void> serve(peer::AskPermit ask, kernel::Endpoint from);
     void sendAnswer(const peer::AskPermit &ask, const kernel::Endpoint &from);
+    kernel::Instant awake();
     boost::asio::awaitable<kernel::Duration> lapseRound();
     void dropLapsed();
 
     Context &context_;
+    kernel::AwakeTime awake_; ///< What is held for other halls lapses by it.
     std::unordered_map<std::uint64_t, Delegated> delegated_; ///< By the asker's request.
     std::set<std::uint64_t> delegating_;                     ///< Asks that are being served.
     std::unique_ptr<Repeat> lapseLoop_;
