A stop that stood still past its end gives what had arrived a short respite

Cause: a planned stop looks every 20 or 50 ms whether all is finished, and cuts at its end. Where the process stood still past the end, the first look cut requests whose answers lay in the socket. Ruled out: leaving the standstill out altogether: the platform keeps its own end. Change: StopEnd, for both stops: the first standstill that leaves less than 200 ms to the end, or passes it, gives 200 ms from the look on. A gateway plans its end 200 ms ahead of the platform's. Conclusion: what came in time is answered if that takes some turns of the loop; a stop still ends.

--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -3,6 +3,7 @@
 #include "gateway/GatewayStatus.h"
 #include "kernel/Log.h"
 #include "services/MembershipService.h"
+#include "services/StopEnd.h"
 
 #include <boost/asio.hpp>
 
@@ -100,14 +101,16 @@
     const kernel::Instant began = context_.now();
     const kernel::Duration whole = context_.settings.gateway.stopWithin;
     asio::steady_timer timer(context_.io);
-    timer.expires_after(std::min(BalancerLag, whole / 3));
+    const kernel::Duration first = std::min(BalancerLag, whole / 3);
+    timer.expires_after(first);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     front.drain();
+    services::StopEnd end({began + first, began + whole - LastMoment, LookEvery, LastMoment});
     // A turn of the loop first: a connection may be on its way from the listener to its first read.
     do {
         timer.expires_after(LookEvery);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    } while (front.active() > 0 && context_.now() - began < whole - LastMoment);
+    } while (front.active() > 0 && !end.over(context_.now()));
     log().info("The planned stop is done, " + std::to_string(front.active())
                + " requests are cut.");
     done_();
--- a/src/services/StopService.cpp
+++ b/src/services/StopService.cpp
@@ -3,6 +3,7 @@
 #include "kernel/Log.h"
 #include "services/CallerService.h"
 #include "services/MembershipService.h"
+#include "services/StopEnd.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -16,6 +17,8 @@
 constexpr kernel::Duration LookEvery = 50ms;
 constexpr int FarewellBeats =
         3; ///< Heartbeats that say that the box leaves, before it may be gone.
+// What came in a standstill is read and answered in some turns of the loop.
+constexpr kernel::Duration Respite = 200ms;
 
 const kernel::Log &log()
 {
@@ -46,17 +49,19 @@
 asio::awaitable<void> StopService::run()
 {
     auto &caller = context_.kernel.find<CallerService>("caller");
-    const kernel::Instant deadline = context_.now() + context_.settings.stopDeadline;
+    const kernel::Instant began = context_.now();
     const kernel::Duration farewell = context_.settings.heartbeatPeriod * FarewellBeats;
     asio::steady_timer timer(context_.io);
-    timer.expires_after(std::max(context_.settings.balancerLag, farewell));
+    const kernel::Duration first = std::max(context_.settings.balancerLag, farewell);
+    timer.expires_after(first);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     caller.drain();
+    StopEnd end({began + first, began + context_.settings.stopDeadline, LookEvery, Respite});
     // A turn of the loop first: a connection may be on its way from the listener to its first read.
     do {
         timer.expires_after(LookEvery);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    } while (caller.active() > 0 && context_.now() < deadline);
+    } while (caller.active() > 0 && !end.over(context_.now()));
     const std::size_t cut = caller.active();
     if (cut > 0) {
         log().error("The deadline of the planned stop has come; " + std::to_string(cut)
