After a standstill, the list of servers is taken in before it is acted on

Cause: taking in an answer of the store is several turns of the loop. After a standstill, requests of the same pass went to a server whose leaving had arrived before them, and a server that had gone in an outage was dropped though its new entry had arrived. Ruled out: a look at the socket before each send: it costs each request a system call and a turn of the loop. Change: World::catchUp lets the loop take in what lies unread, awaited before each attempt, on a new connection also after it was made, and before servers are dropped. Conclusion: what has arrived counts. What hasn't arrived by the end of a standstill is still not known: a list has no confirmation as keys have.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -74,6 +74,11 @@
 {
 }
 
+bool ObjectFeed::behind() const
+{
+    return taking_ || (connection_ && connection_->heard().waiting == http::Arrived::Bytes);
+}
+
 void ObjectFeed::hurry()
 {
     if (failing_) {
@@ -90,6 +95,7 @@
     } else {
         good = co_await list();
     }
+    taking_ = false;
     if (good) {
         backoff_.succeed();
         co_return changed_ ? pace_.afterChange : kernel::Duration::zero();
@@ -119,6 +125,7 @@
 asio::awaitable<tl::expected<http::Answer, std::string>> ObjectFeed::ask(std::string target,
                                                                          kernel::Duration longest)
 {
+    taking_ = false;
     if (connection_ && !(connection_->reusable() && connection_->quiet())) {
         connection_.reset();
     }
@@ -152,6 +159,7 @@
     if (!body) {
         co_return tl::unexpected(body.error().message);
     }
+    taking_ = true;
     http::Answer answer(head->status, {}, std::move(*body));
     co_return answer;
 }
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -79,6 +79,10 @@
     /** When the store last failed to answer; nothing if it never did. */
     std::optional<kernel::Instant> lastFailure() const { return lastFailure_; }
 
+    /** Whether something that has arrived isn't taken in yet. To be asked once the loop has had a
+     * turn, in which it handles what it has read already. */
+    bool behind() const;
+
     /** Replaces the pace, from the next call on. */
     void setPace(const FeedPace &pace) { pace_ = pace; }
 
@@ -115,6 +119,7 @@
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
     std::optional<kernel::Instant> lastFailure_;
     bool changed_ = false;       ///< The last watch brought changes.
+    bool taking_ = false;        ///< An answer is whole and isn't taken in yet.
     kernel::Duration latency_{}; ///< Of the store's last answer, waits taken off.
     bool failing_ = false;
     std::unique_ptr<services::Repeat> loop_;
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -213,7 +213,11 @@
 asio::awaitable<AttemptEnd> RequestRun::attempt()
 {
     BackendExchange exchange(run_, pool_);
+    // Before, as a kept connection that was found sound is to be used at once; and once more, as
+    // the process may stand still while a new one is made.
+    co_await run_.world.catchUp();
     const bool connected = co_await exchange.connect();
+    co_await run_.world.catchUp();
     if (!connected || run_.stopped()) {
         co_return AttemptEnd::Unsent;
     }
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -28,6 +28,11 @@
 // Watches in a row that a confirmation must outlast: it counts from when its watch was asked.
 constexpr int WatchesPerConfirmation = 2;
 constexpr kernel::Duration SweepEvery = 100ms;
+// A sweep that comes so late tells of a standstill.
+constexpr kernel::Duration Standstill = 50ms;
+// A change is taken in within a few turns of the loop, a list of thousands of servers within some
+// hundred. A store that keeps sending must not hold requests up.
+constexpr int MostTurns = 1000;
 // Beats that a backend server which still lives needs to be listed again after an outage.
 constexpr int BeatsToReturn = 2;
 
@@ -156,13 +161,7 @@
     serverFeed_ = std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.serverKind,
                                                serverPace(context_.settings.gateway),
                                                std::move(serverHooks));
-    sweep_ = std::make_unique<services::Repeat>(context_.io,
-                                                [this]() -> asio::awaitable<kernel::Duration> {
-                                                    servers_.noteAwake(context_.now());
-                                                    dropMissing();
-                                                    noteFreshness();
-                                                    co_return kernel::Duration(SweepEvery);
-                                                });
+    sweep_ = std::make_unique<services::Repeat>(context_.io, [this] { return sweep(); });
 }
 
 void World::stop()
@@ -172,6 +171,36 @@
     configurationFeed_.reset();
 }
 
+bool World::stoodStill() const
+{
+    return caughtUpAt_ && context_.now() - *caughtUpAt_ >= SweepEvery + Standstill;
+}
+
+asio::awaitable<void> World::catchUp()
+{
+    if (!catchingUp_ && !stoodStill()) {
+        co_return;
+    }
+    catchingUp_ = true;
+    for (int turns = 0; turns < MostTurns && catchingUp_; ++turns) {
+        // First, as bytes may have been taken from the socket and wait for their handler.
+        co_await asio::post(context_.io, asio::use_awaitable);
+        catchingUp_ = catchingUp_ && serverFeed_ && serverFeed_->behind();
+    }
+    catchingUp_ = false;
+    caughtUpAt_ = context_.now();
+}
+
+asio::awaitable<kernel::Duration> World::sweep()
+{
+    co_await catchUp();
+    caughtUpAt_ = context_.now();
+    servers_.noteAwake(*caughtUpAt_);
+    dropMissing();
+    noteFreshness();
+    co_return kernel::Duration(SweepEvery);
+}
+
 void World::applySettings()
 {
     const kernel::GatewaySettings &settings = context_.settings.gateway;
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -50,6 +50,13 @@
     forward::ServerBook &servers() { return servers_; }
     forward::FleetRetryBudget &budget() { return budget_; }
 
+    /**
+     * Lets the loop take in what the store has told of backend servers and still lies unread; at
+     * once, but after a standstill. To be awaited before acting on the list: a server may have
+     * left, or come back, while this process stood still.
+     */
+    boost::asio::awaitable<void> catchUp();
+
     /** Takes the bounds of the settings anew. */
     void applySettings();
 
@@ -76,6 +83,8 @@
     void takeServer(const store::StoredObject &object);
     void missServer(const std::string &id);
     void dropServer(const std::string &id);
+    bool stoodStill() const;
+    boost::asio::awaitable<kernel::Duration> sweep();
     void dropMissing();
     void noteFreshness();
 
@@ -86,6 +95,8 @@
     forward::ServerBook servers_;
     forward::FleetRetryBudget budget_;
     KeyTrust trust_ = KeyTrust::Stale; ///< As it was last logged.
+    bool catchingUp_ = false;          ///< After a standstill, while the list may lie unread.
+    std::optional<kernel::Instant> caughtUpAt_;
     bool serversKnown_ = false;
     std::map<std::string, kernel::Instant> missing_; ///< Listed no more; dropped when it is time.
     std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
