What a box owns has a file of its own

Cause: OwnerService.cpp, 574 lines, kept the list of owned backend servers, probed them, and decided asks. Change: OwnedBackends keeps the servers, their probes and their ledgers; OwnerService decides asks on them, keeps quotas and remembers chats. Ruled out: moving the probes alone, which would have left some 480 lines.

--- /dev/null
+++ b/src/services/OwnedBackends.cpp
@@ -0,0 +1,268 @@
+#include "services/OwnedBackends.h"
+
+#include "http/Client.h"
+#include "kernel/Log.h"
+#include "membership/Ownership.h"
+#include "services/DirectoryService.h"
+#include "services/MembershipService.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace limereel::services {
+
+namespace asio = boost::asio;
+using kernel::Instant;
+using membership::shortHash;
+using membership::ShortHash;
+
+namespace {
+
+// A probe's answer may be read late, by a loop that stood still.
+constexpr int ProbesKept = 2;
+constexpr int MostSkips =
+        3; ///< Probe rounds in a row that a serving backend server is passed over.
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("owner");
+    return Log;
+}
+
+std::vector<ShortHash> modelsIn(const nlohmann::json &status, const char *key)
+{
+    std::vector<ShortHash> models;
+    for (const auto &model : status.value(key, std::vector<std::string>())) {
+        models.push_back(shortHash(kernel::hashOf(model)));
+    }
+    return models;
+}
+
+} // namespace
+
+OwnedBackends::OwnedBackends(Context &context, routing::PermitPolicy policy,
+                             std::function<void()> changed)
+    : context_(context)
+    , policy_(policy)
+    , changed_(std::move(changed))
+    , permitsThen_(context.settings.loadLag + ProbesKept * context.settings.probePeriod)
+{
+}
+
+void OwnedBackends::start()
+{
+    probeLoop_ = std::make_unique<Repeat>(context_.io, [this] { return probeRound(); });
+}
+
+void OwnedBackends::stop()
+{
+    probeLoop_.reset();
+}
+
+OwnedBackend *OwnedBackends::find(std::uint64_t backend)
+{
+    const auto place = backends_.find(backend);
+    return place == backends_.end() ? nullptr : &place->second;
+}
+
+void OwnedBackends::review(const HallView &known, kernel::Instant awake)
+{
+    const auto &membership = context_.kernel.find<MembershipService>("membership");
+    const auto owners = membership.owners();
+    const auto &list = context_.kernel.find<DirectoryService>("directory").own();
+    std::map<std::uint64_t, OwnedBackend> kept;
+    for (const auto &listed : list.backends) {
+        const std::uint64_t hash = listed.backend.hash();
+        const bool own = membership::ownerOf(hash, owners) == membership.self();
+        const auto place = backends_.find(hash);
+        // What still has permits of ours is kept until they end: the next owner can't see them all
+        // yet.
+        if (place != backends_.end() && (own || place->second.ledger.inFlight() > 0)) {
+            place->second.listed = listed;
+            place->second.ledger.setLeaving(place->second.leaving || listed.leaving);
+            kept.insert(backends_.extract(place));
+        } else if (own && place == backends_.end()) {
+            adopt(listed, known, awake);
+            kept.insert(backends_.extract(hash));
+        }
+    }
+    backends_ = std::move(kept);
+}
+
+void OwnedBackends::adopt(const store::ListedBackend &listed, const HallView &known,
+                          kernel::Instant awake)
+{
+    const BackendView *const before = known.find(listed.backend.hash());
+    const bool takeover = before != nullptr && before->reported;
+    OwnedBackend owned{.listed = listed,
+                       .ledger = routing::PermitLedger(policy_, awake, takeover),
+                       .health = {},
+                       .leaving = false,
+                       .probing = false,
+                       .models = {},
+                       .loading = {},
+                       .unknownLoad = 0,
+                       .skips = 0,
+                       .served = false};
+    // Until the first probe, what the owner before said is the best there is.
+    if (takeover) {
+        owned.models = before->state.models;
+    }
+    if (takeover && before->state.usable) {
+        owned.health.noteGood(before->state.incarnation, context_.now());
+        owned.leaving = before->state.leaving;
+        owned.unknownLoad = before->state.inFlight;
+    }
+    owned.ledger.setLeaving(owned.leaving || listed.leaving);
+    backends_.emplace(listed.backend.hash(), std::move(owned));
+    context_.counters.add("backends_taken_over");
+    probeNow(listed.backend.hash());
+}
+
+bool OwnedBackends::giveBack(std::uint64_t backend, std::uint64_t request)
+{
+    OwnedBackend *const owned = find(backend);
+    if (owned != nullptr && owned->ledger.giveBack(request)) {
+        return true;
+    }
+    // One whose grant never arrived doesn't know which engine it was for: it names the chat's first
+    // candidate.
+    return std::ranges::any_of(
+            backends_, [request](auto &entry) { return entry.second.ledger.giveBack(request); });
+}
+
+std::size_t OwnedBackends::expire(Instant now)
+{
+    std::size_t expired = 0;
+    for (auto &[hash, owned] : backends_) {
+        expired += owned.ledger.expire(now);
+    }
+    return expired;
+}
+
+routing::OwnLoads OwnedBackends::noteBeat(Instant now)
+{
+    routing::OwnLoads loads;
+    routing::OwnLoads permits;
+    for (const auto &[hash, owned] : backends_) {
+        loads[hash] = owned.ledger.inFlight() + owned.unknownLoad;
+        permits[hash] = owned.ledger.inFlight();
+    }
+    permitsThen_.note(std::move(permits), now);
+    return loads;
+}
+
+std::vector<membership::BackendState> OwnedBackends::states() const
+{
+    std::vector<membership::BackendState> states;
+    for (const auto &[hash, owned] : backends_) {
+        states.push_back(stateOf(owned));
+    }
+    return states;
+}
+
+membership::BackendState OwnedBackends::stateOf(const OwnedBackend &owned) const
+{
+    return {.backend = shortHash(owned.listed.backend.hash()),
+            .inFlight = owned.ledger.inFlight() + owned.unknownLoad,
+            .incarnation = owned.health.incarnation(),
+            .leaving = owned.ledger.leaving(),
+            .usable = owned.health.usable(),
+            .models = owned.models,
+            .loading = owned.loading};
+}
+
+std::uint32_t OwnedBackends::load(ShortHash model) const
+{
+    std::uint32_t load = 0;
+    for (const auto &[hash, owned] : backends_) {
+        const bool holds = std::ranges::find(owned.models, model) != owned.models.end();
+        load += holds ? owned.ledger.inFlight() + owned.unknownLoad : 0;
+    }
+    return load;
+}
+
+void OwnedBackends::probeNow(std::uint64_t backend)
+{
+    asio::co_spawn(context_.io, probe(backend), asio::detached);
+}
+
+asio::awaitable<kernel::Duration> OwnedBackends::probeRound()
+{
+    for (auto &[hash, owned] : backends_) {
+        // One that has just served a request is there; it refuses by itself once it leaves.
+        // Load that this owner doesn't know of, though, is only seen by probes.
+        const bool skip = std::exchange(owned.served, false) && owned.health.usable()
+                          && owned.unknownLoad == 0 && owned.skips < MostSkips;
+        owned.skips = skip ? owned.skips + 1 : 0;
+        if (!skip) {
+            probeNow(hash);
+        }
+    }
+    co_return context_.settings.probePeriod;
+}
+
+asio::awaitable<void> OwnedBackends::probe(std::uint64_t backend)
+{
+    OwnedBackend *owned = find(backend);
+    if (owned == nullptr || owned->probing) {
+        co_return;
+    }
+    const auto endpoint = kernel::endpointFrom(owned->listed.address);
+    if (!endpoint) {
+        log().error("The platform lists a backend server at '" + owned->listed.address
+                    + "', which is no address.");
+        co_return;
+    }
+    owned->probing = true;
+    const kernel::Instant asked = context_.now();
+    const http::CallTimeouts timeouts{.connect = context_.settings.connectTimeout,
+                                      .head = context_.settings.connectTimeout,
+                                      .part = context_.settings.connectTimeout};
+    const auto answer =
+            co_await http::call(context_.io, *endpoint, {"GET", "/v1/status", {}, {}}, timeouts);
+    // Ownership may have passed on while the probe was out.
+    owned = find(backend);
+    if (owned == nullptr) {
+        co_return;
+    }
+    owned->probing = false;
+    context_.counters.add("probes", {{"result", answer ? "answered" : "failed"}});
+    const bool before = owned->health.usable();
+    if (answer && answer->status == 200) {
+        takeProbe(*owned, answer->body, asked);
+    } else {
+        owned->health.noteBad(context_.now());
+    }
+    if (before != owned->health.usable()) {
+        log().info("Backend server " + owned->listed.backend.text()
+                   + (before ? " is no longer usable." : " is usable."));
+        changed_();
+    }
+}
+
+void OwnedBackends::takeProbe(OwnedBackend &owned, const std::string &body, kernel::Instant asked)
+{
+    const auto status = nlohmann::json::parse(body, nullptr, false);
+    if (!status.is_object()) {
+        owned.health.noteBad(context_.now());
+        return;
+    }
+    owned.health.noteGood(status.value("incarnation", 1U), context_.now());
+    // Its own word is newer than the platform's list.
+    owned.leaving = status.value("leaving", false);
+    owned.ledger.setLeaving(owned.leaving || owned.listed.leaving);
+    const auto running = status.value("running", 0U);
+    // The report is old. What this box had granted at any moment since then explains it.
+    const std::uint64_t engine = owned.listed.backend.hash();
+    const std::uint32_t explained =
+            std::max(owned.ledger.inFlight(),
+                     permitsThen_.greatest(engine, asked - context_.settings.loadLag));
+    owned.unknownLoad = running > explained ? running - explained : 0;
+    owned.models = modelsIn(status, "models");
+    owned.loading = modelsIn(status, "loading");
+}
+
+} // namespace limereel::services
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -1,7 +1,5 @@
 #include "services/OwnerService.h"
 
-#include "http/Client.h"
-#include "kernel/Log.h"
 #include "membership/Ownership.h"
 #include "routing/LoadBound.h"
 #include "services/ConfigService.h"
@@ -11,14 +9,9 @@
 
 #include <algorithm>
 #include <bit>
-#include <boost/asio.hpp>
-#include <nlohmann/json.hpp>
-#include <utility>
 
 namespace limereel::services {
 
-namespace asio = boost::asio;
-using kernel::Instant;
 using membership::shortHash;
 using membership::ShortHash;
 using peer::AskKind;
@@ -32,18 +25,8 @@
 // With the default of five candidates all are asked, the chat's last engine and the two least
 // loaded of the pool besides.
 constexpr std::size_t MostChoices = 8;
-// A probe's answer may be read late, by a loop that stood still.
-constexpr int ProbesKept = 2;
 constexpr std::size_t LineLength =
         2; ///< Boxes that may answer for a resource: its owner and the next.
-constexpr int MostSkips =
-        3; ///< Probe rounds in a row that a serving backend server is passed over.
-
-const kernel::Log &log()
-{
-    static const kernel::Log Log("owner");
-    return Log;
-}
 
 PermitResult resultOf(GrantResult result)
 {
@@ -67,15 +50,6 @@
     return Names.at(static_cast<std::size_t>(result));
 }
 
-std::vector<ShortHash> modelsIn(const nlohmann::json &status, const char *key)
-{
-    std::vector<ShortHash> models;
-    for (const auto &model : status.value(key, std::vector<std::string>())) {
-        models.push_back(shortHash(kernel::hashOf(model)));
-    }
-    return models;
-}
-
 routing::Ask ledgerAsk(const AskPermit &ask)
 {
     return {.request = ask.request, .router = ask.router, .organisation = ask.organisation};
@@ -87,25 +61,26 @@
     : context_(context)
     , policy_{.lease = context.settings.permitLease, .settle = context.settings.settle}
     , awake_(context.settings.heartbeatPeriod)
+    , backends_(context, policy_, [this] { viewStale_ = true; })
     , quotas_(policy_)
     , chats_(context.settings.chatIndex)
     , drain_(context.now())
     , loads_(context.settings.heartbeatPeriod)
-    , permitsThen_(context.settings.loadLag + ProbesKept * context.settings.probePeriod)
 {
 }
 
 void OwnerService::start()
 {
     auto &membership = context_.kernel.find<MembershipService>("membership");
-    membership.onState([this](membership::BoxState &state) { completeState(state); });
+    membership.onState(
+            [this](membership::BoxState &state) { state.backends = backends_.states(); });
     membership.onBeat([this] { beat(); });
-    probeLoop_ = std::make_unique<Repeat>(context_.io, [this] { return probeRound(); });
+    backends_.start();
 }
 
 void OwnerService::stop()
 {
-    probeLoop_.reset();
+    backends_.stop();
 }
 
 PermitAnswer OwnerService::decide(const AskPermit &ask)
@@ -130,7 +105,7 @@
         break;
     }
     answer.request = ask.request;
-    answer.load = ownLoad(ask.model);
+    answer.load = backends_.load(ask.model);
     context_.counters.add("permit_answers", {{"result", text(answer.result)}});
     return answer;
 }
@@ -140,23 +115,18 @@
     if (quotas_.giveBack(giveBack.resource, giveBack.request, awake())) {
         return;
     }
-    OwnedBackend *const owned = findOwned(giveBack.resource);
-    bool counted = owned != nullptr && owned->ledger.giveBack(giveBack.request);
-    // One whose grant never arrived doesn't know which engine it was for: it names the chat's first
-    // candidate.
-    for (auto place = backends_.begin(); !counted && place != backends_.end(); ++place) {
-        counted = place->second.ledger.giveBack(giveBack.request);
-    }
+    const bool counted = backends_.giveBack(giveBack.resource, giveBack.request);
     if (counted && giveBack.observed == peer::Observed::Served) {
         drain_.noteEnd(context_.now());
     }
+    OwnedBackend *const owned = backends_.find(giveBack.resource);
     if (owned == nullptr) {
         return;
     }
     owned->served = owned->served || giveBack.observed == peer::Observed::Served;
     if (giveBack.observed == peer::Observed::Unreachable) {
         owned->health.noteBad(context_.now());
-        asio::co_spawn(context_.io, probe(giveBack.resource), asio::detached);
+        backends_.probeNow(giveBack.resource);
     }
     if (giveBack.observed == peer::Observed::RefusedLeaving) {
         owned->leaving = true;
@@ -168,7 +138,7 @@
 {
     for (const peer::HeldPermit &permit : renew.permits) {
         const routing::Ask ask{permit.request, renew.router, permit.organisation};
-        if (OwnedBackend *const owned = findOwned(permit.resource); owned != nullptr) {
+        if (OwnedBackend *const owned = backends_.find(permit.resource); owned != nullptr) {
             owned->ledger.renew(ask, awake());
         } else if (organisation(permit.resource) != nullptr) {
             quotas_.renew(permit.resource, {permit.request, renew.router, 0}, awake());
@@ -218,9 +188,9 @@
     }
     // What this box owns it knows to the moment.
     for (BackendView &backend : view_.backends) {
-        if (const OwnedBackend *const owned = findOwned(backend.listed.backend.hash());
+        if (const OwnedBackend *const owned = backends_.find(backend.listed.backend.hash());
             owned != nullptr) {
-            backend.state = stateOf(*owned);
+            backend.state = backends_.stateOf(*owned);
             backend.reported = true;
         }
     }
@@ -230,185 +200,23 @@
 void OwnerService::beat()
 {
     viewStale_ = true;
-    review();
-    std::size_t expired = 0;
-    routing::OwnLoads loads;
-    routing::OwnLoads permits;
-    for (auto &[hash, owned] : backends_) {
-        expired += owned.ledger.expire(awake());
-        loads[hash] = owned.ledger.inFlight() + owned.unknownLoad;
-        permits[hash] = owned.ledger.inFlight();
-    }
-    expired += quotas_.expire(awake());
+    backends_.review(view_, awake());
+    const std::size_t expired = backends_.expire(awake()) + quotas_.expire(awake());
     if (expired > 0) {
         context_.counters.add("permits_expired", {}, expired);
     }
     loads_.forget(context_.settings.permitLease, context_.now());
-    loads_.noteBeat(std::move(loads), reportAge());
-    permitsThen_.note(std::move(permits), context_.now());
+    loads_.noteBeat(backends_.noteBeat(context_.now()), reportAge());
     context_.counters.set("backends_owned", static_cast<double>(backends_.size()));
 }
 
 // After a standstill, permits whose renewals lie unread or are this box's own to make would look
 // lapsed, and as many requests would be let in over the bound.
-Instant OwnerService::awake()
+kernel::Instant OwnerService::awake()
 {
     return awake_.at(context_.now());
 }
 
-void OwnerService::review()
-{
-    const auto &membership = context_.kernel.find<MembershipService>("membership");
-    const auto owners = membership.owners();
-    const auto &list = context_.kernel.find<DirectoryService>("directory").own();
-    std::map<std::uint64_t, OwnedBackend> kept;
-    for (const auto &listed : list.backends) {
-        const std::uint64_t hash = listed.backend.hash();
-        const bool own = membership::ownerOf(hash, owners) == membership.self();
-        const auto place = backends_.find(hash);
-        // What still has permits of ours is kept until they end: the next owner can't see them all
-        // yet.
-        if (place != backends_.end() && (own || place->second.ledger.inFlight() > 0)) {
-            place->second.listed = listed;
-            place->second.ledger.setLeaving(place->second.leaving || listed.leaving);
-            kept.insert(backends_.extract(place));
-        } else if (own && place == backends_.end()) {
-            adopt(listed);
-            kept.insert(backends_.extract(hash));
-        }
-    }
-    backends_ = std::move(kept);
-}
-
-void OwnerService::adopt(const store::ListedBackend &listed)
-{
-    const BackendView *const before = view_.find(listed.backend.hash());
-    const bool takeover = before != nullptr && before->reported;
-    OwnedBackend owned{.listed = listed,
-                       .ledger = routing::PermitLedger(policy_, awake(), takeover),
-                       .health = {},
-                       .leaving = false,
-                       .probing = false,
-                       .models = {},
-                       .loading = {},
-                       .unknownLoad = 0,
-                       .skips = 0,
-                       .served = false};
-    // Until the first probe, what the owner before said is the best there is.
-    if (takeover) {
-        owned.models = before->state.models;
-    }
-    if (takeover && before->state.usable) {
-        owned.health.noteGood(before->state.incarnation, context_.now());
-        owned.leaving = before->state.leaving;
-        owned.unknownLoad = before->state.inFlight;
-    }
-    owned.ledger.setLeaving(owned.leaving || listed.leaving);
-    backends_.emplace(listed.backend.hash(), std::move(owned));
-    context_.counters.add("backends_taken_over");
-    asio::co_spawn(context_.io, probe(listed.backend.hash()), asio::detached);
-}
-
-void OwnerService::completeState(membership::BoxState &state) const
-{
-    for (const auto &[hash, owned] : backends_) {
-        state.backends.push_back(stateOf(owned));
-    }
-}
-
-membership::BackendState OwnerService::stateOf(const OwnedBackend &owned) const
-{
-    return {.backend = shortHash(owned.listed.backend.hash()),
-            .inFlight = owned.ledger.inFlight() + owned.unknownLoad,
-            .incarnation = owned.health.incarnation(),
-            .leaving = owned.ledger.leaving(),
-            .usable = owned.health.usable(),
-            .models = owned.models,
-            .loading = owned.loading};
-}
-
-asio::awaitable<kernel::Duration> OwnerService::probeRound()
-{
-    for (auto &[hash, owned] : backends_) {
-        // One that has just served a request is there; it refuses by itself once it leaves.
-        // Load that this owner doesn't know of, though, is only seen by probes.
-        const bool skip = std::exchange(owned.served, false) && owned.health.usable()
-                          && owned.unknownLoad == 0 && owned.skips < MostSkips;
-        owned.skips = skip ? owned.skips + 1 : 0;
-        if (!skip) {
-            asio::co_spawn(context_.io, probe(hash), asio::detached);
-        }
-    }
-    co_return context_.settings.probePeriod;
-}
-
-asio::awaitable<void> OwnerService::probe(std::uint64_t backend)
-{
-    OwnedBackend *owned = findOwned(backend);
-    if (owned == nullptr || owned->probing) {
-        co_return;
-    }
-    const auto endpoint = kernel::endpointFrom(owned->listed.address);
-    if (!endpoint) {
-        log().error("The platform lists a backend server at '" + owned->listed.address
-                    + "', which is no address.");
-        co_return;
-    }
-    owned->probing = true;
-    const kernel::Instant asked = context_.now();
-    const http::CallTimeouts timeouts{.connect = context_.settings.connectTimeout,
-                                      .head = context_.settings.connectTimeout,
-                                      .part = context_.settings.connectTimeout};
-    const auto answer =
-            co_await http::call(context_.io, *endpoint, {"GET", "/v1/status", {}, {}}, timeouts);
-    // Ownership may have passed on while the probe was out.
-    owned = findOwned(backend);
-    if (owned == nullptr) {
-        co_return;
-    }
-    owned->probing = false;
-    context_.counters.add("probes", {{"result", answer ? "answered" : "failed"}});
-    const bool before = owned->health.usable();
-    if (answer && answer->status == 200) {
-        takeProbe(*owned, answer->body, asked);
-    } else {
-        owned->health.noteBad(context_.now());
-    }
-    if (before != owned->health.usable()) {
-        log().info("Backend server " + owned->listed.backend.text()
-                   + (before ? " is no longer usable." : " is usable."));
-        viewStale_ = true;
-    }
-}
-
-void OwnerService::takeProbe(OwnedBackend &owned, const std::string &body, kernel::Instant asked)
-{
-    const auto status = nlohmann::json::parse(body, nullptr, false);
-    if (!status.is_object()) {
-        owned.health.noteBad(context_.now());
-        return;
-    }
-    owned.health.noteGood(status.value("incarnation", 1U), context_.now());
-    // Its own word is newer than the platform's list.
-    owned.leaving = status.value("leaving", false);
-    owned.ledger.setLeaving(owned.leaving || owned.listed.leaving);
-    const auto running = status.value("running", 0U);
-    // The report is old. What this box had granted at any moment since then explains it.
-    const std::uint64_t engine = owned.listed.backend.hash();
-    const std::uint32_t explained =
-            std::max(owned.ledger.inFlight(),
-                     permitsThen_.greatest(engine, asked - context_.settings.loadLag));
-    owned.unknownLoad = running > explained ? running - explained : 0;
-    owned.models = modelsIn(status, "models");
-    owned.loading = modelsIn(status, "loading");
-}
-
-OwnerService::OwnedBackend *OwnerService::findOwned(std::uint64_t backend)
-{
-    const auto place = backends_.find(backend);
-    return place == backends_.end() ? nullptr : &place->second;
-}
-
 bool OwnerService::inLine(std::uint64_t resource) const
 {
     const auto &membership = context_.kernel.find<MembershipService>("membership");
@@ -422,7 +230,7 @@
     std::vector<routing::KnownLoad> known;
     known.reserve(engines.size());
     for (const routing::Candidate &engine : engines) {
-        const bool own = findOwned(engine.engine) != nullptr;
+        const bool own = backends_.find(engine.engine) != nullptr;
         known.push_back(
                 {engine.engine, engine.inFlight, own ? 0 : view_.reporterOf(engine.engine)});
     }
@@ -438,19 +246,9 @@
     return view;
 }
 
-std::uint32_t OwnerService::ownLoad(ShortHash model) const
-{
-    std::uint32_t load = 0;
-    for (const auto &[hash, owned] : backends_) {
-        const bool holds = std::ranges::find(owned.models, model) != owned.models.end();
-        load += holds ? owned.ledger.inFlight() + owned.unknownLoad : 0;
-    }
-    return load;
-}
-
 void OwnerService::noteLoad(std::uint64_t box, ShortHash model, std::uint32_t load)
 {
-    loads_.noteSpoken(box, model, load, ownLoad(model), context_.now());
+    loads_.noteSpoken(box, model, load, backends_.load(model), context_.now());
 }
 
 // How many periods old a heartbeat's word is: it takes about log2(boxes) periods to everyone.
@@ -485,7 +283,7 @@
 PermitAnswer OwnerService::decideHome(const AskPermit &ask)
 {
     PermitAnswer answer;
-    if (findOwned(ask.resource) == nullptr && !inLine(ask.resource)) {
+    if (backends_.find(ask.resource) == nullptr && !inLine(ask.resource)) {
         return answer;
     }
     const auto all = view().enginesOf(ask.model);
@@ -509,7 +307,7 @@
     for (const routing::Choice &choice : choices) {
         const peer::Suggestion suggestion{shortHash(choice.engine),
                                           static_cast<std::uint8_t>(choice.reason)};
-        OwnedBackend *const owned = findOwned(choice.engine);
+        OwnedBackend *const owned = backends_.find(choice.engine);
         if (owned != nullptr && answer.suggestions.empty()) {
             if (grant(*owned, ask) == GrantResult::Granted) {
                 remember({ask.chat, ask.resource, suggestion.engine, ask.model, false});
@@ -532,13 +330,13 @@
 PermitAnswer OwnerService::decideEngine(const AskPermit &ask)
 {
     PermitAnswer answer;
-    OwnedBackend *owned = findOwned(ask.resource);
+    OwnedBackend *owned = backends_.find(ask.resource);
     if (owned == nullptr && inLine(ask.resource)) {
         // Asked for an engine that another box owns in this box's eyes: the asker could not reach
         // that one.
         if (const BackendView *const listed = view().find(ask.resource); listed != nullptr) {
-            adopt(store::ListedBackend(listed->listed));
-            owned = findOwned(ask.resource);
+            backends_.adopt(store::ListedBackend(listed->listed), view_, awake());
+            owned = backends_.find(ask.resource);
             context_.counters.add("acting_for_owner");
         }
     }
--- a/src/services/OwnerService.h
+++ b/src/services/OwnerService.h
@@ -1,7 +1,6 @@
 /** \file
- * Owns the hall's backend servers that rendezvous hashing gives to this box: probes them, counts
- * their permits, answers asks, and remembers where the chats whose first candidate it owns have
- * run.
+ * Answers asks for the hall's backend servers that rendezvous hashing gives to this box, and
+ * remembers where the chats whose first candidate it owns have run.
  *
  * It owns organisations' quotas in the same way: a quota is a resource with places, like an engine.
  */
@@ -11,22 +10,17 @@
 #include "admission/QuotaBook.h"
 #include "config/Effective.h"
 #include "kernel/decisions/AwakeTime.h"
-#include "membership/BackendHealth.h"
 #include "membership/BoxState.h"
 #include "peer/Messages.h"
 #include "routing/ChatIndex.h"
 #include "routing/LoadBook.h"
-#include "routing/PermitHistory.h"
 #include "routing/PermitLedger.h"
 #include "routing/Placement.h"
 #include "services/Context.h"
 #include "services/HallView.h"
-#include "services/Repeat.h"
+#include "services/OwnedBackends.h"
 
-#include <map>
-#include <memory>
 #include <optional>
-#include <unordered_map>
 
 namespace limereel::services {
 
@@ -53,7 +47,7 @@
     void take(const peer::Placed &placed);
 
     /** In flight on own engines that hold \a model. */
-    std::uint32_t ownLoad(membership::ShortHash model) const;
+    std::uint32_t ownLoad(membership::ShortHash model) const { return backends_.load(model); }
 
     /** Notes what \a box says it has in flight on its engines of \a model. */
     void noteLoad(std::uint64_t box, membership::ShortHash model, std::uint32_t load);
@@ -65,31 +59,8 @@
     std::size_t owned() const { return backends_.size(); }
 
 private:
-    struct OwnedBackend
-    {
-        store::ListedBackend listed;
-        routing::PermitLedger ledger;
-        membership::BackendHealth health;
-        bool leaving = false;
-        bool probing = false;
-        std::vector<membership::ShortHash> models;
-        std::vector<membership::ShortHash> loading;
-        std::uint32_t unknownLoad = 0;
-        int skips = 0;       ///< Probe rounds passed over since the last probe.
-        bool served = false; ///< A request was served since the last round.
-    };
-
     void beat();
     kernel::Instant awake();
-    void review();
-    void adopt(const store::ListedBackend &listed);
-    void completeState(membership::BoxState &state) const;
-    membership::BackendState stateOf(const OwnedBackend &owned) const;
-    boost::asio::awaitable<kernel::Duration> probeRound();
-    boost::asio::awaitable<void> probe(std::uint64_t backend);
-    void takeProbe(OwnedBackend &owned, const std::string &body, kernel::Instant asked);
-
-    OwnedBackend *findOwned(std::uint64_t backend);
     bool inLine(std::uint64_t resource) const;
     routing::PoolView poolView(membership::ShortHash model,
                                const std::vector<routing::Candidate> &engines);
@@ -105,15 +76,13 @@
     Context &context_;
     routing::PermitPolicy policy_;
     kernel::AwakeTime awake_; ///< Leases of permits go by it.
-    std::map<std::uint64_t, OwnedBackend> backends_;
+    OwnedBackends backends_;
     admission::QuotaBook quotas_;
     routing::ChatIndex chats_;
     admission::DrainRate drain_;
     routing::LoadBook loads_;
-    routing::PermitHistory permitsThen_; ///< Explains what an engine reports.
     HallView view_;
     bool viewStale_ = true;
-    std::unique_ptr<Repeat> probeLoop_;
 };
 
 } // namespace limereel::services
