A server that went in an outage is kept from when the store said so, not from when that was read

Cause: an entry that goes soon after an outage is kept for a grace, counted from when its going was taken in. After a standstill the word had lain unread, the server was kept for the standstill and the grace, and got requests after the bound for leaving servers. Ruled out: the gathering of changes: it counts towards the same bound already. Conclusion: the bound holds also when the box stood still between the word and its reading.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -79,6 +79,11 @@
     return taking_ || (connection_ && connection_->heard().waiting == http::Arrived::Bytes);
 }
 
+kernel::Duration ObjectFeed::answerAge() const
+{
+    return connection_ ? connection_->rested().value_or(0s) : kernel::Duration::zero();
+}
+
 void ObjectFeed::hurry()
 {
     if (failing_) {
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -83,6 +83,9 @@
      * turn, in which it handles what it has read already. */
     bool behind() const;
 
+    /** How long ago the answer came that the hooks are called for; it may have lain unread. */
+    kernel::Duration answerAge() const;
+
     /** Replaces the pace, from the next call on. */
     void setPace(const FeedPace &pace) { pace_ = pace; }
 
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -311,10 +311,10 @@
     const auto &settings = context_.settings.gateway;
     const auto failure = serverFeed_ ? serverFeed_->lastFailure() : std::nullopt;
     const bool storeWasAway = failure && now - *failure < settings.contact;
-    missing_[id] = storeWasAway ? now + keptAfterOutage(settings) : now;
-    if (!storeWasAway) {
-        dropMissing();
-    }
+    // The time counts from when the store's word came: this process may have stood still since.
+    const kernel::Instant told = now - (serverFeed_ ? serverFeed_->answerAge() : 0s);
+    missing_[id] = storeWasAway ? told + keptAfterOutage(settings) : now;
+    dropMissing();
 }
 
 void World::dropMissing()
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -214,6 +214,21 @@
         runStore();
     }
 
+    /** The entry of the first server goes while the store gives no answers; it does again after. */
+    void loseServerInOutage()
+    {
+        const auto noteGone = [this](const std::string &) { ++gone; };
+        context().kernel.find<gateway::World>("world").onServerGone(noteGone);
+        untilHere([this] { return watches(); }, "the store's watches");
+        // A change ends the watch, and the next one finds the store away.
+        store().faults.status = 503;
+        list(runner(1), "pool");
+        const auto failed = [this] { return context().counters.value("store_failures", Servers); };
+        untilHere([&] { return failed() > 0; }, "the outage");
+        store().remove("servers", "i-one");
+        store().faults.status = 0;
+    }
+
     bool listed()
     {
         return context().kernel.find<gateway::World>("world").servers().find("i-one").has_value();
@@ -222,6 +237,9 @@
     /** Whether both kinds of objects are followed and nothing is on its way. */
     bool watches() const { return store_->watching() == 2; }
 
+    const kernel::Labels Servers = {{"kind", "servers"}};
+    int gone = 0; ///< Servers that were dropped since loseServerInOutage() began.
+
 private:
     boost::asio::io_context storeIo_{1};
 };
@@ -466,21 +484,33 @@
     BOOST_TEST(runner(0).records().size() == 1U);
 }
 
+// How long a server is kept whose entry has gone in an outage counts from when the word came.
+BOOST_AUTO_TEST_CASE(serverThatWentInOutage_wordLayUnreadForTheWholeGrace_isDroppedAtOnce)
+{
+    moreSettings = "drain-within = 1s\n";
+    startWithOneServer();
+    loseServerInOutage();
+    const auto before = context().counters.value("store_calls", Servers);
+    const auto asked = [&] { return context().counters.value("store_calls", Servers) > before; };
+    until(asked, "the question for the list");
+    bool told = false;
+    const auto answer = [&] {
+        for (int turns = 0; turns < 10; ++turns) {
+            runStore();
+        }
+        told = true;
+    };
+    standStill(io_, {Clock::now() + 600ms, answer, {}});
+    untilHere([&] { return told && watches(); }, "the list without the server");
+    BOOST_TEST(gone == 1);
+}
+
 // An entry that has gone soon after an outage is kept until its server had time to be listed again.
 BOOST_AUTO_TEST_CASE(serverThatWentInOutage_isListedAgainInStandstill_isKept)
 {
     moreSettings = "drain-within = 60s\nlist-beat = 20s\n";
     startWithOneServer();
-    int gone = 0;
-    const auto noteGone = [&](const std::string &) { ++gone; };
-    context().kernel.find<gateway::World>("world").onServerGone(noteGone);
-    store().faults.status = 503;
-    store().remove("servers", "i-one");
-    const auto failures = [this] {
-        return context().counters.value("store_failures", {{"kind", "servers"}});
-    };
-    untilHere([&] { return failures() > 0; }, "the outage");
-    store().faults.status = 0;
+    loseServerInOutage();
     untilHere([this] { return watches(); }, "the list without the server");
     BOOST_REQUIRE(gone == 0);
     bool told = false;
