A watch after a change is cut short, so that keys stay confirmed

Cause: a confirmation counts from when its watch was asked. A change that came late in a watch was followed by the feed's pause (750 ms) and by a whole watch (2 s) again: 4.75 s and the time that a large answer takes, where keys are honoured for 4.4 s. Boxes refused keys for 0.6 to 0.7 s (median) at each such change. Change: a watch also waits no longer than the last confirmation's age leaves. Test: FeedPaceTest/watchWait_changeAtTheEndOfAWatch_* fails without the line (4 of 4 latencies).

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -35,12 +35,15 @@
 
 } // namespace
 
-kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency)
+kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency, kernel::Duration age)
 {
     constexpr kernel::Duration Shortest = 200ms;
     kernel::Duration wait = pace.wait;
     if (pace.confirmWithin > 0s) {
         wait = std::min<kernel::Duration>(wait, pace.confirmWithin / 2 - latency);
+        // After a change and its pause, less is left. Without this, all boxes refused keys for half
+        // a second after each change that came late in their watches.
+        wait = std::min<kernel::Duration>(wait, pace.confirmWithin - age - latency);
     }
     if (pace.giveUpWithin > 0s) {
         wait = std::min<kernel::Duration>(wait, pace.giveUpWithin - answerWait(pace, latency));
@@ -172,6 +175,12 @@
     co_return answer;
 }
 
+void ObjectFeed::confirm(kernel::Instant asOf)
+{
+    confirmedAsOf_ = asOf;
+    hooks_.confirmed(asOf);
+}
+
 asio::awaitable<json> ObjectFeed::readBody(const std::string &body)
 {
     http::JsonSlices slices(body);
@@ -217,7 +226,7 @@
     at_ = listing.at;
     co_await letOthersRun();
     hooks_.replaced(listing.objects);
-    hooks_.confirmed(listing.begun);
+    confirm(listing.begun);
     co_await letOthersRun();
     co_return true;
 }
@@ -236,7 +245,8 @@
 asio::awaitable<bool> ObjectFeed::watch()
 {
     const kernel::Instant asked = context_.now();
-    const kernel::Duration wait = watchWait(pace_, latency_);
+    const kernel::Duration age = confirmedAsOf_ ? asked - *confirmedAsOf_ : kernel::Duration();
+    const kernel::Duration wait = watchWait(pace_, latency_, age);
     std::string target = format_.watchTarget(kind_, *at_, wait);
     const auto answer = co_await ask(std::move(target), wait + answerWait(pace_, latency_));
     if (answer && answer->status == HistoryGone) {
@@ -265,7 +275,7 @@
         co_await letOthersRun();
         hooks_.changed(changes->objects);
     }
-    hooks_.confirmed(asked);
+    confirm(asked);
     if (changed_) {
         co_await letOthersRun();
     }
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -27,7 +27,8 @@
     kernel::Duration wait = 2s; ///< Of one watch, at most.
 
     /** Longest age that a confirmation may reach before the next one: two watches in a row, with
-     * what the store takes to answer. Zero: no matter. */
+     * what the store takes to answer, and with the pause between them if the first one brought a
+     * change. Zero: no matter. */
     kernel::Duration confirmWithin{};
 
     /** Longest time until a watch whose store has fallen silent is given up, its wait included.
@@ -45,8 +46,10 @@
     kernel::Duration longestPause = 500ms;
 };
 
-/** How long a watch may wait at a store that lately took \a latency to answer. */
-kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency);
+/** How long a watch may wait at a store that lately took \a latency to answer, if the last
+ * confirmation has reached \a age. */
+kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency,
+                           kernel::Duration age = {});
 
 /** How long an answer is waited for, beyond the watch, from such a store. */
 kernel::Duration answerWait(const FeedPace &pace, kernel::Duration latency);
@@ -99,6 +102,7 @@
     boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(std::string target,
                                                                         kernel::Duration longest);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
+    void confirm(kernel::Instant asOf);
     bool takePage(store::ObjectPage page);
     void noteFailure(const std::string &what);
     void noteAnswer();
@@ -122,6 +126,7 @@
     std::optional<Listing> listing_;
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
     std::optional<kernel::Instant> lastFailure_;
+    std::optional<kernel::Instant> confirmedAsOf_;
     bool changed_ = false;       ///< The last watch brought changes.
     bool taking_ = false;        ///< An answer is whole and isn't taken in yet.
     kernel::Duration latency_{}; ///< Of the store's last answer, waits taken off.
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -569,6 +569,24 @@
     BOOST_TEST((gateway::watchWait(pace, 30s) > kernel::Duration(0s)));
 }
 
+// After a change the feed pauses. With a whole wait behind that, a change late in a watch left all
+// boxes of a fleet without a confirmation for a third of a second to 0.7 s, and keys were refused.
+BOOST_AUTO_TEST_CASE(watchWait_changeAtTheEndOfAWatch_nextConfirmationIsInTime)
+{
+    gateway::FeedPace pace;
+    pace.wait = 2s;
+    pace.confirmWithin = 4s;
+    pace.afterChange = 750ms;
+    for (const kernel::Duration latency : {0ms, 4ms, 450ms, 1000ms}) {
+        const kernel::Duration first = gateway::watchWait(pace, latency);
+        const kernel::Duration age = first + latency + pace.afterChange;
+        const kernel::Duration second = gateway::watchWait(pace, latency, age);
+        BOOST_TEST((age + second + latency <= kernel::Duration(4s)));
+    }
+    BOOST_TEST((gateway::watchWait(pace, 0ms, 2s) == kernel::Duration(2s)));
+    BOOST_TEST((gateway::watchWait(pace, 0ms, 30s) > kernel::Duration(0s)));
+}
+
 // Without keys to confirm, a watch waits as long as a cut may go unnoticed.
 BOOST_AUTO_TEST_CASE(watchWait_silentStore_watchIsGivenUpWithinTheBound)
 {
