A late connection in a client's wait test is waited for under a deadline

Read through for waits without an end: acceptLate() had one left, for a client that had closed before the loop was held up. Change: the listener waits ten seconds, longer than a client's system leaves between its tries; then the try is made again.

--- a/test/correctness/ClientWaitTest.cpp
+++ b/test/correctness/ClientWaitTest.cpp
@@ -20,6 +20,7 @@
 #include <linux/sockios.h>
 #include <memory>
 #include <optional>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <thread>
 #include <vector>
@@ -36,6 +37,8 @@
 constexpr Duration LongLimit = 60s;    ///< Of the waits that a test isn't about.
 constexpr int Rounds = 20;
 constexpr int ConnectRounds = 3; ///< Each takes a second.
+/// A client's system tries again one, three and seven seconds after its first try.
+constexpr std::chrono::seconds TriesAgainWithin = 10s;
 
 const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 const std::string Body = "done";
@@ -97,11 +100,14 @@
 
     kernel::Endpoint endpoint() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
 
-    /** Makes room; \return the server's end of the connection that comes about then. */
-    tcp::socket acceptLate()
+    /** Makes room; \return the server's end of the connection that comes about then. Nothing if
+     * none does: its client had given up before. */
+    std::optional<tcp::socket> acceptLate()
     {
         acceptor_.accept();
-        return acceptor_.accept();
+        pollfd next{acceptor_.native_handle(), POLLIN, 0};
+        const int ready = ::poll(&next, 1, static_cast<int>(TriesAgainWithin / 1ms));
+        return ready > 0 ? std::optional(acceptor_.accept()) : std::nullopt;
     }
 
 private:
@@ -269,13 +275,17 @@
             return;
         }
         auto socket = listener.acceptLate();
+        if (!socket) {
+            holdUp.releaseTooLate();
+            return;
+        }
         holdUp.release();
         boost::system::error_code error;
-        asio::write(socket, asio::buffer(Head + Body), error);
+        asio::write(*socket, asio::buffer(Head + Body), error);
         // The client closes when it has the answer, or has given up.
         std::array<char, 4096> part{};
         while (!error) {
-            socket.read_some(asio::buffer(part), error);
+            socket->read_some(asio::buffer(part), error);
         }
     });
     beginCall(io, listener.endpoint(), timeoutsWith(&http::CallTimeouts::connect, limit), result);
