SocketState names the header of the number that it uses

Cause: the linter compiles without what other headers happen to bring along. Ruled out: an exception for the linter.

--- a/src/http/SocketState.cpp
+++ b/src/http/SocketState.cpp
@@ -1,6 +1,7 @@
 #include "http/SocketState.h"
 
 #include <cerrno>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
