What is known of halls stands in a class of its own

Ruled out: moving the marks of servers as well (last heard, no response): servers' silence is judged by them too. Change: HallBook holds the attempts and judges halls by signs that ServerBook gives of its servers. Behaviour is unchanged: the most recent word of a hall's servers and its age, standstills left out, are the same pair as before, since that age only grows with the word's own.

--- /dev/null
+++ b/src/forward/HallBook.h
@@ -0,0 +1,82 @@
+/** \file
+ * What a box knows of the halls in which its backend servers stand: whether the way to one seems to
+ * be cut off, and which halls get no request for now.
+ *
+ * A hall that is cut off answers for none of its servers. So one server that says nothing is no
+ * sign, several are, and what is heard of one of them clears all.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limereel::forward {
+
+/** The settings of the book. */
+struct HallPolicy
+{
+    std::size_t quietServers = 2; ///< Of a hall; then the way to it is doubted.
+    kernel::Duration silence{};   ///< Of all its servers.
+    kernel::Duration trial{};     ///< Between two requests to a doubted hall.
+};
+
+/** What is known of one server of a hall. */
+struct ServerSign
+{
+    kernel::Instant heard;        ///< Bytes last came from it.
+    kernel::Duration quietFor{};  ///< Since then, standstills of this box left out.
+    kernel::Instant noResponseAt; ///< When connecting to it last brought nothing back.
+    bool silent = false;          ///< Nothing comes from it though an answer is due.
+
+    /** Whether it speaks for a cut. */
+    bool quiet(kernel::Instant now) const;
+};
+
+/** What is known of all servers of a hall. */
+class HallSigns
+{
+public:
+    void add(const ServerSign &sign, kernel::Instant now);
+
+    /** Servers that say that their hall is cut off. */
+    std::size_t cutOff(kernel::Duration silence) const;
+
+private:
+    kernel::Instant heard_;
+    kernel::Duration quietFor_ = kernel::Duration::max();
+    std::vector<ServerSign> quiet_;
+};
+
+/** The book of one box. Pure: time is handed in. */
+class HallBook
+{
+public:
+    using SignsOf = std::function<HallSigns(const std::string &hall)>;
+
+    explicit HallBook(HallPolicy policy)
+        : policy_(policy)
+    {
+    }
+
+    /** A request is about to be tried at a server of \a hall. */
+    void noteAttempt(const std::string &hall, kernel::Instant now) { attempts_[hall] = now; }
+
+    /** Whether the way to a hall is doubted. */
+    bool doubted(const HallSigns &signs) const;
+
+    /** The doubted halls that had a request lately: they get the next one after a while.
+     * \param quietServers how many there are, by hall. */
+    std::set<std::string> closed(const std::map<std::string, std::size_t> &quietServers,
+                                 const SignsOf &signsOf, kernel::Instant now) const;
+
+private:
+    HallPolicy policy_;
+    std::map<std::string, kernel::Instant> attempts_; ///< The last one, by hall.
+};
+
+} // namespace limereel::forward
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -23,8 +23,6 @@
 // The bound that is kept leaves room for what other boxes do at the same moment.
 constexpr double BoundPart = 0.85;
 constexpr double OtherHallCost = 0.25;
-// After this, that connecting brought nothing back is no word on the hall any more.
-constexpr kernel::Duration NoResponseKept = 10s;
 
 double faded(double value, kernel::Duration age, double halfLife)
 {
@@ -157,49 +155,32 @@
     return place != entries_.end() && doubted(place->second, now);
 }
 
-bool ServerBook::quiet(const Entry &entry, kernel::Instant now) const
+ServerSign ServerBook::signOf(const Entry &entry, kernel::Instant now) const
 {
-    return now - entry.noResponseAt < NoResponseKept || silent(entry, now);
+    return {entry.lastHeard, silence(entry.lastHeard, now), entry.noResponseAt, silent(entry, now)};
 }
 
-// A hall that is cut off answers for none of its servers: what was heard of one of them clears all.
-bool ServerBook::hallDoubted(const std::string &hall, kernel::Instant now) const
+HallSigns ServerBook::signsOf(const std::string &hall, kernel::Instant now) const
 {
-    kernel::Instant heard;
-    EntryList quietOnes;
+    HallSigns signs;
     for (const auto &[id, entry] : entries_) {
         if (entry.server.hall == hall) {
-            heard = std::max(heard, entry.lastHeard);
-            if (quiet(entry, now)) {
-                quietOnes.push_back(&entry);
-            }
+            signs.add(signOf(entry, now), now);
         }
     }
-    const bool nothingLately = silence(heard, now) > policy_.silence;
-    const auto count = std::ranges::count_if(quietOnes, [&](const Entry *entry) {
-        return entry->noResponseAt > heard || (nothingLately && silent(*entry, now));
-    });
-    return static_cast<std::size_t>(count) >= policy_.quietServers;
+    return signs;
 }
 
-// Halls that are doubted and had a request lately: they get the next one after a while.
 std::set<std::string> ServerBook::closedHalls(kernel::Instant now) const
 {
     std::map<std::string, std::size_t> quietServers;
     for (const auto &[id, entry] : entries_) {
-        if (quiet(entry, now)) {
+        if (signOf(entry, now).quiet(now)) {
             ++quietServers[entry.server.hall];
         }
     }
-    std::set<std::string> closed;
-    for (const auto &[hall, count] : quietServers) {
-        const auto last = attempts_.find(hall);
-        const bool lately = last != attempts_.end() && now - last->second < policy_.hallTrial;
-        if (count >= policy_.quietServers && lately && hallDoubted(hall, now)) {
-            closed.insert(hall);
-        }
-    }
-    return closed;
+    const auto signs = [&](const std::string &hall) { return signsOf(hall, now); };
+    return halls_.closed(quietServers, signs, now);
 }
 
 ServerBook::EntryList ServerBook::usable(const Wish &wish, kernel::Instant now) const
@@ -378,7 +359,8 @@
     const Entry *chosen = !byParts      ? chooseIdlest(entries, now, random)
                           : wish.spread ? chooseSpread(entries, wish, random)
                                         : chooseForPrompt(entries, wish, now);
-    const bool trial = chosen->failuresInARow > 0 || hallDoubted(chosen->server.hall, now);
+    const bool trial =
+            chosen->failuresInARow > 0 || halls_.doubted(signsOf(chosen->server.hall, now));
     Choice choice{chosen->server, std::nullopt, 0, trial};
     if (byParts) {
         settleSource(wish, choice, now);
@@ -426,7 +408,7 @@
 {
     const auto place = entries_.find(id);
     if (place != entries_.end()) {
-        attempts_[place->second.server.hall] = now;
+        halls_.noteAttempt(place->second.server.hall, now);
     }
 }
 
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -16,6 +16,7 @@
 
 #include "forward/Backend.h"
 #include "forward/Call.h"
+#include "forward/HallBook.h"
 #include "forward/PartIndex.h"
 
 #include <map>
@@ -85,6 +86,7 @@
 public:
     explicit ServerBook(BookPolicy policy)
         : policy_(std::move(policy))
+        , halls_({policy_.quietServers, policy_.silence, policy_.hallTrial})
         , parts_(policy_.partRemembered)
     {
     }
@@ -177,8 +179,8 @@
 
     kernel::Duration silence(kernel::Instant since, kernel::Instant now) const;
     kernel::Duration standstill(kernel::Instant since, kernel::Instant now) const;
-    bool quiet(const Entry &entry, kernel::Instant now) const;
-    bool hallDoubted(const std::string &hall, kernel::Instant now) const;
+    ServerSign signOf(const Entry &entry, kernel::Instant now) const;
+    HallSigns signsOf(const std::string &hall, kernel::Instant now) const;
     std::set<std::string> closedHalls(kernel::Instant now) const;
     EntryList usable(const Wish &wish, kernel::Instant now) const;
     bool doubted(const Entry &entry, kernel::Instant now) const;
@@ -199,7 +201,7 @@
     BookPolicy policy_;
     std::optional<kernel::Instant> awakeAt_;
     std::map<std::string, Entry> entries_;
-    std::map<std::string, kernel::Instant> attempts_; ///< The last one, by hall.
+    HallBook halls_;
     PartIndex parts_;
 };
 
