--- a/test/correctness/JsonSlicesTest.cpp
+++ b/test/correctness/JsonSlicesTest.cpp
@@ -5,7 +5,9 @@
 #include "http/JsonSlices.h"
 #include "http/JsonBody.h"
 
+#include <bit>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <random>
 
 using namespace limereel;
@@ -44,6 +46,29 @@
     BOOST_REQUIRE((expected.is_discarded() || read == expected));
 }
 
+/** A large text whose first slice ends \a place bytes after the beginning of \a value. */
+std::string splitAt(const std::string &value, std::size_t place)
+{
+    constexpr std::size_t SliceBytes = 32768;
+    return '[' + std::string(SliceBytes - 1 - place, ' ') + value + ']' + std::string(200, ' ');
+}
+
+/** Reads \a value with the end of a slice before, in and after it. Kinds of numbers count, and the
+ * last bit of their fractions. */
+void requireSameWhereverSplit(const std::string &value)
+{
+    for (std::size_t place = 0; place <= value.size() + 1; ++place) {
+        const std::string text = splitAt(value, place);
+        const json expected = http::parseBody(text);
+        const json read = readInSlices(text);
+        BOOST_REQUIRE(read.is_discarded() == expected.is_discarded());
+        if (!expected.is_discarded()) {
+            BOOST_REQUIRE(read.at(0).type() == expected.at(0).type());
+            BOOST_REQUIRE(read.dump() == expected.dump());
+        }
+    }
+}
+
 /** Changes some bytes of \a text, or cuts it off. */
 std::string mutate(std::string text, std::mt19937_64 &random)
 {
@@ -155,3 +180,74 @@
         requireSame("[1" + space + "," + std::string(open, '[') + std::string(open, ']') + "]");
     }
 }
+
+BOOST_AUTO_TEST_CASE(slices_numbers_areReadToTheLastBit)
+{
+    for (const char *number : {"0",
+                               "-0",
+                               "-0.0",
+                               "-1",
+                               "1E+5",
+                               "1e-5",
+                               "0.1",
+                               "-1200.5e-3",
+                               "1e400",
+                               "-1e400",
+                               "1e-400",
+                               "4.9e-324",
+                               "2.2250738585072011e-308",
+                               "1.7976931348623157e308",
+                               "9223372036854775807",
+                               "9223372036854775808",
+                               "-9223372036854775808",
+                               "-9223372036854775809",
+                               "18446744073709551615",
+                               "18446744073709551616",
+                               "123456789012345678901234567890.5",
+                               "0.0000000000000000000000000000000000012345678901234567",
+                               "01",
+                               "1.",
+                               ".5",
+                               "+1",
+                               "-",
+                               "1e",
+                               "1e+",
+                               "NaN"}) {
+        requireSameWhereverSplit(number);
+    }
+    std::mt19937_64 random(7);
+    for (int round = 0; round < 50; ++round) {
+        const double number = std::bit_cast<double>(random());
+        if (std::isfinite(number)) {
+            requireSameWhereverSplit(json(number).dump());
+        }
+    }
+}
+
+// Numbers with exponents beyond 32 bits are refused, also those that are nearly nothing.
+BOOST_AUTO_TEST_CASE(slices_exponentsBeyond32Bits_areReadAsInOneGoOrRefused)
+{
+    for (const std::string number :
+         {"0e99999999999", "1e99999999999", "1e-99999999999", "-1.5E+2147483648"}) {
+        for (std::size_t place = 0; place <= number.size() + 1; ++place) {
+            const std::string text = splitAt(number, place);
+            const json read = readInSlices(text);
+            BOOST_REQUIRE((read.is_discarded() || read == http::parseBody(text)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(slices_strings_areReadWhereverTheyAreSplit)
+{
+    for (const char *string :
+         {R"("plain")", R"("")", R"("\u00e9\u20AC\ud83d\ude00")", R"("a\"b\\c\/\b\f\n\r\t")",
+          R"("\u0000")", R"({"\u006bey\n":"value","key":[true,false,null]})",
+          "\"\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80\xef\xbb\xbf\x7f\"", "{\"\xf4\x8f\xbf\xbf\":1}",
+          // These are none.
+          R"("\ud83d")", R"("\ude00")", R"("\ud83d\u0041")", R"("\ud83dx")", R"("\x")",
+          R"("\u12g4")", "\"\xed\xa0\x80\"", "\"\xc0\x80\"", "\"\xe0\x9f\x80\"",
+          "\"\xf4\x90\x80\x80\"", "\"\xe2\x82\"", "\"\xff\"", "\"\x1f\"", "\"\n\"", "'a'", "/*a*/1",
+          "1//a\n"}) {
+        requireSameWhereverSplit(string);
+    }
+}
