Tests: chats that find only engines that are down are told so, not that these are full

Cause: when all engines of a pool have gone, their owners know it before the other boxes hear it with a heartbeat. What is asked in between is told 429 engines-full, though no engine works. Change: tests that put a hall into that moment (only the owners know) and ask, by the permit service and as a caller; another hall's engine that is down; and guards: all full, one down and the rest full, the home's own engine full and the rest down, another hall's engine full.

--- a/test/correctness/EngineChoiceTest.cpp
+++ b/test/correctness/EngineChoiceTest.cpp
@@ -24,7 +24,8 @@
 
 constexpr std::size_t Failed = 3;
 constexpr std::size_t WithRoom = 2;
-constexpr int Chats = 24; ///< Enough that each engine comes last for some.
+constexpr int FailuresToFall = 2; ///< In a row, until an owner takes an engine for unusable.
+constexpr int Chats = 24;         ///< Enough that each engine comes last for some.
 
 /** Six engines with a slot each, so that one request fills one whatever the mean. */
 struct SlotsFixture
@@ -129,6 +130,65 @@
         return result;
     }
 
+    /** Takes \a engines down, and lets only their owners know it: other boxes hear it with the
+     * next heartbeat, so what a test asks without a wait is asked before they do. */
+    void failUnheard(const std::set<std::size_t> &engines)
+    {
+        for (const std::size_t engine : engines) {
+            fleet.takeDown(engine);
+            services::OwnerService &owned = owner(ownerOf(engine));
+            for (int failure = 0; failure < FailuresToFall; ++failure) {
+                owned.take(peer::GiveBack{.request = 0,
+                                          .resource = hashOf(engine),
+                                          .observed = peer::Observed::Unreachable});
+            }
+            BOOST_REQUIRE(!owned.view().backends.at(engine).open());
+        }
+    }
+
+    bool openAt(std::size_t router, std::size_t engine)
+    {
+        return owner(router).view().backends.at(engine).open();
+    }
+
+    std::set<std::size_t> allBut(const std::set<std::size_t> &left)
+    {
+        std::set<std::size_t> engines;
+        for (std::size_t engine = 0; engine < fleet.engineCount(); ++engine) {
+            if (!left.contains(engine)) {
+                engines.insert(engine);
+            }
+        }
+        return engines;
+    }
+
+    /** A chat whose first candidate is \a engine, while all are open. */
+    services::Need needWithHome(std::size_t engine)
+    {
+        int chat = 0;
+        const auto engines = owner(0).view().enginesOf(model);
+        while (routing::candidatesFor(needOf(chat).chat, engines, 1).front().engine
+               != hashOf(engine)) {
+            ++chat;
+        }
+        return needOf(chat);
+    }
+
+    /** Asks at \a router right after only the owners of \a failed know that these are down. */
+    tl::expected<services::Permit, services::NoPermit>
+    acquireAfterUnheardFailure(std::size_t router, services::Need need,
+                               const std::set<std::size_t> &failed)
+    {
+        tl::expected<services::Permit, services::NoPermit> result;
+        fleet.await([&]() -> asio::awaitable<void> {
+            failUnheard(failed);
+            BOOST_TEST(std::ranges::any_of(
+                    failed, [&](std::size_t engine) { return openAt(router, engine); }));
+            result = co_await at<services::PermitService>(router, "permits").acquireEngine(need);
+        });
+        return result;
+    }
+
     /** Lets chats at all routers take the only place there is, one after the other. */
     void eachChatFindsTheRoom(const std::set<std::size_t> &free,
                               const std::set<std::uint64_t> &excluded)
@@ -225,4 +285,91 @@
     }
 }
 
+// Engines that nobody can reach aren't full: that would tell the operator to add engines, and the
+// caller that the ones there are work.
+BOOST_AUTO_TEST_CASE(ownersKnowThatAllEnginesAreDown_chatIsRefusedForWantOfAnEngine)
+{
+    const auto permit = acquireAfterUnheardFailure(0, needOf(0), allBut({}));
+    BOOST_REQUIRE(!permit.has_value());
+    BOOST_TEST((permit.error().code == outcome::ResultCode::NoEngine));
+    BOOST_TEST((permit.error().comeBackIn > 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(ownersKnowThatAllEnginesAreDown_callerIsToldSoAndWhenToComeBack)
+{
+    std::vector<support::CallerAnswer> answers;
+    fleet.await([this]() -> asio::awaitable<void> {
+        failUnheard(allBut({}));
+        co_return;
+    });
+    fleet.forEach(Chats, Chats, [&](int chat) -> asio::awaitable<void> {
+        const support::Turn turn{.chat = "c" + std::to_string(chat)};
+        answers.push_back(co_await fleet.chatAsync(
+                static_cast<std::size_t>(chat) % fleet.routerCount(), turn));
+    });
+    for (const support::CallerAnswer &answer : answers) {
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(answer.resultCode == "204");
+        BOOST_TEST(answer.ran == "not-run");
+        BOOST_TEST(!answer.retryAfter.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(allBoxesKnowThatAllEnginesAreDown_callerIsToldSoAndWhenToComeBack)
+{
+    failUnheard(allBut({}));
+    BOOST_REQUIRE(fleet.until([this] {
+        const auto engines = allBut({});
+        return std::ranges::none_of(engines, [this](std::size_t engine) {
+            return openAt(0, engine) || openAt(1, engine) || openAt(2, engine);
+        });
+    }));
+    for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+        const auto answer = fleet.chat(router, support::Turn{});
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(answer.resultCode == "204");
+        BOOST_TEST(answer.ran == "not-run");
+        BOOST_TEST(!answer.retryAfter.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(allEnginesAreFull_chatIsRefusedAsFull)
+{
+    fillAllBut({});
+    for (int chat = 0; chat < Chats; ++chat) {
+        const auto permit =
+                acquire(static_cast<std::size_t>(chat) % fleet.routerCount(), needOf(chat));
+        BOOST_REQUIRE(!permit.has_value());
+        BOOST_TEST((permit.error().code == outcome::ResultCode::EnginesFull));
+        BOOST_TEST((permit.error().comeBackIn > 0ms));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(oneEngineIsDownAndTheRestAreFull_chatIsRefusedAsFull)
+{
+    fillAllBut({Failed});
+    for (int chat = 0; chat < Chats; ++chat) {
+        const std::size_t router = static_cast<std::size_t>(chat) % fleet.routerCount();
+        const auto permit =
+                chat == 0 ? acquireAfterUnheardFailure((ownerOf(Failed) + 1) % fleet.routerCount(),
+                                                       needWithHome(Failed), {Failed})
+                          : acquire(router, needOf(chat));
+        BOOST_REQUIRE(!permit.has_value());
+        BOOST_TEST((permit.error().code == outcome::ResultCode::EnginesFull));
+    }
+}
+
+// The home tries its own engine itself and names only the others, which are down.
+BOOST_AUTO_TEST_CASE(homesOwnEngineIsFullAndTheRestAreDown_chatIsRefusedAsFull)
+{
+    constexpr std::size_t Full = 0;
+    const services::Need need = needWithHome(Full);
+    const std::size_t home = ownerOf(Full);
+    // All have the same load, so the chat's first candidate is the first choice.
+    fillAllBut({});
+    const auto permit = acquireAfterUnheardFailure(home, need, allBut({Full}));
+    BOOST_REQUIRE(!permit.has_value());
+    BOOST_TEST((permit.error().code == outcome::ResultCode::EnginesFull));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/HallsTest.cpp
+++ b/test/correctness/HallsTest.cpp
@@ -1,6 +1,7 @@
 // Several halls: a request whose own hall has no place runs in another one, and a hall alone goes
 // on.
 
+#include "services/ConfigService.h"
 #include "services/OwnerService.h"
 #include "services/PermitService.h"
 #include "services/SpillService.h"
@@ -27,6 +28,20 @@
     return sum;
 }
 
+const membership::ShortHash SmallModel = membership::shortHash(kernel::hashOf("small"));
+
+/** Asks the other halls for a place, as the first router does when its own hall has none. */
+tl::expected<services::Permit, services::NoPermit> acquireAbroad(Fleet &fleet)
+{
+    const services::Need need{.organisation = 1, .chat = 2, .model = SmallModel};
+    tl::expected<services::Permit, services::NoPermit> result;
+    fleet.await([&]() -> asio::awaitable<void> {
+        auto &spill = fleet.context(0).kernel.find<services::SpillService>("spill");
+        result = co_await spill.acquire(need);
+    });
+    return result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HallsTest)
@@ -100,6 +115,39 @@
     }
 }
 
+// The other hall's word is taken as it is: without an engine that works it isn't full.
+BOOST_AUTO_TEST_CASE(spill_otherHallsEngineIsDown_isRefusedForWantOfAnEngine)
+{
+    Fleet fleet;
+    fleet.routers("hall-a", 1).engines("hall-b", 1).routers("hall-b", 1);
+    fleet.start();
+    BOOST_TEST(fleet.until([&] { return fleet.chat(0, Turn{}).whole; }));
+    fleet.takeDown(0);
+    BOOST_TEST(fleet.until([&] {
+        auto &owner = fleet.context(1).kernel.find<services::OwnerService>("owner");
+        return !owner.view().backends.at(0).open();
+    }));
+    const auto permit = acquireAbroad(fleet);
+    BOOST_REQUIRE(!permit.has_value());
+    BOOST_TEST((permit.error().code == outcome::ResultCode::NoEngine));
+}
+
+BOOST_AUTO_TEST_CASE(spill_otherHallsEngineIsFull_isRefusedAsFull)
+{
+    Fleet fleet;
+    fleet.routers("hall-a", 1).engines("hall-b", 1).routers("hall-b", 1);
+    fleet.start();
+    BOOST_TEST(fleet.set(0, "pool:small", "slots", "1").status == 200);
+    BOOST_TEST(fleet.until([&] {
+        const auto &config = fleet.context(1).kernel.find<services::ConfigService>("config");
+        return config.effective().poolOfModelHash(SmallModel)->slots == 1;
+    }));
+    BOOST_TEST(fleet.until([&] { return acquireAbroad(fleet).has_value(); }));
+    const auto permit = acquireAbroad(fleet);
+    BOOST_REQUIRE(!permit.has_value());
+    BOOST_TEST((permit.error().code == outcome::ResultCode::EnginesFull));
+}
+
 BOOST_AUTO_TEST_CASE(spill_forbiddenForThePool_isRefusedInsteadAtOnce)
 {
     Fleet fleet;
