Engines that are down are told as such, not as full: the code says what the asks found

Cause: PermitService::acquireEngine began with engines-full as its refusal and nothing changed it, whatever the owners answered. An owner knows that its engine is down before the other boxes hear it with a heartbeat; until then these still ask, are answered Leaving, and told callers 429 engines-full. A chat's home also answered Full when it knew of no engine, or only of ones that are down, and a hall told Full to other halls whatever its reason. Change: the refusal begins as no-engine and becomes engines-full when an owner answers Full or Unfair. A home answers Full only if an engine that it tried itself was full, with its suggestions beside it, since it leaves that engine out of them; else Redirected or Leaving. A hall answers Leaving to another one when it has no engine. An answer without advice no longer wipes the default time to come back. No new value on the wire: earlier boxes read the suggestions whatever the result, and take all that isn't Granted for a refusal. Beside a home of an earlier version the old code may still be told, and of a full engine that only this home tried, no-engine. Conclusion: engines-full is told only where an engine that works refused for want of a place.

--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -55,7 +55,10 @@
     auto operator<=>(const AskPermit &) const = default;
 };
 
-/** What the owner says. */
+/**
+ * What the owner says. Full and Unfair: it works but has no place for this ask. Leaving: it takes
+ * no work, since it leaves or can't be reached.
+ */
 enum class PermitResult : std::uint8_t { Granted, Redirected, Full, Unfair, Leaving, NotOwner };
 
 /** One engine to use or to ask. */
@@ -72,10 +75,9 @@
 {
     std::uint64_t request = 0;
     PermitResult result = PermitResult::NotOwner;
-    std::vector<Suggestion>
-            suggestions;          ///< Granted: the engine. Redirected: whom to ask, best first.
-    std::uint32_t comeBackMs = 0; ///< Of a refusal: when a place should be free.
-    std::uint32_t load = 0;       ///< In flight on the owner's engines of the model.
+    std::vector<Suggestion> suggestions; ///< Granted: the engine. Else: whom to ask, best first.
+    std::uint32_t comeBackMs = 0;        ///< Of a refusal: when a place should be free.
+    std::uint32_t load = 0;              ///< In flight on the owner's engines of the model.
 
     auto operator<=>(const PermitAnswer &) const = default;
 };
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -292,7 +292,7 @@
         return std::ranges::find(ask.excluded, engine.engine) != ask.excluded.end();
     });
     if (engines.empty()) {
-        answer.result = PermitResult::Full;
+        answer.result = PermitResult::Leaving;
         answer.comeBackMs = comeBackMs(drain_);
         return answer;
     }
@@ -304,22 +304,32 @@
     const auto choices = routing::shortlist(routing::placeChat(candidates, chats_.find(ask.chat),
                                                                engines, poolView(ask.model, all)),
                                             MostChoices);
+    bool full = false;
     for (const routing::Choice &choice : choices) {
         const peer::Suggestion suggestion{shortHash(choice.engine),
                                           static_cast<std::uint8_t>(choice.reason)};
         OwnedBackend *const owned = backends_.find(choice.engine);
         if (owned != nullptr && answer.suggestions.empty()) {
-            if (grant(*owned, ask) == GrantResult::Granted) {
+            const GrantResult result = grant(*owned, ask);
+            if (result == GrantResult::Granted) {
                 remember({ask.chat, ask.resource, suggestion.engine, ask.model, false});
                 answer.result = PermitResult::Granted;
                 answer.suggestions = {suggestion};
                 return answer;
             }
+            full = full || result != GrantResult::Leaving;
             continue;
         }
         answer.suggestions.push_back(suggestion);
     }
-    answer.result = answer.suggestions.empty() ? PermitResult::Full : PermitResult::Redirected;
+    // The suggestions leave out the engines that were tried here. If one of these is full, the
+    // asker must know it: all that are suggested may be down.
+    if (full) {
+        answer.result = PermitResult::Full;
+    } else {
+        answer.result =
+                answer.suggestions.empty() ? PermitResult::Leaving : PermitResult::Redirected;
+    }
     answer.comeBackMs = comeBackMs(drain_);
     if (!answer.suggestions.empty()) {
         remember({ask.chat, ask.resource, answer.suggestions.front().engine, ask.model, false});
--- a/src/services/PermitService.cpp
+++ b/src/services/PermitService.cpp
@@ -32,6 +32,18 @@
                                                                : Reason::Spilled;
 }
 
+// Only an engine that works can be full. Owners may know before this box that all are down; the
+// caller is told to wait for a place only where there is one to wait for.
+void noteRefusal(const PermitAnswer &answer, NoPermit &refusal)
+{
+    if (answer.result == PermitResult::Full || answer.result == PermitResult::Unfair) {
+        refusal.code = ResultCode::EnginesFull;
+    }
+    if (answer.comeBackMs > 0) {
+        refusal.comeBackIn = std::chrono::milliseconds(answer.comeBackMs);
+    }
+}
+
 } // namespace
 
 struct PermitService::Pending
@@ -102,7 +114,7 @@
     if (engines.empty()) {
         co_return tl::unexpected(NoPermit{ResultCode::NoEngine, ComeBackWithoutWord});
     }
-    NoPermit refusal{ResultCode::EnginesFull, ComeBackWithoutWord};
+    NoPermit refusal{ResultCode::NoEngine, ComeBackWithoutWord};
     AskPermit ask = askFor(need);
     const std::uint64_t home = routing::candidatesFor(need.chat, engines, 1).front().engine;
     const auto *const preferredEngine =
@@ -122,7 +134,7 @@
     const auto answered = co_await askOwner(ask);
     std::vector<peer::Suggestion> suggestions;
     if (answered) {
-        refusal.comeBackIn = std::chrono::milliseconds(answered->answer.comeBackMs);
+        noteRefusal(answered->answer, refusal);
         suggestions = answered->answer.suggestions;
     }
     if (answered && answered->answer.result == PermitResult::Granted && !suggestions.empty()) {
@@ -287,8 +299,8 @@
     ask.resource = backend->listed.backend.hash();
     const auto answered = co_await askOwner(ask);
     if (!answered || answered->answer.result != PermitResult::Granted) {
-        if (answered && answered->answer.comeBackMs > 0) {
-            refusal.comeBackIn = std::chrono::milliseconds(answered->answer.comeBackMs);
+        if (answered) {
+            noteRefusal(answered->answer, refusal);
         }
         co_return std::nullopt;
     }
--- a/src/services/SpillService.cpp
+++ b/src/services/SpillService.cpp
@@ -165,8 +165,9 @@
         sendAnswer(ask, from);
         co_return;
     }
+    const bool full = permit.error().code == ResultCode::EnginesFull;
     const PermitAnswer refusal{.request = ask.request,
-                               .result = PermitResult::Full,
+                               .result = full ? PermitResult::Full : PermitResult::Leaving,
                                .suggestions = {},
                                .comeBackMs =
                                        static_cast<std::uint32_t>(permit.error().comeBackIn / 1ms)};
