--- /dev/null
+++ b/src/gateway/FeedConnection.cpp
@@ -0,0 +1,81 @@
+#include "gateway/FeedConnection.h"
+
+#include "http/AnswerTimer.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t MostAnswerBytes = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+void FeedConnection::close()
+{
+    if (connection_) {
+        connection_->close();
+    }
+    connection_.reset();
+}
+
+bool FeedConnection::unread() const
+{
+    return connection_ && connection_->heard().waiting == http::Arrived::Bytes;
+}
+
+kernel::Duration FeedConnection::rested() const
+{
+    return connection_ ? connection_->rested().value_or(0s) : kernel::Duration::zero();
+}
+
+asio::awaitable<tl::expected<void, std::string>> FeedConnection::open(kernel::Endpoint where,
+                                                                      kernel::Duration longest)
+{
+    const bool usable = connection_ && connection_->reusable() && connection_->quiet();
+    if (usable && where_ == where) {
+        co_return tl::expected<void, std::string>();
+    }
+    connection_.reset();
+    auto connected = co_await http::KeptConnection::connect(context_.io, where, longest);
+    if (!connected) {
+        co_return tl::unexpected(connected.error().message);
+    }
+    connection_ = *connected;
+    where_ = where;
+    if (connection_->connectedLate()) {
+        context_.counters.add("late_looks", {{"wait", "connect"}});
+    }
+    co_return tl::expected<void, std::string>();
+}
+
+asio::awaitable<tl::expected<http::Answer, std::string>>
+FeedConnection::ask(http::Request request, kernel::Duration longest)
+{
+    const http::KeptConnection::Ptr connection = connection_;
+    if (!connection) {
+        co_return tl::unexpected<std::string>("the connection was closed");
+    }
+    // A standstill of this process is no loss of the other side.
+    http::AnswerTimer timer(context_.io, context_.counters, wait_);
+    timer.start(
+            longest, [connection] { return connection->heard(); },
+            [connection] { connection->close(); });
+    connection->send(std::move(request));
+    auto head = co_await connection->readHead();
+    if (!head) {
+        co_return tl::unexpected(head.error().message);
+    }
+    auto body = co_await connection->readAll(MostAnswerBytes);
+    timer.stop();
+    if (!body) {
+        co_return tl::unexpected(body.error().message);
+    }
+    http::Answer answer(head->status, {}, std::move(*body));
+    co_return answer;
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/FeedRelay.cpp
@@ -0,0 +1,109 @@
+#include "gateway/FeedRelay.h"
+
+#include "store/RelayOrder.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int Good = 200;
+constexpr int BadAsk = 400;
+constexpr int UnknownPath = 404;
+// No ask is held longer, whatever it says.
+constexpr kernel::Duration LongestHold = 5s;
+
+http::ServerLimits relayLimits(const kernel::GatewaySettings &settings)
+{
+    http::ServerLimits limits;
+    limits.headBytes = 4096;
+    limits.bodyBytes = 1024;
+    // Two for each box of a hall, which callers' and servers' connections leave room for.
+    limits.connections = settings.descriptors / 8;
+    limits.idleTimeout = 30s;
+    return limits;
+}
+
+} // namespace
+
+FeedRelay::FeedRelay(services::Context &context, World &world)
+    : context_(context)
+    , world_(world)
+{
+    for (const std::string &hex : context.settings.peerKeys) {
+        keys_.push_back(peer::peerKeyFromHex(hex).value());
+    }
+}
+
+void FeedRelay::start()
+{
+    server_ = std::make_unique<http::Server>(context_.io, relayLimits(context_.settings.gateway),
+                                             [this](http::Request request, http::Reply &reply) {
+                                                 return handle(std::move(request), reply);
+                                             });
+    server_->listen(context_.settings.peer);
+}
+
+void FeedRelay::stop()
+{
+    server_.reset();
+}
+
+std::optional<peer::FeedAsk> FeedRelay::read(const http::Request &request) const
+{
+    const std::string &body = request.body;
+    const std::span sealed(reinterpret_cast<const std::uint8_t *>(body.data()), body.size());
+    const auto payload = peer::open(sealed, keys_);
+    return payload ? peer::decodeFeedAsk(*payload) : std::nullopt;
+}
+
+http::Answer FeedRelay::write(const ObjectFeed &feed, const peer::FeedAsk &ask,
+                              kernel::Instant question)
+{
+    const peer::FeedAnswer answer = feed.record().answer(ask, question, world_.largestRelayed());
+    const char *result = answer.objects.empty() ? "nothing-new" : "news";
+    context_.counters.add("relay_answers",
+                          {{"kind", ask.kind}, {"result", answer.lost ? "lost" : result}});
+    const peer::Bytes sealed = peer::seal(peer::encode(answer), keys_.front());
+    return http::Answer(Good, http::Fields(), std::string(sealed.begin(), sealed.end()));
+}
+
+asio::awaitable<void> FeedRelay::waitForNews(ObjectFeed &feed, const peer::FeedAsk &ask)
+{
+    const kernel::Duration hold =
+            std::min<kernel::Duration>(std::chrono::milliseconds(ask.holdMs), LongestHold);
+    if (hold == 0s || feed.record().answersAtOnce(ask)) {
+        co_return;
+    }
+    asio::steady_timer timer(context_.io);
+    timer.expires_after(hold);
+    const ObjectFeed::Waiting waiting(feed, timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> FeedRelay::handle(http::Request request, http::Reply &reply)
+{
+    const kernel::Instant question = context_.now();
+    if (request.path() != FeedPath) {
+        http::Answer unknown(UnknownPath);
+        co_await reply.send(std::move(unknown));
+        co_return;
+    }
+    const auto ask = read(request);
+    ObjectFeed *const feed = ask ? world_.feed(ask->kind) : nullptr;
+    if (feed == nullptr) {
+        context_.counters.add("relay_refusals");
+        http::Answer bad(BadAsk);
+        co_await reply.send(std::move(bad));
+        co_return;
+    }
+    feed->noteAsked();
+    co_await waitForNews(*feed, *ask);
+    http::Answer answer = write(*feed, *ask, question);
+    co_await reply.send(std::move(answer));
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/FeedRelay.h
@@ -0,0 +1,41 @@
+/** \file
+ * Answers other boxes of the hall that ask what the store holds (peer/FeedMessages.h): over HTTP on
+ * TCP, at the same port number as the datagrams, in the same authenticated envelope. An answer may
+ * be longer than a datagram, and many asks wait at once.
+ */
+#pragma once
+
+#include "gateway/World.h"
+#include "http/Server.h"
+#include "peer/Envelope.h"
+
+#include <memory>
+
+namespace limereel::gateway {
+
+/** Path of the asks. */
+inline constexpr const char *FeedPath = "/feed";
+
+/** The service. */
+class FeedRelay : public kernel::Service
+{
+public:
+    FeedRelay(services::Context &context, World &world);
+
+    std::string_view name() const override { return "relay"; }
+    void start() override;
+    void stop() override;
+
+private:
+    boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
+    boost::asio::awaitable<void> waitForNews(ObjectFeed &feed, const peer::FeedAsk &ask);
+    std::optional<peer::FeedAsk> read(const http::Request &request) const;
+    http::Answer write(const ObjectFeed &feed, const peer::FeedAsk &ask, kernel::Instant question);
+
+    services::Context &context_;
+    World &world_;
+    std::vector<peer::PeerKey> keys_;
+    std::unique_ptr<http::Server> server_;
+};
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/KeptObjects.cpp
@@ -0,0 +1,40 @@
+#include "gateway/KeptObjects.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limereel::gateway {
+
+namespace {
+
+constexpr std::size_t LargestKept = 524288;
+
+store::KeptObject keptObject(const store::StoredObject &object, bool large)
+{
+    store::KeptObject kept{object.name, object.revision, object.gone, large, {}};
+    if (object.gone || large) {
+        return kept;
+    }
+    try {
+        kept.text = object.content.dump();
+    } catch (const nlohmann::json::exception &) {
+        // A text that isn't UTF-8; others read it from the store themselves.
+        kept.large = true;
+    }
+    return kept;
+}
+
+} // namespace
+
+std::vector<store::KeptObject> keptObjects(const std::vector<store::StoredObject> &objects,
+                                           std::size_t answerBytes)
+{
+    const bool large = !objects.empty() && answerBytes / objects.size() > LargestKept;
+    std::vector<store::KeptObject> kept;
+    kept.reserve(objects.size());
+    for (const store::StoredObject &object : objects) {
+        kept.push_back(keptObject(object, large));
+    }
+    return kept;
+}
+
+} // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -1,6 +1,7 @@
 #include "gateway/ObjectFeed.h"
 
-#include "http/AnswerTimer.h"
+#include "gateway/FeedRelay.h"
+#include "gateway/KeptObjects.h"
 #include "http/JsonSlices.h"
 #include "kernel/Log.h"
 
@@ -11,14 +12,17 @@
 
 namespace asio = boost::asio;
 using nlohmann::json;
+using store::FeedStep;
 
 namespace {
 
-constexpr std::size_t MostAnswerBytes = std::size_t{64} * 1024 * 1024;
 constexpr int Good = 200;
 constexpr int HistoryGone = 410;
 // Well within any store's history, so that the watch can go on from the first page.
 constexpr kernel::Duration LongestListing = 8s;
+// Two heartbeats. A confirmation by the list has time left for a whole watch after it.
+constexpr kernel::Duration SettleFor = 2s;
+constexpr kernel::Duration SettleLook = 100ms;
 
 // Reading a large answer, taking it in and putting it away are several turns of the event loop,
 // with others between them.
@@ -27,6 +31,15 @@
     co_await asio::post(asio::use_awaitable);
 }
 
+std::vector<peer::PeerKey> keysOf(const services::Context &context)
+{
+    std::vector<peer::PeerKey> keys;
+    for (const std::string &hex : context.settings.peerKeys) {
+        keys.push_back(peer::peerKeyFromHex(hex).value());
+    }
+    return keys;
+}
+
 const kernel::Log &log()
 {
     static const kernel::Log Log("feed");
@@ -35,149 +48,182 @@
 
 } // namespace
 
-kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency, kernel::Duration age)
+ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
+                       std::string kind, const FeedPaces &paces, FeedSources &sources,
+                       FeedHooks hooks)
+    : context_(context)
+    , format_(format)
+    , kind_(std::move(kind))
+    , paces_(paces)
+    , sources_(sources)
+    , hooks_(std::move(hooks))
+    , keys_(keysOf(context))
+    , book_(paces.sources)
+    , storeConnection_(context, "store")
+    , relayConnection_(context, "relay")
+    , loop_(std::make_unique<services::Repeat>(context.io, [this] { return round(); }))
 {
-    constexpr kernel::Duration Shortest = 200ms;
-    kernel::Duration wait = pace.wait;
-    if (pace.confirmWithin > 0s) {
-        wait = std::min<kernel::Duration>(wait, pace.confirmWithin / 2 - latency);
-        // After a change and its pause, less is left. Without this, all boxes refused keys for half
-        // a second after each change that came late in their watches.
-        wait = std::min<kernel::Duration>(wait, pace.confirmWithin - age - latency);
-    }
-    if (pace.giveUpWithin > 0s) {
-        wait = std::min<kernel::Duration>(wait, pace.giveUpWithin - answerWait(pace, latency));
-    }
-    return std::max<kernel::Duration>(wait, Shortest);
 }
 
-kernel::Duration answerWait(const FeedPace &pace, kernel::Duration latency)
+bool ObjectFeed::behind() const
 {
-    constexpr int Spread = 3; ///< Answers may take this many times the last one's time.
-    return std::clamp<kernel::Duration>(latency * Spread, pace.answer, pace.longestAnswer);
+    return taking_ || storeConnection_.unread() || relayConnection_.unread();
 }
 
-kernel::Duration pageWait(const FeedPace &pace, int failures, bool listed)
+void ObjectFeed::hurry()
 {
-    constexpr int MostDoublings = 3;
-    const kernel::Duration longest = pace.answer * (1 << std::clamp(failures, 0, MostDoublings));
-    if (!listed || pace.giveUpWithin == 0s) {
-        return longest;
+    if (failing_) {
+        loop_->hurry();
     }
-    const kernel::Duration look = std::max<kernel::Duration>(pace.answer, pace.giveUpWithin / 2);
-    return std::min<kernel::Duration>(longest, look);
 }
 
-ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
-                       std::string kind, FeedPace pace, FeedHooks hooks)
-    : context_(context)
-    , format_(format)
-    , kind_(std::move(kind))
-    , pace_(pace)
-    , hooks_(std::move(hooks))
-    , backoff_(pace.firstPause, pace.longestPause)
-    , loop_(std::make_unique<services::Repeat>(context.io, [this] { return round(); }))
+// A box that becomes a relay doesn't wait for another one's answer any more.
+void ObjectFeed::noteAsked()
 {
+    const kernel::Instant now = context_.now();
+    book_.noteAsked(now);
+    if (askingRelay_ && book_.relaying(sources_.relays(), sources_.self(), now)
+        && nextStep().kind == FeedStep::Kind::Store) {
+        abandoned_ = true;
+        relayConnection_.close();
+    }
 }
 
-bool ObjectFeed::behind() const
+FeedStep ObjectFeed::nextStep() const
 {
-    return taking_ || (connection_ && connection_->heard().waiting == http::Arrived::Bytes);
+    const kernel::Instant now = context_.now();
+    if (tooLarge_) {
+        return book_.storeStep(now);
+    }
+    if (settling()) {
+        return {.kind = FeedStep::Kind::Pause, .pause = SettleLook};
+    }
+    return book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed());
 }
 
-kernel::Duration ObjectFeed::answerAge() const
+asio::awaitable<kernel::Duration> ObjectFeed::round()
 {
-    return connection_ ? connection_->rested().value_or(0s) : kernel::Duration::zero();
+    const FeedStep step = nextStep();
+    switch (step.kind) {
+    case FeedStep::Kind::Store:
+        co_return co_await storeRound(step.relaying);
+    case FeedStep::Kind::Relay:
+        co_await relayRound(step.relay, step.proven);
+        co_return kernel::Duration::zero();
+    case FeedStep::Kind::Pause:
+        break;
+    }
+    if (!settling()) {
+        noteLost("no-source");
+    }
+    co_return step.pause;
 }
 
-void ObjectFeed::hurry()
+// A box that has just listed knows few others yet. It waits for a watch's time for heartbeats that
+// name relays: 295 boxes that start together would each watch the store once or twice for nothing.
+bool ObjectFeed::settling() const
 {
-    if (failing_) {
-        loop_->hurry();
-    }
+    return at_ && !failing_ && sources_.relays().empty()
+           && context_.now() - listedFirst_ < SettleFor;
 }
 
-asio::awaitable<kernel::Duration> ObjectFeed::round()
+asio::awaitable<kernel::Duration> ObjectFeed::storeRound(bool relaying)
 {
+    relaying_ = relaying;
+    noteSource(relaying ? "store-for-hall" : "store");
     bool good = false;
     changed_ = false;
-    if (at_ && !failing_) {
+    if (at_ && !failing_ && !tooLarge_) {
         good = co_await watch();
     } else {
         good = co_await list();
     }
     taking_ = false;
-    if (good) {
-        backoff_.succeed();
-        co_return changed_ ? pace_.afterChange : kernel::Duration::zero();
+    if (!good) {
+        co_return kernel::Duration::zero();
     }
-    co_return backoff_.fail(context_.random);
+    book_.noteStoreAnswered();
+    heardFromStore_ = true;
+    const store::FeedPace &pace = relaying_ ? paces_.relaying : paces_.alone;
+    co_return changed_ ? pace.afterChange : kernel::Duration::zero();
 }
 
 void ObjectFeed::noteFailure(const std::string &what)
 {
-    lastFailure_ = context_.now();
+    const bool spare = !tooLarge_ && !store::SourceBook::inLine(sources_.relays(), sources_.self());
+    book_.noteStoreFailed(spare, context_.now(), context_.random);
+    record_.noteStoreFailure(context_.now());
+    heardFromStore_ = false;
     context_.counters.add("store_failures", {{"kind", kind_}});
-    connection_.reset();
+    storeConnection_.close();
+    // A first failure that came soon, such as a refusal, may be the only one: those who hear
+    // through this box aren't sent elsewhere for it.
+    const auto confirmed = record_.confirmedAsOf();
+    const bool young = confirmed && context_.now() - *confirmed < paces_.oldestHeard / 2;
+    if (book_.storeFailures() > 1 || !young) {
+        noteLost(what);
+    }
+    failing_ = true;
+}
+
+void ObjectFeed::noteLost(const std::string &why)
+{
+    record_.setLost(true);
+    wake();
     if (!failing_) {
         failing_ = true;
-        log().event("store-lost", {{"kind", kind_}, {"why", what}}, "The store is lost.");
+        log().event("store-lost", {{"kind", kind_}, {"why", why}}, "The store is lost.");
     }
 }
 
 void ObjectFeed::noteAnswer()
 {
+    record_.setLost(false);
     if (failing_) {
         failing_ = false;
         log().event("store-back", {{"kind", kind_}}, "The store answers again.");
     }
 }
 
-asio::awaitable<tl::expected<http::Answer, std::string>> ObjectFeed::ask(std::string target,
-                                                                         kernel::Duration longest)
+void ObjectFeed::noteSource(const std::string &source)
+{
+    if (source == source_) {
+        return;
+    }
+    context_.counters.add("feed_sources", {{"kind", kind_}});
+    log().event("source", {{"kind", kind_}, {"from", source_}, {"to", source}},
+                "The feed has another source.");
+    source_ = source;
+}
+
+void ObjectFeed::wake()
+{
+    for (asio::steady_timer *const timer : waiting_) {
+        timer->cancel();
+    }
+}
+
+asio::awaitable<tl::expected<http::Answer, std::string>>
+ObjectFeed::askStore(std::string target, kernel::Duration longest)
 {
     taking_ = false;
-    if (connection_ && !(connection_->reusable() && connection_->quiet())) {
-        connection_.reset();
-    }
-    if (!connection_) {
-        auto connected = co_await http::KeptConnection::connect(
-                context_.io, context_.settings.platform, context_.settings.connectTimeout);
-        if (!connected) {
-            co_return tl::unexpected(connected.error().message);
-        }
-        connection_ = *connected;
-        if (connection_->connectedLate()) {
-            context_.counters.add("late_looks", {{"wait", "connect"}});
-        }
+    const kernel::Endpoint &where = context_.settings.platform;
+    const auto opened = co_await storeConnection_.open(where, context_.settings.connectTimeout);
+    if (!opened) {
+        co_return tl::unexpected(opened.error());
     }
     context_.counters.add("store_calls", {{"kind", kind_}});
-    const http::KeptConnection::Ptr connection = connection_;
-    // A standstill of this process is no loss of the store.
-    http::AnswerTimer timer(context_.io, context_.counters, "store");
-    timer.start(
-            longest, [connection] { return connection->heard(); },
-            [connection] { connection->close(); });
     http::Request request("GET", std::move(target),
-                          http::Fields().with("Host", kernel::text(context_.settings.platform)));
-    connection->send(std::move(request));
-    auto head = co_await connection->readHead();
-    if (!head) {
-        co_return tl::unexpected(head.error().message);
-    }
-    auto body = co_await connection->readAll(MostAnswerBytes);
-    timer.stop();
-    if (!body) {
-        co_return tl::unexpected(body.error().message);
-    }
-    taking_ = true;
-    http::Answer answer(head->status, {}, std::move(*body));
+                          http::Fields().with("Host", kernel::text(where)));
+    auto answer = co_await storeConnection_.ask(std::move(request), longest);
+    taking_ = answer.has_value();
+    told_ = context_.now() - storeConnection_.rested();
     co_return answer;
 }
 
 void ObjectFeed::confirm(kernel::Instant asOf)
 {
-    confirmedAsOf_ = asOf;
+    record_.confirm(asOf);
     hooks_.confirmed(asOf);
 }
 
@@ -196,7 +242,7 @@
     const kernel::Instant now = context_.now();
     const bool begun = listing_ && !listing_->objects.empty();
     if (!begun || now - listing_->begun > LongestListing) {
-        listing_ = Listing{now, 0, {}};
+        listing_ = Listing{now, 0, 0, {}};
     }
     bool more = true;
     while (more) {
@@ -204,13 +250,15 @@
         const std::string after = objects.empty() ? std::string() : objects.back().name;
         std::string target = format_.listTarget(kind_, after);
         const kernel::Instant asked = context_.now();
-        const kernel::Duration longest = pageWait(pace_, backoff_.failures(), at_.has_value());
-        const auto answer = co_await ask(std::move(target), longest);
+        const kernel::Duration longest =
+                store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
+        const auto answer = co_await askStore(std::move(target), longest);
         if (!answer || answer->status != Good) {
             noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
             co_return false;
         }
         latency_ = context_.now() - asked;
+        listing_->bytes += answer->body.size();
         json body = co_await readBody(answer->body);
         auto page = format_.readPage(std::move(body));
         if (!page) {
@@ -221,12 +269,18 @@
         more = takePage(std::move(*page));
     }
     noteAnswer();
+    tooLarge_ = false;
+    if (!at_) {
+        listedFirst_ = listing_->begun;
+    }
     Listing listing = std::move(*listing_);
     listing_.reset();
-    at_ = listing.at;
+    at_ = std::max(at_.value_or(0), listing.at);
     co_await letOthersRun();
+    record_.replace(keptObjects(listing.objects, listing.bytes), listing.at, told_);
     hooks_.replaced(listing.objects);
     confirm(listing.begun);
+    wake();
     co_await letOthersRun();
     co_return true;
 }
@@ -244,11 +298,14 @@
 
 asio::awaitable<bool> ObjectFeed::watch()
 {
+    const store::FeedPace &pace = relaying_ ? paces_.relaying : paces_.alone;
     const kernel::Instant asked = context_.now();
-    const kernel::Duration age = confirmedAsOf_ ? asked - *confirmedAsOf_ : kernel::Duration();
-    const kernel::Duration wait = watchWait(pace_, latency_, age);
+    const auto confirmed = record_.confirmedAsOf();
+    const kernel::Duration age = confirmed ? asked - *confirmed : kernel::Duration();
+    const kernel::Duration wait = store::watchWait(pace, latency_, age);
     std::string target = format_.watchTarget(kind_, *at_, wait);
-    const auto answer = co_await ask(std::move(target), wait + answerWait(pace_, latency_));
+    const auto answer =
+            co_await askStore(std::move(target), wait + store::answerWait(pace, latency_));
     if (answer && answer->status == HistoryGone) {
         log().info("The store has forgotten its history of '" + kind_ + "'; the list is read.");
         at_.reset();
@@ -273,13 +330,157 @@
     changed_ = !changes->objects.empty();
     if (changed_) {
         co_await letOthersRun();
+        record_.change(keptObjects(changes->objects, answer->body.size()), *at_, told_);
         hooks_.changed(changes->objects);
     }
     confirm(asked);
+    wake();
     if (changed_) {
         co_await letOthersRun();
     }
     co_return true;
 }
 
+peer::FeedAsk ObjectFeed::makeAsk(bool proven) const
+{
+    const auto hold = proven && !tooLarge_ ? store::holdOf(paces_.relaying) / 1ms : 0;
+    return {.question = context_.random(),
+            .kind = kind_,
+            .at = at_.value_or(0),
+            .holdMs = static_cast<std::uint32_t>(hold)};
+}
+
+asio::awaitable<void> ObjectFeed::relayRound(std::uint64_t relay, bool proven)
+{
+    const peer::FeedAsk ask = makeAsk(proven);
+    const kernel::Instant asked = context_.now();
+    const kernel::Duration longest = std::chrono::milliseconds(ask.holdMs) + store::RelayAnswer;
+    askingRelay_ = true;
+    abandoned_ = false;
+    auto answer = co_await askRelay(relay, ask, longest);
+    askingRelay_ = false;
+    if (abandoned_) {
+        co_return;
+    }
+    if (!answer) {
+        noteRelayFault(relay, "silent", store::RelayFault::Silent);
+        co_return;
+    }
+    const peer::Verdict verdict =
+            peer::judge(*answer, ask, asked, context_.now(), paces_.oldestHeard);
+    switch (verdict) {
+    case peer::Verdict::Good:
+        co_await takeAnswer(relay, std::move(*answer), asked);
+        break;
+    case peer::Verdict::Foreign:
+        noteRelayFault(relay, "foreign", store::RelayFault::Silent);
+        break;
+    case peer::Verdict::Lost:
+        noteRelayFault(relay, "lost", store::RelayFault::Lost);
+        break;
+    case peer::Verdict::Old:
+        noteRelayFault(relay, "old", store::RelayFault::Lost);
+        break;
+    }
+    taking_ = false;
+}
+
+asio::awaitable<std::optional<peer::FeedAnswer>>
+ObjectFeed::askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest)
+{
+    const auto where = sources_.addressOf(relay);
+    if (!where) {
+        co_return std::nullopt;
+    }
+    const auto opened = co_await relayConnection_.open(*where, store::RelayAnswer);
+    if (!opened) {
+        co_return std::nullopt;
+    }
+    context_.counters.add("relay_asks", {{"kind", kind_}});
+    const peer::Bytes sealed = peer::seal(peer::encode(ask), keys_.front());
+    http::Request request("POST", FeedPath, http::Fields().with("Host", kernel::text(*where)),
+                          std::string(sealed.begin(), sealed.end()));
+    const auto answer = co_await relayConnection_.ask(std::move(request), longest);
+    if (!answer || answer->status != Good) {
+        co_return std::nullopt;
+    }
+    taking_ = true;
+    const std::string &body = answer->body;
+    const std::span bytes(reinterpret_cast<const std::uint8_t *>(body.data()), body.size());
+    const auto payload = peer::open(bytes, keys_);
+    co_return payload ? peer::decodeFeedAnswer(*payload) : std::nullopt;
+}
+
+void ObjectFeed::noteRelayFault(std::uint64_t relay, const std::string &what,
+                                store::RelayFault fault)
+{
+    context_.counters.add("relay_faults", {{"kind", kind_}, {"reason", what}});
+    log().event("relay-fault", {{"kind", kind_}, {"relay", sources_.nameOf(relay)}, {"why", what}},
+                "Another box didn't tell what the store holds.");
+    book_.noteRelayFailed(relay, fault, context_.now());
+    relayConnection_.close();
+}
+
+asio::awaitable<void> ObjectFeed::takeAnswer(std::uint64_t relay, peer::FeedAnswer answer,
+                                             kernel::Instant asked)
+{
+    book_.noteRelayAnswered(relay);
+    noteSource(sources_.nameOf(relay));
+    heardFromStore_ = false;
+    if (answer.storeFailedMs) {
+        record_.noteStoreFailure(peer::forAsker(asked, *answer.storeFailedMs));
+    }
+    tooLarge_ = std::ranges::any_of(answer.objects, &store::KeptObject::large);
+    if (tooLarge_) {
+        co_return;
+    }
+    const kernel::Instant asOf = peer::forAsker(asked, *answer.confirmedMs);
+    told_ = toldBy(answer, asked);
+    noteAnswer();
+    const bool newer = answer.at > at_.value_or(0);
+    if (newer) {
+        co_await takeNews(std::move(answer));
+    }
+    confirm(asOf);
+    if (newer) {
+        wake();
+    }
+}
+
+// What a whole list doesn't name went after what is known was last right.
+kernel::Instant ObjectFeed::toldBy(const peer::FeedAnswer &answer, kernel::Instant asked) const
+{
+    const kernel::Instant asOf = peer::forAsker(asked, *answer.confirmedMs);
+    if (answer.whole) {
+        return record_.confirmedAsOf().value_or(asOf);
+    }
+    return answer.toldMs ? peer::forAsker(asked, *answer.toldMs) : asOf;
+}
+
+asio::awaitable<void> ObjectFeed::takeNews(peer::FeedAnswer answer)
+{
+    std::vector<store::StoredObject> objects;
+    for (const store::KeptObject &kept : answer.objects) {
+        store::StoredObject object;
+        object.name = kept.name;
+        object.revision = kept.revision;
+        object.gone = kept.gone;
+        if (!kept.gone) {
+            object.content = co_await readBody(kept.text);
+        }
+        objects.push_back(std::move(object));
+    }
+    at_ = answer.at;
+    if (answer.whole) {
+        record_.replace(std::move(answer.objects), answer.at, told_);
+        hooks_.replaced(objects);
+    } else if (!objects.empty()) {
+        record_.change(std::move(answer.objects), answer.at, told_);
+        hooks_.changed(objects);
+    } else {
+        record_.change({}, answer.at, told_);
+    }
+    co_await letOthersRun();
+}
+
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -3,62 +3,45 @@
  * and a new list whenever the store has forgotten what lay between, or has been away: what is
  * missed then may be many versions of a large object, of which only the newest counts.
  *
+ * Where a few boxes of the hall ask the store for all (store/SourceBook.h), the others ask these:
+ * what a box spends on calls to the store then doesn't grow with the boxes of its hall.
+ *
  * An outage changes nothing that is known. Each answered watch also confirms that nothing newer had
- * been there when it was asked.
+ * been there when it was asked; an answer of a relay, that nothing newer was there when the relay
+ * was last told so.
  */
 #pragma once
 
 #include "gateway/Adapter.h"
-#include "http/KeptConnection.h"
+#include "gateway/FeedConnection.h"
+#include "gateway/FeedSources.h"
+#include "peer/Envelope.h"
+#include "peer/FeedRecord.h"
 #include "services/Context.h"
 #include "services/Repeat.h"
-#include "store/Backoff.h"
+#include "store/FeedPace.h"
+#include "store/SourceBook.h"
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace limereel::gateway {
 
-/** The pace of one feed. */
-struct FeedPace
+/** The paces of one feed. */
+struct FeedPaces
 {
-    kernel::Duration wait = 2s; ///< Of one watch, at most.
-
-    /** Longest age that a confirmation may reach before the next one: two watches in a row, with
-     * what the store takes to answer, and with the pause between them if the first one brought a
-     * change. Zero: no matter. */
-    kernel::Duration confirmWithin{};
-
-    /** Longest time until a watch whose store has fallen silent is given up, its wait included.
-     * Zero: no matter. */
-    kernel::Duration giveUpWithin{};
-
-    kernel::Duration answer = 1s;        ///< Wait for an answer beyond the watch, at least,
-    kernel::Duration longestAnswer = 2s; ///< and at most, from a store that has been slow.
+    store::FeedPace alone;    ///< Of a box that asks the store for itself.
+    store::FeedPace relaying; ///< Of one that asks it for others.
 
-    /** Pause after a change, so that changes in quick succession come with one call: the store
-     * counts each, and answers all boxes for each change. */
-    kernel::Duration afterChange{};
+    /** Age from which on what a relay knows is too old. */
+    kernel::Duration oldestHeard{};
 
-    kernel::Duration firstPause = 50ms;
-    kernel::Duration longestPause = 500ms;
+    store::SourcePolicy sources = {}; ///< Taken once, when the feed is made.
 };
 
-/** How long a watch may wait at a store that lately took \a latency to answer, if the last
- * confirmation has reached \a age. */
-kernel::Duration watchWait(const FeedPace &pace, kernel::Duration latency,
-                           kernel::Duration age = {});
-
-/** How long an answer is waited for, beyond the watch, from such a store. */
-kernel::Duration answerWait(const FeedPace &pace, kernel::Duration latency);
-
-/** How long a page of a list is waited for after \a failures in a row: longer each time, since a
- * crowd of starting boxes fills the store's link, and what is given up has to be sent again. A box
- * that has \a listed before only looks whether the store is back, and soon asks again. */
-kernel::Duration pageWait(const FeedPace &pace, int failures, bool listed);
-
 /** What a feed calls. */
 struct FeedHooks
 {
@@ -70,6 +53,9 @@
 
     /** What is known was the newest at \a asOf. */
     std::function<void(kernel::Instant asOf)> confirmed;
+
+    /** Whether the feed may ask the store if the box has relays that don't help. */
+    std::function<bool()> storeAllowed = [] { return true; };
 };
 
 /** One feed. */
@@ -77,35 +63,78 @@
 {
 public:
     ObjectFeed(services::Context &context, const store::ObjectFormat &format, std::string kind,
-               FeedPace pace, FeedHooks hooks);
+               const FeedPaces &paces, FeedSources &sources, FeedHooks hooks);
 
     /** When the store last failed to answer; nothing if it never did. */
-    std::optional<kernel::Instant> lastFailure() const { return lastFailure_; }
+    std::optional<kernel::Instant> lastFailure() const { return record_.storeFailedAt(); }
 
     /** Whether something that has arrived isn't taken in yet. To be asked once the loop has had a
      * turn, in which it handles what it has read already. */
     bool behind() const;
 
-    /** How long ago the answer came that the hooks are called for; it may have lain unread. */
-    kernel::Duration answerAge() const;
+    /** When the store told what the hooks are called for, or earlier; it may have lain unread. */
+    kernel::Instant told() const { return told_; }
+
+    /** Whether the store itself answered this box last. */
+    bool heardFromStore() const { return heardFromStore_; }
 
-    /** Replaces the pace, from the next call on. */
-    void setPace(const FeedPace &pace) { pace_ = pace; }
+    /** Replaces the paces, from the next call on. */
+    void setPaces(const FeedPaces &paces) { paces_ = paces; }
 
     /** Asks again at once if the feed waits after a failure. */
     void hurry();
 
+    /** What may be told to other boxes. */
+    const peer::FeedRecord &record() const { return record_; }
+
+    /** Another box has asked this one. */
+    void noteAsked();
+
+    /** Cancels a timer once there is news, for as long as this lives. */
+    class Waiting
+    {
+    public:
+        Waiting(ObjectFeed &feed, boost::asio::steady_timer &timer)
+            : feed_(feed)
+            , timer_(timer)
+        {
+            feed_.waiting_.insert(&timer_);
+        }
+        ~Waiting() { feed_.waiting_.erase(&timer_); }
+        Waiting(const Waiting &) = delete;
+        Waiting &operator=(const Waiting &) = delete;
+
+    private:
+        ObjectFeed &feed_;
+        boost::asio::steady_timer &timer_;
+    };
+
 private:
     boost::asio::awaitable<kernel::Duration> round();
+    boost::asio::awaitable<kernel::Duration> storeRound(bool relaying);
+    boost::asio::awaitable<void> relayRound(std::uint64_t relay, bool proven);
     boost::asio::awaitable<bool> list();
     boost::asio::awaitable<bool> watch();
-    boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(std::string target,
-                                                                        kernel::Duration longest);
+    boost::asio::awaitable<tl::expected<http::Answer, std::string>>
+    askStore(std::string target, kernel::Duration longest);
+    boost::asio::awaitable<std::optional<peer::FeedAnswer>>
+    askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest);
+    boost::asio::awaitable<void> takeAnswer(std::uint64_t relay, peer::FeedAnswer answer,
+                                            kernel::Instant asked);
+    boost::asio::awaitable<void> takeNews(peer::FeedAnswer answer);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
+    store::FeedStep nextStep() const;
+    peer::FeedAsk makeAsk(bool proven) const;
     void confirm(kernel::Instant asOf);
     bool takePage(store::ObjectPage page);
     void noteFailure(const std::string &what);
+    void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
     void noteAnswer();
+    void noteLost(const std::string &why);
+    bool settling() const;
+    kernel::Instant toldBy(const peer::FeedAnswer &answer, kernel::Instant asked) const;
+    void noteSource(const std::string &source);
+    void wake();
 
     /** A list that is read page by page; kept when the store refuses a page, so that a crowd of
      * starting boxes that it serves in turn all get to the end. */
@@ -113,20 +142,32 @@
     {
         kernel::Instant begun;
         std::uint64_t at = 0; ///< The watch goes on from the first page.
+        std::size_t bytes = 0;
         std::vector<store::StoredObject> objects;
     };
 
     services::Context &context_;
     const store::ObjectFormat &format_;
     std::string kind_;
-    FeedPace pace_;
+    FeedPaces paces_;
+    FeedSources &sources_;
     FeedHooks hooks_;
-    store::Backoff backoff_;
-    http::KeptConnection::Ptr connection_;
+    std::vector<peer::PeerKey> keys_;
+    store::SourceBook book_;
+    peer::FeedRecord record_;
+    FeedConnection storeConnection_;
+    FeedConnection relayConnection_;
+    std::set<boost::asio::steady_timer *> waiting_; ///< Of held asks.
     std::optional<Listing> listing_;
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
-    std::optional<kernel::Instant> lastFailure_;
-    std::optional<kernel::Instant> confirmedAsOf_;
+    kernel::Instant told_;
+    kernel::Instant listedFirst_; ///< When the first list was begun, or one after a lost history.
+    std::string source_;          ///< As it was last logged.
+    bool heardFromStore_ = false;
+    bool relaying_ = false;      ///< The call to the store that runs is for others, too.
+    bool askingRelay_ = false;   ///< An ask of a relay is under way,
+    bool abandoned_ = false;     ///< and is given up, as this box has become one.
+    bool tooLarge_ = false;      ///< The relay has something that only the store can send.
     bool changed_ = false;       ///< The last watch brought changes.
     bool taking_ = false;        ///< An answer is whole and isn't taken in yet.
     kernel::Duration latency_{}; ///< Of the store's last answer, waits taken off.
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -1,6 +1,8 @@
 #include "gateway/World.h"
 
+#include "gateway/FeedPaces.h"
 #include "kernel/Log.h"
+#include "store/RelayOrder.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -13,20 +15,6 @@
 
 namespace {
 
-// Between the check of a key and the moment at which the backend server begins.
-constexpr kernel::Duration RevokeMargin = 600ms;
-constexpr kernel::Duration ConfirmMargin = 400ms;
-constexpr kernel::Duration StoreAnswer = 900ms;
-constexpr kernel::Duration ServerWatch = 5s;
-// Changes are gathered for a part of the bound in which they must be known, but no longer than
-// this.
-constexpr kernel::Duration GatherAtMost = 1s;
-constexpr int GatherConfigurationsPart = 4;
-constexpr int GatherServersPart = 3;
-// From giving a silent store up to the answer of the next call.
-constexpr kernel::Duration AskAgain = 400ms;
-// Watches in a row that a confirmation must outlast: it counts from when its watch was asked.
-constexpr int WatchesPerConfirmation = 2;
 constexpr kernel::Duration SweepEvery = 100ms;
 // A sweep that comes so late tells of a standstill.
 constexpr kernel::Duration Standstill = 50ms;
@@ -35,6 +23,8 @@
 constexpr int MostTurns = 1000;
 // Beats that a backend server which still lives needs to be listed again after an outage.
 constexpr int BeatsToReturn = 2;
+// A quarter of the time in which a configuration must be in force goes by while a relay sends it.
+constexpr double RelayedWithinPart = 0.25;
 
 const kernel::Log &log()
 {
@@ -42,47 +32,6 @@
     return Log;
 }
 
-// Where unconfirmed keys are honoured, a confirmation that is overdue is only a sign.
-kernel::Duration usableFor(const kernel::GatewaySettings &settings)
-{
-    if (!settings.refuseUnconfirmedKeys) {
-        return settings.contact * WatchesPerConfirmation;
-    }
-    return std::max(settings.revokeWithin - RevokeMargin, settings.revokeWithin / 2);
-}
-
-kernel::Duration gatherFor(kernel::Duration bound, int part)
-{
-    return std::min<kernel::Duration>(GatherAtMost, bound / part);
-}
-
-// A box that the store reaches again must know the newest version after the time of contact, so a
-// watch that a cut swallowed is given up by then. Confirmations of keys may need more than that.
-FeedPace configurationPace(const kernel::GatewaySettings &settings)
-{
-    FeedPace pace;
-    pace.answer = StoreAnswer;
-    pace.giveUpWithin =
-            std::max<kernel::Duration>(settings.contact - AskAgain, settings.contact / 2);
-    pace.wait = pace.giveUpWithin;
-    if (settings.refuseUnconfirmedKeys) {
-        pace.confirmWithin = usableFor(settings) - ConfirmMargin;
-        pace.wait = pace.confirmWithin / WatchesPerConfirmation;
-    }
-    pace.afterChange = gatherFor(settings.applyWithin, GatherConfigurationsPart);
-    return pace;
-}
-
-FeedPace serverPace(const kernel::GatewaySettings &settings)
-{
-    FeedPace pace;
-    pace.wait = ServerWatch;
-    pace.giveUpWithin = std::max<kernel::Duration>(ServerWatch, settings.contact);
-    pace.answer = StoreAnswer;
-    pace.afterChange = gatherFor(settings.drainWithin, GatherServersPart);
-    return pace;
-}
-
 forward::UnconfirmedKeys unconfirmedKeys(const kernel::GatewaySettings &settings)
 {
     return settings.refuseUnconfirmedKeys ? forward::UnconfirmedKeys::Refuse
@@ -124,7 +73,7 @@
 kernel::Duration keptAfterOutage(const kernel::GatewaySettings &settings)
 {
     const kernel::Duration bound = settings.drainWithin * 3 / 4;
-    const kernel::Duration gathered = gatherFor(settings.drainWithin, GatherServersPart);
+    const kernel::Duration gathered = serverPaces(settings).alone.afterChange;
     return std::min<kernel::Duration>(settings.listBeat * BeatsToReturn, bound - gathered);
 }
 
@@ -140,6 +89,8 @@
 
 void World::start()
 {
+    const kernel::GatewaySettings &settings = context_.settings.gateway;
+    sources_ = std::make_unique<FeedSources>(context_, fewestRelayed(settings));
     FeedHooks configurationHooks;
     configurationHooks.replaced = [this](const auto &objects) { takeConfiguration(objects); };
     configurationHooks.changed = configurationHooks.replaced;
@@ -152,15 +103,17 @@
         }
     };
     configurationFeed_ = std::make_unique<ObjectFeed>(
-            context_, adapter_.store, adapter_.configurationKind,
-            configurationPace(context_.settings.gateway), std::move(configurationHooks));
+            context_, adapter_.store, adapter_.configurationKind, configurationPaces(settings),
+            *sources_, std::move(configurationHooks));
     FeedHooks serverHooks;
     serverHooks.replaced = [this](const auto &objects) { replaceServers(objects); };
     serverHooks.changed = [this](const auto &objects) { changeServers(objects); };
     serverHooks.confirmed = [](kernel::Instant) {};
-    serverFeed_ = std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.serverKind,
-                                               serverPace(context_.settings.gateway),
-                                               std::move(serverHooks));
+    // One look of a box whose relays don't help is enough.
+    serverHooks.storeAllowed = [this] { return configurationFeed_->heardFromStore(); };
+    serverFeed_ =
+            std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.serverKind,
+                                         serverPaces(settings), *sources_, std::move(serverHooks));
     sweep_ = std::make_unique<services::Repeat>(context_.io, [this] { return sweep(); });
 }
 
@@ -171,6 +124,21 @@
     configurationFeed_.reset();
 }
 
+ObjectFeed *World::feed(std::string_view kind)
+{
+    if (configurationFeed_ && kind == adapter_.configurationKind) {
+        return configurationFeed_.get();
+    }
+    return serverFeed_ && kind == adapter_.serverKind ? serverFeed_.get() : nullptr;
+}
+
+std::size_t World::largestRelayed() const
+{
+    const kernel::GatewaySettings &settings = context_.settings.gateway;
+    return store::largestRelayed(settings.linkMbps, sources_->hallBoxes(),
+                                 kernel::seconds(settings.applyWithin) * RelayedWithinPart);
+}
+
 bool World::stoodStill() const
 {
     return caughtUpAt_ && context_.now() - *caughtUpAt_ >= SweepEvery + Standstill;
@@ -205,8 +173,9 @@
 {
     const kernel::GatewaySettings &settings = context_.settings.gateway;
     freshness_.setPolicy(usableFor(settings), unconfirmedKeys(settings));
-    configurationFeed_->setPace(configurationPace(settings));
-    serverFeed_->setPace(serverPace(settings));
+    sources_->setFewest(fewestRelayed(settings));
+    configurationFeed_->setPaces(configurationPaces(settings));
+    serverFeed_->setPaces(serverPaces(settings));
     budget_.setBound(
             {settings.retryRatio, settings.retryWindow, static_cast<double>(settings.retrySlack)});
 }
@@ -312,7 +281,7 @@
     const auto failure = serverFeed_ ? serverFeed_->lastFailure() : std::nullopt;
     const bool storeWasAway = failure && now - *failure < settings.contact;
     // The time counts from when the store's word came: this process may have stood still since.
-    const kernel::Instant told = now - (serverFeed_ ? serverFeed_->answerAge() : 0s);
+    const kernel::Instant told = serverFeed_ ? serverFeed_->told() : now;
     missing_[id] = storeWasAway ? told + keptAfterOutage(settings) : now;
     dropMissing();
 }
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -43,6 +43,12 @@
 
     const Adapter &adapter() const { return adapter_; }
 
+    /** The feed of the objects of \a kind, or nullptr if none is followed. */
+    ObjectFeed *feed(std::string_view kind);
+
+    /** Bytes of the largest object that this box passes on to those of its hall. */
+    std::size_t largestRelayed() const;
+
     /** The configuration in force; nullptr before the first one. */
     const forward::SnapshotPtr &snapshot() const { return snapshot_; }
 
@@ -101,6 +107,7 @@
     std::map<std::string, kernel::Instant> missing_; ///< Listed no more; dropped when it is time.
     std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
     std::vector<std::function<void(const std::string &)>> onServerGone_;
+    std::unique_ptr<FeedSources> sources_;
     std::unique_ptr<ObjectFeed> configurationFeed_;
     std::unique_ptr<ObjectFeed> serverFeed_;
     std::unique_ptr<services::Repeat> sweep_;
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -75,6 +75,10 @@
             {{"gateway", "descriptors", "integer from 64 to 1000000", "4096",
               "file descriptors that the process may use"},
              count(field(&G::descriptors), 64, 1000000)},
+            {{"gateway", "link-mbps", "decimal from 1 to 1000000", "1000",
+              "megabits a second of the box's own link; boxes with fast ones ask the store for "
+              "those of their hall"},
+             decimal(field(&G::linkMbps), 1, 1000000)},
             {{"gateway", "seeds", "IP:PORT ...", "",
               "boxes that may know others; their numbers are used with the own peer port"},
              storeSeeds},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -32,6 +32,7 @@
     Duration partRemembered{};      ///< How long an unused prompt part is thought kept.
     std::uint32_t metricsPort = 0;  ///< 0: none.
     std::uint32_t descriptors = 0;  ///< File descriptors that the process may use.
+    double linkMbps = 0;            ///< Of the box's own link; boxes with fast ones relay first.
     std::vector<std::string> seeds; ///< Addresses of boxes that may know others.
 };
 
--- a/src/membership/BoxState.h
+++ b/src/membership/BoxState.h
@@ -49,6 +49,8 @@
     std::uint64_t configRevision = 0;   ///< Of the settings tree in force there.
     std::vector<BackendState> backends; ///< The ones it owns.
     std::uint32_t address = 0;          ///< Its IPv4 number for other boxes; 0: untold.
+    ShortHash hall = 0;                 ///< Of its hall's name; told with the address.
+    std::uint32_t linkMbps = 0;         ///< Of its own link; told with the address.
 
     auto operator<=>(const BoxState &) const = default;
 
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -42,6 +42,8 @@
     // Left out where boxes know each other from a list: every byte of a heartbeat counts.
     if (state.address != 0) {
         array.push_back(state.address);
+        array.push_back(state.hall);
+        array.push_back(state.linkMbps);
     }
     return array;
 }
@@ -54,7 +56,9 @@
                    .leaving = array.at(3).get<int>() != 0,
                    .configRevision = array.at(4).get<std::uint64_t>(),
                    .backends = {},
-                   .address = array.size() > 6 ? array.at(6).get<std::uint32_t>() : 0};
+                   .address = array.size() > 6 ? array.at(6).get<std::uint32_t>() : 0,
+                   .hall = array.size() > 8 ? array.at(7).get<std::uint32_t>() : 0,
+                   .linkMbps = array.size() > 8 ? array.at(8).get<std::uint32_t>() : 0};
     for (const json &backend : array.at(5)) {
         state.backends.push_back(backendState(backend));
     }
--- /dev/null
+++ b/src/store/FeedPace.cpp
@@ -0,0 +1,82 @@
+#include "store/FeedPace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limereel::store {
+
+using kernel::Duration;
+
+namespace {
+
+// Shorter watches load the store for little: it answers in some milliseconds.
+constexpr Duration ShortestWatch = 200ms;
+
+} // namespace
+
+Duration watchWait(const FeedPace &pace, Duration latency, Duration age)
+{
+    Duration wait = pace.wait;
+    if (pace.confirmWithin > 0s) {
+        wait = std::min<Duration>(wait, pace.confirmWithin / 2 - latency);
+        // After a change and its pause, less is left. Without this, all boxes refused keys for half
+        // a second after each change that came late in their watches.
+        wait = std::min<Duration>(wait, pace.confirmWithin - age - latency);
+    }
+    if (pace.giveUpWithin > 0s) {
+        wait = std::min<Duration>(wait, pace.giveUpWithin - answerWait(pace, latency));
+    }
+    return std::max<Duration>(wait, ShortestWatch);
+}
+
+Duration answerWait(const FeedPace &pace, Duration latency)
+{
+    constexpr int Spread = 3; ///< Answers may take this many times the last one's time.
+    return std::clamp<Duration>(latency * Spread, pace.answer, pace.longestAnswer);
+}
+
+Duration pageWait(const FeedPace &pace, int failures, bool listed)
+{
+    constexpr int MostDoublings = 3;
+    const Duration longest = pace.answer * (1 << std::clamp(failures, 0, MostDoublings));
+    if (!listed || pace.giveUpWithin == 0s) {
+        return longest;
+    }
+    const Duration look = std::max<Duration>(pace.answer, pace.giveUpWithin / 2);
+    return std::min<Duration>(longest, look);
+}
+
+FeedPace relayPace(const FeedPace &pace, const RelayBounds &bounds)
+{
+    // A fifth is left for slow boxes; the rest holds a pause and a watch of the same length.
+    const Duration left = bounds.knownIn * 4 / 5 - pace.answer - RelayAnswer;
+    Duration wait = std::min<Duration>(pace.wait, left / 2);
+    if (bounds.usableFor > 0s) {
+        // Two watches and a hold are three fifths of it; two fifths are left to find another relay.
+        wait = std::min<Duration>(wait, bounds.usableFor / 5);
+    }
+    FeedPace relaying = pace;
+    relaying.wait = std::max<Duration>(wait, ShortestWatch);
+    relaying.afterChange = std::min<Duration>(pace.afterChange, relaying.wait);
+    return relaying;
+}
+
+Duration holdOf(const FeedPace &relaying)
+{
+    return relaying.wait;
+}
+
+Duration oldestHeard(Duration usableFor)
+{
+    return usableFor * 4 / 5;
+}
+
+std::size_t fewestRelayed(const FeedPace &alone, const FeedPace &relaying)
+{
+    constexpr double Relays = 2;
+    const double aloneWait = static_cast<double>(alone.wait.count());
+    const double relayWait = static_cast<double>(relaying.wait.count());
+    return static_cast<std::size_t>(std::ceil(Relays * aloneWait / relayWait)) + 1;
+}
+
+} // namespace limereel::store
--- /dev/null
+++ b/src/store/ObjectHistory.h
@@ -0,0 +1,86 @@
+/** \file
+ * The objects of one kind as a box knows them, kept so that it can pass them on to other boxes:
+ * what has changed since a revision, or all of them.
+ *
+ * A change is marked with the revision that the store's answer went on from, not with its own: a
+ * box that asks from in between may be told a thing twice, never too little. After a list the
+ * revisions between the one before and it can't be told apart; who asks from there gets everything.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace limereel::store {
+
+/** An object with its content as text. */
+struct KeptObject
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    bool gone = false;
+    bool large = false; ///< Its content isn't kept; it has to be read from the store.
+    std::string text;   ///< The content as JSON.
+
+    auto operator<=>(const KeptObject &) const = default;
+};
+
+/** What somebody who knows an earlier revision lacks. */
+struct FeedNews
+{
+    std::uint64_t at = 0; ///< What this and all before it makes up.
+    bool whole = false;   ///< All objects there are; whatever isn't named is gone.
+    std::vector<KeptObject> objects;
+    std::optional<kernel::Instant> told; ///< When the earliest of these changes was told.
+};
+
+/** The history. Pure: time is handed in. */
+class ObjectHistory
+{
+public:
+    /** Takes a whole list that shows the revision \a at. */
+    void replace(std::vector<KeptObject> objects, std::uint64_t at, kernel::Instant told);
+
+    /** Takes changes that lead to the revision \a at; objects as they are now. */
+    void change(std::vector<KeptObject> objects, std::uint64_t at, kernel::Instant told);
+
+    /** The revision that is known; nothing before the first list. */
+    std::optional<std::uint64_t> at() const { return at_; }
+
+    /** Whether somebody who knows \a at lacks something. */
+    bool hasNewsSince(std::uint64_t at) const;
+
+    /** What somebody who knows \a at lacks; \a at 0: somebody who knows nothing. Empty objects if
+     * that is more than is known here. To be asked only once something is known. */
+    FeedNews since(std::uint64_t at) const;
+
+private:
+    struct Entry
+    {
+        KeptObject object;
+        std::uint64_t mark = 0; ///< Who knows this revision knows the entry.
+        kernel::Instant told;
+    };
+
+    /** Revisions that one list has passed over, ends not included. */
+    struct Gap
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+    };
+
+    bool canTellSince(std::uint64_t at) const;
+    void forgetOldest();
+
+    std::optional<std::uint64_t> at_;
+    std::uint64_t floor_ = 0;              ///< Who knows less gets everything.
+    std::map<std::string, Entry> entries_; ///< Gone objects included.
+    std::vector<Gap> gaps_;
+};
+
+} // namespace limereel::store
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -123,17 +123,19 @@
     HeldFeed()
         : context(io, settings())
     {
-        gateway::FeedPace pace;
-        pace.answer = Answer;
-        pace.firstPause = 10s;
-        pace.longestPause = 10s;
+        context.kernel.add(std::make_unique<services::MembershipService>(context, noOthers()));
+        sources.emplace(context, 1000);
+        gateway::FeedPaces paces;
+        paces.alone.answer = Answer;
+        paces.sources.storeFirst = 10s;
+        paces.sources.storeMost = 10s;
         gateway::FeedHooks hooks;
         hooks.replaced = [this](const std::vector<store::StoredObject> &objects) {
             listed = objects.size();
         };
         hooks.changed = [](const std::vector<store::StoredObject> &) {};
         hooks.confirmed = [](kernel::Instant) {};
-        feed.emplace(context, adapter.store, adapter.serverKind, pace, std::move(hooks));
+        feed.emplace(context, adapter.store, adapter.serverKind, paces, *sources, std::move(hooks));
     }
 
     void until(const std::function<bool()> &condition)
@@ -153,9 +155,12 @@
     gateway::Adapter adapter = platform::adapter();
     services::Context context;
     std::optional<std::size_t> listed;
+    std::optional<gateway::FeedSources> sources;
     std::optional<gateway::ObjectFeed> feed;
 
 private:
+    static services::Acquaintance noOthers() { return {}; }
+
     kernel::BoxSettings settings() const
     {
         const std::string own = kernel::text(freeEndpoint());
