Relays: what is known is told in an outage too; large objects for those without a store; a hall of real gateways as test

Tests: GatewayRelayTest (eight gateways, two of which never reach the store: ready, up to date, through frozen relays, outages and large configurations), RelayTest.

--- a/src/gateway/KeptObjects.cpp
+++ b/src/gateway/KeptObjects.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t LargestKept = 524288;
+// What a relay with a link of 20 Mbit/s passes on to sixty boxes within a second.
+constexpr std::size_t Small = 41000;
 
 store::KeptObject keptObject(const store::StoredObject &object, bool large)
 {
@@ -26,9 +27,9 @@
 } // namespace
 
 std::vector<store::KeptObject> keptObjects(const std::vector<store::StoredObject> &objects,
-                                           std::size_t answerBytes)
+                                           std::size_t answerBytes, bool relays)
 {
-    const bool large = !objects.empty() && answerBytes / objects.size() > LargestKept;
+    const bool large = !objects.empty() && !relays && answerBytes / objects.size() > Small;
     std::vector<store::KeptObject> kept;
     kept.reserve(objects.size());
     for (const store::StoredObject &object : objects) {
--- a/src/gateway/KeptObjects.h
+++ b/src/gateway/KeptObjects.h
@@ -10,10 +10,13 @@
 
 namespace limereel::gateway {
 
-/** The \a objects with their contents as text. Of answers with large objects (\a answerBytes in
- * all) only the names are kept: to write one of 857 kB takes a box with an eighth of a core some
- * 50 ms, and to pass it on takes a slow link too long. */
+/**
+ * The \a objects with their contents as text.
+ * \param answerBytes of the answer that brought them.
+ * \param relays whether others may ask this box. Else only the names of large objects are kept: to
+ * write one of 857 kB takes a box with an eighth of a core some 50 ms.
+ */
 std::vector<store::KeptObject> keptObjects(const std::vector<store::StoredObject> &objects,
-                                           std::size_t answerBytes);
+                                           std::size_t answerBytes, bool relays);
 
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -92,7 +92,7 @@
 FeedStep ObjectFeed::nextStep() const
 {
     const kernel::Instant now = context_.now();
-    if (tooLarge_) {
+    if (tooLarge_ && book_.storeFailures() == 0) {
         return book_.storeStep(now);
     }
     if (settling()) {
@@ -150,7 +150,7 @@
 
 void ObjectFeed::noteFailure(const std::string &what)
 {
-    const bool spare = !tooLarge_ && !store::SourceBook::inLine(sources_.relays(), sources_.self());
+    const bool spare = !tooLarge_ && !inLine();
     book_.noteStoreFailed(spare, context_.now(), context_.random);
     record_.noteStoreFailure(context_.now());
     heardFromStore_ = false;
@@ -166,6 +166,11 @@
     failing_ = true;
 }
 
+bool ObjectFeed::inLine() const
+{
+    return store::SourceBook::inLine(sources_.relays(), sources_.self());
+}
+
 void ObjectFeed::noteLost(const std::string &why)
 {
     record_.setLost(true);
@@ -198,7 +203,7 @@
 
 void ObjectFeed::wake()
 {
-    for (asio::steady_timer *const timer : waiting_) {
+    for (asio::steady_timer *const timer : *waiting_) {
         timer->cancel();
     }
 }
@@ -277,7 +282,7 @@
     listing_.reset();
     at_ = std::max(at_.value_or(0), listing.at);
     co_await letOthersRun();
-    record_.replace(keptObjects(listing.objects, listing.bytes), listing.at, told_);
+    record_.replace(keptObjects(listing.objects, listing.bytes, inLine()), listing.at, told_);
     hooks_.replaced(listing.objects);
     confirm(listing.begun);
     wake();
@@ -330,7 +335,7 @@
     changed_ = !changes->objects.empty();
     if (changed_) {
         co_await letOthersRun();
-        record_.change(keptObjects(changes->objects, answer->body.size()), *at_, told_);
+        record_.change(keptObjects(changes->objects, answer->body.size(), inLine()), *at_, told_);
         hooks_.changed(changes->objects);
     }
     confirm(asked);
@@ -347,7 +352,8 @@
     return {.question = context_.random(),
             .kind = kind_,
             .at = at_.value_or(0),
-            .holdMs = static_cast<std::uint32_t>(hold)};
+            .holdMs = static_cast<std::uint32_t>(hold),
+            .largeToo = tooLarge_};
 }
 
 asio::awaitable<void> ObjectFeed::relayRound(std::uint64_t relay, bool proven)
@@ -368,19 +374,19 @@
     }
     const peer::Verdict verdict =
             peer::judge(*answer, ask, asked, context_.now(), paces_.oldestHeard);
-    switch (verdict) {
-    case peer::Verdict::Good:
-        co_await takeAnswer(relay, std::move(*answer), asked);
-        break;
-    case peer::Verdict::Foreign:
+    const bool large = std::ranges::any_of(answer->objects, &store::KeptObject::large);
+    if (verdict == peer::Verdict::Foreign) {
         noteRelayFault(relay, "foreign", store::RelayFault::Silent);
-        break;
-    case peer::Verdict::Lost:
-        noteRelayFault(relay, "lost", store::RelayFault::Lost);
-        break;
-    case peer::Verdict::Old:
-        noteRelayFault(relay, "old", store::RelayFault::Lost);
-        break;
+    } else if (large && ask.largeToo) {
+        noteRelayFault(relay, "large", store::RelayFault::Lost);
+    } else if (verdict == peer::Verdict::Good) {
+        noteRelayAnswer(relay);
+    } else {
+        const char *what = verdict == peer::Verdict::Lost ? "lost" : "old";
+        noteRelayFault(relay, what, store::RelayFault::Lost);
+    }
+    if (verdict != peer::Verdict::Foreign && answer->confirmedMs) {
+        co_await takeAnswer(std::move(*answer), asked);
     }
     taking_ = false;
 }
@@ -421,22 +427,27 @@
     relayConnection_.close();
 }
 
-asio::awaitable<void> ObjectFeed::takeAnswer(std::uint64_t relay, peer::FeedAnswer answer,
-                                             kernel::Instant asked)
+void ObjectFeed::noteRelayAnswer(std::uint64_t relay)
 {
+    relayFault_ = false;
     book_.noteRelayAnswered(relay);
     noteSource(sources_.nameOf(relay));
     heardFromStore_ = false;
+    noteAnswer();
+}
+
+asio::awaitable<void> ObjectFeed::takeAnswer(peer::FeedAnswer answer, kernel::Instant asked)
+{
     if (answer.storeFailedMs) {
         record_.noteStoreFailure(peer::forAsker(asked, *answer.storeFailedMs));
     }
     tooLarge_ = std::ranges::any_of(answer.objects, &store::KeptObject::large);
     if (tooLarge_) {
+        context_.counters.add("relay_too_large", {{"kind", kind_}});
         co_return;
     }
     const kernel::Instant asOf = peer::forAsker(asked, *answer.confirmedMs);
     told_ = toldBy(answer, asked);
-    noteAnswer();
     const bool newer = answer.at > at_.value_or(0);
     if (newer) {
         co_await takeNews(std::move(answer));
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -90,22 +90,22 @@
     /** Another box has asked this one. */
     void noteAsked();
 
-    /** Cancels a timer once there is news, for as long as this lives. */
+    /** Cancels a timer once there is news, for as long as this lives; it may outlive the feed. */
     class Waiting
     {
     public:
         Waiting(ObjectFeed &feed, boost::asio::steady_timer &timer)
-            : feed_(feed)
+            : timers_(feed.waiting_)
             , timer_(timer)
         {
-            feed_.waiting_.insert(&timer_);
+            timers_->insert(&timer_);
         }
-        ~Waiting() { feed_.waiting_.erase(&timer_); }
+        ~Waiting() { timers_->erase(&timer_); }
         Waiting(const Waiting &) = delete;
         Waiting &operator=(const Waiting &) = delete;
 
     private:
-        ObjectFeed &feed_;
+        std::shared_ptr<std::set<boost::asio::steady_timer *>> timers_;
         boost::asio::steady_timer &timer_;
     };
 
@@ -119,8 +119,8 @@
     askStore(std::string target, kernel::Duration longest);
     boost::asio::awaitable<std::optional<peer::FeedAnswer>>
     askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest);
-    boost::asio::awaitable<void> takeAnswer(std::uint64_t relay, peer::FeedAnswer answer,
-                                            kernel::Instant asked);
+    boost::asio::awaitable<void> takeAnswer(peer::FeedAnswer answer, kernel::Instant asked);
+    void noteRelayAnswer(std::uint64_t relay);
     boost::asio::awaitable<void> takeNews(peer::FeedAnswer answer);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
     store::FeedStep nextStep() const;
@@ -130,6 +130,7 @@
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
     void noteAnswer();
+    bool inLine() const;
     void noteLost(const std::string &why);
     bool settling() const;
     kernel::Instant toldBy(const peer::FeedAnswer &answer, kernel::Instant asked) const;
@@ -157,7 +158,8 @@
     peer::FeedRecord record_;
     FeedConnection storeConnection_;
     FeedConnection relayConnection_;
-    std::set<boost::asio::steady_timer *> waiting_; ///< Of held asks.
+    std::shared_ptr<std::set<boost::asio::steady_timer *>> waiting_ =
+            std::make_shared<std::set<boost::asio::steady_timer *>>(); ///< Of held asks.
     std::optional<Listing> listing_;
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
     kernel::Instant told_;
@@ -167,6 +169,7 @@
     bool relaying_ = false;      ///< The call to the store that runs is for others, too.
     bool askingRelay_ = false;   ///< An ask of a relay is under way,
     bool abandoned_ = false;     ///< and is given up, as this box has become one.
+    bool relayFault_ = false;    ///< No relay has told anything of use since one failed.
     bool tooLarge_ = false;      ///< The relay has something that only the store can send.
     bool changed_ = false;       ///< The last watch brought changes.
     bool taking_ = false;        ///< An answer is whole and isn't taken in yet.
--- a/src/peer/FeedMessages.cpp
+++ b/src/peer/FeedMessages.cpp
@@ -54,7 +54,8 @@
     return {.question = array.at(1).get<std::uint64_t>(),
             .kind = array.at(2).get<std::string>(),
             .at = array.at(3).get<std::uint64_t>(),
-            .holdMs = array.at(4).get<std::uint32_t>()};
+            .holdMs = array.at(4).get<std::uint32_t>(),
+            .largeToo = array.at(5).get<bool>()};
 }
 
 FeedAnswer feedAnswer(const json &array)
@@ -100,7 +101,8 @@
 
 Bytes encode(const FeedAsk &ask)
 {
-    return json::to_msgpack(json::array({AskWord, ask.question, ask.kind, ask.at, ask.holdMs}));
+    return json::to_msgpack(
+            json::array({AskWord, ask.question, ask.kind, ask.at, ask.holdMs, ask.largeToo}));
 }
 
 Bytes encode(const FeedAnswer &answer)
--- a/src/peer/FeedMessages.h
+++ b/src/peer/FeedMessages.h
@@ -25,6 +25,7 @@
     std::string kind;           ///< Of the objects.
     std::uint64_t at = 0;       ///< The revision that the asker knows; 0: none.
     std::uint32_t holdMs = 0;   ///< How long the relay may wait for news.
+    bool largeToo = false;      ///< Send large objects as well: the asker can't reach the store.
 
     auto operator<=>(const FeedAsk &) const = default;
 };
--- a/src/peer/FeedRecord.cpp
+++ b/src/peer/FeedRecord.cpp
@@ -46,7 +46,7 @@
     answer.question = ask.question;
     answer.lost = lost_ || !history_.at() || !confirmedAsOf_;
     answer.storeFailedMs = told(question, storeFailedAt_);
-    if (answer.lost) {
+    if (!history_.at() || !confirmedAsOf_) {
         return answer;
     }
     store::FeedNews news = history_.since(ask.at);
@@ -56,7 +56,7 @@
     answer.confirmedMs = told(question, confirmedAsOf_);
     answer.toldMs = told(question, news.told);
     for (store::KeptObject &object : answer.objects) {
-        if (object.text.size() > largest) {
+        if (object.text.size() > largest && !ask.largeToo) {
             object.large = true;
             object.text.clear();
         }
--- a/src/peer/FeedRecord.h
+++ b/src/peer/FeedRecord.h
@@ -38,7 +38,8 @@
     bool answersAtOnce(const FeedAsk &ask) const;
 
     /** The answer to \a ask, which was taken in at \a question. Objects of more than \a largest
-     * bytes are only named. */
+     * bytes are only named. One that has lost the store tells what it knows all the same: a box
+     * that starts in an outage then knows as much as its hall. */
     FeedAnswer answer(const FeedAsk &ask, kernel::Instant question, std::size_t largest) const;
 
 private:
--- /dev/null
+++ b/test/platform/GatewayRelayTest.cpp
@@ -0,0 +1,126 @@
+// A hall in which a few gateways ask the store for all, over real sockets: boxes that can't reach
+// the store know what the others know, through relays that stand still and outages of the store.
+
+#include "platform/HallFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using namespace limereel::support;
+
+namespace {
+
+/** Six boxes that reach the store, the first two with fast links, and two that never do. */
+class HallOfEight : public HallFixture
+{
+public:
+    void startAll()
+    {
+        putVersion(1);
+        listServer();
+        for (std::size_t index = 0; index < 6; ++index) {
+            startBox(Store::Reached, index < 2 ? 200 : 20);
+        }
+        startBox(Store::OutOfReach);
+        startBox(Store::OutOfReach);
+        until([this] { return everyBoxIsAt(1); }, "the first version everywhere");
+    }
+
+    bool served(std::size_t index) const { return world(index).ready(); }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GatewayRelayTest, HallOfEight)
+
+BOOST_AUTO_TEST_CASE(boxesOutOfReachOfTheStore_hearFromRelays_areReadyAndStayUpToDate)
+{
+    startAll();
+    until([this] { return served(6) && served(7); }, "readiness of boxes without a store");
+    putVersion(2);
+    until([this] { return everyBoxIsAt(2); }, "the second version everywhere");
+    BOOST_TEST(storeCalls(6) == 0U);
+    BOOST_TEST(storeCalls(7) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(relaysStandStill_othersGoOn_everyBoxLearnsTheNextVersion)
+{
+    startAll();
+    freeze(0);
+    freeze(1);
+    putVersion(2);
+    until([this] { return everyBoxIsAt(2); }, "the second version at the others");
+    until([this] { return served(6) && served(7); }, "readiness of boxes without a store");
+}
+
+BOOST_AUTO_TEST_CASE(serverLeaves_boxesOutOfReachOfTheStore_knowIt)
+{
+    startAll();
+    const auto listed = [this](std::size_t index) {
+        return world(index).servers().find("i-one").has_value();
+    };
+    until([&] { return listed(6) && listed(7); }, "the server at all boxes");
+    store().remove("servers", "i-one");
+    until([&] { return !listed(6) && !listed(7); }, "its leaving at all boxes");
+}
+
+BOOST_AUTO_TEST_CASE(boxStartsWhileTheStoreIsDown_itsHallTellsItWhatItKnows)
+{
+    moreSettings = "refuse-unconfirmed-keys = false\n";
+    startAll();
+    store().faults.status = 503;
+    const std::size_t late = startBox(Store::Reached);
+    until([&] { return version(late) == 1; }, "the version that the hall knows");
+    until([&] { return world(late).servers().find("i-one").has_value(); }, "the server");
+}
+
+BOOST_AUTO_TEST_CASE(storeComesBack_everyBoxLearnsWhatItMissed)
+{
+    startAll();
+    store().faults.status = 503;
+    until(
+            [this] {
+                return counter(7, "relay_faults", {{"kind", "config"}, {"reason", "lost"}}) > 0;
+            },
+            "relays that have lost the store");
+    putVersion(2);
+    store().faults.status = 0;
+    until([this] { return everyBoxIsAt(2); }, "the second version everywhere");
+}
+
+// Relays with links of 20 and 200 Mbit/s don't send 12 MB to each box: who reaches the store reads
+// it there, the others get it all the same.
+BOOST_AUTO_TEST_CASE(largeConfiguration_isReadFromTheStoreWhereThatIsReached)
+{
+    startAll();
+    constexpr std::size_t Large = 12000000;
+    putVersion(2, Large);
+    until([this] { return everyBoxIsAt(2); }, "the second version everywhere");
+    BOOST_TEST(counter(7, "relay_too_large", {{"kind", "config"}}) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(askWithAnotherKey_isRefused)
+{
+    startAll();
+    peer::PeerKey other{};
+    const auto sealed = peer::seal(peer::encode(peer::FeedAsk{1, "config", 0, 0, false}), other);
+    const std::uint64_t before = counter(0, "relay_refusals");
+    bool done = false;
+    int status = 0;
+    const auto ask = [&]() -> boost::asio::awaitable<void> {
+        const auto where = boxAt(0);
+        auto connection = co_await http::KeptConnection::connect(io_, where, 10s);
+        http::Request request("POST", "/feed", http::Fields().with("Host", kernel::text(where)),
+                              std::string(sealed.begin(), sealed.end()));
+        (*connection)->send(std::move(request));
+        const auto head = co_await (*connection)->readHead();
+        status = head ? head->status : -1;
+        done = true;
+    };
+    boost::asio::co_spawn(io_, ask(), boost::asio::detached);
+    until([&] { return done; }, "an answer");
+    BOOST_TEST(status == 400);
+    BOOST_TEST(counter(0, "relay_refusals") == before + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/HallFixture.cpp
@@ -0,0 +1,141 @@
+#include "platform/HallFixture.h"
+
+#include "platform/Adapter.h"
+#include "support/Ports.h"
+
+#include <sstream>
+
+namespace limereel::support {
+
+using nlohmann::json;
+
+HallFixture::HallFixture()
+    : storeAt_(freeEndpoint())
+    , peerPort_(freeEndpoint().port)
+    , store_(std::make_unique<standin::StoreStandin>(io_, storeAt_))
+    , runner_(std::make_unique<standin::RunnerStandin>(io_, "i-one", freeEndpoint()))
+{
+}
+
+HallFixture::~HallFixture()
+{
+    for (const auto &box : boxes_) {
+        box->context.kernel.stop();
+    }
+}
+
+kernel::BoxSettings HallFixture::settings(std::size_t index, Store store, int linkMbps) const
+{
+    const std::string own = "127.0.2." + std::to_string(index + 1);
+    const auto listen = [&own](const char *name) {
+        return std::string(name) + " = " + own + ":" + std::to_string(freeEndpoint().port) + "\n";
+    };
+    const kernel::Endpoint reached = store == Store::Reached ? storeAt_ : freeEndpoint();
+    std::ostringstream text;
+    text << "[box]\nname = box-" << index + 1
+         << "\nhall = hall-a\nregion = region-a\nseed = " << index + 1 << "\n[listen]\n"
+         << listen("caller") << listen("ready") << listen("control") << "peer = " << own << ':'
+         << peerPort_ << "\n[platform]\naddress = " << kernel::text(reached)
+         << "\n[peers]\nheartbeat-period = 100ms\nkeys = " << std::string(64, 'a')
+         << "\n[gateway]\napply-within = 4s\nlink-mbps = " << linkMbps
+         << "\nseeds = 127.0.2.1:" << peerPort_ << " 127.0.2.2:" << peerPort_ << "\n"
+         << moreSettings;
+    return kernel::settingsFrom(text.str()).value();
+}
+
+std::size_t HallFixture::startBox(Store store, int linkMbps)
+{
+    const std::size_t index = boxes_.size();
+    boxes_.push_back(std::make_unique<Box>(settings(index, store, linkMbps)));
+    services::Context &box = boxes_.back()->context;
+    box.incarnation = 1;
+    box.random.seed(index + 1);
+    gateway::addGatewayServices(box, platform::adapter(), [] {});
+    box.kernel.start();
+    return index;
+}
+
+void HallFixture::putVersion(int version, std::size_t padding)
+{
+    const json route = {{"name", "r"},
+                        {"host", "calls.example"},
+                        {"path_prefix", "/version" + std::to_string(version) + "/"},
+                        {"kind", "idempotent"},
+                        {"timeout_ms", 20000},
+                        {"goal_ms", 10000},
+                        {"priority", 1},
+                        {"service", "pool"},
+                        {"max_attempts", 2},
+                        {"anonymous", true},
+                        {"sticky", false}};
+    store_->put("config", "main",
+                {{"version", version},
+                 {"routes", json::array({route})},
+                 {"services", json::array({{{"name", "pool"}, {"max_conns", 100}}})},
+                 {"padding", std::string(padding, 'x')}});
+}
+
+void HallFixture::listServer()
+{
+    store_->put("servers", runner_->name(),
+                {{"service", "pool"},
+                 {"address", kernel::text(runner_->where())},
+                 {"zone", "hall-a"},
+                 {"version", "v1"},
+                 {"slots", 8},
+                 {"state", "ready"},
+                 {"cold_left_ms", 0},
+                 {"call_seq", 1}});
+}
+
+gateway::World &HallFixture::world(std::size_t index) const
+{
+    return contextOf(index).kernel.find<gateway::World>("world");
+}
+
+std::uint64_t HallFixture::version(std::size_t index) const
+{
+    const forward::SnapshotPtr &snapshot = world(index).snapshot();
+    return snapshot ? snapshot->version() : 0;
+}
+
+bool HallFixture::everyBoxIsAt(std::uint64_t wanted) const
+{
+    bool all = true;
+    for (std::size_t index = 0; index < boxes_.size(); ++index) {
+        all = all && (boxes_[index]->frozen || version(index) == wanted);
+    }
+    return all;
+}
+
+std::uint64_t HallFixture::counter(std::size_t index, const std::string &name,
+                                   const kernel::Labels &labels) const
+{
+    return contextOf(index).counters.value(name, labels);
+}
+
+std::uint64_t HallFixture::storeCalls(std::size_t index) const
+{
+    return counter(index, "store_calls", {{"kind", "config"}})
+           + counter(index, "store_calls", {{"kind", "servers"}});
+}
+
+void HallFixture::until(const std::function<bool()> &condition, const std::string &what)
+{
+    const auto deadline = std::chrono::steady_clock::now() + 60s;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("this didn't happen: " + what);
+        }
+        for (const auto &box : boxes_) {
+            if (!box->frozen) {
+                box->io.poll();
+                box->io.restart();
+            }
+        }
+        io_.run_one_for(1ms);
+        io_.restart();
+    }
+}
+
+} // namespace limereel::support
--- /dev/null
+++ b/test/platform/HallFixture.h
@@ -0,0 +1,93 @@
+/** \file
+ * A hall of gateways with their real services, each on an event loop of its own, between one store
+ * and one backend server. Each has an IP number of its own on the loopback device, as boxes find
+ * each other at one port.
+ */
+#pragma once
+
+#include "gateway/Gateway.h"
+#include "gateway/World.h"
+#include "platform/RunnerStandin.h"
+#include "platform/StoreStandin.h"
+#include "services/Context.h"
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace limereel::support {
+
+/** The world of one test. */
+class HallFixture
+{
+public:
+    HallFixture();
+    ~HallFixture();
+    HallFixture(const HallFixture &) = delete;
+    HallFixture &operator=(const HallFixture &) = delete;
+
+    /** Whether a box has a way to the store. */
+    enum class Store : std::uint8_t { Reached, OutOfReach };
+
+    /** Starts one more box. \param linkMbps of its own link. */
+    std::size_t startBox(Store store, int linkMbps = 20);
+
+    /** A box stands still from now on: its system takes connections, and nobody answers. */
+    void freeze(std::size_t index) { boxes_.at(index)->frozen = true; }
+
+    /** Puts a configuration with a route "/version<n>/" into the store. */
+    void putVersion(int version, std::size_t padding = 0);
+
+    /** Lists the backend server in the store. */
+    void listServer();
+
+    /** The version in force at a box; 0: none. */
+    std::uint64_t version(std::size_t index) const;
+    bool everyBoxIsAt(std::uint64_t version) const;
+    gateway::World &world(std::size_t index) const;
+
+    /** Where a box listens for other boxes. */
+    kernel::Endpoint boxAt(std::size_t index) const { return contextOf(index).settings.peer; }
+    std::uint64_t storeCalls(std::size_t index) const;
+    std::uint64_t counter(std::size_t index, const std::string &name,
+                          const kernel::Labels &labels = {}) const;
+
+    /** Runs all loops until \a condition holds; throws after a generous while. */
+    void until(const std::function<bool()> &condition, const std::string &what);
+
+    standin::StoreStandin &store() { return *store_; }
+
+    /** Lines for the boxes' [gateway] sections; read by startBox(). */
+    std::string moreSettings;
+
+protected:
+    boost::asio::io_context io_{1};
+
+private:
+    struct Box
+    {
+        explicit Box(kernel::BoxSettings settings)
+            : context(io, std::move(settings))
+        {
+        }
+
+        boost::asio::io_context io{1};
+        services::Context context;
+        bool frozen = false;
+    };
+
+    const services::Context &contextOf(std::size_t index) const
+    {
+        return boxes_.at(index)->context;
+    }
+    kernel::BoxSettings settings(std::size_t index, Store store, int linkMbps) const;
+
+    kernel::Endpoint storeAt_;
+    std::uint16_t peerPort_;
+    std::unique_ptr<standin::StoreStandin> store_;
+    std::unique_ptr<standin::RunnerStandin> runner_;
+    std::vector<std::unique_ptr<Box>> boxes_;
+};
+
+} // namespace limereel::support
