Connections that rested beside one that fell silent aren't offered any more

Cause: an open connection may fall silent for good, without a reset, while new ones work; the pool offered those of the same server one after the other, each at the cost of a wait. Change: once something was sent on a kept connection and nothing came back, those of the server that have rested since before are closed; one that has answered since stays. Test: ConnectionPoolTest/connection_anotherOneFellSilent_* (doubt() didn't exist: a compile error before). Not shown: a silent way can't be made on the loopback device without rights; the transport's own end after 2 s of unacknowledged bytes is as it was.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -200,11 +200,15 @@
     http::Request passed = run_.world.adapter().dialect.writeRequest(run_.request, order);
     passed.fields = http::endToEnd(passed.fields);
     logSend(run_);
+    const kernel::Instant sentAt = run_.context.now();
     connection_->send(std::move(passed));
     auto start = co_await readOwnHead();
     if (!start) {
         connection_->close();
         const bool sent = start.error().point != outcome::Point::ConnectedUnsent;
+        if (pooled_ && sent && run_.interrupt->reason != Interruption::CallerLeft) {
+            pool_.doubt(server_.id, sentAt);
+        }
         co_return fail(Failure::Lost, "answer: " + start.error().message, sent);
     }
     const kernel::Instant now = run_.context.now();
--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -60,6 +60,22 @@
     idle_[server.id].push_back(std::move(unused));
 }
 
+void ConnectionPool::doubt(const std::string &id, kernel::Instant before)
+{
+    const auto place = idle_.find(id);
+    if (place == idle_.end()) {
+        return;
+    }
+    const std::size_t closed = std::erase_if(place->second, [before](const PooledConnection &item) {
+        const bool doubted = item.since < before;
+        if (doubted) {
+            item.connection->close();
+        }
+        return doubted;
+    });
+    context_.counters.add("connections_doubted", {}, closed);
+}
+
 void ConnectionPool::drop(const std::string &id)
 {
     const auto place = idle_.find(id);
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -50,6 +50,14 @@
     void give(const forward::ListedServer &server, http::KeptConnection::Ptr connection,
               std::optional<kernel::Duration> keptFor, std::optional<kernel::Duration> rested);
 
+    /**
+     * Closes the connections to \a id that have rested since before \a before, when something was
+     * sent on one of their kind and nothing came back. What silences one without a reset, such as a
+     * lost entry of a middlebox, silences those that rested beside it; each offered in turn would
+     * cost a request its wait for the silence.
+     */
+    void doubt(const std::string &id, kernel::Instant before);
+
     /** Closes all connections to \a id. */
     void drop(const std::string &id);
 
--- a/test/correctness/ConnectionPoolTest.cpp
+++ b/test/correctness/ConnectionPoolTest.cpp
@@ -107,6 +107,27 @@
 
 // Found by reading as well: the rest counted from when the answer was handled. Its server counts
 // from when the answer left, and the answer may have lain unread for long.
+// One connection that had rested fell silent: those that rested beside it aren't offered any more,
+// one that has brought an answer since is.
+BOOST_AUTO_TEST_CASE(connection_anotherOneFellSilent_isOfferedOnlyIfItHasAnsweredSince)
+{
+    useOnce();
+    pool.give(listed, connection, 60s, 0s);
+    now += 1s;
+    const kernel::Instant sent = now;
+    now += 1s;
+    done = false;
+    useOnce();
+    const http::KeptConnection::Ptr younger = connection;
+    pool.give(listed, younger, 60s, 0s);
+    pool.doubt(listed.id, sent);
+    const auto taken = pool.take(listed, false);
+    BOOST_TEST_REQUIRE(taken.has_value());
+    BOOST_TEST((taken->connection == younger));
+    BOOST_TEST(!pool.take(listed, false).has_value());
+    BOOST_TEST(context.counters.value("connections_doubted") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(connection_answerLayUnread_restCountsFromItsArrival)
 {
     useOnce();
