Where a prompt's parts lie is remembered by the owner of its first part, and asked when an engine's owner doesn't know

Ruled out: lost holders (5 sends), expired memory, boxes that disagree about the fleet. Change: AskKind::Holders, one question of some 60 bytes where the source would be a guess; who sends parts to an engine that lacked them tells the same box. Engines that hold only the beginning are taken before a guess. Tests: HolderIndexTest/settleSource_newcomerComesFirst_*, settleSource_subjectIsNew_* name the load and the grounds.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -320,13 +320,16 @@
         return entry.server.service == wish.service && &entry != &target && !tried
                && !doubted(entry, now);
     };
-    for (const std::uint32_t holder : wish.holders) {
-        const auto place = std::ranges::find_if(entries_, [holder](const auto &item) {
-            return static_cast<std::uint32_t>(item.second.hash) == holder;
-        });
-        if (place != entries_.end() && mayGive(place->second)) {
-            return place->second.server.address;
+    const auto firstOf = [&](const std::vector<std::uint32_t> &named) {
+        const Entry *giver = nullptr;
+        for (const std::uint32_t hash : named) {
+            const Entry *entry = findShort(hash);
+            giver = giver == nullptr && entry != nullptr && mayGive(*entry) ? entry : giver;
         }
+        return giver;
+    };
+    if (const Entry *holder = firstOf(wish.holders)) {
+        return holder->server.address;
     }
     for (const std::string &id : parts_.holders(prompt, held, now)) {
         const auto place = entries_.find(id);
@@ -334,6 +337,11 @@
             return place->second.server.address;
         }
     }
+    // Better than a guess: parts that many prompts begin with lie at engines that never had this
+    // one.
+    if (const Entry *beginner = firstOf(wish.beginners); beginner != nullptr && held == 0) {
+        return beginner->server.address;
+    }
     EntryList others;
     EntryList old;
     for (const auto &[id, entry] : entries_) {
@@ -348,6 +356,22 @@
     return giver == nullptr ? std::nullopt : std::optional(giver->server.address);
 }
 
+const ServerBook::Entry *ServerBook::findShort(std::uint32_t hash) const
+{
+    const auto place = std::ranges::find_if(entries_, [hash](const auto &item) {
+        return static_cast<std::uint32_t>(item.second.hash) == hash;
+    });
+    return place == entries_.end() ? nullptr : &place->second;
+}
+
+bool ServerBook::sourceKnown(const Wish &wish, const Choice &choice, kernel::Instant now) const
+{
+    const std::size_t shared = sharedPrefixes(*wish.prompt).size();
+    const bool named = std::ranges::any_of(
+            wish.holders, [this](std::uint32_t hash) { return findShort(hash) != nullptr; });
+    return choice.held >= shared || named || !parts_.holders(*wish.prompt, shared - 1, now).empty();
+}
+
 std::optional<Choice> ServerBook::choose(const Wish &wish, kernel::Instant now,
                                          std::mt19937_64 &random) const
 {
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -62,12 +62,13 @@
 struct Wish
 {
     std::string service;
-    const Prompt *prompt = nullptr;     ///< Set where parts of prompts are kept.
-    bool takeParts = false;             ///< Servers may take parts of prompts from each other.
-    std::vector<std::string> tried;     ///< Servers not to be chosen.
-    std::vector<std::string> full;      ///< Servers over the bound, as their owners say.
-    std::vector<std::uint32_t> holders; ///< Servers that others know to hold its shared parts, by
-                                        ///< the last 32 bits of their hashes.
+    const Prompt *prompt = nullptr;       ///< Set where parts of prompts are kept.
+    bool takeParts = false;               ///< Servers may take parts of prompts from each other.
+    std::vector<std::string> tried;       ///< Servers not to be chosen.
+    std::vector<std::string> full;        ///< Servers over the bound, as their owners say.
+    std::vector<std::uint32_t> holders;   ///< Servers that others know to hold its shared parts, by
+                                          ///< the last 32 bits of their hashes.
+    std::vector<std::uint32_t> beginners; ///< The same of those that hold only the first part.
     bool spread = false; ///< Enough owners said so: any other server, not the next for all boxes.
 };
 
@@ -112,6 +113,10 @@
      * holders since. */
     void settleSource(const Wish &wish, Choice &choice, kernel::Instant now) const;
 
+    /** Whether a server other than the chosen one is known to hold all shared parts of the prompt,
+     * or the chosen one is itself; else the source is a guess. */
+    bool sourceKnown(const Wish &wish, const Choice &choice, kernel::Instant now) const;
+
     /** A request is about to be tried at \a id, connected or not. */
     void noteAttempt(const std::string &id, kernel::Instant now);
 
@@ -193,6 +198,7 @@
                               std::mt19937_64 &random) const;
     static const Entry *chooseSpread(const EntryList &entries, const Wish &wish,
                                      std::mt19937_64 &random);
+    const Entry *findShort(std::uint32_t hash) const;
     static bool hinted(const Entry &entry, const Wish &wish);
     static const Entry *firstInOrder(const EntryList &entries, const Prompt &prompt);
     std::optional<kernel::Endpoint> sourceFor(const Entry &target, const Wish &wish,
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -14,6 +14,9 @@
 
 constexpr kernel::Duration SweepEvery = 1s;
 constexpr int MostSilences = 2; ///< Then another box is taken for the owner.
+// Reasons of suggestions: what the engine holds.
+constexpr std::uint8_t AllParts = 0;
+constexpr std::uint8_t FirstPart = 1;
 
 forward::PlacePolicy policyOf(const kernel::BoxSettings &settings)
 {
@@ -70,9 +73,29 @@
             std::max<std::size_t>(world_.servers().serversBeside(engine), 1)};
 }
 
+peer::PermitAnswer PlaceService::nameHolders(const peer::AskPermit &ask) const
+{
+    const kernel::Instant now = context_.now();
+    peer::PermitAnswer reply;
+    reply.request = ask.request;
+    reply.result = peer::PermitResult::Redirected;
+    for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
+        reply.suggestions.push_back({engine, AllParts});
+    }
+    if (reply.suggestions.empty()) {
+        for (const membership::ShortHash engine : holders_.holders(ask.resource, now)) {
+            reply.suggestions.push_back({engine, FirstPart});
+        }
+    }
+    return reply;
+}
+
 // The decision of the owner, for another box as for itself.
 peer::PermitAnswer PlaceService::decide(const peer::AskPermit &ask)
 {
+    if (ask.kind == peer::AskKind::Holders) {
+        return nameHolders(ask);
+    }
     const kernel::Instant now = context_.now();
     const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(ask.resource), now);
     peer::PermitAnswer reply;
@@ -141,9 +164,59 @@
 
 void PlaceService::tellHolder(const forward::ListedServer &first,
                               const forward::ListedServer &server, std::uint64_t partsKey)
+{
+    tellKeyOwner(kernel::hashOf(first.id), partsKey, server);
+}
+
+asio::awaitable<PartsWord> PlaceService::askForParts(const forward::Prompt &prompt)
+{
+    const std::vector<std::uint64_t> keys = forward::sharedPrefixes(prompt);
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    PartsWord word;
+    const auto owner =
+            keys.empty() ? std::nullopt : membership::ownerOf(keys.front(), members.owners());
+    if (!owner) {
+        co_return word;
+    }
+    peer::AskPermit ask;
+    ask.kind = peer::AskKind::Holders;
+    ask.request = context_.random();
+    ask.router = members.self();
+    ask.chat = keys.back();
+    ask.resource = keys.front();
+    std::optional<peer::PermitAnswer> answer;
+    if (*owner == members.self()) {
+        answer = decide(ask);
+    } else {
+        const std::uint64_t asked = *owner;
+        answer = co_await askOwner(asked, ask);
+    }
+    context_.counters.add("parts_asked", {{"result", answer ? "answered" : "no-answer"}});
+    if (answer) {
+        for (const peer::Suggestion &suggestion : answer->suggestions) {
+            auto &engines = suggestion.reason == AllParts ? word.holders : word.beginners;
+            engines.push_back(suggestion.engine);
+        }
+    }
+    co_return word;
+}
+
+void PlaceService::tellParts(const forward::Prompt &prompt, const forward::ListedServer &server)
+{
+    const std::vector<std::uint64_t> keys = forward::sharedPrefixes(prompt);
+    if (keys.empty()) {
+        return;
+    }
+    tellKeyOwner(keys.front(), keys.back(), server);
+    if (keys.size() > 1) {
+        tellKeyOwner(keys.front(), keys.front(), server);
+    }
+}
+
+void PlaceService::tellKeyOwner(std::uint64_t home, std::uint64_t partsKey,
+                                const forward::ListedServer &server)
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const std::uint64_t home = kernel::hashOf(first.id);
     const membership::ShortHash engine = membership::shortHash(kernel::hashOf(server.id));
     const auto owner = membership::ownerOf(home, members.owners());
     if (!owner) {
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -37,6 +37,13 @@
     std::vector<membership::ShortHash> holders; ///< Engines that hold the prompt's shared parts.
 };
 
+/** Where the shared parts of a prompt lie, as the one box says that remembers it for all. */
+struct PartsWord
+{
+    std::vector<membership::ShortHash> holders;   ///< Engines that lately got all of them.
+    std::vector<membership::ShortHash> beginners; ///< Engines that lately got the first one.
+};
+
 /** The service. */
 class PlaceService : public kernel::Service
 {
@@ -55,6 +62,16 @@
     void tellHolder(const forward::ListedServer &first, const forward::ListedServer &server,
                     std::uint64_t partsKey);
 
+    /**
+     * Asks the box that remembers it for all where the shared parts of \a prompt lie. The owner of
+     * an engine knows it only of prompts that ask for that engine first: when engines come or go,
+     * others come first. That box is the owner of the first part, by rendezvous hashing.
+     */
+    boost::asio::awaitable<PartsWord> askForParts(const forward::Prompt &prompt);
+
+    /** Tells that box that the parts lie at \a server from now on. */
+    void tellParts(const forward::Prompt &prompt, const forward::ListedServer &server);
+
     void giveBack(const Place &place);
 
 private:
@@ -65,10 +82,13 @@
     };
 
     forward::FleetSize fleetFor(std::uint64_t engine) const;
+    peer::PermitAnswer nameHolders(const peer::AskPermit &ask) const;
     peer::PermitAnswer decide(const peer::AskPermit &ask);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
     boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
                                                                        peer::AskPermit ask);
+    void tellKeyOwner(std::uint64_t home, std::uint64_t partsKey,
+                      const forward::ListedServer &server);
     void noteSilent(std::uint64_t owner);
     std::uint32_t countAsk(const std::string &service);
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -166,7 +166,7 @@
         run_.place = outcome.place;
         std::ranges::move(outcome.holders, std::back_inserter(wish.holders));
         if (run_.place || wish.spread) {
-            settleParts(wish, *choice);
+            co_await settleParts(wish, *choice);
             co_return choice;
         }
         wish.full.push_back(choice->server.id);
@@ -176,13 +176,23 @@
 
 // The server is chosen: what the owners said of the prompt's parts decides where it takes them
 // from, and those who ask for them next hear of it.
-void RequestRun::settleParts(const forward::Wish &wish, forward::Choice &choice)
+asio::awaitable<void> RequestRun::settleParts(forward::Wish &wish, forward::Choice &choice)
 {
-    run_.world.servers().settleSource(wish, choice, run_.context.now());
-    const auto first = run_.world.servers().firstFor(wish);
+    forward::ServerBook &servers = run_.world.servers();
+    servers.settleSource(wish, choice, run_.context.now());
+    if (wish.takeParts && !servers.sourceKnown(wish, choice, run_.context.now())) {
+        PartsWord word = co_await places_.askForParts(run_.call.prompt);
+        wish.holders = std::move(word.holders);
+        wish.beginners = std::move(word.beginners);
+        servers.settleSource(wish, choice, run_.context.now());
+    }
+    const auto first = servers.firstFor(wish);
     if (first && first->id != choice.server.id) {
         places_.tellHolder(*first, choice.server, forward::sharedPartsKey(run_.call.prompt));
     }
+    if (choice.held < forward::sharedPrefixes(run_.call.prompt).size()) {
+        places_.tellParts(run_.call.prompt, choice.server);
+    }
 }
 
 void RequestRun::givePlaceBack()
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -45,7 +45,7 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<forward::Choice>> chooseServer();
-    void settleParts(const forward::Wish &wish, forward::Choice &choice);
+    boost::asio::awaitable<void> settleParts(forward::Wish &wish, forward::Choice &choice);
     void givePlaceBack();
     boost::asio::awaitable<AttemptEnd> attempt();
     bool mayTryAgain(AttemptEnd end);
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -149,7 +149,7 @@
 // Boxes of earlier versions leave out the last ones.
 AskPermit askPermit(const json &array)
 {
-    return {.kind = enumAt(array, 1, AskKind::Spill),
+    return {.kind = enumAt(array, 1, AskKind::Holders),
             .request = wordAt(array, 2),
             .router = wordAt(array, 3),
             .organisation = wordAt(array, 4),
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -32,8 +32,10 @@
     Home,   ///< Where a chat should run: asked of the owner of its first candidate.
     Engine, ///< A place on one engine.
     Quota,  ///< A place within an organisation's limits.
-    Spill   ///< A place on any engine of the hall of the box that is asked, which holds it for the
+    Spill,  ///< A place on any engine of the hall of the box that is asked, which holds it for the
             ///< asker.
+    Holders ///< No place: which engines lately got a prompt's shared parts (chat), or else the
+            ///< first of them (resource).
 };
 
 /** An ask for a permit. */
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -103,6 +103,9 @@
     case AskKind::Spill:
         // Answered by the spill service, as it needs asks of its own.
         break;
+    case AskKind::Holders:
+        // Of gateways; chats of the own interface are found by their home.
+        break;
     }
     answer.request = ask.request;
     answer.load = backends_.load(ask.model);
--- a/test/correctness/HolderIndexTest.cpp
+++ b/test/correctness/HolderIndexTest.cpp
@@ -113,6 +113,58 @@
     BOOST_TEST(kernel::text(*choice->takeFrom) == kernel::text(book.find(other)->address));
 }
 
+// The load: engines are added to a service whose parts lie, in part, past the first in the order,
+// since that one was full. A newcomer comes first now, its owner remembers nothing, and what would
+// have been first without it never had the parts: 124 of 165 wrong sources on a quiet day of 295
+// boxes, 302 of 564 on a day with trouble. The box that remembers for the first part tells.
+BOOST_AUTO_TEST_CASE(settleSource_newcomerComesFirst_boxThatRemembersNamesTheHolder)
+{
+    const auto before = book.firstFor(wish);
+    std::string holder;
+    for (const std::string &id : book.ids()) {
+        holder = id != before->id ? id : holder;
+    }
+    int newcomersFirst = 0;
+    for (std::uint16_t number = 7; number <= 60; ++number) {
+        ListedServer server = *before;
+        server.id = "s" + std::to_string(number);
+        server.address = {"10.0.0.1", number};
+        book.put(server, at(0s));
+        const auto first = book.firstFor(wish);
+        if (first->id != server.id) {
+            continue;
+        }
+        ++newcomersFirst;
+        Choice choice{*first, std::nullopt, 0, false};
+        wish.holders.clear();
+        book.settleSource(wish, choice, at(1s));
+        BOOST_TEST(!book.sourceKnown(wish, choice, at(1s)));
+        BOOST_TEST(kernel::text(*choice.takeFrom) == kernel::text(before->address));
+        wish.holders = {shortOf(holder)};
+        book.settleSource(wish, choice, at(1s));
+        BOOST_TEST(book.sourceKnown(wish, choice, at(1s)));
+        BOOST_TEST(kernel::text(*choice.takeFrom) == kernel::text(book.find(holder)->address));
+    }
+    BOOST_TEST(newcomersFirst > 0);
+}
+
+// The load: 80 beginnings of prompts that 991 subjects share. A subject's first prompt goes to an
+// engine of its own, which reads a beginning that dozens of others hold.
+BOOST_AUTO_TEST_CASE(settleSource_subjectIsNew_beginningIsTakenFromWhoHoldsIt)
+{
+    const auto chosen = book.firstFor(wish);
+    const std::string beginner = chosen->id == "s1" ? "s2" : "s1";
+    Choice choice{*chosen, std::nullopt, 0, false};
+    wish.beginners = {shortOf(chosen->id), shortOf(beginner)};
+    book.settleSource(wish, choice, at(0s));
+    BOOST_TEST(kernel::text(*choice.takeFrom) == kernel::text(book.find(beginner)->address));
+    // Who holds all of it goes first.
+    const std::string holder = chosen->id == "s3" ? "s4" : "s3";
+    wish.holders = {shortOf(holder)};
+    book.settleSource(wish, choice, at(0s));
+    BOOST_TEST(kernel::text(*choice.takeFrom) == kernel::text(book.find(holder)->address));
+}
+
 BOOST_AUTO_TEST_CASE(firstFor_loadsAndDoubts_changeNothing)
 {
     const auto first = book.firstFor(wish);
