Relays: whole lists leave out what the asker knows; an answer that tells less than was known isn't taken

By reading: after a lost history a relay that lags could have set a box back to an older list. Change: a list names objects that the asker has at their revision; the asker fills them in.

--- a/src/gateway/FeedSources.cpp
+++ b/src/gateway/FeedSources.cpp
@@ -41,7 +41,7 @@
     hallBoxes_ = live.size();
     relays_.clear();
     if (hallBoxes_ >= fewest_) {
-        relays_ = store::relayOrder(hall, std::move(live), Relays);
+        relays_ = store::relayOrder(hall, live, Relays);
     }
 }
 
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -372,20 +372,21 @@
         noteRelayFault(relay, "silent", store::RelayFault::Silent);
         co_return;
     }
-    const peer::Verdict verdict =
-            peer::judge(*answer, ask, asked, context_.now(), paces_.oldestHeard);
-    const bool large = std::ranges::any_of(answer->objects, &store::KeptObject::large);
-    if (verdict == peer::Verdict::Foreign) {
-        noteRelayFault(relay, "foreign", store::RelayFault::Silent);
-    } else if (large && ask.largeToo) {
-        noteRelayFault(relay, "large", store::RelayFault::Lost);
-    } else if (verdict == peer::Verdict::Good) {
+    peer::AskState state;
+    state.ask = ask;
+    state.asked = asked;
+    state.now = context_.now();
+    state.known = record_.at().value_or(0);
+    state.oldest = paces_.oldestHeard;
+    const peer::Verdict verdict = peer::judge(*answer, state);
+    if (verdict == peer::Verdict::Good) {
         noteRelayAnswer(relay);
     } else {
-        const char *what = verdict == peer::Verdict::Lost ? "lost" : "old";
-        noteRelayFault(relay, what, store::RelayFault::Lost);
+        const bool foreign = verdict == peer::Verdict::Foreign;
+        noteRelayFault(relay, peer::text(verdict),
+                       foreign ? store::RelayFault::Silent : store::RelayFault::Lost);
     }
-    if (verdict != peer::Verdict::Foreign && answer->confirmedMs) {
+    if (peer::tellsSomething(verdict) && answer->confirmedMs) {
         co_await takeAnswer(std::move(*answer), asked);
     }
     taking_ = false;
@@ -450,7 +451,10 @@
     told_ = toldBy(answer, asked);
     const bool newer = answer.at > at_.value_or(0);
     if (newer) {
-        co_await takeNews(std::move(answer));
+        const bool taken = co_await takeNews(std::move(answer));
+        if (!taken) {
+            co_return;
+        }
     }
     confirm(asOf);
     if (newer) {
@@ -468,30 +472,57 @@
     return answer.toldMs ? peer::forAsker(asked, *answer.toldMs) : asOf;
 }
 
-asio::awaitable<void> ObjectFeed::takeNews(peer::FeedAnswer answer)
+asio::awaitable<std::vector<store::StoredObject>>
+ObjectFeed::readObjects(const std::vector<store::KeptObject> &kept)
 {
     std::vector<store::StoredObject> objects;
-    for (const store::KeptObject &kept : answer.objects) {
+    for (const store::KeptObject &one : kept) {
         store::StoredObject object;
-        object.name = kept.name;
-        object.revision = kept.revision;
-        object.gone = kept.gone;
-        if (!kept.gone) {
-            object.content = co_await readBody(kept.text);
+        object.name = one.name;
+        object.revision = one.revision;
+        object.gone = one.gone;
+        if (!one.gone) {
+            object.content = co_await readBody(one.text);
         }
         objects.push_back(std::move(object));
     }
+    co_return objects;
+}
+
+// Gives false if not all of it could be taken: then nothing is confirmed.
+asio::awaitable<bool> ObjectFeed::takeNews(peer::FeedAnswer answer)
+{
+    if (answer.whole && at_) {
+        co_return co_await takeWhole(std::move(answer));
+    }
+    const auto objects = co_await readObjects(answer.objects);
     at_ = answer.at;
     if (answer.whole) {
         record_.replace(std::move(answer.objects), answer.at, told_);
         hooks_.replaced(objects);
-    } else if (!objects.empty()) {
+    } else {
         record_.change(std::move(answer.objects), answer.at, told_);
         hooks_.changed(objects);
-    } else {
-        record_.change({}, answer.at, told_);
     }
     co_await letOthersRun();
+    co_return true;
+}
+
+// Contents that this box has were left out.
+asio::awaitable<bool> ObjectFeed::takeWhole(peer::FeedAnswer answer)
+{
+    auto merged = record_.merge(std::move(answer.objects));
+    if (!merged) {
+        context_.counters.add("relay_faults", {{"kind", kind_}, {"reason", "incomplete"}});
+        at_.reset();
+        co_return false;
+    }
+    const auto objects = co_await readObjects(merged->changes);
+    at_ = answer.at;
+    record_.replace(std::move(merged->all), answer.at, told_);
+    hooks_.changed(objects);
+    co_await letOthersRun();
+    co_return true;
 }
 
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -121,7 +121,10 @@
     askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest);
     boost::asio::awaitable<void> takeAnswer(peer::FeedAnswer answer, kernel::Instant asked);
     void noteRelayAnswer(std::uint64_t relay);
-    boost::asio::awaitable<void> takeNews(peer::FeedAnswer answer);
+    boost::asio::awaitable<bool> takeNews(peer::FeedAnswer answer);
+    boost::asio::awaitable<bool> takeWhole(peer::FeedAnswer answer);
+    boost::asio::awaitable<std::vector<store::StoredObject>>
+    readObjects(const std::vector<store::KeptObject> &kept);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
     store::FeedStep nextStep() const;
     peer::FeedAsk makeAsk(bool proven) const;
--- a/src/peer/FeedMessages.cpp
+++ b/src/peer/FeedMessages.cpp
@@ -23,7 +23,8 @@
 
 json toJson(const KeptObject &object)
 {
-    const unsigned flags = (object.gone ? 1U : 0U) | (object.large ? 2U : 0U);
+    const unsigned flags =
+            (object.gone ? 1U : 0U) | (object.large ? 2U : 0U) | (object.unchanged ? 4U : 0U);
     return json::array({object.name, object.revision, flags, object.text});
 }
 
@@ -34,7 +35,8 @@
             .revision = array.at(1).get<std::uint64_t>(),
             .gone = (flags & 1U) != 0,
             .large = (flags & 2U) != 0,
-            .text = array.at(3).get<std::string>()};
+            .text = array.at(3).get<std::string>(),
+            .unchanged = (flags & 4U) != 0};
 }
 
 json toJson(const std::optional<std::int64_t> &value)
--- a/src/peer/FeedRecord.cpp
+++ b/src/peer/FeedRecord.cpp
@@ -64,17 +64,48 @@
     return answer;
 }
 
-Verdict judge(const FeedAnswer &answer, const FeedAsk &ask, Instant asked, Instant now,
-              kernel::Duration oldest)
+const char *text(Verdict verdict)
 {
-    if (answer.question != ask.question) {
+    switch (verdict) {
+    case Verdict::Good:
+        return "good";
+    case Verdict::Foreign:
+        return "foreign";
+    case Verdict::Behind:
+        return "behind";
+    case Verdict::Lost:
+        return "lost";
+    case Verdict::Old:
+        return "old";
+    case Verdict::Large:
+        break;
+    }
+    return "large";
+}
+
+bool tellsSomething(Verdict verdict)
+{
+    return verdict != Verdict::Foreign && verdict != Verdict::Behind;
+}
+
+Verdict judge(const FeedAnswer &answer, const AskState &asker)
+{
+    if (answer.question != asker.ask.question) {
         return Verdict::Foreign;
     }
-    if (answer.lost || !answer.confirmedMs) {
+    const bool tells = answer.confirmedMs.has_value();
+    if (tells && asker.ask.at == 0 && answer.at < asker.known) {
+        return Verdict::Behind;
+    }
+    const bool large = std::ranges::any_of(answer.objects, &store::KeptObject::large);
+    if (large && asker.ask.largeToo) {
+        return Verdict::Large;
+    }
+    if (answer.lost || !tells) {
         return Verdict::Lost;
     }
-    const Instant asOf = forAsker(asked, *answer.confirmedMs);
-    return now - asOf > oldest ? Verdict::Old : Verdict::Good;
+    const Instant asOf = forAsker(asker.asked, *answer.confirmedMs);
+    return asker.now - asOf > asker.oldest ? Verdict::Old : Verdict::Good;
 }
 
 } // namespace limereel::peer
--- a/src/peer/FeedRecord.h
+++ b/src/peer/FeedRecord.h
@@ -20,6 +20,12 @@
     /** Takes changes. */
     void change(std::vector<store::KeptObject> objects, std::uint64_t at, kernel::Instant told);
 
+    /** See ObjectHistory. */
+    std::optional<store::MergedList> merge(std::vector<store::KeptObject> whole) const
+    {
+        return history_.merge(std::move(whole));
+    }
+
     /** Nothing newer was in the store at \a asOf than what is known. */
     void confirm(kernel::Instant asOf);
 
@@ -53,13 +59,29 @@
 enum class Verdict : std::uint8_t {
     Good,    ///< What it says holds.
     Foreign, ///< It answers another question.
+    Behind,  ///< It tells everything, and that is less than the asker knew before.
     Lost,    ///< The relay has lost the store or knows nothing.
-    Old      ///< Its confirmation is too old.
+    Old,     ///< Its confirmation is too old.
+    Large    ///< It only names an object that the asker can't read from the store.
+};
+
+/** How a verdict is named in counters and logs. */
+const char *text(Verdict verdict);
+
+/** Whether what the answer tells, with its age, may be taken in all the same. */
+bool tellsSomething(Verdict verdict);
+
+/** What an asker knows when it judges an answer. */
+struct AskState
+{
+    FeedAsk ask;
+    kernel::Instant asked;     ///< By its own clock.
+    kernel::Instant now;       ///< The same.
+    std::uint64_t known = 0;   ///< The revision that it had reached, whatever it asked for.
+    kernel::Duration oldest{}; ///< Age that a confirmation may have.
 };
 
-/** Judges \a answer to \a ask, which was \a asked then. \param oldest age that a confirmation may
- * have at \a now. */
-Verdict judge(const FeedAnswer &answer, const FeedAsk &ask, kernel::Instant asked,
-              kernel::Instant now, kernel::Duration oldest);
+/** Judges \a answer. */
+Verdict judge(const FeedAnswer &answer, const AskState &asker);
 
 } // namespace limereel::peer
--- a/src/services/OwnerService.cpp
+++ b/src/services/OwnerService.cpp
@@ -100,11 +100,8 @@
     case AskKind::Quota:
         answer = decideQuota(ask);
         break;
-    case AskKind::Spill:
-        // Answered by the spill service, as it needs asks of its own.
-        break;
-    case AskKind::Holders:
-        // Of gateways; chats of the own interface are found by their home.
+    case AskKind::Spill:   // Answered by the spill service, as it needs asks of its own.
+    case AskKind::Holders: // Of gateways; chats of the own interface are found by their home.
         break;
     }
     answer.request = ask.request;
--- a/src/store/ObjectHistory.cpp
+++ b/src/store/ObjectHistory.cpp
@@ -100,11 +100,51 @@
     news.whole = !canTellSince(at);
     for (const auto &[name, entry] : entries_) {
         if (news.whole ? !entry.object.gone : entry.mark > at) {
-            news.objects.push_back(entry.object);
+            news.objects.push_back(forAsker(entry.object, news.whole ? at : 0));
             news.told = std::min(news.told.value_or(entry.told), entry.told);
         }
     }
     return news;
 }
 
+// Boxes that listed for themselves as the fleet started, and then ask a relay that listed a moment
+// later, need its whole list for what went in between. With contents that is 750 kB of 3,000
+// servers for each of a hundred boxes, names alone are a tenth.
+KeptObject ObjectHistory::forAsker(const KeptObject &object, std::uint64_t at)
+{
+    if (object.revision > at) {
+        return object;
+    }
+    KeptObject named{.name = object.name, .revision = object.revision};
+    named.unchanged = true;
+    return named;
+}
+
+std::optional<MergedList> ObjectHistory::merge(std::vector<KeptObject> whole) const
+{
+    MergedList merged;
+    std::set<std::string> listed;
+    for (KeptObject &object : whole) {
+        listed.insert(object.name);
+        const auto known = entries_.find(object.name);
+        const bool alive = known != entries_.end() && !known->second.object.gone;
+        const bool same = alive && known->second.object.revision == object.revision;
+        if (object.unchanged && !same) {
+            return std::nullopt;
+        }
+        if (same) {
+            merged.all.push_back(known->second.object);
+        } else {
+            merged.changes.push_back(object);
+            merged.all.push_back(std::move(object));
+        }
+    }
+    for (const auto &[name, entry] : entries_) {
+        if (!entry.object.gone && !listed.contains(name)) {
+            merged.changes.push_back({.name = name, .revision = at_.value_or(0), .gone = true});
+        }
+    }
+    return merged;
+}
+
 } // namespace limereel::store
--- a/src/store/ObjectHistory.h
+++ b/src/store/ObjectHistory.h
@@ -24,8 +24,9 @@
     std::string name;
     std::uint64_t revision = 0;
     bool gone = false;
-    bool large = false; ///< Its content isn't kept; it has to be read from the store.
-    std::string text;   ///< The content as JSON.
+    bool large = false;     ///< Its content isn't kept; it has to be read from the store.
+    std::string text;       ///< The content as JSON.
+    bool unchanged = false; ///< In news: left out, since who asked knows it at this revision.
 
     auto operator<=>(const KeptObject &) const = default;
 };
@@ -39,6 +40,13 @@
     std::optional<kernel::Instant> told; ///< When the earliest of these changes was told.
 };
 
+/** What a whole list comes to for somebody who asked for it. */
+struct MergedList
+{
+    std::vector<KeptObject> all;     ///< The list with what was left out filled in.
+    std::vector<KeptObject> changes; ///< What is new in it, and what it names no more as gone.
+};
+
 /** The history. Pure: time is handed in. */
 class ObjectHistory
 {
@@ -59,6 +67,10 @@
      * that is more than is known here. To be asked only once something is known. */
     FeedNews since(std::uint64_t at) const;
 
+    /** Puts a whole list, sent for what is known here, together with that. Nothing if it leaves out
+     * what isn't known: then all has to be asked for. */
+    std::optional<MergedList> merge(std::vector<KeptObject> whole) const;
+
 private:
     struct Entry
     {
@@ -74,6 +86,7 @@
         std::uint64_t to = 0;
     };
 
+    static KeptObject forAsker(const KeptObject &object, std::uint64_t at);
     bool canTellSince(std::uint64_t at) const;
     void forgetOldest();
 
--- a/src/store/RelayOrder.cpp
+++ b/src/store/RelayOrder.cpp
@@ -8,7 +8,7 @@
 
 namespace limereel::store {
 
-std::vector<std::uint64_t> relayOrder(std::uint64_t hall, std::vector<RelayCandidate> live,
+std::vector<std::uint64_t> relayOrder(std::uint64_t hall, const std::vector<RelayCandidate> &live,
                                       std::size_t count)
 {
     std::map<std::uint32_t, std::vector<std::uint64_t>, std::greater<>> byLink;
--- a/src/store/RelayOrder.h
+++ b/src/store/RelayOrder.h
@@ -24,7 +24,7 @@
 };
 
 /** The boxes to ask, best first; at most \a count. */
-std::vector<std::uint64_t> relayOrder(std::uint64_t hall, std::vector<RelayCandidate> live,
+std::vector<std::uint64_t> relayOrder(std::uint64_t hall, const std::vector<RelayCandidate> &live,
                                       std::size_t count);
 
 /** Largest object that a relay passes on to \a boxes over its own link of \a linkMbps, if all are
--- a/test/correctness/RelayTest.cpp
+++ b/test/correctness/RelayTest.cpp
@@ -181,6 +181,32 @@
     BOOST_TEST(!history.hasNewsSince(11));
 }
 
+// The load: a hundred boxes listed 3,000 servers as the fleet started, their relay a moment later.
+// Names of what they know are all they need, with what is new.
+BOOST_AUTO_TEST_CASE(since_askerListedAMomentEarlier_knownContentsAreLeftOut)
+{
+    std::vector<store::KeptObject> servers;
+    for (std::uint64_t number = 1; number <= 3000; ++number) {
+        servers.push_back(object("i-" + std::to_string(number), number, std::string(250, 'x')));
+    }
+    store::ObjectHistory asker;
+    asker.replace(std::vector(servers.begin(), servers.end() - 1), 2999, at(0s));
+    servers.erase(servers.begin());
+    store::ObjectHistory relay;
+    relay.replace(servers, 3001, at(0s));
+    peer::FeedAnswer answer;
+    const store::FeedNews news = relay.since(2999);
+    answer.objects = news.objects;
+    BOOST_TEST(news.whole);
+    BOOST_TEST(peer::encode(answer).size() < 60000U);
+    const auto merged = asker.merge(news.objects);
+    BOOST_TEST_REQUIRE(merged.has_value());
+    BOOST_TEST(merged->changes.size() == 2U);
+    BOOST_TEST(merged->all.size() == 2999U);
+    // Somebody who doesn't know them after all asks for everything.
+    BOOST_TEST(!store::ObjectHistory().merge(news.objects).has_value());
+}
+
 // Between two lists an object may have come and gone that only the asker knows.
 BOOST_AUTO_TEST_CASE(since_askerIsBetweenTwoLists_getsEverything)
 {
@@ -252,10 +278,20 @@
         const std::uint64_t asker = random() % 201;
         auto state = truths[asker];
         const store::FeedNews news = history.since(asker);
+        std::vector<store::KeptObject> changes = news.objects;
         if (news.whole) {
-            state.clear();
+            // The asker keeps a history too, and fills in what was left out for it.
+            store::ObjectHistory own;
+            if (asker > 0) {
+                own.replace(listing(asker), asker, at(0s));
+            }
+            const auto merged = own.merge(news.objects);
+            BOOST_TEST_REQUIRE(merged.has_value());
+            BOOST_TEST(merged->all.size() == truths[known].size());
+            BOOST_TEST(std::ranges::none_of(merged->all, &store::KeptObject::unchanged));
+            changes = merged->changes;
         }
-        for (const store::KeptObject &changed : news.objects) {
+        for (const store::KeptObject &changed : changes) {
             if (changed.gone) {
                 state.erase(changed.name);
             } else {
@@ -312,25 +348,32 @@
 {
     const peer::FeedAsk ask{5, "config", 17, 0, false};
     peer::FeedRecord record;
-    BOOST_TEST((peer::judge(record.answer(ask, at(0s), 1000), ask, at(0s), at(0s), 3s)
-                == peer::Verdict::Lost));
+    const auto judged = [](const peer::FeedAnswer &answer, const peer::FeedAsk &question,
+                           Instant asked, Instant now, std::uint64_t known = 0) {
+        return peer::judge(answer, {question, asked, now, known, 3s});
+    };
+    BOOST_TEST(
+            (judged(record.answer(ask, at(0s), 1000), ask, at(0s), at(0s)) == peer::Verdict::Lost));
     record.replace({object("main", 17)}, 17, at(0s));
     record.confirm(at(0s));
     const peer::FeedAnswer answer = record.answer(ask, at(1s), 1000);
     // The relay's clock says 1 s, the asker's 500 s; it asked then and hears at once or late.
-    BOOST_TEST((peer::judge(answer, ask, at(500s), at(500s), 3s) == peer::Verdict::Good));
-    BOOST_TEST((peer::judge(answer, ask, at(500s), at(502s), 3s) == peer::Verdict::Good));
-    BOOST_TEST((peer::judge(answer, ask, at(500s), at(503s), 3s) == peer::Verdict::Old));
+    BOOST_TEST((judged(answer, ask, at(500s), at(500s)) == peer::Verdict::Good));
+    BOOST_TEST((judged(answer, ask, at(500s), at(502s)) == peer::Verdict::Good));
+    BOOST_TEST((judged(answer, ask, at(500s), at(503s)) == peer::Verdict::Old));
     const peer::FeedAsk other{6, "config", 17, 0, false};
-    BOOST_TEST((peer::judge(answer, other, at(500s), at(500s), 3s) == peer::Verdict::Foreign));
+    BOOST_TEST((judged(answer, other, at(500s), at(500s)) == peer::Verdict::Foreign));
     record.setLost(true);
     BOOST_TEST(record.answersAtOnce(ask));
     const peer::FeedAsk newcomer{7, "config", 0, 0, false};
     const peer::FeedAnswer lost = record.answer(newcomer, at(1s), 1000);
-    BOOST_TEST((peer::judge(lost, newcomer, at(500s), at(500s), 3s) == peer::Verdict::Lost));
+    BOOST_TEST((judged(lost, newcomer, at(500s), at(500s)) == peer::Verdict::Lost));
     // What it knows is told all the same, with its age.
     BOOST_TEST(lost.objects.size() == 1U);
     BOOST_TEST(*lost.confirmedMs == -1000);
+    // To somebody who asks for everything since its history was lost, but has known more, all of it
+    // would be a step back.
+    BOOST_TEST((judged(lost, newcomer, at(500s), at(500s), 18) == peer::Verdict::Behind));
 }
 
 BOOST_AUTO_TEST_CASE(answer_largeObject_isOnlyNamedUnlessTheStoreIsOutOfReach)
@@ -410,7 +453,7 @@
 
     void atTime(Duration when, std::function<void()> act)
     {
-        push(when, {when, 0, HallBoxes, 0, act});
+        push(when, {when, 0, HallBoxes, 0, std::move(act)});
     }
 
     void commit()
@@ -741,8 +784,9 @@
         if (box.call != call || !box.asking) {
             return;
         }
-        const peer::Verdict verdict = peer::judge(answer, *box.asking, box.asked, clockOf(box),
-                                                  store::oldestHeard(UsableFor));
+        const peer::Verdict verdict =
+                peer::judge(answer, {*box.asking, box.asked, clockOf(box),
+                                     box.record.at().value_or(0), store::oldestHeard(UsableFor)});
         if (verdict != peer::Verdict::Good) {
             return relayFails(index, call, store::RelayFault::Lost);
         }
