The asking side of relays has a class of its own; keys of the envelope are read in one place

Cause: ObjectFeed held sealing and opening of questions beside the decisions; four classes turned the settings' keys into bytes, each by itself. Change: RelayCaller; peer::peerKeysFrom. Behaviour stays.

--- a/src/gateway/FeedRelay.cpp
+++ b/src/gateway/FeedRelay.cpp
@@ -32,10 +32,8 @@
 FeedRelay::FeedRelay(services::Context &context, World &world)
     : context_(context)
     , world_(world)
+    , keys_(peer::peerKeysFrom(context.settings.peerKeys))
 {
-    for (const std::string &hex : context.settings.peerKeys) {
-        keys_.push_back(peer::peerKeyFromHex(hex).value());
-    }
 }
 
 void FeedRelay::start()
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -1,6 +1,5 @@
 #include "gateway/ObjectFeed.h"
 
-#include "gateway/FeedRelay.h"
 #include "gateway/KeptObjects.h"
 #include "http/JsonSlices.h"
 #include "kernel/Log.h"
@@ -31,15 +30,6 @@
     co_await asio::post(asio::use_awaitable);
 }
 
-std::vector<peer::PeerKey> keysOf(const services::Context &context)
-{
-    std::vector<peer::PeerKey> keys;
-    for (const std::string &hex : context.settings.peerKeys) {
-        keys.push_back(peer::peerKeyFromHex(hex).value());
-    }
-    return keys;
-}
-
 const kernel::Log &log()
 {
     static const kernel::Log Log("feed");
@@ -57,17 +47,16 @@
     , paces_(paces)
     , sources_(sources)
     , hooks_(std::move(hooks))
-    , keys_(keysOf(context))
     , book_(paces.sources)
     , storeConnection_(context, "store")
-    , relayConnection_(context, "relay")
+    , relayCaller_(context)
     , loop_(std::make_unique<services::Repeat>(context.io, [this] { return round(); }))
 {
 }
 
 bool ObjectFeed::behind() const
 {
-    return taking_ || storeConnection_.unread() || relayConnection_.unread();
+    return taking_ || storeConnection_.unread() || relayCaller_.unread();
 }
 
 void ObjectFeed::hurry()
@@ -85,7 +74,7 @@
     if (askingRelay_ && book_.relaying(sources_.relays(), sources_.self(), now)
         && nextStep().kind == FeedStep::Kind::Store) {
         abandoned_ = true;
-        relayConnection_.close();
+        relayCaller_.close();
     }
 }
 
@@ -363,11 +352,15 @@
     const kernel::Duration longest = std::chrono::milliseconds(ask.holdMs) + store::RelayAnswer;
     askingRelay_ = true;
     abandoned_ = false;
-    auto answer = co_await askRelay(relay, ask, longest);
+    std::optional<peer::FeedAnswer> answer;
+    if (const auto where = sources_.addressOf(relay)) {
+        answer = co_await relayCaller_.ask(*where, ask, longest);
+    }
     askingRelay_ = false;
     if (abandoned_) {
         co_return;
     }
+    taking_ = answer.has_value();
     if (!answer) {
         noteRelayFault(relay, "silent", store::RelayFault::Silent);
         co_return;
@@ -392,32 +385,6 @@
     taking_ = false;
 }
 
-asio::awaitable<std::optional<peer::FeedAnswer>>
-ObjectFeed::askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest)
-{
-    const auto where = sources_.addressOf(relay);
-    if (!where) {
-        co_return std::nullopt;
-    }
-    const auto opened = co_await relayConnection_.open(*where, store::RelayAnswer);
-    if (!opened) {
-        co_return std::nullopt;
-    }
-    context_.counters.add("relay_asks", {{"kind", kind_}});
-    const peer::Bytes sealed = peer::seal(peer::encode(ask), keys_.front());
-    http::Request request("POST", FeedPath, http::Fields().with("Host", kernel::text(*where)),
-                          std::string(sealed.begin(), sealed.end()));
-    const auto answer = co_await relayConnection_.ask(std::move(request), longest);
-    if (!answer || answer->status != Good) {
-        co_return std::nullopt;
-    }
-    taking_ = true;
-    const std::string &body = answer->body;
-    const std::span bytes(reinterpret_cast<const std::uint8_t *>(body.data()), body.size());
-    const auto payload = peer::open(bytes, keys_);
-    co_return payload ? peer::decodeFeedAnswer(*payload) : std::nullopt;
-}
-
 void ObjectFeed::noteRelayFault(std::uint64_t relay, const std::string &what,
                                 store::RelayFault fault)
 {
@@ -425,7 +392,7 @@
     log().event("relay-fault", {{"kind", kind_}, {"relay", sources_.nameOf(relay)}, {"why", what}},
                 "Another box didn't tell what the store holds.");
     book_.noteRelayFailed(relay, fault, context_.now());
-    relayConnection_.close();
+    relayCaller_.close();
 }
 
 void ObjectFeed::noteRelayAnswer(std::uint64_t relay)
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -15,7 +15,7 @@
 #include "gateway/Adapter.h"
 #include "gateway/FeedConnection.h"
 #include "gateway/FeedSources.h"
-#include "peer/Envelope.h"
+#include "gateway/RelayCaller.h"
 #include "peer/FeedRecord.h"
 #include "services/Context.h"
 #include "services/Repeat.h"
@@ -117,8 +117,6 @@
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<tl::expected<http::Answer, std::string>>
     askStore(std::string target, kernel::Duration longest);
-    boost::asio::awaitable<std::optional<peer::FeedAnswer>>
-    askRelay(std::uint64_t relay, const peer::FeedAsk &ask, kernel::Duration longest);
     boost::asio::awaitable<void> takeAnswer(peer::FeedAnswer answer, kernel::Instant asked);
     void noteRelayAnswer(std::uint64_t relay);
     boost::asio::awaitable<bool> takeNews(peer::FeedAnswer answer);
@@ -156,11 +154,10 @@
     FeedPaces paces_;
     FeedSources &sources_;
     FeedHooks hooks_;
-    std::vector<peer::PeerKey> keys_;
     store::SourceBook book_;
     peer::FeedRecord record_;
     FeedConnection storeConnection_;
-    FeedConnection relayConnection_;
+    RelayCaller relayCaller_;
     std::shared_ptr<std::set<boost::asio::steady_timer *>> waiting_ =
             std::make_shared<std::set<boost::asio::steady_timer *>>(); ///< Of held asks.
     std::optional<Listing> listing_;
--- a/src/peer/Envelope.cpp
+++ b/src/peer/Envelope.cpp
@@ -34,6 +34,15 @@
     return key;
 }
 
+std::vector<PeerKey> peerKeysFrom(const std::vector<std::string> &texts)
+{
+    std::vector<PeerKey> keys;
+    for (const std::string &hex : texts) {
+        keys.push_back(peerKeyFromHex(hex).value());
+    }
+    return keys;
+}
+
 Bytes seal(std::span<const std::uint8_t> payload, const PeerKey &key)
 {
     Bytes datagram;
--- a/src/peer/Envelope.h
+++ b/src/peer/Envelope.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,9 @@
 /** The key written as 64 hexadecimal digits; nothing if \a text is not one. */
 std::optional<PeerKey> peerKeyFromHex(std::string_view text);
 
+/** The keys of a box's settings, which were checked when these were read. */
+std::vector<PeerKey> peerKeysFrom(const std::vector<std::string> &texts);
+
 /** Bytes that the envelope adds to a payload. */
 inline constexpr std::size_t EnvelopeBytes = 17;
 
--- a/src/services/PeerService.cpp
+++ b/src/services/PeerService.cpp
@@ -27,11 +27,9 @@
 
 PeerService::PeerService(Context &context)
     : context_(context)
+    , keys_(peer::peerKeysFrom(context.settings.peerKeys))
     , socket_(context.io)
 {
-    for (const std::string &hex : context.settings.peerKeys) {
-        keys_.push_back(peer::peerKeyFromHex(hex).value());
-    }
 }
 
 void PeerService::start()
--- a/src/services/SettingsExchange.cpp
+++ b/src/services/SettingsExchange.cpp
@@ -15,15 +15,6 @@
 constexpr nng_duration AskMilliseconds = 3000;
 constexpr std::size_t MostBytes = 2097152;
 
-std::vector<peer::PeerKey> keysOf(const Context &context)
-{
-    std::vector<peer::PeerKey> keys;
-    for (const std::string &hex : context.settings.peerKeys) {
-        keys.push_back(peer::peerKeyFromHex(hex).value());
-    }
-    return keys;
-}
-
 std::string urlOf(const kernel::Endpoint &endpoint)
 {
     return "tcp://" + kernel::text(endpoint);
@@ -111,7 +102,7 @@
 {
     Listener(Context &context, AnswerRequest answerRequest)
         : io(context.io)
-        , keys(keysOf(context))
+        , keys(peer::peerKeysFrom(context.settings.peerKeys))
         , answer(std::move(answerRequest))
     {
     }
@@ -185,7 +176,8 @@
 asio::awaitable<std::optional<std::string>> SettingsExchange::ask(kernel::Endpoint where,
                                                                   std::string request)
 {
-    const auto ask = std::make_shared<Ask>(context_.io, keysOf(context_));
+    const auto ask =
+            std::make_shared<Ask>(context_.io, peer::peerKeysFrom(context_.settings.peerKeys));
     const bool ready =
             nng_req0_open(&ask->socket) == 0 && nng_aio_alloc(&ask->aio, &onAsk, ask.get()) == 0
             && nng_socket_set_size(ask->socket, NNG_OPT_RECVMAXSZ, MostBytes) == 0
