Proofs: what stands of the new rules; callers who leave before an answer's head, each kind of request

Tests: GatewayTest/callerLeaves_beforeTheAnswersHead_* holds on the sources as they were (a proof, not a mend); the stand-in counts callers that left a silent server.

--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -221,6 +221,28 @@
     until([this] { return runner(0).left() + runner(1).left() == 1; }, "the server's end");
 }
 
+// Whatever the kind of request, a server isn't left at work for a caller who has gone before its
+// answer began, and no other server gets the request after that.
+BOOST_DATA_TEST_CASE_F(
+        GatewayFixture, callerLeaves_beforeTheAnswersHead_serverIsToldAndNoOtherAsked,
+        boost::unit_test::data::make({"/once/x", "/again/x", "/stream/x", "/resume/x"}), target)
+{
+    startReady();
+    nextMeets(RunnerFault::Silent);
+    const std::string path(target);
+    const bool stream = path[1] == 's' || path[1] == 'r';
+    const auto pending =
+            begin(stream ? promptRequest(path) : request(path[1] == 'o' ? "POST" : "GET", path));
+    until([this] { return runs() == 1; }, "the server's run");
+    pending->connection->close();
+    until([this] { return runner(0).left() + runner(1).left() == 1; }, "the server's end");
+    // A request of another caller passes by whatever might still be sent for the first.
+    runner(0).faults.clear();
+    runner(1).faults.clear();
+    BOOST_TEST(call(request("GET", "/open/x")).status == 200);
+    BOOST_TEST(runs() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(GatewayStreamTest)
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -166,11 +166,11 @@
     case RunnerFault::ResetAfter:
         reset(socket);
         co_return false;
-    case RunnerFault::Silent: {
-        asio::steady_timer forever(io_, 3600s);
-        co_await forever.async_wait(Quiet);
+    case RunnerFault::Silent:
+        // Nothing more comes from the other side but its end.
+        co_await socket.async_wait(tcp::socket::wait_read, Quiet);
+        ++state_->left;
         co_return false;
-    }
     case RunnerFault::Foreign:
         text = framed("200 OK", "another", name_ + ".another", "not yours");
         break;
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -63,7 +63,7 @@
     std::size_t runs() const;
     int connections() const { return state_->connections; }
 
-    /** Streams that broke off because the caller's side was gone. */
+    /** Requests that broke off because the caller's side was gone. */
     int left() const { return state_->left; }
 
     const std::string &name() const { return name_; }
