--- a/src/gateway/KeptObjects.h
+++ b/src/gateway/KeptObjects.h
@@ -13,8 +13,8 @@
 /**
  * The \a objects with their contents as text.
  * \param answerBytes of the answer that brought them.
- * \param relays whether others may ask this box. Else only the names of large objects are kept: to
- * write one of 857 kB takes a box with an eighth of a core some 50 ms.
+ * \param relays whether others may ask this box. Else only the names of large objects are kept: a
+ * box that nobody asks needn't write and hold what it read.
  */
 std::vector<store::KeptObject> keptObjects(const std::vector<store::StoredObject> &objects,
                                            std::size_t answerBytes, bool relays);
