Choice of a backend server: no walk over all of them

Cause: a choice walked over all listed servers several times and sorted all of a service by insertion, which grows with the square of their number.

Change: ServerBook is taken apart by job. ServerIndex finds servers by id, hash, service and hall; those on which something is noted (requests, loads, failures) are listed, and all others are alike, so they are counted. ServerOrder keeps the hashes of a service side by side and finds the front of the rendezvous order in one pass, kept for the request's further questions. PartIndex forgets a server by its own prefixes.

Weighed: a ring of hashes of which only the next 256 are looked at. Flat in size, but each change of the roster then moves twice the prompts, and old and new builds would name other engines first. The order stays the whole rendezvous order.

Tests: 200 seeded histories against the plain rule (ServerChoiceTest); the order against rendezvousOrder; among 10,000 servers one is asked about, not all.

--- a/src/forward/ColdStarts.cpp
+++ b/src/forward/ColdStarts.cpp
@@ -11,6 +11,9 @@
 // Longest time that a word counts for: one that says more is wrong, and would throttle a server
 // for good.
 constexpr kernel::Duration LongestTold = 60s;
+// What is forgotten a second late costs some bytes; to look through all ten times a second would
+// cost a large fleet's small box some hundredths of its processor.
+constexpr kernel::Duration ExpireEvery = 1s;
 
 } // namespace
 
@@ -65,6 +68,10 @@
 
 void ColdStarts::expire(kernel::Instant now)
 {
+    if (now - expired_ < ExpireEvery) {
+        return;
+    }
+    expired_ = now;
     std::erase_if(known_, [now](const auto &item) {
         const Known &known = item.second;
         return now >= known.told && now - known.started >= LongestTold;
--- a/src/forward/ColdStarts.h
+++ b/src/forward/ColdStarts.h
@@ -76,6 +76,7 @@
 
     std::unordered_map<std::uint64_t, ColdPolicy> services_; ///< By the hash of the name.
     std::unordered_map<std::uint64_t, Known> known_;         ///< By ListedServer::hash().
+    kernel::Instant expired_;                                ///< When expire() last looked.
 };
 
 } // namespace limereel::forward
--- a/src/forward/HallBook.cpp
+++ b/src/forward/HallBook.cpp
@@ -4,23 +4,9 @@
 
 namespace limereel::forward {
 
-namespace {
-
-// After this, that connecting brought nothing back is no word on the hall any more.
-constexpr kernel::Duration NoResponseKept = 10s;
-
-} // namespace
-
-bool ServerSign::quiet(kernel::Instant now) const
+void HallSigns::add(const ServerSign &sign)
 {
-    return now - noResponseAt < NoResponseKept || silent;
-}
-
-void HallSigns::add(const ServerSign &sign, kernel::Instant now)
-{
-    heard_ = std::max(heard_, sign.heard);
-    quietFor_ = std::min(quietFor_, sign.quietFor);
-    if (sign.quiet(now)) {
+    if (sign.quiet()) {
         quiet_.push_back(sign);
     }
 }
@@ -34,6 +20,19 @@
     return static_cast<std::size_t>(count);
 }
 
+kernel::Instant HallBook::heard(const std::string &hall) const
+{
+    const auto place = heard_.find(hall);
+    return place == heard_.end() ? kernel::Instant() : place->second;
+}
+
+void HallBook::putOff(const std::function<kernel::Duration(kernel::Instant since)> &standstill)
+{
+    for (auto &[hall, heard] : heard_) {
+        heard += standstill(heard);
+    }
+}
+
 bool HallBook::doubted(const HallSigns &signs) const
 {
     return signs.cutOff(policy_.silence) >= policy_.quietServers;
--- a/src/forward/HallBook.h
+++ b/src/forward/HallBook.h
@@ -28,27 +28,34 @@
 /** What is known of one server of a hall. */
 struct ServerSign
 {
-    kernel::Instant heard;        ///< Bytes last came from it.
-    kernel::Duration quietFor{};  ///< Since then, standstills of this box left out.
-    kernel::Instant noResponseAt; ///< When connecting to it last brought nothing back.
-    bool silent = false;          ///< Nothing comes from it though an answer is due.
+    kernel::Instant noResponseAt;  ///< When connecting to it last brought nothing back.
+    bool unansweredLately = false; ///< That is not long ago.
+    bool silent = false;           ///< Nothing comes from it though an answer is due.
 
     /** Whether it speaks for a cut. */
-    bool quiet(kernel::Instant now) const;
+    bool quiet() const { return unansweredLately || silent; }
 };
 
 /** What is known of all servers of a hall. */
 class HallSigns
 {
 public:
-    void add(const ServerSign &sign, kernel::Instant now);
+    /** \param heard when bytes last came from any of them.
+     * \param quietFor since then, standstills of this box left out. */
+    HallSigns(kernel::Instant heard, kernel::Duration quietFor)
+        : heard_(heard)
+        , quietFor_(quietFor)
+    {
+    }
+
+    void add(const ServerSign &sign);
 
     /** Servers that say that their hall is cut off. */
     std::size_t cutOff(kernel::Duration silence) const;
 
 private:
     kernel::Instant heard_;
-    kernel::Duration quietFor_ = kernel::Duration::max();
+    kernel::Duration quietFor_;
     std::vector<ServerSign> quiet_;
 };
 
@@ -66,6 +73,15 @@
     /** A request is about to be tried at a server of \a hall. */
     void noteAttempt(const std::string &hall, kernel::Instant now) { attempts_[hall] = now; }
 
+    /** Bytes came from a server of \a hall. */
+    void noteHeard(const std::string &hall, kernel::Instant now) { heard_[hall] = now; }
+
+    /** When bytes last came from \a hall, also from servers that are gone since. */
+    kernel::Instant heard(const std::string &hall) const;
+
+    /** Puts the time of each hall's last bytes off by what \a standstill says of it. */
+    void putOff(const std::function<kernel::Duration(kernel::Instant since)> &standstill);
+
     /** Whether the way to a hall is doubted. */
     bool doubted(const HallSigns &signs) const;
 
@@ -77,6 +93,7 @@
 private:
     HallPolicy policy_;
     std::map<std::string, kernel::Instant> attempts_; ///< The last one, by hall.
+    std::map<std::string, kernel::Instant> heard_;    ///< The last bytes, by hall.
 };
 
 } // namespace limereel::forward
--- a/src/forward/PartIndex.cpp
+++ b/src/forward/PartIndex.cpp
@@ -39,7 +39,9 @@
     }
     for (const std::uint64_t key : sharedPrefixes(prompt)) {
         std::vector<Use> &uses = prefixes_[key];
-        std::erase_if(uses, [&](const Use &use) { return use.server == server; });
+        if (std::erase_if(uses, [&](const Use &use) { return use.server == server; }) == 0) {
+            keysOf_[server].push_back(key);
+        }
         uses.insert(uses.begin(), Use{server, now});
         if (uses.size() > MostUses) {
             uses.pop_back();
@@ -89,20 +91,33 @@
 
 void PartIndex::forget(const std::string &server)
 {
-    for (auto &[key, uses] : prefixes_) {
-        std::erase_if(uses, [&](const Use &use) { return use.server == server; });
+    const auto keys = keysOf_.find(server);
+    if (keys == keysOf_.end()) {
+        return;
     }
+    for (const std::uint64_t key : keys->second) {
+        const auto uses = prefixes_.find(key);
+        if (uses != prefixes_.end()) {
+            std::erase_if(uses->second, [&](const Use &use) { return use.server == server; });
+        }
+    }
+    keysOf_.erase(keys);
 }
 
 void PartIndex::sweep(kernel::Instant now)
 {
     swept_ = now;
+    keysOf_.clear();
     for (auto &[key, uses] : prefixes_) {
         std::erase_if(uses, [&](const Use &use) { return now - use.last > remembered_; });
+        for (const Use &use : uses) {
+            keysOf_[use.server].push_back(key);
+        }
     }
     std::erase_if(prefixes_, [](const auto &item) { return item.second.empty(); });
     if (prefixes_.size() >= MostPrefixes) {
         prefixes_.clear();
+        keysOf_.clear();
     }
 }
 
--- a/src/forward/PartIndex.h
+++ b/src/forward/PartIndex.h
@@ -43,7 +43,7 @@
     std::vector<std::string> holders(const Prompt &prompt, std::size_t beyond,
                                      kernel::Instant now) const;
 
-    /** Forgets a server that is gone. */
+    /** Forgets a server that is gone, in a time that grows with what lies there alone. */
     void forget(const std::string &server);
 
     std::size_t size() const { return prefixes_.size(); }
@@ -59,6 +59,8 @@
 
     kernel::Duration remembered_;
     std::unordered_map<std::uint64_t, std::vector<Use>> prefixes_;
+    /** The prefixes by server; some may lie there no more. */
+    std::unordered_map<std::string, std::vector<std::uint64_t>> keysOf_;
     kernel::Instant swept_;
 };
 
--- /dev/null
+++ b/src/forward/ServerIndex.cpp
@@ -0,0 +1,146 @@
+#include "forward/ServerIndex.h"
+
+#include <algorithm>
+
+namespace limereel::forward {
+
+void ServerIndex::put(const ListedServer &server, kernel::Instant since)
+{
+    const auto [place, added] = records_.try_emplace(server.id);
+    ServerRecord &record = place->second;
+    if (added) {
+        record.since = since;
+    } else if (record.server == server) {
+        return;
+    } else {
+        unlink(record);
+    }
+    record.server = server;
+    record.hash = server.hash();
+    record.hall = numberOf(server.hall);
+    link(record);
+}
+
+void ServerIndex::remove(const std::string &id)
+{
+    const auto place = records_.find(id);
+    if (place == records_.end()) {
+        return;
+    }
+    unlink(place->second);
+    if (place->second.noted) {
+        std::erase(noted_, &place->second);
+    }
+    records_.erase(place);
+}
+
+ServerRecord *ServerIndex::find(const std::string &id)
+{
+    const auto place = records_.find(id);
+    return place == records_.end() ? nullptr : &place->second;
+}
+
+const ServerRecord *ServerIndex::find(const std::string &id) const
+{
+    const auto place = records_.find(id);
+    return place == records_.end() ? nullptr : &place->second;
+}
+
+const ServerRecord *ServerIndex::findShort(std::uint32_t hash) const
+{
+    const auto place = byShortHash_.find(hash);
+    return place == byShortHash_.end() ? nullptr : place->second;
+}
+
+const ServerRecord *ServerIndex::findHash(std::uint64_t hash) const
+{
+    const auto [first, last] = byShortHash_.equal_range(static_cast<std::uint32_t>(hash));
+    const auto place =
+            std::find_if(first, last, [&](const auto &item) { return item.second->hash == hash; });
+    return place == last ? nullptr : place->second;
+}
+
+const ServiceServers *ServerIndex::service(const std::string &name) const
+{
+    const auto place = services_.find(name);
+    return place == services_.end() ? nullptr : &place->second;
+}
+
+void ServerIndex::note(ServerRecord &record)
+{
+    if (!record.noted) {
+        record.noted = true;
+        noted_.push_back(&record);
+    }
+}
+
+void ServerIndex::dropUnused(kernel::Instant now)
+{
+    std::erase_if(noted_, [now](ServerRecord *record) {
+        record->noted = !record->unused(now);
+        return !record->noted;
+    });
+}
+
+void ServerIndex::beginRequest(ServerRecord &record)
+{
+    ++record.own;
+    ++services_[record.server.service].own;
+    note(record);
+}
+
+void ServerIndex::endRequest(ServerRecord &record)
+{
+    if (record.own > 0) {
+        --record.own;
+        --services_[record.server.service].own;
+    }
+}
+
+// Halls are few and don't go; their numbers are kept.
+HallNumber ServerIndex::numberOf(const std::string &hall)
+{
+    const auto place = std::ranges::find(halls_, hall);
+    const auto number = static_cast<HallNumber>(place - halls_.begin());
+    if (place == halls_.end()) {
+        halls_.push_back(hall);
+    }
+    return number;
+}
+
+void ServerIndex::link(ServerRecord &record)
+{
+    ServiceServers &service = services_[record.server.service];
+    service.own += record.own;
+    service.table.insert(record);
+    byShortHash_.emplace(static_cast<std::uint32_t>(record.hash), &record);
+    if (record.server.leaving) {
+        return;
+    }
+    if (service.byHall.size() <= record.hall) {
+        service.byHall.resize(record.hall + std::size_t{1});
+    }
+    auto &working = service.byHall[record.hall];
+    record.place = working.size();
+    working.push_back(&record);
+}
+
+void ServerIndex::unlink(ServerRecord &record)
+{
+    ServiceServers &service = services_[record.server.service];
+    service.own -= record.own;
+    service.table.erase(record);
+    const auto [first, last] = byShortHash_.equal_range(static_cast<std::uint32_t>(record.hash));
+    byShortHash_.erase(
+            std::find_if(first, last, [&](const auto &item) { return item.second == &record; }));
+    if (record.server.leaving) {
+        return;
+    }
+    // The last one takes its place.
+    auto &working = service.byHall[record.hall];
+    working[record.place] = working.back();
+    working[record.place]->place = record.place;
+    working.pop_back();
+}
+
+} // namespace limereel::forward
--- /dev/null
+++ b/src/forward/ServerIndex.h
@@ -0,0 +1,80 @@
+/** \file
+ * The records of all listed servers, found by what a choice asks for: id, hash, service and hall,
+ * and those on which something is noted. Nothing here takes notably longer on a large fleet than on
+ * a small one.
+ */
+#pragma once
+
+#include "forward/ServerOrder.h"
+#include "forward/ServerRecord.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limereel::forward {
+
+/** The servers of one service. */
+struct ServiceServers
+{
+    ServerTable table;                               ///< All of them, leaving ones included.
+    std::vector<std::vector<ServerRecord *>> byHall; ///< By hall's number; not leaving.
+    std::uint32_t own = 0; ///< Requests of this box that run at any of them.
+};
+
+/** The index of one box. */
+class ServerIndex
+{
+public:
+    ServerIndex() = default;
+    ServerIndex(const ServerIndex &) = delete;
+    ServerIndex &operator=(const ServerIndex &) = delete;
+
+    /** Takes in a server, new or changed. \param since when it was listed, if it is new. */
+    void put(const ListedServer &server, kernel::Instant since);
+    void remove(const std::string &id);
+
+    const std::map<std::string, ServerRecord> &all() const { return records_; }
+    ServerRecord *find(const std::string &id);
+    const ServerRecord *find(const std::string &id) const;
+
+    /** The server whose hash has these last 32 bits; nullptr if there is none. */
+    const ServerRecord *findShort(std::uint32_t hash) const;
+
+    /** The server with this hash; nullptr if there is none. */
+    const ServerRecord *findHash(std::uint64_t hash) const;
+
+    /** The servers of a service; nullptr if none was ever listed. */
+    const ServiceServers *service(const std::string &name) const;
+
+    /** The names of the halls, by their numbers. */
+    const std::vector<std::string> &halls() const { return halls_; }
+
+    /** Something stands on \a record from now on. */
+    void note(ServerRecord &record);
+
+    /** The servers on which something may stand. */
+    std::span<ServerRecord *const> noted() const { return noted_; }
+
+    /** Takes those from among the noted ones on which nothing stands any more. */
+    void dropUnused(kernel::Instant now);
+
+    /** A request of this box begins or ends at \a record. */
+    void beginRequest(ServerRecord &record);
+    void endRequest(ServerRecord &record);
+
+private:
+    HallNumber numberOf(const std::string &hall);
+    void link(ServerRecord &record);
+    void unlink(ServerRecord &record);
+
+    std::map<std::string, ServerRecord> records_;
+    std::unordered_multimap<std::uint32_t, ServerRecord *> byShortHash_;
+    std::map<std::string, ServiceServers> services_;
+    std::vector<std::string> halls_;
+    std::vector<ServerRecord *> noted_;
+};
+
+} // namespace limereel::forward
--- /dev/null
+++ b/src/forward/UsableServers.cpp
@@ -0,0 +1,154 @@
+#include "forward/UsableServers.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace limereel::forward {
+
+namespace {
+
+// Beyond the mean of its service by this much, a server's share of failed answers counts as its
+// own.
+constexpr double ErrorsBeyondMean = 0.22;
+
+bool in(const HallSet &halls, HallNumber hall)
+{
+    return hall < halls.size() && halls[hall];
+}
+
+} // namespace
+
+UsableServers::UsableServers(const ServerView &view, const Wish &wish)
+    : view_(view)
+    , wish_(wish)
+    , service_(view.index.service(wish.service))
+{
+    if (service_ == nullptr) {
+        return;
+    }
+    exclude(wish.tried);
+    exclude(wish.barred);
+    std::ranges::sort(excluded_);
+    excluded_.erase(std::unique(excluded_.begin(), excluded_.end()), excluded_.end());
+    countUnused();
+    sortNoted();
+}
+
+bool UsableServers::contains(const ServerRecord &record) const
+{
+    return mayTake(record) && !excluded(record) && sortOf(record) >= least_;
+}
+
+double UsableServers::meanLoad() const
+{
+    double sum = 0;
+    for (const ServerRecord *record : noted_) {
+        sum += record->load(view_.now);
+    }
+    return sum / static_cast<double>(size());
+}
+
+const ServerRecord *UsableServers::pickUnused(std::size_t number, std::mt19937_64 &random) const
+{
+    for (HallNumber hall = 0; hall < perHall_.size(); ++hall) {
+        if (number < perHall_[hall]) {
+            return pickUnusedIn(hall, random);
+        }
+        number -= perHall_[hall];
+    }
+    return nullptr;
+}
+
+const ServerRecord *UsableServers::pickUnusedIn(HallNumber hall, std::mt19937_64 &random) const
+{
+    // Few are noted or excluded, so this ends soon after it has begun.
+    const auto &servers = service_->byHall[hall];
+    const std::size_t first = random() % servers.size();
+    for (std::size_t step = 0; step < servers.size(); ++step) {
+        const ServerRecord *record = servers[(first + step) % servers.size()];
+        if (!record->noted && !excluded(*record)) {
+            return record;
+        }
+    }
+    return nullptr;
+}
+
+bool UsableServers::mayTake(const ServerRecord &record) const
+{
+    return record.server.service == wish_.service && !record.server.leaving
+           && in(view_.open, record.hall);
+}
+
+bool UsableServers::excluded(const ServerRecord &record) const
+{
+    return std::ranges::binary_search(excluded_, &record);
+}
+
+UsableServers::Sort UsableServers::sortOf(const ServerRecord &record) const
+{
+    if (in(view_.closed, record.hall)
+        || (record.noted && view_.health.doubted(record, view_.now))) {
+        return Sort::Doubted;
+    }
+    const bool poor =
+            record.noted
+            && (record.errorShare(view_.now) >= mostErrors_ || view_.now < record.fullUntil);
+    return poor ? Sort::Fair : Sort::Good;
+}
+
+void UsableServers::exclude(const std::vector<std::string> &ids)
+{
+    for (const std::string &id : ids) {
+        if (const ServerRecord *record = view_.index.find(id)) {
+            excluded_.push_back(record);
+        }
+    }
+}
+
+void UsableServers::countUnused()
+{
+    for (HallNumber hall = 0; hall < service_->byHall.size(); ++hall) {
+        perHall_.push_back(in(view_.open, hall) ? service_->byHall[hall].size() : 0);
+    }
+    for (const ServerRecord *record : excluded_) {
+        if (mayTake(*record) && !record->noted) {
+            --perHall_[record->hall];
+        }
+    }
+    for (const ServerRecord *record : view_.index.noted()) {
+        if (mayTake(*record)) {
+            --perHall_[record->hall];
+        }
+    }
+}
+
+// The mean share of failed answers is taken over all that may have the request.
+void UsableServers::sortNoted()
+{
+    double errorSum = 0;
+    for (const ServerRecord *record : view_.index.noted()) {
+        if (mayTake(*record) && !excluded(*record)) {
+            noted_.push_back(record);
+            errorSum += record->errorShare(view_.now);
+        }
+    }
+    const std::size_t all = std::accumulate(perHall_.begin(), perHall_.end(), noted_.size());
+    mostErrors_ = (all == 0 ? 0 : errorSum / static_cast<double>(all)) + ErrorsBeyondMean;
+    std::size_t reachable = 0;
+    for (HallNumber hall = 0; hall < perHall_.size(); ++hall) {
+        reachable += in(view_.closed, hall) ? 0 : perHall_[hall];
+    }
+    least_ = reachable > 0 ? Sort::Good : Sort::Doubted;
+    for (const ServerRecord *record : noted_) {
+        least_ = std::max(least_, sortOf(*record));
+    }
+    std::erase_if(noted_, [this](const auto *record) { return sortOf(*record) < least_; });
+    for (HallNumber hall = 0; hall < perHall_.size(); ++hall) {
+        if (least_ > Sort::Doubted && in(view_.closed, hall)) {
+            perHall_[hall] = 0;
+        }
+    }
+    unused_ = std::accumulate(perHall_.begin(), perHall_.end(), std::size_t{0});
+}
+
+} // namespace limereel::forward
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -252,12 +252,11 @@
         return;
     }
     const kernel::Instant now = run_.context.now();
-    for (const std::string &other : run_.world.servers().ids()) {
-        const auto server = run_.world.servers().find(other);
-        if (run_.world.coldStarts().state(*server, now).cold()) {
-            wish.barred.push_back(other);
+    run_.world.servers().forEach([&](const forward::ListedServer &server) {
+        if (run_.world.coldStarts().state(server, now).cold()) {
+            wish.barred.push_back(server.id);
         }
-    }
+    });
 }
 
 // The server is chosen: what the owners said of the prompt's parts decides where it takes them
--- a/src/membership/Rendezvous.cpp
+++ b/src/membership/Rendezvous.cpp
@@ -6,19 +6,6 @@
 
 namespace {
 
-// A full 64-bit finalizer (the constants of MurmurHash3's fmix64, public domain): both inputs are
-// hashes already, and this runs for each engine of a hall on each request.
-std::uint64_t weight(std::uint64_t key, std::uint64_t member)
-{
-    std::uint64_t mixed = key ^ (member * 0x9e3779b97f4a7c15ULL);
-    mixed ^= mixed >> 33U;
-    mixed *= 0xff51afd7ed558ccdULL;
-    mixed ^= mixed >> 33U;
-    mixed *= 0xc4ceb9fe1a85ec53ULL;
-    mixed ^= mixed >> 33U;
-    return mixed;
-}
-
 struct Ranked
 {
     std::uint64_t weight;
@@ -43,7 +30,7 @@
     std::vector<Ranked> best;
     best.reserve(count + 1);
     for (std::size_t position = 0; position < members.size(); ++position) {
-        const Ranked entry{weight(key, members[position]), members[position], position};
+        const Ranked entry{rendezvousWeight(key, members[position]), members[position], position};
         if (best.size() == count && (count == 0 || !better(entry, best.back()))) {
             continue;
         }
--- a/src/membership/Rendezvous.h
+++ b/src/membership/Rendezvous.h
@@ -14,6 +14,22 @@
 
 namespace limereel::membership {
 
+/**
+ * The weight of \a member for \a key: the member with the highest comes first. A full 64-bit
+ * finalizer (the constants of MurmurHash3's fmix64, public domain): both inputs are hashes already,
+ * and this runs for each server of a service on each request.
+ */
+inline std::uint64_t rendezvousWeight(std::uint64_t key, std::uint64_t member)
+{
+    std::uint64_t mixed = key ^ (member * 0x9e3779b97f4a7c15ULL);
+    mixed ^= mixed >> 33U;
+    mixed *= 0xff51afd7ed558ccdULL;
+    mixed ^= mixed >> 33U;
+    mixed *= 0xc4ceb9fe1a85ec53ULL;
+    mixed ^= mixed >> 33U;
+    return mixed;
+}
+
 /** Positions in \a members of the \a count best for \a key, best first. Ties fall to the lower
  * hash. */
 std::vector<std::size_t> rendezvousOrder(std::uint64_t key, std::span<const std::uint64_t> members,
--- /dev/null
+++ b/test/correctness/ServerChoiceTest.cpp
@@ -0,0 +1,453 @@
+// The choice among many backend servers against the rule written plainly, which walks over all of
+// them: seeded histories of listings, requests, failures and silences.
+
+#include "forward/ServerBook.h"
+#include "kernel/decisions/Name.h"
+#include "membership/Rendezvous.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace limereel;
+using namespace limereel::forward;
+
+namespace {
+
+kernel::Instant at(kernel::Duration since)
+{
+    return kernel::Instant(1000s) + since;
+}
+
+/** What the plain rule knows of a server. */
+struct PlainServer
+{
+    ListedServer listed;
+    std::uint32_t own = 0;
+    double others = 0;
+    kernel::Instant othersAt;
+    std::uint32_t failuresInARow = 0;
+    kernel::Instant doubtedUntil;
+    kernel::Instant fullUntil;
+    double errors = 0;
+    kernel::Instant errorsAt;
+    kernel::Instant lastHeard;
+    kernel::Instant noResponseAt;
+    kernel::Instant dueSince;
+};
+
+double faded(double value, kernel::Duration age, double halfLife)
+{
+    const double left = value * std::exp2(-kernel::seconds(age) / halfLife);
+    return left < 0.01 ? 0 : left;
+}
+
+/** The rule, by walks over all servers. Without standstills and holders of parts. */
+class PlainBook
+{
+public:
+    explicit PlainBook(BookPolicy policy)
+        : policy_(std::move(policy))
+    {
+    }
+
+    double load(const PlainServer &server, kernel::Instant now) const
+    {
+        return server.own + faded(server.others, now - server.othersAt, 1.5);
+    }
+
+    double errors(const PlainServer &server, kernel::Instant now) const
+    {
+        return faded(server.errors, now - server.errorsAt, 4);
+    }
+
+    bool silent(const PlainServer &server, kernel::Instant now) const
+    {
+        const auto since = std::max(server.lastHeard, server.dueSince);
+        const auto most = server.listed.engine ? policy_.engineSilence : policy_.silence;
+        return server.own > 0 && now - since > most;
+    }
+
+    bool doubted(const PlainServer &server, kernel::Instant now) const
+    {
+        return now < server.doubtedUntil || (server.failuresInARow > 0 && server.own > 0)
+               || silent(server, now);
+    }
+
+    /** Whether so many servers of the hall say nothing that the way to it is doubted. */
+    bool hallDoubted(const std::string &hall, kernel::Instant now) const
+    {
+        const kernel::Instant heard = heard_.contains(hall) ? heard_.at(hall) : kernel::Instant();
+        std::size_t quiet = 0;
+        for (const auto &[id, server] : servers) {
+            const bool unanswered = now - server.noResponseAt < 10s && server.noResponseAt > heard;
+            const bool nothing = now - heard > policy_.silence && silent(server, now);
+            quiet += server.listed.hall == hall && (unanswered || nothing) ? 1 : 0;
+        }
+        return quiet >= policy_.quietServers;
+    }
+
+    bool hallClosed(const std::string &hall, kernel::Instant now) const
+    {
+        const auto last = attempts.find(hall);
+        return last != attempts.end() && now - last->second < policy_.hallTrial
+               && hallDoubted(hall, now);
+    }
+
+    std::vector<const PlainServer *> usable(const Wish &wish, kernel::Instant now) const
+    {
+        std::vector<const PlainServer *> listed;
+        double errorSum = 0;
+        for (const auto &[id, server] : servers) {
+            const bool tried = std::ranges::find(wish.tried, id) != wish.tried.end();
+            if (server.listed.service == wish.service && !server.listed.leaving && !tried
+                && !drained.contains(server.listed.hall)) {
+                listed.push_back(&server);
+                errorSum += errors(server, now);
+            }
+        }
+        const double mean = listed.empty() ? 0 : errorSum / static_cast<double>(listed.size());
+        std::vector<const PlainServer *> good;
+        std::vector<const PlainServer *> fair;
+        for (const PlainServer *server : listed) {
+            if (doubted(*server, now) || hallClosed(server->listed.hall, now)) {
+                continue;
+            }
+            fair.push_back(server);
+            if (errors(*server, now) < mean + 0.22 && now >= server->fullUntil) {
+                good.push_back(server);
+            }
+        }
+        return !good.empty() ? good : !fair.empty() ? fair : listed;
+    }
+
+    double cost(const PlainServer &server, kernel::Instant now) const
+    {
+        return load(server, now) / std::max<std::uint32_t>(1, server.listed.slots)
+               + errors(server, now) + (server.listed.hall == policy_.hall ? 0 : 0.25);
+    }
+
+    /** The id of the server for a prompt; empty if there is none. */
+    std::string forPrompt(const Wish &wish, kernel::Instant now) const
+    {
+        const auto entries = usable(wish, now);
+        double sum = 0;
+        std::vector<std::uint64_t> hashes;
+        for (const PlainServer *server : entries) {
+            sum += load(*server, now);
+            hashes.push_back(server->listed.hash());
+        }
+        const double bound = 2 * sum / static_cast<double>(entries.size()) * 0.85 + 3;
+        const std::uint64_t key = sharedPartsKey(*wish.prompt);
+        for (const std::size_t position :
+             membership::rendezvousOrder(key, hashes, entries.size())) {
+            if (load(*entries[position], now) <= bound) {
+                return entries[position]->listed.id;
+            }
+        }
+        return {};
+    }
+
+    void noteFailure(PlainServer &server, Failure failure, kernel::Instant now)
+    {
+        if (failure == Failure::Full) {
+            server.fullUntil = now + 150ms;
+            return;
+        }
+        server.noResponseAt = failure == Failure::NoResponse ? now : server.noResponseAt;
+        server.errors = errors(server, now) * 0.88 + 0.12;
+        server.errorsAt = now;
+        if (failure != Failure::Error && failure != Failure::Lost) {
+            const std::uint32_t doublings = std::min(server.failuresInARow++, 8U);
+            server.doubtedUntil =
+                    now + std::min<kernel::Duration>(policy_.firstDoubt * (1U << doublings), 4s);
+        }
+    }
+
+    void noteSuccess(PlainServer &server, kernel::Instant now)
+    {
+        server.failuresInARow = 0;
+        server.doubtedUntil = now;
+        server.errors = errors(server, now) * 0.88;
+        server.errorsAt = now;
+    }
+
+    void noteHeard(PlainServer &server, kernel::Instant now)
+    {
+        server.lastHeard = now;
+        heard_[server.listed.hall] = now;
+    }
+
+    std::map<std::string, PlainServer> servers;
+    std::map<std::string, kernel::Instant> attempts;
+    std::set<std::string> drained;
+
+private:
+    BookPolicy policy_;
+    std::map<std::string, kernel::Instant> heard_;
+};
+
+/** One history, played on both books. */
+class History
+{
+public:
+    explicit History(std::uint64_t seed)
+        : random_(seed)
+    {
+    }
+
+    void play()
+    {
+        const std::size_t servers = 5 + random_() % 60;
+        for (std::size_t count = 0; count < servers; ++count) {
+            list(std::to_string(count));
+        }
+        for (int step = 0; step < 300; ++step) {
+            now_ += std::chrono::milliseconds(random_() % 60);
+            change();
+            book_.noteAwake(now_);
+            compare();
+        }
+    }
+
+private:
+    void list(const std::string &id)
+    {
+        ListedServer made;
+        made.id = id;
+        made.service = random_() % 4 == 0 ? "plain" : "pool";
+        made.engine = made.service == "pool";
+        made.hall = std::string(1, static_cast<char>('a' + random_() % 3));
+        made.slots = made.engine ? 64 : 6;
+        made.leaving = random_() % 10 == 0;
+        book_.put(made, now_);
+        plain_.servers[id].listed = made;
+    }
+
+    PlainServer &any()
+    {
+        auto place = plain_.servers.begin();
+        std::advance(place, static_cast<std::ptrdiff_t>(random_() % plain_.servers.size()));
+        return place->second;
+    }
+
+    void change()
+    {
+        PlainServer &server = any();
+        const std::string id = server.listed.id;
+        switch (random_() % 12) {
+        case 0:
+            list(random_() % 2 == 0 ? id : "new-" + std::to_string(random_() % 20));
+            break;
+        case 1:
+            if (plain_.servers.size() > 3) {
+                book_.remove(id);
+                plain_.servers.erase(id);
+            }
+            break;
+        case 2:
+            plain_.drained =
+                    random_() % 4 == 0 ? std::set<std::string>{"b"} : std::set<std::string>();
+            book_.setDrainedHalls(plain_.drained);
+            break;
+        case 3:
+        case 4:
+            server.dueSince = server.own == 0 ? now_ : server.dueSince;
+            ++server.own;
+            book_.begin(id, nullptr, now_);
+            break;
+        case 5:
+            server.own -= server.own > 0 ? 1 : 0;
+            book_.end(id);
+            break;
+        case 6:
+            server.others = static_cast<double>(random_() % 20);
+            server.othersAt = now_;
+            book_.setOthers(id, server.others, now_);
+            break;
+        case 7:
+            plain_.attempts[server.listed.hall] = now_;
+            book_.noteAttempt(id, now_);
+            break;
+        case 8:
+            plain_.noteHeard(server, now_);
+            book_.noteHeard(id, now_);
+            break;
+        case 9:
+            plain_.noteSuccess(server, now_);
+            book_.noteSuccess(id, now_);
+            break;
+        default:
+            const auto failure = static_cast<Failure>(random_() % 6);
+            plain_.noteFailure(server, failure, now_);
+            book_.noteFailure(id, failure, now_);
+        }
+    }
+
+    void compare()
+    {
+        Prompt prompt;
+        prompt.model = "m";
+        prompt.parts = {{random_() % 50, 100}, {7, 10}};
+        Wish wish;
+        wish.service = "pool";
+        wish.prompt = &prompt;
+        if (random_() % 3 == 0) {
+            wish.tried = {any().listed.id, any().listed.id};
+        }
+        const auto engines = plain_.usable(wish, now_);
+        const auto engine = book_.choose(wish, now_, random_);
+        BOOST_REQUIRE(engine.has_value() == !engines.empty());
+        if (engine && engine->server.id != plain_.forPrompt(wish, now_)) {
+            // All are over the bound: the least loaded one.
+            BOOST_REQUIRE(plain_.forPrompt(wish, now_).empty());
+        }
+        wish.service = "plain";
+        wish.prompt = nullptr;
+        comparePlain(wish);
+        BOOST_REQUIRE(book_.ownLoad("pool") + book_.ownLoad("plain") == ownLoad());
+        const PlainServer &one = any();
+        BOOST_REQUIRE(book_.doubted(one.listed.id, now_) == plain_.doubted(one, now_));
+    }
+
+    void comparePlain(const Wish &wish)
+    {
+        const auto usable = plain_.usable(wish, now_);
+        const auto choice = book_.choose(wish, now_, random_);
+        BOOST_REQUIRE(choice.has_value() == !usable.empty());
+        if (!choice) {
+            return;
+        }
+        const PlainServer &chosen = plain_.servers.at(choice->server.id);
+        BOOST_REQUIRE(std::ranges::find(usable, &chosen) != usable.end());
+        for (const PlainServer *other : usable) {
+            BOOST_REQUIRE(plain_.cost(chosen, now_) <= plain_.cost(*other, now_) + 1e-9);
+        }
+    }
+
+    std::uint32_t ownLoad() const
+    {
+        std::uint32_t sum = 0;
+        for (const auto &[id, server] : plain_.servers) {
+            sum += server.own;
+        }
+        return sum;
+    }
+
+    std::mt19937_64 random_;
+    kernel::Instant now_ = at(0s);
+    BookPolicy policy_{.hall = "a"};
+    ServerBook book_{policy_};
+    PlainBook plain_{policy_};
+};
+
+/** A table of servers with random hashes. */
+class Table
+{
+public:
+    explicit Table(std::size_t servers)
+        : records(servers)
+    {
+        std::mt19937_64 random(3);
+        for (ServerRecord &record : records) {
+            record.hash = random();
+            hashes.push_back(record.hash);
+            table.insert(record);
+        }
+    }
+
+    std::vector<ServerRecord> records;
+    std::vector<std::uint64_t> hashes;
+    ServerTable table;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerChoiceTest)
+
+BOOST_AUTO_TEST_CASE(choose_seededHistories_isWhatWalkingOverAllFinds)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            History(seed).play();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ServerOrderTest)
+
+BOOST_AUTO_TEST_CASE(next_allServers_isTheRendezvousOrder)
+{
+    for (const std::size_t servers : {0U, 1U, 15U, 16U, 17U, 700U}) {
+        const Table all(servers);
+        for (std::uint64_t key = 1; key < 20; ++key) {
+            CandidateOrder order(all.table, key, [](const ServerRecord &) { return true; });
+            for (const std::size_t row : membership::rendezvousOrder(key, all.hashes, servers)) {
+                BOOST_REQUIRE(order.next() == &all.records[row]);
+            }
+            BOOST_REQUIRE(order.next() == nullptr);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(next_someServersAreWanted_theOthersAreLeftOut)
+{
+    const Table all(500);
+    const auto odd = [](const ServerRecord &record) { return record.hash % 2 == 1; };
+    for (std::uint64_t key = 1; key < 20; ++key) {
+        CandidateOrder order(all.table, key, odd);
+        for (const std::size_t row : membership::rendezvousOrder(key, all.hashes, 500)) {
+            if (odd(all.records[row])) {
+                BOOST_REQUIRE(order.next() == &all.records[row]);
+            }
+        }
+        BOOST_REQUIRE(order.next() == nullptr);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(next_serversComeAndGo_isTheOrderOfThoseThatAreThere)
+{
+    Table all(100);
+    std::mt19937_64 random(4);
+    std::set<std::size_t> out;
+    for (int change = 0; change < 300; ++change) {
+        const std::size_t row = random() % all.records.size();
+        if (out.erase(row) > 0) {
+            all.table.insert(all.records[row]);
+        } else if (out.insert(row).second) {
+            all.table.erase(all.records[row]);
+        }
+        const std::uint64_t key = random() % 3;
+        CandidateOrder order(all.table, key, [](const ServerRecord &) { return true; });
+        for (const std::size_t there : membership::rendezvousOrder(key, all.hashes, 100)) {
+            if (!out.contains(there)) {
+                BOOST_REQUIRE(order.next() == &all.records[there]);
+            }
+        }
+        BOOST_REQUIRE(order.next() == nullptr);
+    }
+}
+
+// A request among ten thousand servers once looked at each of them several times. What is asked of
+// a server is asked of those at the front of the order only.
+BOOST_AUTO_TEST_CASE(next_tenThousandServers_asksOneOfThem)
+{
+    const Table all(10000);
+    std::size_t asked = 0;
+    for (std::uint64_t key = 1; key <= 100; ++key) {
+        CandidateOrder order(all.table, key, [&asked](const ServerRecord &) {
+            ++asked;
+            return true;
+        });
+        order.next();
+    }
+    BOOST_TEST(asked == 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/performance/Bench.cpp
+++ b/test/performance/Bench.cpp
@@ -2,6 +2,7 @@
 
 #include "config/Effective.h"
 #include "config/TreeJson.h"
+#include "forward/ServerBook.h"
 #include "membership/HeartbeatTable.h"
 #include "membership/Rendezvous.h"
 #include "peer/Envelope.h"
@@ -255,6 +256,68 @@
     std::uint64_t dead_ = 0;
 };
 
+forward::ListedServer serverNumber(std::size_t number)
+{
+    forward::ListedServer server;
+    server.id = "server-" + std::to_string(number);
+    // As in the largest fleet known: 3 of 100 servers are no engines.
+    server.engine = number % 33 != 0;
+    server.service = server.engine ? "engines" : "plain";
+    server.hall = "hall-" + std::to_string(number % 5);
+    server.address = {"10.0.0.1", 80};
+    server.slots = server.engine ? 64 : 6;
+    return server;
+}
+
+// A box that has sent single requests to a hundred servers lately, as it is left with when its
+// fleet is large.
+void timeServerChoices(Report &report)
+{
+    constexpr std::size_t UsedLately = 100;
+    report.section("choice of a backend server, and what each takes");
+    for (const std::size_t servers : {100U, 1000U, 10000U, 30000U}) {
+        const std::size_t before = heapBytes();
+        forward::ServerBook book{forward::BookPolicy{.hall = "hall-0"}};
+        for (std::size_t number = 0; number < servers; ++number) {
+            book.put(serverNumber(number));
+        }
+        const double bytes = static_cast<double>(heapBytes() - before);
+        const kernel::Instant now(1000s);
+        for (std::size_t number = 0; number < UsedLately; ++number) {
+            book.setOthers("server-" + std::to_string(number * 7 % servers), 1, now);
+        }
+        std::mt19937_64 random(1);
+        forward::Prompt prompt;
+        prompt.model = "m";
+        forward::Wish wish;
+        wish.service = "engines";
+        wish.prompt = &prompt;
+        wish.takeParts = true;
+        const int calls = servers > 1000 ? 200 : 2000;
+        const double engine = nanoseconds(
+                [&](std::uint64_t number) {
+                    prompt.parts = {{number, 100}, {number + 1, 10}};
+                    book.choose(wish, now, random);
+                },
+                calls);
+        wish.service = "plain";
+        wish.prompt = nullptr;
+        const double plain =
+                nanoseconds([&](std::uint64_t) { book.choose(wish, now, random); }, calls);
+        const double change = nanoseconds(
+                [&](std::uint64_t number) {
+                    book.remove("server-" + std::to_string(number % servers));
+                    book.put(serverNumber(number % servers));
+                },
+                calls);
+        report.row(std::to_string(servers) + " servers",
+                   {{"engine_us", engine / 1000},
+                    {"plain_us", plain / 1000},
+                    {"replaced_us", change / 1000},
+                    {"bytes_a_server", bytes / static_cast<double>(servers)}});
+    }
+}
+
 void countBytes(Report &report, std::uint64_t seed)
 {
     report.section("bytes on the wire, headers and authentication included");
@@ -483,7 +546,7 @@
     CLI::App app("limereel-bench: figures, no verdicts");
     app.add_flag("--json", options.asJson);
     app.add_option("--seed", options.seed);
-    app.add_option("--only", options.only, "decisions, bytes, memory, codecs or policies");
+    app.add_option("--only", options.only, "decisions, servers, bytes, memory, codecs or policies");
     app.add_option("--plots", options.plots, "Folder for SVG files");
     CLI11_PARSE(app, argc, argv);
     Report report(options.asJson);
@@ -493,6 +556,9 @@
     if (wanted("decisions")) {
         timeDecisions(report);
     }
+    if (wanted("servers")) {
+        timeServerChoices(report);
+    }
     if (wanted("codecs")) {
         timeCodecs(report);
     }
