--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -418,7 +418,7 @@
 BOOST_FIXTURE_TEST_CASE(list_pageComesSlowly_isWaitedForWhileBytesCome, HeldFeed)
 {
     until([this] { return store.asked(); });
-    constexpr int Parts = 30;
+    constexpr int Parts = 60;
     const std::string answer =
             wholeAnswer("200 OK", "", std::string(Parts, ' ') + listOf(nlohmann::json::array()));
     const std::size_t headEnd = answer.find("\r\n\r\n") + 4;
@@ -426,7 +426,7 @@
     store.send(answer.substr(0, headEnd));
     const Clock::time_point begun = Clock::now();
     while (!listed && !feed->lastFailure()) {
-        // A byte each tenth of the wait, for three times as long.
+        // A byte each tenth of the wait, for six times as long: unread bytes alone are waited for twice that.
         if (Clock::now() >= begun + (sent - headEnd) * Answer / 10 && sent < headEnd + Parts) {
             store.sendIfOpen(answer.substr(sent++, 1));
         } else if (sent == headEnd + Parts) {
