Heartbeats: a fleet of any size knows itself within some periods of its start

Cause: one who lacks states was sent 24 of them, whatever he lacked: a start took n / 48 periods, 26 with 1,000 boxes and 70 with 3,000 (seeded model), in which each box names other owners. Change: as many states as an eighth of the boxes that are known, in datagrams of 24.

Cause 2: suspicion grows with ln n and was capped by the fixed time of death, 14 periods, which it reaches at 1,000 boxes: what was suspected was dead at once, and from 1,100 on suspicion came too soon. Change: death two periods after suspicion, as at 295 boxes now. Tests (MembershipTest): the start of 1,000 boxes, suspicion before death among 3,000, introductions in datagrams; the first failed before (doubts until period 26).

--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -53,9 +53,10 @@
     }
     // A box that is neither listed nor heard of is forgotten; the list lags, so a heard one stays.
     const std::set<std::uint64_t> all(boxes.begin(), boxes.end());
+    const Duration dead = deadAfter();
     std::erase_if(peers_, [&](const auto &entry) {
         const bool listed = all.contains(entry.first);
-        return !listed && silence(entry.second, now) > policy_.deadAfter;
+        return !listed && silence(entry.second, now) > dead;
     });
 }
 
@@ -67,16 +68,17 @@
     for (const BoxState &state : states) {
         news += takeState(state, now) ? 1 : 0;
     }
+    const Duration dead = deadAfter();
     if (!states.empty() && states.front().box != self_.box) {
         Peer &sender = peer(states.front().box, now);
         sender.unreachable = false;
-        takeSign(sender, now, now);
+        takeSign(sender, now, dead, now);
     }
     const std::vector<BoxAge> told = inOrder(ages);
     for (auto &[box, entry] : peers_) {
         const BoxAge *const age = ageOf(told, box);
         if (age != nullptr && age->age < MostAge) {
-            takeSign(entry, now - policy_.period * age->age / QuartersPerPeriod, now);
+            takeSign(entry, now - policy_.period * age->age / QuartersPerPeriod, dead, now);
         }
     }
     return news;
@@ -110,11 +112,27 @@
         return {};
     }
     std::ranges::shuffle(missing, random);
-    missing.resize(std::min(missing.size(), policy_.introducedAtOnce));
+    const std::size_t most =
+            std::max(policy_.introducedAtOnce, peers_.size() / policy_.introducedPart);
+    missing.resize(std::min(missing.size(), most));
     missing.insert(missing.begin(), self_);
     return missing;
 }
 
+std::vector<std::vector<BoxState>>
+HeartbeatTable::inMessages(const std::vector<BoxState> &introduction) const
+{
+    std::vector<std::vector<BoxState>> messages;
+    for (std::size_t first = 1; first < introduction.size(); first += policy_.introducedAtOnce) {
+        const std::size_t last = std::min(first + policy_.introducedAtOnce, introduction.size());
+        std::vector<BoxState> &message = messages.emplace_back();
+        message.push_back(introduction.front());
+        message.insert(message.end(), introduction.begin() + static_cast<std::ptrdiff_t>(first),
+                       introduction.begin() + static_cast<std::ptrdiff_t>(last));
+    }
+    return messages;
+}
+
 void HeartbeatTable::noteUnreachable(std::uint64_t box, Instant now)
 {
     if (box != self_.box) {
@@ -141,19 +159,19 @@
         return Liveness::Live;
     }
     const auto found = peers_.find(box);
-    return found == peers_.end() ? Liveness::Dead : liveness(found->second, suspectAfter(), now);
+    return found == peers_.end() ? Liveness::Dead : liveness(found->second, bounds(), now);
 }
 
-Liveness HeartbeatTable::liveness(const Peer &entry, Duration suspected, Instant now) const
+Liveness HeartbeatTable::liveness(const Peer &entry, const Bounds &bounds, Instant now) const
 {
     if (!entry.heard) {
         return Liveness::Dead;
     }
     const Duration silent = silence(entry, now);
-    if (silent > policy_.deadAfter) {
+    if (silent > bounds.dead) {
         return Liveness::Dead;
     }
-    if (entry.unreachable || silent > suspected) {
+    if (entry.unreachable || silent > bounds.suspected) {
         return Liveness::Suspected;
     }
     return now < entry.dampedUntil ? Liveness::Damped : Liveness::Live;
@@ -167,17 +185,25 @@
     constexpr double PeriodsPerLogarithm = 2;
     const double boxes = static_cast<double>(peers_.size() + 1);
     const auto needed = static_cast<std::int64_t>(std::ceil(PeriodsPerLogarithm * std::log(boxes)));
-    const Duration forSize = std::min<Duration>(policy_.period * needed, policy_.deadAfter);
-    return std::max<Duration>(policy_.suspectAfter, forSize);
+    return std::max<Duration>(policy_.suspectAfter, policy_.period * needed);
+}
+
+// A suspected box has two periods to be heard of, however late suspicion comes: with one bound for
+// all sizes, what was suspected among 1,000 boxes was dead at once.
+Duration HeartbeatTable::deadAfter() const
+{
+    constexpr std::int64_t PeriodsSuspected = 2;
+    return std::max<Duration>(policy_.deadAfter,
+                              suspectAfter() + policy_.period * PeriodsSuspected);
 }
 
 std::vector<std::uint64_t> HeartbeatTable::owners(Instant now) const
 {
     std::vector<std::uint64_t> result;
     result.reserve(peers_.size() + 1);
-    const Duration suspected = suspectAfter();
+    const Bounds all = bounds();
     for (const auto &[box, entry] : peers_) {
-        if (!entry.state.leaving && liveness(entry, suspected, now) == Liveness::Live) {
+        if (!entry.state.leaving && liveness(entry, all, now) == Liveness::Live) {
             result.push_back(box);
         }
     }
@@ -190,9 +216,9 @@
 std::vector<BoxState> HeartbeatTable::liveStates(Instant now) const
 {
     std::vector<BoxState> result = {self_};
-    const Duration suspected = suspectAfter();
+    const Bounds all = bounds();
     for (const auto &[box, entry] : peers_) {
-        if (liveness(entry, suspected, now) != Liveness::Dead) {
+        if (liveness(entry, all, now) != Liveness::Dead) {
             result.push_back(entry.state);
         }
     }
@@ -263,14 +289,14 @@
     return true;
 }
 
-void HeartbeatTable::takeSign(Peer &entry, Instant sign, Instant now) const
+void HeartbeatTable::takeSign(Peer &entry, Instant sign, Duration dead, Instant now) const
 {
     if (sign <= entry.lastSign) {
         return;
     }
     // A sign that is itself too old to count doesn't bring anybody back.
-    const bool wasDead = silence(entry, now) > policy_.deadAfter;
-    if (wasDead && now - sign <= policy_.deadAfter) {
+    const bool wasDead = silence(entry, now) > dead;
+    if (wasDead && now - sign <= dead) {
         noteReturn(entry, now);
     }
     entry.lastSign = sign;
@@ -297,14 +323,14 @@
 
 void HeartbeatTable::countDeaths(Instant now)
 {
+    const Duration dead = deadAfter();
     for (auto &[box, entry] : peers_) {
         const Duration silent = silence(entry, now);
-        if (entry.heard && !entry.deathCounted && silent > policy_.deadAfter) {
+        if (entry.heard && !entry.deathCounted && silent > dead) {
             ++entry.deaths;
             entry.deathCounted = true;
         }
-        if (entry.deaths > 0 && silent <= policy_.deadAfter
-            && now > entry.returned + policy_.forgetAfter) {
+        if (entry.deaths > 0 && silent <= dead && now > entry.returned + policy_.forgetAfter) {
             entry.deaths = 0;
         }
     }
@@ -386,9 +412,10 @@
 {
     std::vector<BoxAge> result;
     const Duration quarter = policy_.period / QuartersPerPeriod;
+    const Duration dead = deadAfter();
     for (const auto &[box, entry] : peers_) {
         const Duration silent = now - entry.lastSign;
-        if (entry.heard && silent <= policy_.deadAfter) {
+        if (entry.heard && silent <= dead) {
             const auto quarters = (silent + quarter - Duration(1)) / quarter;
             result.push_back({shortHash(box), static_cast<std::uint8_t>(
                                                       std::min<std::int64_t>(quarters, MostAge))});
--- a/src/membership/HeartbeatTable.h
+++ b/src/membership/HeartbeatTable.h
@@ -46,10 +46,16 @@
     std::size_t passOnTimes = 4;      ///< How often one state is passed on.
     std::uint64_t refreshEvery = 10; ///< Periods after which an unchanged state is told again; with
                                      ///< more boxes than that, as many periods as boxes.
-    std::size_t introducedAtOnce = 24;  ///< States that are sent back to one who lacks them.
+    /** States in one message to one who lacks them: with an address each they stay under an MTU of
+     * 1,500 bytes. */
+    std::size_t introducedAtOnce = 24;
+    /** Such messages are sent for at least this part of the boxes that are known, so that a fleet
+     * that starts knows itself in as many periods whatever its size. With one message each time,
+     * 1,000 boxes needed 26 periods and as many more for each further 1,000. */
+    std::size_t introducedPart = 8;
     kernel::Duration suspectAfter = 8s; ///< At least; longer with many boxes.
-    kernel::Duration deadAfter = 14s;
-    kernel::Duration dampFor = 10s; ///< First damping; doubled for each further death.
+    kernel::Duration deadAfter = 14s;   ///< At least; see HeartbeatTable::deadAfter().
+    kernel::Duration dampFor = 10s;     ///< First damping; doubled for each further death.
     kernel::Duration dampAtMost = 120s;
     kernel::Duration forgetAfter = 600s; ///< Then a dead box and its damping are dropped.
 };
@@ -87,6 +93,9 @@
                                           const std::vector<BoxAge> &ages, kernel::Instant now,
                                           std::mt19937_64 &random) const;
 
+    /** An introduction in messages that fit into a datagram each, the own state first in all. */
+    std::vector<std::vector<BoxState>> inMessages(const std::vector<BoxState> &introduction) const;
+
     /** Notes that a box didn't answer a direct message; it is suspected until it is heard of again.
      */
     void noteUnreachable(std::uint64_t box, kernel::Instant now);
@@ -120,17 +129,27 @@
         std::size_t passedOn = 0;
     };
 
-    Liveness liveness(const Peer &entry, kernel::Duration suspected, kernel::Instant now) const;
+    /** Silences with as many boxes as are known. */
+    struct Bounds
+    {
+        kernel::Duration suspected;
+        kernel::Duration dead;
+    };
+
+    Liveness liveness(const Peer &entry, const Bounds &bounds, kernel::Instant now) const;
     kernel::Duration silence(const Peer &entry, kernel::Instant now) const;
     kernel::Duration standstill(const Peer &entry, kernel::Instant now) const;
     void noteAwake(kernel::Instant now);
     Peer &peer(std::uint64_t box, kernel::Instant now);
     bool takeState(const BoxState &state, kernel::Instant now);
-    void takeSign(Peer &peer, kernel::Instant sign, kernel::Instant now) const;
+    void takeSign(Peer &peer, kernel::Instant sign, kernel::Duration dead,
+                  kernel::Instant now) const;
     void noteReturn(Peer &peer, kernel::Instant now) const;
     void countDeaths(kernel::Instant now);
     void renewSelf();
     kernel::Duration suspectAfter() const;
+    kernel::Duration deadAfter() const;
+    Bounds bounds() const { return {suspectAfter(), deadAfter()}; }
     void addNewcomers(std::mt19937_64 &random);
     std::vector<std::uint64_t> targets(std::mt19937_64 &random);
     std::vector<BoxState> statesFor(std::uint64_t target);
--- a/src/services/MembershipService.cpp
+++ b/src/services/MembershipService.cpp
@@ -224,12 +224,12 @@
 
 void MembershipService::introduce(const peer::Heartbeat &heartbeat, const kernel::Endpoint &from)
 {
-    auto missing = table_.introductionFor(heartbeat.states, heartbeat.ages, context_.now(),
-                                          context_.random);
-    if (!missing.empty()) {
+    const auto missing = table_.introductionFor(heartbeat.states, heartbeat.ages, context_.now(),
+                                                context_.random);
+    for (auto &states : table_.inMessages(missing)) {
         context_.counters.add("introductions");
         context_.kernel.find<PeerService>("peer").send(from,
-                                                       peer::Heartbeat{std::move(missing), {}});
+                                                       peer::Heartbeat{std::move(states), {}});
     }
 }
 
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -146,9 +146,9 @@
         HeartbeatTable &receiver = tables_.at(to);
         receiver.receive(states, ages, now_);
         const auto missing = receiver.introductionFor(states, ages, now_, random_);
-        if (!missing.empty()) {
+        for (const auto &message : receiver.inMessages(missing)) {
             ++introductions_;
-            tables_.at(from).receive(missing, {}, now_);
+            tables_.at(from).receive(message, {}, now_);
         }
     }
 
@@ -216,6 +216,64 @@
     }
 }
 
+// With introductions of one size for all fleets, 1,000 boxes knew each other after 26 periods only;
+// until then each named other owners. Larger fleets may take some periods more, by the logarithm.
+BOOST_AUTO_TEST_CASE(heartbeats_fleetOf1000Starts_knowsItselfInTwicePeriodsOf295)
+{
+    constexpr int PeriodsOf295 = 7;
+    Hall hall(1000, Acquainted::WithThreeSeeds);
+    hall.greetSeeds();
+    for (int period = 0; period <= 2 * PeriodsOf295; ++period) {
+        hall.spreadPeriod();
+        BOOST_TEST_MESSAGE(period << ": " << hall.doubts());
+    }
+    BOOST_TEST(hall.doubts() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(liveness_boxSilentForTheSuspicionOfALargeFleet_isSuspectedNotDead)
+{
+    const Instant now{kernel::Duration(3600s)};
+    HeartbeatTable table(Policy, BoxState{.box = 1, .incarnation = 1});
+    for (std::uint64_t box = 2; box <= 3000; ++box) {
+        table.receive({BoxState{.box = box, .incarnation = 1, .version = 1}}, {}, now);
+    }
+    std::mt19937_64 random(1);
+    const auto after = [&](int periods) {
+        Instant when = now;
+        for (int period = 0; period < periods; ++period) {
+            when += Policy.period;
+            table.tick(when, random);
+        }
+        return table.liveness(2, when);
+    };
+    // Twice the logarithm of 3,000 is 16.01.
+    BOOST_TEST((after(17) == Liveness::Live));
+    BOOST_TEST((after(18) == Liveness::Suspected));
+    BOOST_TEST((after(20) == Liveness::Dead));
+}
+
+BOOST_AUTO_TEST_CASE(introduction_manyStates_fitsIntoDatagrams)
+{
+    HeartbeatTable table(Policy, BoxState{.box = 1, .incarnation = 1});
+    std::vector<BoxState> introduction(101);
+    for (std::uint64_t box = 0; box < introduction.size(); ++box) {
+        introduction[box].box = box + 1;
+    }
+    const auto messages = table.inMessages(introduction);
+    BOOST_TEST(messages.size() == 5U);
+    std::set<std::uint64_t> told;
+    for (const auto &states : messages) {
+        BOOST_TEST(states.size() <= Policy.introducedAtOnce + 1);
+        BOOST_TEST(states.size() > 1U);
+        BOOST_TEST(states.front().box == 1U);
+        for (const BoxState &state : states) {
+            told.insert(state.box);
+        }
+    }
+    BOOST_TEST(told.size() == introduction.size());
+    BOOST_TEST(table.inMessages({}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(introductions_allKnowAll_noneIsSent)
 {
     Hall hall(85, Acquainted::WithThreeSeeds);
