A server's load of four figures is read

Cause: servers that share their machines tell a fourth figure, how long work takes there now; the adapter wanted exactly three, so all of such a server's word was lost. Change: three or four; any other number of them, or one that is no number, is passed over and counted (loads_unreadable). What the fourth is used for isn't decided: it is kept beside the load and weighs nothing yet. Test: DialectTest (both cases failed before: nothing of four was read, nothing counted).

--- a/src/forward/Call.h
+++ b/src/forward/Call.h
@@ -52,6 +52,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::uint32_t slowness = 100; ///< How long work takes there now, in hundredths of the usual.
 
     auto operator<=>(const ReportedLoad &) const = default;
 };
@@ -65,6 +66,7 @@
     bool wrongInstance = false; ///< Another backend server has the address now.
     bool signedByBackend = false;
     std::optional<ReportedLoad> load;
+    bool loadUnreadable = false; ///< It says something of its load that can't be read.
     std::optional<kernel::Duration> keptFor; ///< How long an idle connection is kept.
     kernel::Duration coldFor{}; ///< How long the backend server is still cold; zero: untold.
 
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -214,6 +214,9 @@
     const kernel::Instant now = run_.context.now();
     AnswerHead head = run_.world.adapter().dialect.readHead(start->status, start->fields);
     run_.world.servers().noteHeard(server_.id, now);
+    if (head.loadUnreadable) {
+        run_.context.counters.add("loads_unreadable");
+    }
     if (head.load) {
         run_.world.servers().noteLoad(server_.id, *head.load, now);
     }
--- /dev/null
+++ b/test/platform/DialectTest.cpp
@@ -0,0 +1,46 @@
+// What the adapter reads of a backend server's answers.
+
+#include "platform/Adapter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+
+namespace {
+
+forward::AnswerHead headWithLoad(const std::string &load)
+{
+    const auto fields = load.empty() ? http::Fields() : http::Fields().with("X-Instance-Load", load);
+    return platform::adapter().dialect.readHead(200, fields);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DialectTest)
+
+// Servers that share their machines say a fourth figure; all four were left out for it.
+BOOST_AUTO_TEST_CASE(readHead_loadOfThreeOrFourFigures_isRead)
+{
+    using Load = forward::ReportedLoad;
+    BOOST_TEST((headWithLoad("3,1,8").load == Load{3, 1, 8, 100}));
+    BOOST_TEST((headWithLoad("3,1,8,140").load == Load{3, 1, 8, 140}));
+    BOOST_TEST((headWithLoad("0,0,0,0").load == Load{0, 0, 0, 0}));
+    BOOST_TEST(!headWithLoad("").loadUnreadable);
+    BOOST_TEST(!headWithLoad("3,1,8,140").loadUnreadable);
+}
+
+BOOST_AUTO_TEST_CASE(readHead_loadThatIsNone_isLeftOutAndSaidSo)
+{
+    for (const char *load :
+         {"3", "3,1", "3,1,8,140,1", "-3,1,8", "3,,8", "3,1,8,", "3,1,8,x", "3,1,8,-1", ",,,",
+          "3,1,99999999999", "3,1,8,99999999999", " 3,1,8", "3;1;8"}) {
+        BOOST_TEST_CONTEXT(load)
+        {
+            const forward::AnswerHead head = headWithLoad(load);
+            BOOST_TEST(!head.load.has_value());
+            BOOST_TEST(head.loadUnreadable);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
