World: of many new servers in one answer the first have log lines of their own

Cause: a box that starts in a fleet of 10,000 servers wrote a line for each before it served. Change: 16 lines an answer, then one with the number; leaving and gone servers keep their lines.

--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -21,6 +21,9 @@
 // A change is taken in within a few turns of the loop, a list of thousands of servers within some
 // hundred. A store that keeps sending must not hold requests up.
 constexpr int MostTurns = 1000;
+// Of one answer of the store. A box that starts in a fleet of ten thousand servers would write a
+// line for each, some 6 us of a whole core, while it could take requests.
+constexpr std::size_t MostNewTold = 16;
 // Beats that a backend server which still lives needs to be listed again after an outage.
 constexpr int BeatsToReturn = 2;
 // A box whose hall doesn't tell it which halls are drained asks the store itself, after this: in
@@ -289,7 +292,11 @@
         // Nothing that is known of the earlier life holds for this one.
         dropServer(server.id);
     }
-    if (!known || *known != server) {
+    if (!known && !server.leaving) {
+        ++newServers_;
+    }
+    const bool told = newServers_ <= MostNewTold || server.leaving || known;
+    if (told && (!known || *known != server)) {
         log().event("server-listed",
                     {{"server", server.id},
                      {"service", server.service},
@@ -377,6 +384,7 @@
 
 void World::changeServers(std::span<const store::StoredObject> objects)
 {
+    newServers_ = 0;
     for (const store::StoredObject &object : objects) {
         if (object.gone) {
             missServer(object.name);
@@ -384,6 +392,10 @@
             takeServer(object);
         }
     }
+    if (newServers_ > MostNewTold) {
+        log().event("servers-listed", {{"new", newServers_}, {"last", objects.back().name}},
+                    "Many backend servers are new; the first of them have lines of their own.");
+    }
 }
 
 // An entry may go because the store didn't hear its server while it was away. Then the server is
