Start: a long list is asked of a relay after its first page, within what a relay can hold

Cause: a box that starts read the whole list of the store, 20 pages and 4 MB with 10,000 servers: boxes x servers / 500 calls, 10,800 and 2 GB where half of 985 boxes start again. Change: where the first page says that there is more, the box waits up to half a second for a seed's answer to name relays and asks one of them; where none is known or helps, the list goes on. Relays are worked out at the first news, not at the first heartbeat. A relay holds answers over 64 kB for no more than its link sends in half a second: a hundred askers of 4 MB would have taken 400 MB. Others are told so, and ask the next one. A hall that starts whole asks the store as before.

Tests: GatewayRelayTest/boxStartsWhereTheListHasManyPages_* (one call; nine with the change taken out), RelayTest/answerRoom_*.

--- a/src/gateway/FeedRelay.cpp
+++ b/src/gateway/FeedRelay.cpp
@@ -13,9 +13,28 @@
 constexpr int Good = 200;
 constexpr int BadAsk = 400;
 constexpr int UnknownPath = 404;
+constexpr int Full = 503;
 // No ask is held longer, whatever it says.
 constexpr kernel::Duration LongestHold = 5s;
 
+/** Gives room back at the end of an answer, however that comes. */
+class HeldRoom
+{
+public:
+    HeldRoom(std::shared_ptr<store::AnswerRoom> room, std::size_t bytes)
+        : room_(std::move(room))
+        , bytes_(bytes)
+    {
+    }
+    ~HeldRoom() { room_->giveBack(bytes_); }
+    HeldRoom(const HeldRoom &) = delete;
+    HeldRoom &operator=(const HeldRoom &) = delete;
+
+private:
+    std::shared_ptr<store::AnswerRoom> room_;
+    std::size_t bytes_;
+};
+
 http::ServerLimits relayLimits(const kernel::GatewaySettings &settings)
 {
     http::ServerLimits limits;
@@ -33,6 +52,7 @@
     : context_(context)
     , world_(world)
     , keys_(peer::peerKeysFrom(context.settings.peerKeys))
+    , room_(std::make_shared<store::AnswerRoom>(context.settings.gateway.linkMbps))
 {
 }
 
@@ -102,6 +122,14 @@
     feed->noteAsked();
     co_await waitForNews(*feed, *ask);
     http::Answer answer = write(*feed, *ask, question);
+    const std::size_t bytes = answer.body.size();
+    if (!room_->take(bytes)) {
+        context_.counters.add("relay_full");
+        http::Answer full(Full);
+        co_await reply.send(std::move(full));
+        co_return;
+    }
+    const HeldRoom held(room_, bytes);
     co_await reply.send(std::move(answer));
 }
 
--- a/src/gateway/FeedRelay.h
+++ b/src/gateway/FeedRelay.h
@@ -8,6 +8,7 @@
 #include "gateway/World.h"
 #include "http/Server.h"
 #include "peer/Envelope.h"
+#include "store/AnswerRoom.h"
 
 #include <memory>
 
@@ -35,6 +36,7 @@
     services::Context &context_;
     World &world_;
     std::vector<peer::PeerKey> keys_;
+    std::shared_ptr<store::AnswerRoom> room_; ///< Also of answers that outlive the service.
     std::unique_ptr<http::Server> server_;
 };
 
--- a/src/gateway/FeedSources.cpp
+++ b/src/gateway/FeedSources.cpp
@@ -22,6 +22,12 @@
         state.linkMbps = static_cast<std::uint32_t>(context_.settings.gateway.linkMbps);
     });
     members_.onBeat([this] { workOut(); });
+    // A box that has just started needs to know whom to ask before its first heartbeat is due.
+    members_.onNews([this] {
+        if (relays_.empty()) {
+            workOut();
+        }
+    });
 }
 
 void FeedSources::workOut()
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -22,6 +22,8 @@
 // Two heartbeats. A confirmation by the list has time left for a whole watch after it.
 constexpr kernel::Duration SettleFor = 2s;
 constexpr kernel::Duration SettleLook = 100ms;
+// Seeds answer a greeting within some milliseconds; where nobody does, the list goes on after it.
+constexpr kernel::Duration AwaitRelaysForList = 500ms;
 // Reading and taking in an object of some hundred bytes takes some 20 us of a whole core, so these
 // hold requests up for 10 ms on a box with an eighth of one. Ten thousand at once took 2 s.
 constexpr std::size_t MostAtOnce = 64;
@@ -88,7 +90,7 @@
     if (tooLarge_ && book_.storeFailures() == 0) {
         return book_.storeStep(now);
     }
-    if (settling()) {
+    if (settling() || awaitingRelaysForList()) {
         return {.kind = FeedStep::Kind::Pause, .pause = SettleLook};
     }
     return book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed());
@@ -106,7 +108,7 @@
     case FeedStep::Kind::Pause:
         break;
     }
-    if (!settling()) {
+    if (!settling() && !awaitingRelaysForList()) {
         noteLost("no-source");
     }
     co_return step.pause;
@@ -122,6 +124,15 @@
     return !failing_ && sources_.relays().empty() && context_.now() - listedFirst_ < SettleFor;
 }
 
+// The first page said that there is more. With ten thousand servers a list is 20 pages and 4 MB a
+// box; a fleet of which half starts again would ask the store for 2 GB, and for 20 pages a box
+// instead of one. Others of the hall have it.
+bool ObjectFeed::awaitingRelaysForList() const
+{
+    return !at_ && listing_ && !listing_->objects.empty() && sources_.relays().empty()
+           && context_.now() - listing_->begun < AwaitRelaysForList;
+}
+
 asio::awaitable<kernel::Duration> ObjectFeed::storeRound(bool relaying)
 {
     relaying_ = relaying;
@@ -297,7 +308,11 @@
             co_return false;
         }
         noteUnreadable(page->unreadable);
+        const bool first = listing_->objects.empty();
         more = takePage(std::move(*page), bytes);
+        if (more && first && !at_ && !inLine()) {
+            co_return true;
+        }
     }
     noteAnswer();
     tooLarge_ = false;
@@ -510,6 +525,7 @@
     }
     const auto objects = co_await readObjects(answer.objects);
     at_ = answer.at;
+    listing_.reset();
     if (answer.whole) {
         record_.replace(std::move(answer.objects), answer.at, told_);
         co_await handOver(objects);
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -139,6 +139,7 @@
     bool inLine() const;
     void noteLost(const std::string &why);
     bool settling() const;
+    bool awaitingRelaysForList() const;
     boost::asio::awaitable<void> handOver(std::span<const store::StoredObject> objects);
     void handOverNames(std::span<const store::StoredObject> objects);
     void noteUnreadable(std::size_t objects);
--- a/src/gateway/World.h
+++ b/src/gateway/World.h
@@ -116,7 +116,7 @@
     bool catchingUp_ = false;          ///< After a standstill, while the list may lie unread.
     std::optional<kernel::Instant> caughtUpAt_;
     bool serversKnown_ = false;
-    std::size_t newServers_ = 0; ///< In the answer that is taken in.
+    std::size_t newServers_ = 0;                     ///< In the answer that is taken in.
     std::map<std::string, kernel::Instant> missing_; ///< Listed no more; dropped when it is time.
     std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
     std::vector<std::function<void(const std::string &)>> onServerGone_;
--- a/src/services/MembershipService.cpp
+++ b/src/services/MembershipService.cpp
@@ -219,6 +219,11 @@
     forgetOwners();
     context_.counters.add("heartbeat_states", {{"news", "yes"}}, news);
     context_.counters.add("heartbeat_states", {{"news", "no"}}, heartbeat.states.size() - news);
+    if (news > 0) {
+        for (const auto &called : news_) {
+            called();
+        }
+    }
     introduce(heartbeat, from);
 }
 
--- a/src/services/MembershipService.h
+++ b/src/services/MembershipService.h
@@ -48,6 +48,9 @@
     /** Adds something that runs after each heartbeat. */
     void onBeat(std::function<void()> beat) { beat_.push_back(std::move(beat)); }
 
+    /** Adds something that runs when a message brought news of other boxes. */
+    void onNews(std::function<void()> news) { news_.push_back(std::move(news)); }
+
     std::uint64_t self() const { return table_.self().box; }
 
     /** The boxes that may own something now, sorted. Kept for some milliseconds, as a request asks
@@ -99,6 +102,7 @@
     std::unordered_map<std::uint64_t, std::string> names_;
     std::vector<std::function<void(membership::BoxState &)>> complete_;
     std::vector<std::function<void()>> beat_;
+    std::vector<std::function<void()>> news_;
     bool leaving_ = false;
     std::unique_ptr<Repeat> loop_;
 };
--- a/test/correctness/RelayTest.cpp
+++ b/test/correctness/RelayTest.cpp
@@ -6,6 +6,7 @@
 #include "forward/Freshness.h"
 #include "gateway/FeedPaces.h"
 #include "peer/FeedRecord.h"
+#include "store/AnswerRoom.h"
 #include "store/FeedPace.h"
 #include "store/RelayOrder.h"
 #include "store/SourceBook.h"
@@ -377,6 +378,36 @@
     BOOST_TEST((judged(lost, newcomer, at(500s), at(500s), 18) == peer::Verdict::Behind));
 }
 
+// Half a hall of 200 boxes starts again and asks for the list of ten thousand servers, which took
+// 400 MB of a relay with 1,024 MB, and of one with 160 MB.
+BOOST_AUTO_TEST_CASE(answerRoom_halfAHallAsksForALargeList_relayHoldsWhatItsLinkSends)
+{
+    constexpr std::size_t List = 4000000;
+    const auto granted = [](double linkMbps) {
+        store::AnswerRoom room(linkMbps);
+        int count = 0;
+        for (int asker = 0; asker < 100; ++asker) {
+            count += room.take(List) ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(granted(1000) == 15);
+    BOOST_TEST(granted(20) == 1);
+    BOOST_TEST(granted(0) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(answerRoom_small_isNeverTurnedAwayAndAllIsGivenBack)
+{
+    store::AnswerRoom room(20);
+    BOOST_TEST(room.take(4000000));
+    BOOST_TEST(room.take(60000));
+    BOOST_TEST(!room.take(70000));
+    room.giveBack(4000000);
+    room.giveBack(60000);
+    BOOST_TEST(room.held() == 0U);
+    BOOST_TEST(room.take(70000));
+}
+
 BOOST_AUTO_TEST_CASE(answer_largeObject_isOnlyNamedUnlessTheStoreIsOutOfReach)
 {
     peer::FeedRecord record;
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -10,7 +10,8 @@
 
 forward::AnswerHead headWithLoad(const std::string &load)
 {
-    const auto fields = load.empty() ? http::Fields() : http::Fields().with("X-Instance-Load", load);
+    const auto fields =
+            load.empty() ? http::Fields() : http::Fields().with("X-Instance-Load", load);
     return platform::adapter().dialect.readHead(200, fields);
 }
 
--- a/test/platform/GatewayRelayTest.cpp
+++ b/test/platform/GatewayRelayTest.cpp
@@ -75,6 +75,24 @@
     until([&] { return world(late).servers().find("i-one").has_value(); }, "the server");
 }
 
+// With ten thousand servers a box that started again read twenty pages of the store.
+BOOST_AUTO_TEST_CASE(boxStartsWhereTheListHasManyPages_itsHallTellsItTheList)
+{
+    constexpr std::size_t More = 40;
+    store().pageSize = 5;
+    for (std::size_t number = 0; number < More; ++number) {
+        listServer("i-more-" + std::to_string(number));
+    }
+    startAll();
+    const auto knowsAll = [this](std::size_t index) {
+        return world(index).servers().ids().size() == More + 1;
+    };
+    until([&] { return knowsAll(0) && knowsAll(7); }, "all servers at a relay and another box");
+    const std::size_t late = startBox(Store::Reached);
+    until([&] { return knowsAll(late) && served(late); }, "all servers at the box");
+    BOOST_TEST(counter(late, "store_calls", {{"kind", "servers"}}) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(storeComesBack_everyBoxLearnsWhatItMissed)
 {
     startAll();
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -426,7 +426,8 @@
     store.send(answer.substr(0, headEnd));
     const Clock::time_point begun = Clock::now();
     while (!listed && !feed->lastFailure()) {
-        // A byte each tenth of the wait, for six times as long: unread bytes alone are waited for twice that.
+        // A byte each tenth of the wait, for six times as long: unread bytes alone are waited for
+        // twice that.
         if (Clock::now() >= begun + (sent - headEnd) * Answer / 10 && sent < headEnd + Parts) {
             store.sendIfOpen(answer.substr(sent++, 1));
         } else if (sent == headEnd + Parts) {
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -77,7 +77,12 @@
 
 void HallFixture::listServer()
 {
-    store_->put("servers", runner_->name(),
+    listServer(runner_->name());
+}
+
+void HallFixture::listServer(const std::string &id)
+{
+    store_->put("servers", id,
                 {{"service", "pool"},
                  {"address", kernel::text(runner_->where())},
                  {"zone", "hall-a"},
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -41,6 +41,7 @@
 
     /** Lists the backend server in the store. */
     void listServer();
+    void listServer(const std::string &id);
 
     /** The version in force at a box; 0: none. */
     std::uint64_t version(std::size_t index) const;
