--- a/src/forward/ServerIndex.cpp
+++ b/src/forward/ServerIndex.cpp
@@ -118,7 +118,7 @@
         return;
     }
     if (service.byHall.size() <= record.hall) {
-        service.byHall.resize(record.hall + std::size_t{1});
+        service.byHall.resize(record.hall + 1);
     }
     auto &working = service.byHall[record.hall];
     record.place = working.size();
--- a/src/forward/ServerRecord.h
+++ b/src/forward/ServerRecord.h
@@ -14,7 +14,7 @@
 namespace limereel::forward {
 
 /** The number of a hall within one box. */
-using HallNumber = std::uint16_t;
+using HallNumber = std::size_t;
 
 /** The record of one server. */
 struct ServerRecord
