--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -310,7 +310,7 @@
         noteUnreadable(page->unreadable);
         const bool first = listing_->objects.empty();
         more = takePage(std::move(*page), bytes);
-        if (more && first && !at_ && !inLine()) {
+        if (more && first && !inLine()) {
             co_return true;
         }
     }
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -89,7 +89,7 @@
     , freshness_(usableFor(context.settings.gateway), unconfirmedKeys(context.settings.gateway))
     , servers_(policyOf(context.settings))
     , budget_({context.settings.gateway.retryRatio, context.settings.gateway.retryWindow,
-               static_cast<double>(context.settings.gateway.retrySlack)})
+               context.settings.gateway.retrySlack})
 {
 }
 
@@ -212,7 +212,7 @@
         hallDrainFeed_->setPaces(hallDrainPaces(settings));
     }
     budget_.setBound(
-            {settings.retryRatio, settings.retryWindow, static_cast<double>(settings.retrySlack)});
+            {settings.retryRatio, settings.retryWindow, settings.retrySlack});
 }
 
 bool World::ready() const
--- a/src/kernel/BoxSettings.cpp
+++ b/src/kernel/BoxSettings.cpp
@@ -189,17 +189,17 @@
     constexpr std::array<std::pair<std::string_view, Duration>, 3> Units = {
             std::pair{"ms", Duration(1ms)}, std::pair{"min", Duration(60s)},
             std::pair{"s", Duration(1s)}};
-    constexpr std::int64_t MostCount = 100000000;
+    constexpr double MostCount = 100000000;
     for (const auto &[unit, length] : Units) {
         if (!text.ends_with(unit)) {
             continue;
         }
-        const auto count = config::toInteger(text.substr(0, text.size() - unit.size()));
+        const auto count = config::toDecimal(text.substr(0, text.size() - unit.size()));
         if (count && *count >= 0 && *count <= MostCount) {
-            return length * *count;
+            return std::chrono::round<Duration>(std::chrono::duration<double>(length) * *count);
         }
     }
-    return wrong(text, "a whole number with a unit, ms, s or min, such as 250ms");
+    return wrong(text, "a number with a unit, ms, s or min, such as 250ms");
 }
 
 } // namespace limereel::kernel
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -28,7 +28,7 @@
     Duration listBeat{};           ///< Time between two signs of life of a listed backend server.
     double retryRatio = 0;         ///< Repeats for each request, over the whole fleet.
     Duration retryWindow{};        ///< Over which repeats are counted.
-    std::uint32_t retrySlack = 0;  ///< Repeats beyond the ratio in a window, over the whole fleet.
+    double retrySlack = 0;         ///< Repeats beyond the ratio in a window, over the whole fleet.
     double loadMultiple = 0;       ///< Most load of an engine, as a multiple of the mean.
     Duration partRemembered{};     ///< How long an unused prompt part is thought kept.
     std::uint32_t metricsPort = 0; ///< 0: none.
