--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -211,8 +211,7 @@
     if (hallDrainFeed_) {
         hallDrainFeed_->setPaces(hallDrainPaces(settings));
     }
-    budget_.setBound(
-            {settings.retryRatio, settings.retryWindow, settings.retrySlack});
+    budget_.setBound({settings.retryRatio, settings.retryWindow, settings.retrySlack});
 }
 
 bool World::ready() const
