Feed: a list that was left after its first page isn't gone on with once others told newer things

By reading: such a list's first page would have put back servers that are gone. It could also happen after a page that failed, before relays were asked between two pages. No test: the order of a page, a relay's news and a second page can't be held in the hall's fixture; the guard compares revisions.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -281,7 +281,9 @@
 {
     const kernel::Instant now = context_.now();
     const bool begun = listing_ && !listing_->objects.empty();
-    if (!begun || now - listing_->begun > LongestListing) {
+    // Others may have told newer things since the first page.
+    const bool outrun = begun && listing_->at < at_.value_or(0);
+    if (!begun || outrun || now - listing_->begun > LongestListing) {
         listing_ = Listing{now, 0, {}, {}};
     }
     bool more = true;
@@ -525,7 +527,6 @@
     }
     const auto objects = co_await readObjects(answer.objects);
     at_ = answer.at;
-    listing_.reset();
     if (answer.whole) {
         record_.replace(std::move(answer.objects), answer.at, told_);
         co_await handOver(objects);
