Feeds: a long list is left to the relays for two seconds

Change: a box that isn't a relay waits up to two seconds with a list of which the store has more pages, or whose history is lost, and asks its relays from where it stands: a lost history no longer forgets the revision that the box knows, so a relay sends what changed and not 4 MB. Short lists, and halls without relays, as before. Tests: RelayTest/leavesListToRelays_*.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -3,6 +3,7 @@
 #include "gateway/KeptObjects.h"
 #include "http/JsonSlices.h"
 #include "kernel/Log.h"
+#include "store/ListWait.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -22,8 +23,8 @@
 // Two heartbeats. A confirmation by the list has time left for a whole watch after it.
 constexpr kernel::Duration SettleFor = 2s;
 constexpr kernel::Duration SettleLook = 100ms;
-// Seeds answer a greeting within some milliseconds; where nobody does, the list goes on after it.
-constexpr kernel::Duration AwaitRelaysForList = 500ms;
+// More than a page of the store has.
+constexpr std::size_t LongList = 500;
 // Reading and taking in an object of some hundred bytes takes some 20 us of a whole core, so these
 // hold requests up for 10 ms on a box with an eighth of one. Ten thousand at once took 2 s.
 constexpr std::size_t MostAtOnce = 64;
@@ -90,10 +91,13 @@
     if (tooLarge_ && book_.storeFailures() == 0) {
         return book_.storeStep(now);
     }
-    if (settling() || awaitingRelaysForList()) {
-        return {.kind = FeedStep::Kind::Pause, .pause = SettleLook};
+    const FeedStep pause{.kind = FeedStep::Kind::Pause, .pause = SettleLook};
+    if (settling()) {
+        return pause;
     }
-    return book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed());
+    const FeedStep step =
+            book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed());
+    return step.kind == FeedStep::Kind::Store && leavesListToRelays() ? pause : step;
 }
 
 asio::awaitable<kernel::Duration> ObjectFeed::round()
@@ -108,7 +112,7 @@
     case FeedStep::Kind::Pause:
         break;
     }
-    if (!settling() && !awaitingRelaysForList()) {
+    if (!settling() && !leavesListToRelays()) {
         noteLost("no-source");
     }
     co_return step.pause;
@@ -124,13 +128,19 @@
     return !failing_ && sources_.relays().empty() && context_.now() - listedFirst_ < SettleFor;
 }
 
-// The first page said that there is more. With ten thousand servers a list is 20 pages and 4 MB a
-// box; a fleet of which half starts again would ask the store for 2 GB, and for 20 pages a box
-// instead of one. Others of the hall have it.
-bool ObjectFeed::awaitingRelaysForList() const
+bool ObjectFeed::leavesListToRelays() const
 {
-    return !at_ && listing_ && !listing_->objects.empty() && sources_.relays().empty()
-           && context_.now() - listing_->begun < AwaitRelaysForList;
+    store::ListNeed need;
+    need.known = at_.has_value();
+    need.relaysKnown = !sources_.relays().empty();
+    need.inLine = inLine();
+    if (listing_ && !listing_->objects.empty()) {
+        need.firstPage = listing_->begun;
+    }
+    if (record_.objects() >= LongList) {
+        need.historyLost = historyLost_;
+    }
+    return store::leavesListToRelays(need, context_.now());
 }
 
 asio::awaitable<kernel::Duration> ObjectFeed::storeRound(bool relaying)
@@ -139,7 +149,7 @@
     noteSource(relaying ? "store-for-hall" : "store");
     bool good = false;
     changed_ = false;
-    if (at_ && !failing_ && !tooLarge_) {
+    if (at_ && !failing_ && !tooLarge_ && !historyLost_) {
         good = co_await watch();
     } else {
         good = co_await list();
@@ -318,6 +328,7 @@
     }
     noteAnswer();
     tooLarge_ = false;
+    historyLost_.reset();
     if (!at_) {
         listedFirst_ = listing_->begun;
     }
@@ -361,7 +372,7 @@
             co_await askStore(std::move(target), {longest, rest, longest + LongestListing});
     if (answer && answer->status == HistoryGone) {
         log().info("The store has forgotten its history of '" + kind_ + "'; the list is read.");
-        at_.reset();
+        historyLost_ = context_.now();
         co_return true;
     }
     if (!answer || answer->status != Good) {
@@ -482,6 +493,7 @@
         if (!taken) {
             co_return;
         }
+        historyLost_.reset();
     }
     confirm(asOf);
     if (newer) {
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -139,7 +139,7 @@
     bool inLine() const;
     void noteLost(const std::string &why);
     bool settling() const;
-    bool awaitingRelaysForList() const;
+    bool leavesListToRelays() const;
     boost::asio::awaitable<void> handOver(std::span<const store::StoredObject> objects);
     void handOverNames(std::span<const store::StoredObject> objects);
     void noteUnreadable(std::size_t objects);
@@ -173,8 +173,10 @@
     std::optional<std::uint64_t> at_; ///< Where the next watch goes on; nothing: list first.
     kernel::Instant told_;
     kernel::Instant began_;       ///< When the feed was made.
-    kernel::Instant listedFirst_; ///< When the first list was begun, or one after a lost history.
-    std::string source_;          ///< As it was last logged.
+    kernel::Instant listedFirst_; ///< When the first list was begun.
+    /** When the store said that it has forgotten what changed since at_; a list is needed. */
+    std::optional<kernel::Instant> historyLost_;
+    std::string source_; ///< As it was last logged.
     bool heardFromStore_ = false;
     bool relaying_ = false;      ///< The call to the store that runs is for others, too.
     bool askingRelay_ = false;   ///< An ask of a relay is under way,
--- a/src/peer/FeedRecord.h
+++ b/src/peer/FeedRecord.h
@@ -47,6 +47,7 @@
     bool lost() const { return lost_; }
 
     std::optional<std::uint64_t> at() const { return history_.at(); }
+    std::size_t objects() const { return history_.objects(); }
     std::optional<kernel::Instant> confirmedAsOf() const { return confirmedAsOf_; }
     std::optional<kernel::Instant> storeFailedAt() const { return storeFailedAt_; }
 
--- a/src/store/ObjectHistory.h
+++ b/src/store/ObjectHistory.h
@@ -69,6 +69,9 @@
     /** The revision that is known; nothing before the first list. */
     std::optional<std::uint64_t> at() const { return at_; }
 
+    /** How many objects there are. */
+    std::size_t objects() const { return entries_.size() - gone_; }
+
     /** Whether somebody who knows \a at lacks something. */
     bool hasNewsSince(std::uint64_t at) const;
 
--- a/test/correctness/RelayTest.cpp
+++ b/test/correctness/RelayTest.cpp
@@ -8,6 +8,7 @@
 #include "peer/FeedRecord.h"
 #include "store/AnswerRoom.h"
 #include "store/FeedPace.h"
+#include "store/ListWait.h"
 #include "store/RelayOrder.h"
 #include "store/SourceBook.h"
 
@@ -378,6 +379,32 @@
     BOOST_TEST((judged(lost, newcomer, at(500s), at(500s), 18) == peer::Verdict::Behind));
 }
 
+// Boxes of a fleet that lost the store for two seconds, with its history, each read 50 pages.
+BOOST_AUTO_TEST_CASE(leavesListToRelays_eachNeed_isLeftForAWhileWhereOthersReadIt)
+{
+    using store::leavesListToRelays;
+    const store::ListNeed lost{.known = true, .relaysKnown = true, .historyLost = at(0s)};
+    BOOST_TEST(leavesListToRelays(lost, at(1900ms)));
+    BOOST_TEST(!leavesListToRelays(lost, at(2s)));
+    store::ListNeed relay = lost;
+    relay.inLine = true;
+    BOOST_TEST(!leavesListToRelays(relay, at(0s)));
+    store::ListNeed alone = lost;
+    alone.relaysKnown = false;
+    BOOST_TEST(!leavesListToRelays(alone, at(0s)));
+    // One that has read the first page of many.
+    const store::ListNeed started{.relaysKnown = true, .firstPage = at(0s)};
+    BOOST_TEST(leavesListToRelays(started, at(1900ms)));
+    BOOST_TEST(!leavesListToRelays(started, at(2s)));
+    // Before anybody has answered it, and where nobody does.
+    const store::ListNeed first{.firstPage = at(0s)};
+    BOOST_TEST(leavesListToRelays(first, at(400ms)));
+    BOOST_TEST(!leavesListToRelays(first, at(500ms)));
+    BOOST_TEST(!leavesListToRelays({.known = true, .firstPage = at(0s)}, at(0s)));
+    // A short list, or none.
+    BOOST_TEST(!leavesListToRelays({.known = true, .relaysKnown = true}, at(0s)));
+}
+
 // Half a hall of 200 boxes starts again and asks for the list of ten thousand servers, which took
 // 400 MB of a relay with 1,024 MB, and of one with 160 MB.
 BOOST_AUTO_TEST_CASE(answerRoom_halfAHallAsksForALargeList_relayHoldsWhatItsLinkSends)
