--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -25,8 +25,8 @@
 constexpr kernel::Duration SettleLook = 100ms;
 // More than a page of the store has.
 constexpr std::size_t LongList = 500;
-// Reading and taking in an object of some hundred bytes takes some 20 us of a whole core, so these
-// hold requests up for 10 ms on a box with an eighth of one. Ten thousand at once took 2 s.
+// Requests wait while objects are taken in: with tens of microseconds each (an estimate), these
+// hold them up for some 10 ms on a box with an eighth of a core.
 constexpr std::size_t MostAtOnce = 64;
 
 // Reading a large answer, taking it in and putting it away are several turns of the event loop,
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -22,7 +22,7 @@
 // hundred. A store that keeps sending must not hold requests up.
 constexpr int MostTurns = 1000;
 // Of one answer of the store. A box that starts in a fleet of ten thousand servers would write a
-// line for each, some 6 us of a whole core, while it could take requests.
+// line for each while it could take requests.
 constexpr std::size_t MostNewTold = 16;
 // Beats that a backend server which still lives needs to be listed again after an outage.
 constexpr int BeatsToReturn = 2;
--- a/src/store/ObjectHistory.h
+++ b/src/store/ObjectHistory.h
@@ -108,8 +108,7 @@
     std::map<std::string, Entry> entries_; ///< Gone objects included.
     std::size_t gone_ = 0;                 ///< How many of them are gone.
     /** The entries by their marks, so that what somebody lacks is found without looking at the
-     * rest: one who asks for ten changes among 10,000 objects costs 2 us instead of 1 ms, and a
-     * relay is asked by its whole hall. Names lie in entries_. */
+     * rest: a relay is asked by its whole hall for each change. Names lie in entries_. */
     std::set<std::pair<std::uint64_t, const std::string *>> byMark_;
     std::vector<Gap> gaps_;
 };
