Sight: the log says which failed requests are the same one

A failed attempt is now logged with the request's identity (organisation, method, host, target, body; BLAKE2b, worked out for failures only), the organisation, and how long after the send and after the first piece of its answer it failed. No decision changes.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -74,6 +74,7 @@
 asio::awaitable<AttemptEnd> BackendExchange::play()
 {
     run_.interrupt->connection = connection_;
+    run_.sentAt = run_.context.now();
     run_.world.servers().begin(server_.id, run_.prompt(), run_.context.now());
     if (run_.repeatable() && run_.route.mostAttempts > run_.counts.sends + 1) {
         armSilence(firstLook(run_, server_));
@@ -302,6 +303,9 @@
             co_return fail(Failure::Lost, "stream: " + part.error().message, true);
         }
         run_.world.servers().noteHeard(server_.id, run_.context.now());
+        if (!run_.firstPiece) {
+            run_.firstPiece = run_.context.now();
+        }
         const bool whole = part->empty();
         std::string bytes = whole ? cutter_.takeRest() : newEvents(*part);
         if (!bytes.empty() || whole) {
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -138,6 +138,8 @@
             break;
         }
         run_.choice = std::move(*choice);
+        run_.sentAt.reset();
+        run_.firstPiece.reset();
         const AttemptEnd end = co_await attempt();
         givePlaceBack();
         if (end == AttemptEnd::Answered) {
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -14,6 +14,12 @@
     return Log;
 }
 
+// Milliseconds since \a moment; -1 if it hasn't come.
+std::int64_t millisecondsSince(const std::optional<kernel::Instant> &moment, kernel::Instant now)
+{
+    return moment ? (now - *moment) / 1ms : -1;
+}
+
 } // namespace
 
 void logSend(const RunState &run)
@@ -45,14 +51,17 @@
     log().event("sent", fields, "The request goes to a backend server.");
 }
 
-void logFailure(const RunState &run, forward::Failure failure, const std::string &message,
-                bool sent)
+void logFailure(RunState &run, forward::Failure failure, const std::string &message, bool sent)
 {
     log().event("attempt-failed",
                 {{"request", run.call.id},
+                 {"identity", forward::text(run.identity())},
+                 {"organisation", run.organisation},
                  {"server", run.choice.server.id},
                  {"reason", text(failure)},
                  {"sent", sent},
+                 {"since_sent_ms", millisecondsSince(run.sentAt, run.context.now())},
+                 {"since_first_piece_ms", millisecondsSince(run.firstPiece, run.context.now())},
                  {"why", message},
                  {"left_ms", run.left() / 1ms}},
                 "An attempt failed.");
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -15,8 +15,7 @@
 void logSend(const RunState &run);
 
 /** An attempt failed. \param sent whether anything had left for the server. */
-void logFailure(const RunState &run, forward::Failure failure, const std::string &message,
-                bool sent);
+void logFailure(RunState &run, forward::Failure failure, const std::string &message, bool sent);
 
 /** The request is over. */
 void logEnd(const RunState &run, std::string_view result, const std::string &why = {});
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -35,6 +35,23 @@
     return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
 }
 
+forward::IdentityParts RunState::identityParts() const
+{
+    return {.organisation = organisation,
+            .method = request.method,
+            .host = call.host,
+            .target = request.target,
+            .body = request.body};
+}
+
+const forward::RequestIdentity &RunState::identity()
+{
+    if (!identity_) {
+        identity_ = forward::identityOf(identityParts());
+    }
+    return *identity_;
+}
+
 bool promisesNotRun(int status)
 {
     constexpr int RequestTimeout = 408;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "forward/RequestIdentity.h"
 #include "gateway/PlaceService.h"
 #include "gateway/World.h"
 #include "http/KeptConnection.h"
@@ -71,8 +72,10 @@
     kernel::Instant deadline;
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
 
-    forward::Choice choice;     ///< The server of this attempt.
-    std::optional<Place> place; ///< There.
+    forward::Choice choice;                    ///< The server of this attempt.
+    std::optional<kernel::Instant> sentAt;     ///< Of this attempt; nothing: not yet.
+    std::optional<kernel::Instant> firstPiece; ///< When it brought the first piece of an answer.
+    std::optional<Place> place;                ///< There.
     AttemptCounts counts;
     std::string lastMessage;
     std::optional<http::Answer> failedAnswer; ///< A backend server's own failure, whole.
@@ -84,6 +87,13 @@
 
     /** The prompt, where its parts matter for the choice of a server; else nullptr. */
     const forward::Prompt *prompt() const;
+
+    /** By what this request is known when it comes again. Known once it has been admitted. */
+    forward::IdentityParts identityParts() const;
+    const forward::RequestIdentity &identity();
+
+private:
+    std::optional<forward::RequestIdentity> identity_; ///< Once it was asked for.
 };
 
 /** Whether \a status promises the caller that its request did not run. */
