--- /dev/null
+++ b/test/platform/CrashingRequestTest.cpp
@@ -0,0 +1,224 @@
+// A request that ends each backend server that begins to run it.
+//
+// What was seen: on a fleet of six boxes one request of one organisation came again and again, at
+// every box, and ended nineteen and twenty engines; each took the streams of others with it and
+// came back cold.
+
+#include "http/KeptConnection.h"
+#include "platform/HallFixture.h"
+#include "support/Ports.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using namespace limereel::support;
+using nlohmann::json;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *Crashing = "the request that ends servers";
+
+/** What a caller got; 0 where the connection ended without an answer. */
+struct Got
+{
+    bool done = false;
+    int status = 0;
+    bool whole = false;
+    http::Fields fields;
+};
+
+/** Some boxes and some engines that come back under a new id after they have ended. */
+class CrashFixture : public HallFixture
+{
+public:
+    static constexpr std::size_t Boxes = 4;
+    static constexpr std::size_t Engines = 6;
+
+    void startAll()
+    {
+        putConfiguration();
+        for (std::size_t index = 0; index < Engines; ++index) {
+            startEngine(freeEndpoint());
+        }
+        for (std::size_t index = 0; index < Boxes; ++index) {
+            startBox(Store::Reached);
+        }
+        untilAllReady(0, Boxes);
+    }
+
+    void untilAllReady(std::size_t first, std::size_t count)
+    {
+        until(
+                [&] {
+                    bool all = true;
+                    for (std::size_t index = first; index < first + count; ++index) {
+                        all = all && world(index).ready() && boxesKnownTo(index) >= count;
+                    }
+                    return all;
+                },
+                "readiness");
+    }
+
+    /** Callers come again at one box after another, whatever they are told. */
+    std::vector<Got> comeAgain(int times, const std::string &prefix)
+    {
+        std::vector<Got> answers;
+        for (int turn = 0; turn < times; ++turn) {
+            answers.push_back(call(static_cast<std::size_t>(turn) % Boxes, prefix, Crashing));
+            bringBack();
+        }
+        return answers;
+    }
+
+    Got call(std::size_t box, const std::string &prefix, const std::string &body)
+    {
+        const auto pending = begin(box, prefix, body);
+        until([&] { return pending->done; }, "the answer");
+        return *pending;
+    }
+
+    std::shared_ptr<Got> begin(std::size_t box, const std::string &prefix, const std::string &body)
+    {
+        auto got = std::make_shared<Got>();
+        http::Request request("POST", prefix + "2f", {}, body);
+        request.fields.add("Host", "calls.example");
+        request.fields.add("X-Attempt-Id", "a" + std::to_string(++requests_));
+        request.fields.add("X-Deadline-Ms", "15000");
+        request.fields.add("X-Api-Key", "key-one");
+        if (prefix == "/stream/") {
+            request.fields.add("X-Model", "m");
+            request.fields.add("X-Token-Count", "300,20");
+            request.fields.add("X-Prompt-Prefix", "aa:100,bb:100,cc:100");
+        }
+        asio::co_spawn(io_, exchange(callerAt(box), std::move(request), got), asio::detached);
+        return got;
+    }
+
+    /** Engines that have ended are back, each under a new id. */
+    void bringBack()
+    {
+        for (std::size_t index = 0; index < engines_.size(); ++index) {
+            if (engines_[index]->crashed() && !back_.contains(index)) {
+                back_.insert(index);
+                store().remove("servers", engines_[index]->name());
+                startEngine(engines_[index]->where());
+                untilListed(engines_.back()->name());
+            }
+        }
+    }
+
+    std::size_t ended() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+                engines_, [](const auto &engine) { return engine->crashed(); }));
+    }
+
+    std::vector<std::unique_ptr<standin::RunnerStandin>> engines_;
+
+private:
+    void untilListed(const std::string &id)
+    {
+        until(
+                [&] {
+                    bool all = true;
+                    for (std::size_t index = 0; index < Boxes; ++index) {
+                        all = all && world(index).servers().find(id).has_value();
+                    }
+                    return all;
+                },
+                "the engine that is back at all boxes");
+    }
+
+    void startEngine(const kernel::Endpoint &where)
+    {
+        auto engine = std::make_unique<standin::RunnerStandin>(
+                io_, "i-" + std::to_string(engines_.size() + 1), where);
+        engine->endedBy = Crashing;
+        engine->endsAfter = 5ms;
+        store().put("servers", engine->name(),
+                    {{"service", "pool"},
+                     {"address", kernel::text(where)},
+                     {"zone", "hall-a"},
+                     {"version", "v1"},
+                     {"slots", 8},
+                     {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"models", json::array()},
+                     {"call_seq", 1}});
+        engines_.push_back(std::move(engine));
+    }
+
+    void putConfiguration()
+    {
+        json routes = json::array();
+        for (const auto &[prefix, kind] :
+             {std::pair("/again/", "idempotent"), std::pair("/stream/", "streaming")}) {
+            routes.push_back({{"name", std::string("r") + prefix},
+                              {"host", "calls.example"},
+                              {"path_prefix", prefix},
+                              {"kind", kind},
+                              {"timeout_ms", 20000},
+                              {"goal_ms", 10000},
+                              {"priority", 1},
+                              {"service", "pool"},
+                              {"max_attempts", 2},
+                              {"anonymous", false},
+                              {"sticky", std::string(kind) == "streaming"},
+                              {"can_resume", false},
+                              {"gap_goal_ms", 400}});
+        }
+        store().put("config", "main",
+                    {{"version", 1},
+                     {"routes", routes},
+                     {"services", json::array({{{"name", "pool"},
+                                                {"max_conns", 100},
+                                                {"engine", {{"slots", 8}, {"moves", true}}}}})},
+                     {"tenants",
+                      json::array({{{"name", "one"}, {"api_keys", json::array({"key-one"})}}})}});
+    }
+
+    asio::awaitable<void> exchange(kernel::Endpoint where, http::Request request,
+                                   std::shared_ptr<Got> got)
+    {
+        auto connected = co_await http::KeptConnection::connect(io_, where, 10s);
+        if (connected) {
+            (*connected)->send(std::move(request));
+            auto head = co_await (*connected)->readHead();
+            if (head) {
+                got->status = head->status;
+                got->fields = head->fields;
+                const auto body = co_await (*connected)->readAll(65536);
+                got->whole = body.has_value();
+            }
+        }
+        got->done = true;
+    }
+
+    int requests_ = 0;
+    std::set<std::size_t> back_; ///< Of engines that have ended: those that were brought back.
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrashingRequestTest, CrashFixture)
+
+BOOST_AUTO_TEST_CASE(streamThatEndsItsServers_comesAgainAtEachBox_threeServersEndInAll)
+{
+    startAll();
+    comeAgain(12, "/stream/");
+    BOOST_TEST(ended() <= 3U);
+    BOOST_TEST(call(1, "/stream/", "another").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatEndsItsServers_isRepeatedByTheBoxToo_threeServersEndInAll)
+{
+    startAll();
+    comeAgain(12, "/again/");
+    BOOST_TEST(ended() <= 3U);
+    BOOST_TEST(call(1, "/again/", "another").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -1,6 +1,7 @@
 #include "platform/HallFixture.h"
 
 #include "platform/Adapter.h"
+#include "services/MembershipService.h"
 #include "support/Ports.h"
 
 #include <sstream>
@@ -119,6 +120,17 @@
     return contextOf(index).counters.value(name, labels);
 }
 
+std::size_t HallFixture::boxesKnownTo(std::size_t index) const
+{
+    return contextOf(index).kernel.find<services::MembershipService>("membership").owners().size();
+}
+
+void HallFixture::killBox(std::size_t index)
+{
+    boxes_.at(index)->context.kernel.stop();
+    boxes_.at(index)->frozen = true;
+}
+
 std::uint64_t HallFixture::storeCalls(std::size_t index) const
 {
     return counter(index, "store_calls", {{"kind", "config"}})
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -48,6 +48,15 @@
     bool everyBoxIsAt(std::uint64_t version) const;
     gateway::World &world(std::size_t index) const;
 
+    /** Boxes that a box takes for live, itself included. */
+    std::size_t boxesKnownTo(std::size_t index) const;
+
+    /** Where a box listens for callers. */
+    kernel::Endpoint callerAt(std::size_t index) const { return contextOf(index).settings.caller; }
+
+    /** A box ends without a word, as a process does that is killed. */
+    void killBox(std::size_t index);
+
     /** Where a box listens for other boxes. */
     kernel::Endpoint boxAt(std::size_t index) const { return contextOf(index).settings.peer; }
     std::uint64_t storeCalls(std::size_t index) const;
@@ -75,7 +84,7 @@
 
         boost::asio::io_context io{1};
         services::Context context;
-        bool frozen = false;
+        bool frozen = false; ///< Or killed.
     };
 
     const services::Context &contextOf(std::size_t index) const
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -96,6 +96,15 @@
     acceptor_.close(ignored);
 }
 
+void RunnerStandin::crash()
+{
+    state_->crashed = true;
+    close();
+    for (tcp::socket *socket : state_->sockets) {
+        reset(*socket);
+    }
+}
+
 std::size_t RunnerStandin::runs() const
 {
     return static_cast<std::size_t>(std::ranges::count(state_->records, true, &RunnerRecord::ran));
@@ -115,6 +124,14 @@
 }
 
 asio::awaitable<void> RunnerStandin::serve(tcp::socket socket)
+{
+    const std::shared_ptr<State> state = state_;
+    state->sockets.insert(&socket);
+    co_await serveRequests(socket);
+    state->sockets.erase(&socket);
+}
+
+asio::awaitable<void> RunnerStandin::serveRequests(tcp::socket &socket)
 {
     boost::beast::flat_buffer buffer;
     bool more = true;
@@ -152,6 +169,12 @@
         const std::string text = framed("421 Misdirected Request", id, "", "");
         co_return co_await write(socket, text);
     }
+    if (runs && !endedBy.empty() && request.body == endedBy) {
+        asio::steady_timer timer(io_, endsAfter);
+        co_await timer.async_wait(Quiet);
+        crash();
+        co_return false;
+    }
     const std::string stamp = name_ + "." + id;
     const std::string body = "done by " + name_;
     std::string text;
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,15 @@
     /** Takes no more connections. */
     void close();
 
+    /** A request with this body ends the process as it begins to run, \a endsAfter later; empty:
+     * none does. */
+    std::string endedBy;
+    kernel::Duration endsAfter = 0ms;
+
+    /** Ends as a process does that is killed: all connections are reset, the port is dead. */
+    void crash();
+    bool crashed() const { return state_->crashed; }
+
 private:
     struct State
     {
@@ -79,10 +89,13 @@
         int connections = 0;
         int left = 0;
         bool open = true;
+        bool crashed = false;
+        std::set<boost::asio::ip::tcp::socket *> sockets; ///< Of open connections.
     };
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket &socket);
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket &socket,
                                         const http::Request &request, RunnerFault fault);
     boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket &socket,
