Stopped requests lie in the platform's store

Cause: no box has anything that outlasts its process, so a fleet that lost power as a whole would let a stopped request end three more servers.

Change: the owner of a stopped request creates its object, and replaces it after further tries in vain; each box reads the objects once, at its start, and hears the rest from others. One call more a start. While the store is away, writing is tried again with growing pauses.

--- a/src/gateway/Adapter.h
+++ b/src/gateway/Adapter.h
@@ -23,6 +23,7 @@
     std::string configurationKind; ///< Of the object that holds the configuration.
     std::string configurationName;
     std::string serverKind;    ///< Of the objects in which backend servers record themselves.
+    std::string crashKind;     ///< Of the objects that keep stopped requests; the system's own.
     std::string hallDrainKind; ///< Of the objects by which the operator drains halls.
 
     std::function<tl::expected<forward::SnapshotContent, std::string>(const nlohmann::json &)>
--- /dev/null
+++ b/src/gateway/CrashStore.cpp
@@ -0,0 +1,244 @@
+#include "gateway/CrashStore.h"
+
+#include "kernel/Log.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+using forward::CrashRecord;
+using forward::RequestIdentity;
+using nlohmann::json;
+
+namespace {
+
+constexpr int Good = 200;
+constexpr int Created = 201;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr kernel::Duration ConnectWait = 1s;
+constexpr AnswerWait LongestAnswer = {2s, 2s, 5s};
+constexpr kernel::Duration LookEvery = 2s;
+constexpr kernel::Duration FirstPause = 500ms;
+constexpr kernel::Duration LongestPause = 8s;
+// Those that start together don't ask in the same moment.
+constexpr std::int64_t StartSpreadMs = 300;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("crash-store");
+    return Log;
+}
+
+json contentOf(const CrashRecord &record)
+{
+    return {{"round", record.round},
+            {"servers", record.servers},
+            {"failed_trials", record.failedTrials}};
+}
+
+// Throws what nlohmann-json throws where anything isn't as contentOf() writes it.
+CrashRecord recordFrom(const RequestIdentity &request, const json &content)
+{
+    CrashRecord record{.request = request};
+    record.round = content.at("round").get<std::uint32_t>();
+    record.servers = content.at("servers").get<std::vector<std::uint64_t>>();
+    record.failedTrials = content.at("failed_trials").get<std::uint32_t>();
+    std::ranges::sort(record.servers);
+    return record;
+}
+
+} // namespace
+
+CrashStore::CrashStore(services::Context &context, const Adapter &adapter,
+                       services::CrashService &crashes)
+    : context_(context)
+    , adapter_(adapter)
+    , crashes_(crashes)
+    , connection_(context, "crash-store")
+    , backoff_(FirstPause, LongestPause)
+{
+}
+
+void CrashStore::start()
+{
+    crashes_.onChange([this](const CrashRecord &before, const CrashRecord &record) {
+        noteChange(before, record);
+    });
+    loop_ = std::make_unique<services::Repeat>(context_.io, [this] { return round(); });
+}
+
+void CrashStore::stop()
+{
+    loop_.reset();
+    connection_.close();
+}
+
+void CrashStore::noteChange(const CrashRecord &before, const CrashRecord &record)
+{
+    const bool lifted = before.failedTrials > 0 && record.failedTrials == 0;
+    if (lifted && crashes_.owns(record.request)) {
+        toRemove_.insert(record.request);
+    }
+    if (record.failedTrials > 0) {
+        toRemove_.erase(record.request);
+    }
+    if (lifted || record.failedTrials > 0) {
+        loop_->hurry();
+    }
+}
+
+asio::awaitable<kernel::Duration> CrashStore::round()
+{
+    if (!isRead_ && after_.empty() && backoff_.failures() == 0) {
+        asio::steady_timer spread(
+                context_.io, 1ms * static_cast<std::int64_t>(context_.random() % StartSpreadMs));
+        co_await spread.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    const bool read = co_await this->read();
+    const bool written = co_await write();
+    connection_.close();
+    if (read && written) {
+        backoff_.succeed();
+        co_return LookEvery;
+    }
+    co_return backoff_.fail(context_.random);
+}
+
+asio::awaitable<tl::expected<http::Answer, std::string>> CrashStore::ask(http::Request request)
+{
+    const kernel::Endpoint where = context_.settings.platform;
+    const auto opened = co_await connection_.open(where, ConnectWait);
+    if (!opened) {
+        co_return tl::unexpected(opened.error());
+    }
+    request.fields.add("Host", kernel::text(where));
+    if (!request.body.empty()) {
+        request.fields.add("Content-Type", "application/json");
+    }
+    context_.counters.add("store_calls", {{"kind", adapter_.crashKind}});
+    auto answer = co_await connection_.ask(std::move(request), LongestAnswer);
+    co_return answer;
+}
+
+// Gives false if something is left to be read.
+asio::awaitable<bool> CrashStore::read()
+{
+    while (!isRead_) {
+        std::string target = adapter_.store.listTarget(adapter_.crashKind, after_);
+        http::Request request("GET", std::move(target));
+        const auto answer = co_await ask(std::move(request));
+        if (!answer || answer->status != Good) {
+            noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
+            co_return false;
+        }
+        auto page = adapter_.store.readPage(json::parse(answer->body, nullptr, false));
+        if (!page) {
+            noteFailure("read", page.error());
+            co_return false;
+        }
+        for (const store::StoredObject &object : page->objects) {
+            takeObject(object);
+            after_ = object.name;
+        }
+        isRead_ = !page->more || page->objects.empty();
+    }
+    co_return true;
+}
+
+void CrashStore::takeObject(const store::StoredObject &object)
+{
+    const auto request = forward::identityFrom(object.name);
+    try {
+        if (request) {
+            const CrashRecord record = recordFrom(*request, object.content);
+            saved_[*request] = record;
+            crashes_.take(record);
+            return;
+        }
+    } catch (const json::exception &) {
+        // Counted below with those whose names can't be read.
+    }
+    context_.counters.add("objects_unreadable", {{"kind", adapter_.crashKind}});
+    log().event("unreadable", {{"name", object.name}}, "A stopped request can't be read.");
+}
+
+// Gives false if something is left to be written.
+asio::awaitable<bool> CrashStore::write()
+{
+    std::vector<CrashRecord> due;
+    for (const CrashRecord &record : crashes_.book().shared()) {
+        const auto saved = saved_.find(record.request);
+        const bool known = saved != saved_.end() && saved->second == record;
+        if (record.failedTrials > 0 && !known && crashes_.owns(record.request)) {
+            due.push_back(record);
+        }
+    }
+    bool all = true;
+    for (const CrashRecord &record : due) {
+        const bool done = co_await save(record);
+        all = all && done;
+    }
+    const std::set<RequestIdentity> lifted = toRemove_;
+    for (const RequestIdentity &request : lifted) {
+        const bool done = co_await remove(request);
+        all = all && done;
+    }
+    co_return all;
+}
+
+asio::awaitable<bool> CrashStore::save(CrashRecord record)
+{
+    const std::string name = forward::text(record.request);
+    const std::string &kind = adapter_.crashKind;
+    json body = adapter_.store.writeObject(name, std::nullopt, contentOf(record));
+    http::Request request("POST", adapter_.store.listTarget(kind, ""), {}, body.dump());
+    auto answer = co_await ask(std::move(request));
+    if (answer && answer->status == Conflict) {
+        // It is there already: what both say is written over what was read.
+        const auto there = adapter_.store.readObject(json::parse(answer->body, nullptr, false));
+        if (there) {
+            takeObject(*there);
+            record = crashes_.book().record(record.request);
+            if (saved_[record.request] == record) {
+                co_return true;
+            }
+            json newer = adapter_.store.writeObject(name, there->revision, contentOf(record));
+            http::Request replace("PUT", adapter_.store.objectTarget(kind, name), {}, newer.dump());
+            answer = co_await ask(std::move(replace));
+        }
+    }
+    const bool done = answer && (answer->status == Good || answer->status == Created);
+    if (!done) {
+        noteFailure("write", answer ? std::to_string(answer->status) : answer.error());
+        co_return false;
+    }
+    saved_[record.request] = record;
+    log().event("saved", {{"identity", name}}, "A stopped request lies in the store.");
+    co_return true;
+}
+
+asio::awaitable<bool> CrashStore::remove(RequestIdentity identity)
+{
+    std::string target = adapter_.store.objectTarget(adapter_.crashKind, forward::text(identity));
+    http::Request request("DELETE", std::move(target));
+    const auto answer = co_await ask(std::move(request));
+    if (!answer || (answer->status != Good && answer->status != NotFound)) {
+        noteFailure("remove", answer ? std::to_string(answer->status) : answer.error());
+        co_return false;
+    }
+    saved_.erase(identity);
+    toRemove_.erase(identity);
+    co_return true;
+}
+
+void CrashStore::noteFailure(const char *what, const std::string &why)
+{
+    context_.counters.add("crash_store_failures", {{"what", what}});
+    log().event("failed", {{"what", what}, {"why", why}},
+                "Stopped requests can't be read or written at the store now.");
+}
+
+} // namespace limereel::gateway
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.h"
 
+#include "gateway/CrashStore.h"
 #include "gateway/FeedRelay.h"
 #include "gateway/GatewayServices.h"
 #include "kernel/HeldSignals.h"
@@ -75,9 +76,10 @@
     kernel.add(std::make_unique<services::LoopWatch>(context));
     kernel.add(std::make_unique<services::PeerService>(context));
     kernel.add(std::make_unique<services::MembershipService>(context, acquaintanceOf(context)));
-    kernel.add(std::make_unique<services::CrashService>(context));
+    services::CrashService &crashes = kernel.add(std::make_unique<services::CrashService>(context));
     World &world = kernel.add(std::make_unique<World>(context, std::move(adapter)));
     kernel.add(std::make_unique<FeedRelay>(context, world));
+    kernel.add(std::make_unique<CrashStore>(context, world.adapter(), crashes));
     PlaceService &places = kernel.add(std::make_unique<PlaceService>(context, world));
     kernel.add(std::make_unique<FrontService>(context, world, places));
     kernel.add(std::make_unique<ReadyService>(context, world));
--- a/src/store/ObjectFormat.h
+++ b/src/store/ObjectFormat.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -52,7 +53,17 @@
     std::function<std::string(const std::string &kind, std::uint64_t at, kernel::Duration wait)>
             watchTarget;
 
+    /** The target of the requests that replace or remove the object \a name. New ones are sent to
+     * the list's target. */
+    std::function<std::string(const std::string &kind, const std::string &name)> objectTarget;
+
+    /** The body of a request that writes an object. \param revision only over this one. */
+    std::function<nlohmann::json(const std::string &name, std::optional<std::uint64_t> revision,
+                                 nlohmann::json content)>
+            writeObject;
+
     /** Each reads an answer's body; a discarded value is an error. */
+    std::function<tl::expected<StoredObject, std::string>(nlohmann::json body)> readObject;
     std::function<tl::expected<ObjectPage, std::string>(nlohmann::json body)> readPage;
     std::function<tl::expected<ObjectChanges, std::string>(nlohmann::json body)> readChanges;
 };
--- a/test/platform/CrashingRequestTest.cpp
+++ b/test/platform/CrashingRequestTest.cpp
@@ -121,6 +121,17 @@
                 engines_, [](const auto &engine) { return engine->crashed(); }));
     }
 
+    void restartAll()
+    {
+        for (std::size_t index = 0; index < Boxes; ++index) {
+            killBox(index);
+        }
+        for (std::size_t index = 0; index < Boxes; ++index) {
+            restartBox(index);
+        }
+        untilAllReady(0, Boxes);
+    }
+
     /** Requests that have reached engines. */
     std::size_t reached() const
     {
@@ -263,6 +274,30 @@
     BOOST_TEST(ended() == 3U);
 }
 
+// No box has anything that outlasts its process.
+BOOST_AUTO_TEST_CASE(allBoxesLosePowerAfterARequestWasStopped_itStaysStopped)
+{
+    startAll();
+    comeAgain(6, "/stream/");
+    untilStoppedAt({0, 1, 2, 3});
+    until([this] { return store().objects("stopped-requests").size() == 1; }, "its object");
+    restartAll();
+    untilStoppedAt({0, 1, 2, 3});
+    comeAgain(4, "/stream/");
+    BOOST_TEST(ended() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(requestIsStoppedWhileTheStoreIsAway_isKeptOnceThatIsBack)
+{
+    startAll();
+    comeAgain(2, "/stream/");
+    store().faults.status = 503;
+    call(2, "/stream/", Crashing);
+    untilStoppedAt({0, 1, 2, 3});
+    store().faults.status = 0;
+    until([this] { return store().objects("stopped-requests").size() == 1; }, "its object");
+}
+
 // Equal requests, as plain ones of one caller often are, run on all engines at once when these end.
 BOOST_AUTO_TEST_CASE(equalRequestsRunWhereAllServersEnd_servedOnceServersAreBack)
 {
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -48,12 +48,24 @@
 {
     const std::size_t index = boxes_.size();
     boxes_.push_back(std::make_unique<Box>(settings(index, store, linkMbps)));
-    services::Context &box = boxes_.back()->context;
-    box.incarnation = 1;
-    box.random.seed(index + 1);
+    startServices(index, 1);
+    return index;
+}
+
+void HallFixture::restartBox(std::size_t index)
+{
+    const std::uint64_t before = boxes_.at(index)->context.incarnation;
+    boxes_[index] = std::make_unique<Box>(settings(index, Store::Reached, 20));
+    startServices(index, before + 1);
+}
+
+void HallFixture::startServices(std::size_t index, std::uint64_t incarnation)
+{
+    services::Context &box = boxes_.at(index)->context;
+    box.incarnation = incarnation;
+    box.random.seed(index + incarnation);
     gateway::addGatewayServices(box, platform::adapter(), [] {});
     box.kernel.start();
-    return index;
 }
 
 void HallFixture::putVersion(int version, std::size_t padding)
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -59,6 +59,9 @@
     /** A box ends without a word, as a process does that is killed. */
     void killBox(std::size_t index);
 
+    /** A box that was killed starts again, with nothing that it knew. */
+    void restartBox(std::size_t index);
+
     /** Where a box listens for other boxes. */
     kernel::Endpoint boxAt(std::size_t index) const { return contextOf(index).settings.peer; }
     std::uint64_t storeCalls(std::size_t index) const;
@@ -93,6 +96,7 @@
     {
         return boxes_.at(index)->context;
     }
+    void startServices(std::size_t index, std::uint64_t incarnation);
     kernel::BoxSettings settings(std::size_t index, Store store, int linkMbps) const;
 
     kernel::Endpoint storeAt_;
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -90,6 +90,14 @@
         co_return;
     }
     const std::string kind(request.path().substr(Prefix.size()));
+    if (request.method == "POST") {
+        co_await create(request, kind, reply);
+        co_return;
+    }
+    if (request.method != "GET") {
+        co_await change(request, kind, reply);
+        co_return;
+    }
     if (request.query("watch").empty()) {
         co_await list(request, kind, reply);
     } else {
@@ -97,6 +105,45 @@
     }
 }
 
+asio::awaitable<void> StoreStandin::create(const http::Request &request, const std::string &kind,
+                                           http::Reply &reply)
+{
+    const json object = json::parse(request.body);
+    const std::string name = object.at("metadata").at("name");
+    const bool isNew = !objects_[kind].contains(name);
+    if (isNew) {
+        put(kind, name, object.at("spec"));
+    }
+    http::Answer answer = answerOf(objects_[kind].at(name));
+    answer.status = isNew ? 200 : 409;
+    co_await reply.send(std::move(answer));
+}
+
+asio::awaitable<void> StoreStandin::change(const http::Request &request, const std::string &path,
+                                           http::Reply &reply)
+{
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = path.substr(slash + 1);
+    const auto there = objects_[kind].find(name);
+    http::Answer answer(404);
+    if (there != objects_[kind].end() && request.method == "DELETE") {
+        answer = answerOf(there->second);
+        remove(kind, name);
+    } else if (there != objects_[kind].end()) {
+        const json object = json::parse(request.body);
+        const auto revision = object.at("metadata").find("revision");
+        const bool newer = revision != object.at("metadata").end()
+                           && *revision != there->second.at("metadata").at("revision");
+        if (!newer) {
+            put(kind, name, object.at("spec"));
+        }
+        answer = answerOf(objects_[kind].at(name));
+        answer.status = newer ? 409 : 200;
+    }
+    co_await reply.send(std::move(answer));
+}
+
 asio::awaitable<void> StoreStandin::list(const http::Request &request, const std::string &kind,
                                          http::Reply &reply)
 {
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -46,6 +46,12 @@
 
     int calls() const { return calls_; }
 
+    /** The objects of \a kind by name. */
+    const std::map<std::string, nlohmann::json> &objects(const std::string &kind)
+    {
+        return objects_[kind];
+    }
+
     /** Watches that wait for a change. */
     std::size_t watching() const { return waiting_.size(); }
 
@@ -68,6 +74,10 @@
                                       http::Reply &reply);
     boost::asio::awaitable<void> watch(const http::Request &request, const std::string &kind,
                                        http::Reply &reply);
+    boost::asio::awaitable<void> create(const http::Request &request, const std::string &kind,
+                                        http::Reply &reply);
+    boost::asio::awaitable<void> change(const http::Request &request, const std::string &path,
+                                        http::Reply &reply);
     void record(const std::string &kind, nlohmann::json object, bool gone);
 
     boost::asio::io_context &io_;
