Failing test: keys are honoured after a suspension longer than their bound

A real process with a small preloaded library that lets the boot clock and the time of day run ahead of the steady one by 30 s at a signal, as after a suspension; the store is silent. The box serves a request with a key (200) though nothing has confirmed it for 30 s; the bound is 5 s.

--- a/test/platform/GatewayProcessTest.cpp
+++ b/test/platform/GatewayProcessTest.cpp
@@ -195,4 +195,23 @@
     BOOST_TEST(story.find("result=ok") != std::string::npos, story);
 }
 
+// A machine that is suspended doesn't live through that time, and its steady clock doesn't count
+// it; a key that was taken away meanwhile must not be honoured after it. Before, the box took its
+// last confirmation of the keys for as old as its steady clock said, and served the request.
+BOOST_AUTO_TEST_CASE(machineWasSuspended_keysAreRefusedUntilTheStoreConfirmsThem)
+{
+    writeSettings("5000");
+    Process process({"/usr/bin/env", "LD_PRELOAD=" LIMEREEL_SUSPENDED_CLOCK,
+                     "ASAN_OPTIONS=verify_asan_link_order=0", LIMEREEL_BINARY, "gateway",
+                     "--settings", settingsFile().string()},
+                    logFile().string());
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    store().faults.silent = true;
+    process.signal(SIGUSR2);
+    BOOST_TEST(call(request("GET", "/again/x")).status == 503);
+    store().faults.silent = false;
+    until([this] { return call(request("GET", "/again/x")).status == 200; }, "service again");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
