Time counts on while the machine is suspended

What callers would have seen: after a suspension a box honoured keys by a confirmation that was older than the bound, since the steady clock doesn't count that time; ages, leases and rests of connections looked younger in the same way.

Cause: every decision took its time from the steady clock.

Change: kernel::now() reads the boot clock, and is the clock that all decisions are handed. A suspension is a standstill of the process to them, which they know how to take.

--- a/src/http/AnswerTimer.cpp
+++ b/src/http/AnswerTimer.cpp
@@ -1,6 +1,6 @@
 #include "http/AnswerTimer.h"
 
-#include "http/SteadyClock.h"
+#include "kernel/Clock.h"
 
 #include <boost/asio.hpp>
 
@@ -16,6 +16,8 @@
 // period of 100 ms. A caller's final answer may come half a second after its time, which leaves the
 // rest to the standstill before the first look.
 constexpr kernel::Duration LongestLooks = 200ms;
+// The loop's timers stand still while the machine is suspended.
+constexpr kernel::Duration LongestSleep = 500ms;
 
 } // namespace
 
@@ -44,10 +46,16 @@
 
 void AnswerTimer::Wait::arm(kernel::Instant at)
 {
-    timer.expires_at(at);
-    timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+    const kernel::Duration left = at - kernel::now();
+    timer.expires_after(std::min(left, LongestSleep));
+    timer.async_wait([self = shared_from_this(), at](boost::system::error_code) {
         // A handler that is under way already can't be cancelled.
-        if (!self->stopped) {
+        if (self->stopped) {
+            return;
+        }
+        if (kernel::now() < at) {
+            self->arm(at);
+        } else {
             self->look();
         }
     });
@@ -55,7 +63,7 @@
 
 void AnswerTimer::Wait::look()
 {
-    const kernel::Instant now = steadyNow();
+    const kernel::Instant now = kernel::now();
     if (!looks.goOn(now, heard())) {
         lookAfterATurn();
         return;
@@ -104,7 +112,7 @@
     wait_->name = name_;
     wait_->heard = std::move(heard);
     wait_->over = std::move(over);
-    wait_->arm(steadyNow() + longest);
+    wait_->arm(kernel::now() + longest);
 }
 
 void AnswerTimer::stop()
--- a/src/services/Context.h
+++ b/src/services/Context.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "kernel/BoxSettings.h"
+#include "kernel/Clock.h"
 #include "kernel/Counters.h"
 #include "kernel/Kernel.h"
 
@@ -25,9 +26,7 @@
     kernel::Counters counters;
     kernel::Kernel kernel;
     std::mt19937_64 random;
-    std::function<kernel::Instant()> now = [] {
-        return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
-    };
+    std::function<kernel::Instant()> now = kernel::now;
 
     Context(boost::asio::io_context &loop, kernel::BoxSettings boxSettings)
         : io(loop)
