One guard for both ways of a request; operators see and lift stopped requests

The own chat interface and plain services sent a request that ends its servers on as the gateway did. What a request and its attempts have to do with ends of servers stands in one place now, services/CrashGuard, and all three ways use it; the gateway's copy is gone.

Operators: 'limereel status' lists requests that don't run freely, 'limereel lift IDENTITY' lets one run again at all boxes (a [peers] key; 401, 400, 404 else), which also takes it out of the store; counters and a log line.

Plain runners have no life of their own in the list: one that ends twice counts once (noted beside the code). The own interface has no test of its own yet.

--- a/src/command/OperatorCommands.cpp
+++ b/src/command/OperatorCommands.cpp
@@ -198,6 +198,17 @@
     return Success;
 }
 
+int lift()
+{
+    const auto answer = callBox(words.target, "POST",
+                                std::string(gateway::LiftPath) + "?identity=" + words.name);
+    if (!answer) {
+        return fail(answer.error());
+    }
+    std::cout << "the request may run again, at all boxes within seconds\n";
+    return Success;
+}
+
 int leave()
 {
     const auto answer = callBox(words.target, "POST", "/v1/leave");
@@ -315,6 +326,10 @@
     addNodes(app, exitCode, "pool", "pool:");
     addNodes(app, exitCode, "service", "service:");
     add(app, "status", "Shows what a box knows", exitCode, status);
+    add(app, "lift", "Lets a request run again that was stopped; --key-file holds a [peers] key",
+        exitCode, lift)
+            ->add_option("identity", words.name, "As 'limereel status' shows it")
+            ->required();
     add(app, "leave", "Stops a box without cutting a request", exitCode, leave);
 }
 
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -1,11 +1,15 @@
 #include "gateway/GatewayServices.h"
 
 #include "gateway/GatewayStatus.h"
+#include "kernel/KeyHash.h"
 #include "kernel/Log.h"
+#include "services/CrashService.h"
 #include "services/MembershipService.h"
 #include "services/StopEnd.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
 
 namespace limereel::gateway {
 
@@ -75,6 +79,8 @@
         answer.status = 200;
         answer.fields = http::Fields().with("Content-Type", "application/json");
         answer.body = statusOf(context_, world_, leaving_).dump();
+    } else if (request.path() == LiftPath && request.method == "POST") {
+        answer = lift(request);
     } else if (request.path() == MetricsPath) {
         answer.status = 200;
         answer.body = context_.counters.exposition();
@@ -82,6 +88,29 @@
     co_await reply.send(std::move(answer));
 }
 
+http::Answer ReadyService::lift(const http::Request &request)
+{
+    const auto refusal = [](int status, const char *message) {
+        return http::Answer(status, http::Fields().with("Content-Type", "application/json"),
+                            nlohmann::json({{"message", message}}).dump());
+    };
+    const std::string key(kernel::bearerKey(request.fields.get("Authorization")));
+    const auto isOperator = [&](const std::string &own) {
+        return kernel::keyHash(own) == kernel::keyHash(key);
+    };
+    if (std::ranges::none_of(context_.settings.peerKeys, isOperator)) {
+        return refusal(401, "this isn't one of the box's [peers] keys");
+    }
+    const auto identity = forward::identityFrom(request.query("identity"));
+    if (!identity) {
+        return refusal(400, "the identity isn't 48 hexadecimal digits");
+    }
+    if (!context_.kernel.find<services::CrashService>("crashes").lift(*identity)) {
+        return refusal(404, "nothing is known of a request with this identity");
+    }
+    return refusal(200, "the request may run again");
+}
+
 void GatewayStop::leave()
 {
     if (leaving_) {
--- a/src/gateway/GatewayServices.h
+++ b/src/gateway/GatewayServices.h
@@ -30,6 +30,7 @@
 private:
     std::unique_ptr<http::Server> serve(const kernel::Endpoint &where);
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
+    http::Answer lift(const http::Request &request);
 
     services::Context &context_;
     World &world_;
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayStatus.h"
 
+#include "services/CrashService.h"
 #include "services/MembershipService.h"
 
 #include <sstream>
@@ -56,6 +57,23 @@
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+// Requests that don't run freely, as backend servers have ended under them.
+json requestsOf(services::Context &context)
+{
+    auto &crashes = context.kernel.find<services::CrashService>("crashes");
+    json requests = json::array();
+    for (const forward::CrashRecord &record : crashes.book().shared()) {
+        const forward::Standing standing = crashes.standing(record.request);
+        if (standing != forward::Standing::Free) {
+            requests.push_back({{"identity", forward::text(record.request)},
+                                {"standing", text(standing)},
+                                {"servers", record.servers.size()},
+                                {"failed_trials", record.failedTrials}});
+        }
+    }
+    return requests;
+}
+
 } // namespace
 
 json statusOf(services::Context &context, World &world, bool leaving)
@@ -67,7 +85,8 @@
             {"leaving", leaving},
             {"configuration", configurationOf(world, now)},
             {"boxes", boxesOf(context)},
-            {"servers", serversOf(world, now)}};
+            {"servers", serversOf(world, now)},
+            {"requests", requestsOf(context)}};
 }
 
 std::string statusText(const json &status)
@@ -102,6 +121,13 @@
              << (server.at("leaving") == true ? ", leaving" : "")
              << (server.at("doubted") == true ? ", doubted" : "") << '\n';
     }
+    // Boxes of earlier versions don't tell them.
+    const json requests = status.value("requests", json::array());
+    text << requests.size() << " requests don't run freely\n";
+    for (const json &request : requests) {
+        text << "  " << textOf(request.at("identity")) << ": " << textOf(request.at("standing"))
+             << ", " << request.at("servers") << " servers ended under it\n";
+    }
     return text.str();
 }
 
--- a/src/gateway/GatewayStatus.h
+++ b/src/gateway/GatewayStatus.h
@@ -13,6 +13,9 @@
 /** The path at the control address. */
 inline constexpr const char *StatusPath = "/v1/status";
 
+/** Where an operator lets a stopped request run again: the identity in the query. */
+inline constexpr const char *LiftPath = "/v1/requests/lift";
+
 /** The status of this box; holds no secret. */
 nlohmann::json statusOf(services::Context &context, World &world, bool leaving);
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -4,7 +4,6 @@
 #include "services/Answers.h"
 
 #include <boost/asio.hpp>
-#include <utility>
 
 namespace limereel::gateway {
 
@@ -30,7 +29,6 @@
     : run_(context, world, std::move(request), reply)
     , pool_(pool)
     , places_(places)
-    , crashes_(context.kernel.find<services::CrashService>("crashes"))
     , deadlineTimer_(context.io, context.counters, "deadline")
 {
 }
@@ -53,23 +51,20 @@
         co_await refuse(std::move(*refusal));
         co_return;
     }
+    run_.guard.setParts({.organisation = run_.organisation,
+                         .method = run_.request.method,
+                         .host = run_.call.host,
+                         .target = run_.request.target,
+                         .body = run_.request.body});
     armTimers();
     run_.reply.watchClient([interrupt = run_.interrupt] {
         if (!interrupt->over) {
             interrupt->end(Interruption::CallerLeft);
         }
     });
-    run_.pastBeginning = [this] {
-        if (run_.alone != 0 || needsLeave()) {
-            crashes_.noteAnswered(run_.identity(), std::exchange(run_.alone, 0));
-        }
-    };
     run_.world.budget().countRequest(run_.service, run_.began);
     co_await runAttempts();
     givePlaceBack();
-    if (run_.alone != 0) {
-        crashes_.handBack(run_.identity(), run_.alone);
-    }
 }
 
 std::optional<RequestRun::Refusal> RequestRun::admit()
@@ -159,7 +154,7 @@
         run_.beginAttempt();
         const AttemptEnd end = co_await attempt();
         givePlaceBack();
-        co_await noteCrash(end);
+        co_await noteEnd(end);
         if (end == AttemptEnd::Answered) {
             co_return;
         }
@@ -176,63 +171,30 @@
     co_await giveUp();
 }
 
-// Whether servers have ended under this request, so that it may have to run alone, or not at all.
-bool RequestRun::needsLeave()
-{
-    return crashes_.concerns(forward::shapeOf(run_.identityParts()))
-           && crashes_.standing(run_.identity()) != forward::Standing::Free;
-}
-
+// A request under which servers have ended may have to run alone, or not at all.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::takeLeave()
 {
-    if (run_.alone != 0) {
-        // The attempt before didn't use it.
-        crashes_.handBack(run_.identity(), std::exchange(run_.alone, 0));
-    }
-    if (!needsLeave()) {
-        co_return std::nullopt;
-    }
-    forward::RequestIdentity identity = run_.identity();
-    const services::SendLeave leave = co_await crashes_.askLeave(identity, run_.left());
-    run_.alone = leave.alone;
+    const services::SendLeave leave = co_await run_.guard.takeLeave(run_.left());
     if (leave.granted()) {
         co_return std::nullopt;
     }
     logNoLeave(run_, leave);
-    if (leave.standing == forward::Standing::Stopped) {
-        co_return Refusal{ResultCode::EndsServers,
-                          "each backend server that began to run this request has ended", true,
-                          leave.comeBack};
-    }
-    co_return Refusal{ResultCode::RunsAlone,
-                      "backend servers have ended under this request; it is tried by itself now",
-                      true, leave.comeBack};
+    co_return Refusal{services::codeOf(leave), services::whyNoLeave(leave), true, leave.comeBack};
 }
 
-// What the attempt says of the request: its server went on, or may have ended under it.
-asio::awaitable<void> RequestRun::noteCrash(AttemptEnd end)
+asio::awaitable<void> RequestRun::noteEnd(AttemptEnd end)
 {
-    const bool beginning = !run_.firstPiece || run_.context.now() - *run_.firstPiece < BeginsWithin;
+    using services::AttemptSight;
+    AttemptSight sight = AttemptSight::Nothing;
     if (run_.answeredWhole) {
-        if (run_.alone != 0 || crashes_.concerns(forward::shapeOf(run_.identityParts()))) {
-            crashes_.noteAnswered(run_.identity(), std::exchange(run_.alone, 0));
-        }
-        co_return;
-    }
-    if (end != AttemptEnd::MayHaveRun || !beginning) {
-        co_return;
-    }
-    services::LostAttempt lost;
-    lost.request = run_.identity();
-    lost.serverId = run_.choice.server.id;
-    lost.server = run_.choice.server.hash();
-    lost.address = run_.choice.server.address;
-    lost.alone = std::exchange(run_.alone, 0);
-    if (run_.failure == forward::Failure::Lost && !run_.stopped()) {
-        co_await crashes_.noteLost(std::move(lost));
-    } else if (lost.alone != 0) {
-        crashes_.noteUnsettled(std::move(lost));
-    }
+        sight = AttemptSight::Whole;
+    } else if (end == AttemptEnd::MayHaveRun) {
+        const bool lost = run_.failure == forward::Failure::Lost && !run_.stopped();
+        sight = lost ? AttemptSight::Lost : AttemptSight::Interrupted;
+    }
+    const forward::ListedServer &server = run_.choice.server;
+    services::AttemptServer tried{server.id, server.hash(), server.address};
+    co_await run_.guard.noteEnd(sight, std::move(tried));
 }
 
 // Engines are bounded: the owner of the chosen one has to agree. After some that are full any other
@@ -411,8 +373,8 @@
         co_await refuse(std::move(*refusal));
         co_return AttemptEnd::Answered;
     }
-    const bool left = run_.alone != 0 || !needsLeave();
-    if (!mayBeSent(run_.choice.server) || run_.left() < LeastLeft || !left) {
+    const bool maySend = mayBeSent(run_.choice.server) && run_.guard.mayBeSent();
+    if (!maySend || run_.left() < LeastLeft) {
         exchange.release();
         co_return AttemptEnd::Unsent;
     }
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -11,7 +11,6 @@
 #include "gateway/BackendExchange.h"
 #include "http/AnswerTimer.h"
 #include "outcome/ResultCode.h"
-#include "services/CrashService.h"
 
 #include <optional>
 #include <string>
@@ -47,8 +46,7 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> takeLeave();
-    bool needsLeave();
-    boost::asio::awaitable<void> noteCrash(AttemptEnd end);
+    boost::asio::awaitable<void> noteEnd(AttemptEnd end);
     boost::asio::awaitable<std::optional<forward::Choice>> chooseServer();
     boost::asio::awaitable<bool> takePlace(forward::Wish &wish, forward::Choice &choice);
     boost::asio::awaitable<bool> learnHolders(forward::Wish &wish, const forward::Choice &choice);
@@ -66,7 +64,6 @@
     RunState run_;
     ConnectionPool &pool_;
     PlaceService &places_;
-    services::CrashService &crashes_;
     http::AnswerTimer deadlineTimer_;
     std::vector<std::string> tried_; ///< Servers that are not chosen again.
 };
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -55,7 +55,7 @@
 {
     log().event("attempt-failed",
                 {{"request", run.call.id},
-                 {"identity", forward::text(run.identity())},
+                 {"identity", forward::text(run.guard.identity())},
                  {"organisation", run.organisation},
                  {"server", run.choice.server.id},
                  {"reason", text(failure)},
@@ -71,7 +71,7 @@
 {
     log().event("no-leave",
                 {{"request", run.call.id},
-                 {"identity", forward::text(run.identity())},
+                 {"identity", forward::text(run.guard.identity())},
                  {"organisation", run.organisation},
                  {"standing", text(leave.standing)},
                  {"come_back_ms", leave.comeBack / 1ms},
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -27,6 +27,7 @@
     , request(std::move(ofCaller))
     , reply(toCaller)
     , began(ofContext.now())
+    , guard(ofContext)
 {
 }
 
@@ -36,19 +37,14 @@
     firstPiece.reset();
     failure.reset();
     answeredWhole = false;
-    isPastBeginning_ = false;
 }
 
 void RunState::notePiece()
 {
-    const kernel::Instant now = context.now();
     if (!firstPiece) {
-        firstPiece = now;
-    }
-    if (!isPastBeginning_ && now - *firstPiece >= BeginsWithin) {
-        isPastBeginning_ = true;
-        pastBeginning();
+        firstPiece = context.now();
     }
+    guard.notePiece();
 }
 
 const forward::Prompt *RunState::prompt() const
@@ -56,23 +52,6 @@
     return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
 }
 
-forward::IdentityParts RunState::identityParts() const
-{
-    return {.organisation = organisation,
-            .method = request.method,
-            .host = call.host,
-            .target = request.target,
-            .body = request.body};
-}
-
-const forward::RequestIdentity &RunState::identity()
-{
-    if (!identity_) {
-        identity_ = forward::identityOf(identityParts());
-    }
-    return *identity_;
-}
-
 bool promisesNotRun(int status)
 {
     constexpr int RequestTimeout = 408;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -4,13 +4,12 @@
  */
 #pragma once
 
-#include "forward/RequestIdentity.h"
 #include "gateway/PlaceService.h"
 #include "gateway/World.h"
 #include "http/KeptConnection.h"
 #include "http/Server.h"
+#include "services/CrashGuard.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,10 +51,6 @@
     auto operator<=>(const AttemptCounts &) const = default;
 };
 
-/** A request that ends its servers does so as it begins to run: one whose answer has come for so
- * long is past that. */
-constexpr kernel::Duration BeginsWithin = 1s;
-
 /** One request on its way. */
 struct RunState
 {
@@ -75,6 +70,7 @@
     bool movesParts = false; ///< Servers of the service take prompt parts from each other.
     kernel::Instant began;
     kernel::Instant deadline;
+    services::CrashGuard guard; ///< Knows the request once it has been admitted.
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
 
     forward::Choice choice;                    ///< The server of this attempt.
@@ -82,10 +78,7 @@
     std::optional<kernel::Instant> firstPiece; ///< When it brought the first piece of an answer.
     std::optional<forward::Failure> failure;   ///< Of this attempt.
     bool answeredWhole = false;                ///< Its server has sent a whole answer.
-    std::uint64_t alone = 0; ///< The leave to send it alone (services/CrashService.h); 0: none.
 
-    /** Called once when an attempt's answer has come for longer than BeginsWithin. */
-    std::function<void()> pastBeginning = [] {};
     std::optional<Place> place; ///< There.
     AttemptCounts counts;
     std::string lastMessage;
@@ -104,14 +97,6 @@
 
     /** The prompt, where its parts matter for the choice of a server; else nullptr. */
     const forward::Prompt *prompt() const;
-
-    /** By what this request is known when it comes again. Known once it has been admitted. */
-    forward::IdentityParts identityParts() const;
-    const forward::RequestIdentity &identity();
-
-private:
-    std::optional<forward::RequestIdentity> identity_; ///< Once it was asked for.
-    bool isPastBeginning_ = false;
 };
 
 /** Whether \a status promises the caller that its request did not run. */
--- a/src/services/ChatHandler.cpp
+++ b/src/services/ChatHandler.cpp
@@ -7,6 +7,7 @@
 #include "services/ChatRequest.h"
 #include "services/ChatRun.h"
 #include "services/ConfigService.h"
+#include "services/CrashGuard.h"
 #include "services/PermitService.h"
 #include "services/SpillService.h"
 
@@ -24,6 +25,7 @@
 namespace {
 
 constexpr int MostAttempts = 4;
+constexpr const char *ChatTarget = "chat";
 
 std::string dump(const json &value)
 {
@@ -51,6 +53,7 @@
         , organisation_(std::move(organisation))
         , id_(std::move(id))
         , begun_(context_.now())
+        , guard_(context_)
     {
     }
 
@@ -97,6 +100,11 @@
         need_.model = membership::shortHash(model.hash());
         need_.candidates = pool->candidates;
         spill_ = pool->spill;
+        guard_.setParts({.organisation = organisation_.path,
+                         .method = request.method,
+                         .host = {},
+                         .target = ChatTarget,
+                         .body = chat_.engineBody});
         if (const auto token = request.fields.get("X-Chat-Token"); !token.empty()) {
             takeToken(token);
         }
@@ -117,6 +125,11 @@
     {
         auto &permits = context_.kernel.find<PermitService>("permits");
         for (int number = 1;; ++number) {
+            const SendLeave leave = co_await guard_.takeLeave(context_.settings.firstTokenTimeout);
+            if (!leave.granted()) {
+                co_await giveUp(refusalOf(codeOf(leave), whyNoLeave(leave), leave.comeBack));
+                co_return;
+            }
             auto permit = co_await permits.acquireEngine(need_);
             if (!permit && spill_) {
                 auto elsewhere =
@@ -180,11 +193,30 @@
             observed = Observed::RefusedLeaving;
         }
         context_.kernel.find<PermitService>("permits").giveBack(permit_, observed);
+        co_await noteEnd(outcome);
         co_return outcome;
     }
 
+    asio::awaitable<void> noteEnd(const ChatOutcome &outcome)
+    {
+        AttemptSight sight = AttemptSight::Whole;
+        if (outcome.callerLeft) {
+            sight = AttemptSight::Interrupted;
+        } else if (outcome.failure) {
+            sight = sightOf(*outcome.failure);
+        }
+        AttemptServer server;
+        server.id = permit_.backend.backend.text();
+        server.life = kernel::combine(permit_.resource, permit_.incarnation);
+        if (const auto address = kernel::endpointFrom(permit_.backend.address)) {
+            server.address = *address;
+        }
+        co_await guard_.noteEnd(sight, std::move(server));
+    }
+
     void take(const answer::Frame &frame)
     {
+        guard_.notePiece();
         if (frame.sequence == 0) {
             context_.counters.observe("first_token_seconds",
                                       kernel::seconds(context_.now() - begun_));
@@ -312,6 +344,7 @@
     config::OrganisationSettings organisation_;
     std::string id_;
     kernel::Instant begun_;
+    CrashGuard guard_;
     kernel::Instant looked_; ///< When the caller's connection was last looked at.
     ChatRequest chat_;
     Need need_;
--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -48,6 +48,19 @@
 
 } // namespace
 
+outcome::ResultCode codeOf(const SendLeave &leave)
+{
+    return leave.standing == Standing::Stopped ? outcome::ResultCode::EndsServers
+                                               : outcome::ResultCode::RunsAlone;
+}
+
+std::string whyNoLeave(const SendLeave &leave)
+{
+    return leave.standing == Standing::Stopped
+                   ? "each backend server that began to run this request has ended"
+                   : "backend servers have ended under this request; it is tried by itself now";
+}
+
 CrashService::CrashService(Context &context)
     : context_(context)
 {
@@ -170,6 +183,20 @@
     }
 }
 
+bool CrashService::lift(const RequestIdentity &request)
+{
+    const CrashRecord before = book_.record(request);
+    if (!book_.forget(request, context_.now())) {
+        return false;
+    }
+    context_.counters.add("crash_lifts");
+    log().event("lifted", {{"identity", forward::text(request)}},
+                "An operator lets a request run again.");
+    noteChange(before);
+    tellOwner(request, peer::CrashMatter::Answered, 0);
+    return true;
+}
+
 void CrashService::serverGone(const std::string &id)
 {
     std::vector<LostAttempt> ended;
--- a/src/services/CrashService.h
+++ b/src/services/CrashService.h
@@ -10,6 +10,7 @@
 
 #include "forward/AloneLedger.h"
 #include "forward/CrashBook.h"
+#include "outcome/ResultCode.h"
 #include "peer/Messages.h"
 #include "services/Context.h"
 #include "services/Repeat.h"
@@ -35,6 +36,12 @@
     bool granted() const { return standing == forward::Standing::Free || alone != 0; }
 };
 
+/** The result of a request that got no \a leave. */
+outcome::ResultCode codeOf(const SendLeave &leave);
+
+/** Why \a leave wasn't given, for the caller. */
+std::string whyNoLeave(const SendLeave &leave);
+
 /** An attempt whose connection ended before its answer did. */
 struct LostAttempt
 {
@@ -82,6 +89,9 @@
      * it was sent with; 0: none. */
     void noteAnswered(const forward::RequestIdentity &request, std::uint64_t alone);
 
+    /** An operator lets the request run again. \return whether anything was known of it. */
+    bool lift(const forward::RequestIdentity &request);
+
     /** A backend server is listed no more. */
     void serverGone(const std::string &id);
 
--- a/src/services/Router.cpp
+++ b/src/services/Router.cpp
@@ -7,6 +7,7 @@
 #include "services/ConfigService.h"
 #include "services/Context.h"
 #include "services/ControlService.h"
+#include "services/CrashService.h"
 #include "services/DirectoryService.h"
 #include "services/LoopWatch.h"
 #include "services/MembershipService.h"
@@ -60,6 +61,7 @@
     kernel.add(std::make_unique<PlatformService>(context));
     kernel.add(std::make_unique<DirectoryService>(context));
     kernel.add(std::make_unique<MembershipService>(context, acquaintanceOf(context)));
+    kernel.add(std::make_unique<CrashService>(context));
     kernel.add(std::make_unique<ConfigService>(context));
     kernel.add(std::make_unique<OwnerService>(context));
     kernel.add(std::make_unique<PermitService>(context));
--- a/src/services/ServiceHandler.cpp
+++ b/src/services/ServiceHandler.cpp
@@ -6,6 +6,7 @@
 #include "services/Answers.h"
 #include "services/ClaimService.h"
 #include "services/ConfigService.h"
+#include "services/CrashGuard.h"
 #include "services/OwnerService.h"
 #include "services/PermitService.h"
 
@@ -62,6 +63,7 @@
         , reply_(reply)
         , organisation_(std::move(organisation))
         , id_(std::move(id))
+        , guard_(context_)
     {
     }
 
@@ -98,6 +100,11 @@
             return refusalOf(ResultCode::PoolForbidden,
                              "the organisation may not use service '" + service->name + "'");
         }
+        guard_.setParts({.organisation = organisation_.path,
+                         .method = request_.method,
+                         .host = target_.service,
+                         .target = target_.rest,
+                         .body = request_.body});
         repeatable_ = isSafeMethod(request_.method) || service->repeatable;
         key_ = request_.fields.get("Idempotency-Key");
         if (key_.size() > MostKeyBytes) {
@@ -145,6 +152,10 @@
     asio::awaitable<std::optional<Refusal>> attempts()
     {
         for (int number = 1;; ++number) {
+            const SendLeave leave = co_await guard_.takeLeave(context_.settings.firstTokenTimeout);
+            if (!leave.granted()) {
+                co_return tell(refusalOf(codeOf(leave), whyNoLeave(leave), leave.comeBack));
+            }
             const auto runner = choose();
             if (!runner) {
                 co_return tell(refusalOf(ResultCode::NoEngine,
@@ -155,6 +166,7 @@
             auto answer = co_await call(*runner);
             --handler_.inFlight_[runner->backend.hash()];
             const auto failure = judgeAnswer(answer);
+            co_await noteEnd(*runner, failure);
             if (!failure) {
                 co_await pass(std::move(*answer));
                 co_return std::nullopt;
@@ -225,6 +237,19 @@
                                                          : std::optional(Point::AnswerForeign);
     }
 
+    // A runner has no life of its own in the list: one that ends twice counts once.
+    asio::awaitable<void> noteEnd(const store::ListedBackend &runner, std::optional<Point> failure)
+    {
+        AttemptServer server;
+        server.id = runner.backend.text();
+        server.life = runner.backend.hash();
+        if (const auto address = kernel::endpointFrom(runner.address)) {
+            server.address = *address;
+        }
+        co_await guard_.noteEnd(failure ? sightOf(*failure) : AttemptSight::Whole,
+                                std::move(server));
+    }
+
     asio::awaitable<void> pass(http::Answer answer)
     {
         const bool failed = answer.status >= 500;
@@ -261,6 +286,7 @@
     std::string id_;
     http::Request request_;
     Target target_;
+    CrashGuard guard_;
     std::string key_;
     bool repeatable_ = false;
     std::set<std::uint64_t> excluded_;
--- a/test/platform/CrashingRequestTest.cpp
+++ b/test/platform/CrashingRequestTest.cpp
@@ -44,6 +44,7 @@
 
     void startAll()
     {
+        moreSettings = "drain-within = 500ms\n";
         putConfiguration();
         for (std::size_t index = 0; index < Engines; ++index) {
             startEngine(freeEndpoint());
@@ -85,6 +86,17 @@
         return *pending;
     }
 
+    int lift(std::size_t box, const std::string &identity, const std::string &key)
+    {
+        auto got = std::make_shared<Got>();
+        http::Request request("POST", "/v1/requests/lift?identity=" + identity);
+        request.fields.add("Host", "box");
+        request.fields.add("Authorization", "Bearer " + key);
+        asio::co_spawn(io_, exchange(controlAt(box), std::move(request), got), asio::detached);
+        until([&] { return got->done; }, "the box's answer");
+        return got->status;
+    }
+
     std::shared_ptr<Got> begin(std::size_t box, const std::string &prefix, const std::string &body)
     {
         auto got = std::make_shared<Got>();
@@ -298,6 +310,25 @@
     until([this] { return store().objects("stopped-requests").size() == 1; }, "its object");
 }
 
+BOOST_AUTO_TEST_CASE(stoppedRequest_operatorLiftsIt_runsAgainEverywhereAndLeavesTheStore)
+{
+    startAll();
+    comeAgain(6, "/stream/");
+    untilStoppedAt({0, 1, 2, 3});
+    until([this] { return store().objects("stopped-requests").size() == 1; }, "its object");
+    const std::string name = store().objects("stopped-requests").begin()->first;
+    BOOST_TEST(lift(1, name, std::string(64, 'b')) == 401);
+    BOOST_TEST(lift(1, "none", std::string(64, 'a')) == 400);
+    BOOST_TEST(lift(1, std::string(48, '0'), std::string(64, 'a')) == 404);
+    BOOST_TEST(lift(1, name, std::string(64, 'a')) == 200);
+    until([this] { return store().objects("stopped-requests").empty(); }, "the object's end");
+    const auto free = [this](std::size_t box) {
+        const auto records = crashes(box).book().shared();
+        return records.size() == 1 && records.front().servers.empty();
+    };
+    until([&] { return free(0) && free(1) && free(2) && free(3); }, "its end at each box");
+}
+
 // Equal requests, as plain ones of one caller often are, run on all engines at once when these end.
 BOOST_AUTO_TEST_CASE(equalRequestsRunWhereAllServersEnd_servedOnceServersAreBack)
 {
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -56,6 +56,12 @@
     /** Where a box listens for callers. */
     kernel::Endpoint callerAt(std::size_t index) const { return contextOf(index).settings.caller; }
 
+    /** Where it answers operators. */
+    kernel::Endpoint controlAt(std::size_t index) const
+    {
+        return contextOf(index).settings.control;
+    }
+
     /** A box ends without a word, as a process does that is killed. */
     void killBox(std::size_t index);
 
