--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -157,7 +157,8 @@
     const ServerChoice servers(view, policy_, wish);
     const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
     const auto holds = [&](const ServerRecord &record) { return holdsAll(record, wish, now); };
-    const ServerRecord *chosen = !byParts      ? servers.idlest(random)
+    const bool idlest = !byParts || wish.alone;
+    const ServerRecord *chosen = idlest        ? servers.idlest(random)
                                  : wish.spread ? servers.spread(random)
                                                : servers.forPrompt(holds);
     if (chosen == nullptr) {
--- a/src/forward/Wish.h
+++ b/src/forward/Wish.h
@@ -27,6 +27,7 @@
                                           ///< the last 32 bits of their hashes.
     std::vector<std::uint32_t> beginners; ///< The same of those that hold only the first part.
     bool holdersAsked = false; ///< The box that remembers for all where the parts lie was asked.
+    bool alone = false;        ///< It may end its server: the one with the least to lose.
     bool spread = false; ///< Enough owners said so: any other server, not the next for all boxes.
 };
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -208,6 +208,7 @@
     wish.tried = tried_;
     wish.regions = run_.regions;
     wish.takeParts = run_.movesParts;
+    wish.alone = run_.guard.isAlone();
     while (true) {
         auto choice = run_.world.servers().choose(wish, run_.context.now(), run_.context.random);
         if (!choice) {
--- a/src/services/CrashGuard.h
+++ b/src/services/CrashGuard.h
@@ -48,6 +48,9 @@
     /** Asks for leave before an attempt. A send alone takes \a longest at most. */
     boost::asio::awaitable<SendLeave> takeLeave(kernel::Duration longest);
 
+    /** Whether the attempt goes by leave to run alone. */
+    bool isAlone() const { return alone_ != 0; }
+
     /** Whether the leave that was given still holds: others may have learnt more meanwhile. */
     bool mayBeSent() { return alone_ != 0 || !needsLeave(); }
 
--- a/test/correctness/HolderIndexTest.cpp
+++ b/test/correctness/HolderIndexTest.cpp
@@ -176,4 +176,16 @@
     BOOST_TEST(book.choose(wish, at(0s), random)->server.id != first->id);
 }
 
+BOOST_AUTO_TEST_CASE(choose_requestMayEndItsServer_goesWhereTheLeastIsLost)
+{
+    const auto usual = book.choose(wish, at(0s), random);
+    for (std::uint16_t number = 1; number <= 6; ++number) {
+        const std::string id = "s" + std::to_string(number);
+        book.setOthers(id, id == "s4" ? 0 : 1, at(0s));
+    }
+    BOOST_TEST(book.choose(wish, at(0s), random)->server.id == usual->server.id);
+    wish.alone = true;
+    BOOST_TEST(book.choose(wish, at(0s), random)->server.id == "s4");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/standin/EngineStandin.cpp
+++ b/test/standin/EngineStandin.cpp
@@ -63,15 +63,34 @@
 EngineStandin::EngineStandin(asio::io_context &io, EngineOptions options)
     : io_(io)
     , options_(std::move(options))
-    , server_(io, {.bodyBytes = 67108864}, [this](http::Request request, http::Reply &reply) {
-        return handle(std::move(request), reply);
-    })
+    , server_(newServer())
 {
     for (const std::string &model : options_.models) {
         models_[model] = true;
     }
 }
 
+std::unique_ptr<http::Server> EngineStandin::newServer()
+{
+    return std::make_unique<http::Server>(io_, http::ServerLimits{.bodyBytes = 67108864},
+                                          [this](http::Request request, http::Reply &reply) {
+                                              return handle(std::move(request), reply);
+                                          });
+}
+
+void EngineStandin::crash()
+{
+    formerPort_ = port();
+    server_.reset();
+    restart();
+}
+
+void EngineStandin::comeBack()
+{
+    server_ = newServer();
+    listen({"127.0.0.1", formerPort_});
+}
+
 void EngineStandin::restart()
 {
     ++options_.incarnation;
@@ -121,6 +140,12 @@
 
 asio::awaitable<void> EngineStandin::generate(http::Request request, http::Reply &reply)
 {
+    if (!faults.endedBy.empty() && request.body.find(faults.endedBy) != std::string::npos) {
+        if (!crashed()) {
+            crash();
+        }
+        co_return;
+    }
     const json body = json::parse(request.body, nullptr, false);
     const bool known = body.is_object() && models_.contains(body.value("model", std::string()))
                        && models_.at(body.value("model", std::string()));
--- a/test/standin/EngineStandin.h
+++ b/test/standin/EngineStandin.h
@@ -47,7 +47,8 @@
     int swapFrames = 0;   ///< Sends two frames in the wrong order.
     int loseEnd = 0;      ///< Ends a stream without its end marker, and forgets it.
     bool leaving = false;
-    bool dead = false; ///< Every connection is closed unanswered.
+    bool dead = false;   ///< Every connection is closed unanswered.
+    std::string endedBy; ///< A request whose body holds this text ends the process as it begins.
 };
 
 /** The engine. */
@@ -56,8 +57,15 @@
 public:
     EngineStandin(boost::asio::io_context &io, EngineOptions options);
 
-    void listen(const kernel::Endpoint &endpoint) { server_.listen(endpoint); }
-    std::uint16_t port() const { return server_.port(); }
+    void listen(const kernel::Endpoint &endpoint) { server_->listen(endpoint); }
+    std::uint16_t port() const { return server_->port(); }
+
+    /** Ends as a process does: connections are closed, and nothing listens any more. */
+    void crash();
+    bool crashed() const { return !server_; }
+
+    /** Listens again at the port that it had, and knows nothing. */
+    void comeBack();
 
     /** Forgets everything, as a restart does. */
     void restart();
@@ -79,6 +87,7 @@
     struct Job;
     using JobPtr = std::shared_ptr<Job>;
 
+    std::unique_ptr<http::Server> newServer();
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
     boost::asio::awaitable<void> generate(http::Request request, http::Reply &reply);
     boost::asio::awaitable<void> resume(std::string id, std::uint64_t from, http::Reply &reply);
@@ -93,7 +102,7 @@
 
     boost::asio::io_context &io_;
     EngineOptions options_;
-    http::Server server_;
+    std::unique_ptr<http::Server> server_; ///< Nothing once it has ended.
     std::map<std::string, bool> models_;
     std::unordered_map<std::string, JobPtr> jobs_;
     std::map<std::string, int> runs_;
@@ -108,6 +117,7 @@
             pastLoads_; ///< Since when each, oldest first.
     std::size_t greatest_ = 0;
     std::size_t cancelled_ = 0;
+    std::uint16_t formerPort_ = 0;
     std::uint64_t token_ = 0; ///< Greatest of all orders.
     std::vector<std::string> orders_;
 };
