A leave that can't be used goes back at once

Where the owner's answer is lost, or the end of a send alone was counted already, the leave stayed with its owner for up to 5 s, in which others with the same request were told to come back.

--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -118,6 +118,10 @@
     const std::uint64_t ask = report.ask;
     const auto word = co_await askOwner(std::move(report));
     const bool granted = word && word->granted;
+    if (!word) {
+        // The answer alone may have been lost.
+        handBack(request, ask);
+    }
     if (granted && lookUp_) {
         // Another part of the fleet, that this one can't hear, may have stopped it.
         co_await lookUp_(request);
@@ -182,6 +186,8 @@
 {
     const CrashRecord before = book_.record(lost.request);
     if (!book_.noteEnd(lost.request, lost.server, lost.alone != 0, context_.now())) {
+        // The same request ran there twice: the end was counted already.
+        handBack(lost.request, lost.alone);
         co_return;
     }
     context_.counters.add("crash_ends", {{"alone", lost.alone != 0 ? "yes" : "no"}});
