Soak: requests that end their servers, counted from the servers' side

--crashing: callers at all boxes send requests that end each server that begins to run them, beside all other faults; ended servers' ports are dead, their entries lapse, others take their places. The judge counts sends by boxes in touch for three seconds, later than that after the third end.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -103,6 +103,23 @@
     BOOST_TEST(judge.violations().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(requestEndsItsServers_reachesMoreThanItMay_isSeen)
+{
+    const auto crash = [this](const std::string &id, kernel::Duration sent) {
+        judge.noteAttempt({id, Kind::OnceStream, "key-one", 0, 1, 0, at(sent), true});
+        judge.noteArrival({id, "i-" + id, "one", true, at(sent)});
+    };
+    for (const char *id : {"a1", "a2", "a3", "a4"}) {
+        crash(id, 0s);
+    }
+    for (const char *id : {"a5", "a6", "a7"}) {
+        crash(id, 10s);
+    }
+    BOOST_TEST(broken() == "");
+    crash("a8", 20s);
+    BOOST_TEST(broken() == "a request that ends its servers is stopped");
+}
+
 BOOST_AUTO_TEST_CASE(answer_ofAnotherRequestOrNotWhole_isSeen)
 {
     attempt("a1", Kind::Repeatable);
--- a/test/platform/soak/LoopbackProxy.cpp
+++ b/test/platform/soak/LoopbackProxy.cpp
@@ -48,6 +48,11 @@
 }
 
 LoopbackProxy::~LoopbackProxy()
+{
+    close();
+}
+
+void LoopbackProxy::close()
 {
     state_->open = false;
     boost::system::error_code ignored;
--- a/test/platform/soak/LoopbackProxy.h
+++ b/test/platform/soak/LoopbackProxy.h
@@ -42,6 +42,9 @@
      * met are reset, as a half of their bytes would be no stream any more. */
     void setHarm(Harm harm);
     Harm harm() const { return state_->harm; }
+
+    /** Ends as the server's process has: nothing listens any more, connections are reset. */
+    void close();
     const kernel::Endpoint &where() const { return where_; }
 
 private:
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -29,6 +29,9 @@
     /** Servers stand in two halls, which are drained now and then, and are cold after a start. Off
      * for the seeds that were found without. */
     bool serverStates = false;
+
+    /** Some requests end each server that begins to run them. */
+    bool crashing = false;
     std::filesystem::path folder; ///< For settings and logs.
 };
 
@@ -39,6 +42,8 @@
     std::size_t served = 0;
     std::size_t refused = 0;
     std::size_t cut = 0;
+    std::size_t ends = 0;            ///< Servers that requests have ended,
+    std::size_t endsJudged = 0;      ///< so many of them by boxes that had the time to know.
     std::vector<std::string> faults; ///< Each with its moment, in seconds.
     kernel::Duration recovery{};     ///< From the last fault's end until all boxes serve all kinds.
     std::vector<Violation> violations;
--- a/test/platform/soak/SoakCaller.h
+++ b/test/platform/soak/SoakCaller.h
@@ -20,6 +20,7 @@
     SoakWorld &world;
     SoakJudge &judge;
     std::mt19937_64 random;
+    bool crashing = false; ///< Some requests end their servers.
     bool over = false;
     int running = 0; ///< Callers that haven't ended.
     std::uint64_t nextId = 0;
--- a/test/platform/soak/SoakFaults.cpp
+++ b/test/platform/soak/SoakFaults.cpp
@@ -86,6 +86,7 @@
     }
     startEnded(now);
     lookAtStore();
+    noteOutOfTouch();
     if (pick(TicksBetween) == 0) {
         const Kind &kind = kinds_[pick(kinds_.size())];
         const std::string what = kind.begin();
@@ -331,6 +332,24 @@
     return std::to_string(index);
 }
 
+// Which boxes can't be held to a bound of time for now; the others are, whatever happens to these.
+void SoakFaults::noteOutOfTouch()
+{
+    const bool serversHarmed = std::ranges::any_of(world_.servers(), [](const SoakServer &server) {
+        return !server.endedAt && server.proxy->harm() != Harm::None;
+    });
+    const bool all = serversHarmed || !(world_.store().faults == standin::StoreStandin::Faults());
+    for (std::size_t index = 0; index < fleet_.boxes().size(); ++index) {
+        SoakBox &box = fleet_.boxes()[index];
+        const bool started = now_ - box.started < SurelyListens;
+        const bool linkHarmed = world_.storeProxies()[index]->harm() != Harm::None;
+        const bool ends = box.paused || box.stopping || !box.process.running();
+        if (all || started || linkHarmed || ends) {
+            judge_.noteOutOfTouch(index, now_);
+        }
+    }
+}
+
 void SoakFaults::lookAtStore()
 {
     const bool linksWork = std::ranges::all_of(
--- a/test/platform/soak/SoakFaults.h
+++ b/test/platform/soak/SoakFaults.h
@@ -63,6 +63,7 @@
     std::string drainHall();
     void noteCold(const SoakServer &server);
     void lookAtStore();
+    void noteOutOfTouch();
     void note(const std::string &what);
 
     std::size_t pick(std::size_t count) { return random_() % count; }
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -28,6 +28,7 @@
     int process = 0; ///< Which process of the box took it.
     int version = 0; ///< Of a VersionProbe: the configuration that alone allows it.
     kernel::Instant sent;
+    bool ends = false; ///< It ends each server that begins to run it.
 };
 
 /** What the caller got. */
@@ -64,10 +65,11 @@
     kernel::Duration revoke{}; ///< How long after it was taken away a key may still run a request.
     kernel::Duration drain{};  ///< How long after it began to leave a server may get new work.
     kernel::Duration calm{};   ///< Without a disturbance, before the word of the store is binding.
-    kernel::Duration hallDrain{}; ///< How long after it was asked for a drained hall may get work.
-    kernel::Duration coldFor{};   ///< How long a server is cold.
-    double coldPerSecond = 0;     ///< Most arrivals in a second at one that is cold,
-    kernel::Duration coldKnown{}; ///< from when on its entry's word can have reached each box.
+    kernel::Duration hallDrain{};  ///< How long after it was asked for a drained hall may get work.
+    kernel::Duration coldFor{};    ///< How long a server is cold.
+    double coldPerSecond = 0;      ///< Most arrivals in a second at one that is cold,
+    kernel::Duration coldKnown{};  ///< from when on its entry's word can have reached each box.
+    kernel::Duration contact = 3s; ///< In touch for so long, a box knows what the others know.
 };
 
 /** The judge of one soak. */
@@ -100,6 +102,12 @@
     /** Something other than planned work is wrong at this moment. */
     void noteDisturbance(kernel::Instant at) { disturbed_ = at; }
 
+    /** At this moment \a box can't be held to a bound of time. */
+    void noteOutOfTouch(std::size_t box, kernel::Instant at) { outOfTouch_[box] = at; }
+
+    /** A request has ended a server. */
+    void noteServerEnd(kernel::Instant at) { serverEnded_ = at; }
+
     /** A promise that others have checked is broken. */
     void breach(const std::string &promise, const std::string &what);
 
@@ -109,6 +117,11 @@
     std::size_t refused() const { return refusedCount_; }
     std::size_t cut() const { return cut_; }
 
+    /** Servers that requests have ended, and sends of such requests that were held against the
+     * bound. */
+    std::size_t ends() const;
+    std::size_t endsJudged() const;
+
     /** The events of a whole stream. */
     static std::string wholeStream();
 
@@ -120,12 +133,25 @@
     void checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival);
     void checkHall(const SoakAttempt &attempt, const SoakArrival &arrival);
     void checkCold(const SoakArrival &arrival);
+    void checkCrashing(const SoakAttempt &attempt, const SoakArrival &arrival);
 
     /** Whether nothing was disturbed since the time that calm asks for before \a moment. */
     bool calmSince(kernel::Instant moment) const { return disturbed_ + bounds_.calm < moment; }
 
     JudgeBounds bounds_;
     kernel::Instant disturbed_;
+    kernel::Instant serverEnded_;
+
+    /** Of one request that ends its servers. */
+    struct Crashing
+    {
+        int ends = 0;
+        kernel::Instant third; ///< Of these ends.
+        int after = 0;         ///< Later sends, by boxes that had the time to know.
+    };
+
+    std::map<std::size_t, kernel::Instant> outOfTouch_; ///< By box, the last time.
+    std::map<Kind, Crashing> crashing_;                 ///< All of one kind are one request.
     std::map<std::string, kernel::Instant> leaving_;
     std::map<std::string, kernel::Instant> drained_; ///< By hall.
     std::map<std::string, kernel::Instant> cold_;    ///< By server.
