--- a/test/platform/GatewayProcessTest.cpp
+++ b/test/platform/GatewayProcessTest.cpp
@@ -201,9 +201,9 @@
 BOOST_AUTO_TEST_CASE(machineWasSuspended_keysAreRefusedUntilTheStoreConfirmsThem)
 {
     writeSettings("5000");
-    Process process({"/usr/bin/env", "LD_PRELOAD=" LIMEREEL_SUSPENDED_CLOCK,
-                     "ASAN_OPTIONS=verify_asan_link_order=0", LIMEREEL_BINARY, "gateway",
-                     "--settings", settingsFile().string()},
+    const std::string preload = std::string("LD_PRELOAD=") + LIMEREEL_SUSPENDED_CLOCK;
+    Process process({"/usr/bin/env", preload, "ASAN_OPTIONS=verify_asan_link_order=0",
+                     LIMEREEL_BINARY, "gateway", "--settings", settingsFile().string()},
                     logFile().string());
     until([this] { return ready(); }, "readiness");
     BOOST_TEST(call(request("GET", "/again/x")).status == 200);
