--- a/src/forward/BookPolicy.h
+++ b/src/forward/BookPolicy.h
@@ -29,6 +29,7 @@
     std::size_t nearHolders = 3;
     std::size_t quietServers = 2;       ///< Of a hall; then the way to it is doubted.
     kernel::Duration hallTrial = 500ms; ///< Between two requests to a doubted hall.
+    kernel::Duration longestRest = 600s; ///< What is kept of a longer rest that a server asks for.
     kernel::Duration awake = 150ms; ///< Longer between two calls of noteAwake(), made each 100 ms,
                                     ///< is a standstill.
 };
--- a/src/forward/Call.h
+++ b/src/forward/Call.h
@@ -69,6 +69,11 @@
     bool loadUnreadable = false;             ///< It says something of its load that can't be read.
     std::optional<kernel::Duration> keptFor; ///< How long an idle connection is kept.
     kernel::Duration coldFor{}; ///< How long the backend server is still cold; zero: untold.
+    /** How long the backend server wants nothing more from this box, as it has turned it away;
+     * nothing: it doesn't say. */
+    std::optional<kernel::Duration> restFor;
+    bool restUnreadable = false; ///< It says so in a way that can't be read.
+    bool leaving = false;        ///< The backend server is about to end.
 
     auto operator<=>(const AnswerHead &) const = default;
 };
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -14,6 +14,11 @@
     return std::ranges::find(wish.holders, shortened) != wish.holders.end();
 }
 
+kernel::Duration leftUntil(kernel::Instant end, kernel::Instant now)
+{
+    return std::max(kernel::Duration(0), end - now);
+}
+
 } // namespace
 
 void ServerBook::put(const ListedServer &server, kernel::Instant since)
@@ -122,6 +127,7 @@
         halls_.putOff(standstill);
     }
     health_.noteAwake(now);
+    rests_.expire(now);
     index_.dropUnused(now);
 }
 
@@ -339,6 +345,25 @@
     }
 }
 
+void ServerBook::noteRest(const std::string &id, kernel::Duration asked, kernel::Instant now)
+{
+    if (const ServerRecord *record = index_.find(id)) {
+        rests_.note(record->hash, asked, now);
+    }
+}
+
+kernel::Duration ServerBook::restLeft(const std::string &id, kernel::Instant now) const
+{
+    const ServerRecord *record = index_.find(id);
+    return record == nullptr ? kernel::Duration(0) : leftUntil(rests_.until(record->hash), now);
+}
+
+kernel::Duration ServerBook::fullLeft(const std::string &id, kernel::Instant now) const
+{
+    const ServerRecord *record = index_.find(id);
+    return record == nullptr ? kernel::Duration(0) : leftUntil(record->fullUntil, now);
+}
+
 std::uint32_t ServerBook::ownLoad(const std::string &service) const
 {
     const ServiceServers *servers = index_.service(service);
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -18,6 +18,7 @@
 
 #include "forward/HallBook.h"
 #include "forward/PartIndex.h"
+#include "forward/RestBook.h"
 #include "forward/ServerHealth.h"
 #include "forward/ServerIndex.h"
 #include "forward/UsableServers.h"
@@ -42,6 +43,7 @@
         , health_(policy_)
         , halls_({policy_.quietServers, policy_.silence, policy_.hallTrial})
         , parts_(policy_.partRemembered)
+        , rests_(policy_.longestRest)
     {
     }
 
@@ -105,6 +107,15 @@
     void noteSuccess(const std::string &id, kernel::Instant now);
     void noteFailure(const std::string &id, Failure failure, kernel::Instant now);
 
+    /** \a id asks this box for rest. */
+    void noteRest(const std::string &id, kernel::Duration asked, kernel::Instant now);
+
+    /** For how long \a id still wants nothing of this box; zero: it doesn't rest. */
+    kernel::Duration restLeft(const std::string &id, kernel::Instant now) const;
+
+    /** For how long \a id is still taken for full, as it turned a request away. */
+    kernel::Duration fullLeft(const std::string &id, kernel::Instant now) const;
+
     /** Requests of other boxes that run at \a id, as they tell. */
     void setOthers(const std::string &id, double load, kernel::Instant now);
 
@@ -150,6 +161,7 @@
     ServerIndex index_;
     HallBook halls_;
     PartIndex parts_;
+    RestBook rests_;
     std::set<std::string> drainedHalls_;
     std::map<std::string, std::string> hallRegions_;
 };
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -175,6 +175,7 @@
             co_return tl::unexpected(start.error());
         }
         const AnswerHead head = run_.world.adapter().dialect.readHead(start->status, start->fields);
+        noteWords(head);
         if (head.id == run_.call.id || (head.id.empty() && head.notRun)) {
             co_return start;
         }
@@ -190,6 +191,20 @@
     }
 }
 
+// Whichever request the answer belongs to: what the server says of itself is meant for this box.
+void BackendExchange::noteWords(const AnswerHead &head)
+{
+    if (head.restUnreadable) {
+        run_.context.counters.add("rests_unreadable");
+        logRestUnreadable(run_);
+    }
+    if (head.restFor && *head.restFor > kernel::Duration(0)) {
+        run_.context.counters.add("rests_asked");
+        run_.world.servers().noteRest(server_.id, *head.restFor, run_.context.now());
+        logRest(run_, *head.restFor);
+    }
+}
+
 asio::awaitable<AttemptEnd> BackendExchange::exchange()
 {
     forward::SendOrder order;
@@ -201,6 +216,9 @@
     order.resumeAfter = run_.lastEvent;
     http::Request passed = run_.world.adapter().dialect.writeRequest(run_.request, order);
     passed.fields = http::endToEnd(passed.fields);
+    if (run_.world.servers().restLeft(server_.id, run_.context.now()) > kernel::Duration(0)) {
+        run_.context.counters.add("sends_into_rest");
+    }
     logSend(run_);
     const kernel::Instant sentAt = run_.context.now();
     connection_->send(std::move(passed));
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -39,6 +39,7 @@
     void endAfterATurn(kernel::Duration after);
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> readOwnHead();
+    void noteWords(const forward::AnswerHead &head);
     boost::asio::awaitable<AttemptEnd> passWhole(http::AnswerStart start, forward::AnswerHead head);
     boost::asio::awaitable<AttemptEnd> passStream(http::AnswerStart start,
                                                   forward::AnswerHead head);
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -34,6 +34,13 @@
                              {"left_ms", run.left() / 1ms},
                              {"config", run.world.snapshot()->version()},
                              {"config_age_ms", age ? *age / 1ms : -1}};
+    const forward::ServerBook &servers = run.world.servers();
+    if (const auto rest = servers.restLeft(run.choice.server.id, now); rest > 0s) {
+        fields["rest_left_ms"] = rest / 1ms;
+    }
+    if (const auto full = servers.fullLeft(run.choice.server.id, now); full > 0s) {
+        fields["full_left_ms"] = full / 1ms;
+    }
     if (run.prompt() != nullptr) {
         fields["parts_key"] = forward::sharedPartsKey(run.call.prompt);
         fields["parts_shared"] = forward::sharedPrefixes(run.call.prompt).size();
@@ -67,6 +74,26 @@
                 "An attempt failed.");
 }
 
+void logRest(const RunState &run, kernel::Duration asked)
+{
+    const std::string &server = run.choice.server.id;
+    const kernel::Instant now = run.context.now();
+    log().event("server-rests",
+                {{"request", run.call.id},
+                 {"server", server},
+                 {"asked_ms", asked / 1ms},
+                 {"rest_left_ms", run.world.servers().restLeft(server, now) / 1ms},
+                 {"own_load", run.world.servers().ownLoadAt(server)}},
+                "A backend server asks this box for rest.");
+}
+
+void logRestUnreadable(const RunState &run)
+{
+    log().event("rest-unreadable",
+                {{"request", run.call.id}, {"server", run.choice.server.id}},
+                "A backend server asks for rest in a way that can't be read.");
+}
+
 void logNoLeave(RunState &run, const services::SendLeave &leave)
 {
     log().event("no-leave",
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -18,6 +18,12 @@
 /** An attempt failed. \param sent whether anything had left for the server. */
 void logFailure(RunState &run, forward::Failure failure, const std::string &message, bool sent);
 
+/** The server of the attempt asks this box for rest. */
+void logRest(const RunState &run, kernel::Duration asked);
+
+/** It asks for rest in a way that can't be read. */
+void logRestUnreadable(const RunState &run);
+
 /** The request isn't sent, as backend servers have ended under it. */
 void logNoLeave(RunState &run, const services::SendLeave &leave);
 
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -50,6 +50,7 @@
     policy.hall = settings.hall.text();
     policy.loadMultiple = settings.gateway.loadMultiple;
     policy.partRemembered = settings.gateway.partRemembered * 6;
+    policy.longestRest = settings.gateway.longestRest;
     return policy;
 }
 
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -36,19 +36,35 @@
     /** The value of the first field named \a name, letter case aside; empty if there is none. */
     std::string_view get(std::string_view name) const
     {
-        const auto same = [&](const auto &field) {
-            return std::ranges::equal(field.first, name, [](unsigned char a, unsigned char b) {
-                return std::tolower(a) == std::tolower(b);
-            });
-        };
-        const auto place = std::ranges::find_if(fields_, same);
+        const auto place = std::ranges::find_if(
+                fields_, [name](const auto &field) { return sameName(field.first, name); });
         return place == fields_.end() ? std::string_view() : std::string_view(place->second);
     }
 
+    /** The values of all fields named \a name, letter case aside. They live as long as these
+     * fields. */
+    std::vector<std::string_view> all(std::string_view name) const
+    {
+        std::vector<std::string_view> values;
+        for (const auto &[other, value] : fields_) {
+            if (sameName(other, name)) {
+                values.emplace_back(value);
+            }
+        }
+        return values;
+    }
+
     auto begin() const { return fields_.begin(); }
     auto end() const { return fields_.end(); }
 
 private:
+    static bool sameName(std::string_view left, std::string_view right)
+    {
+        return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
+            return std::tolower(a) == std::tolower(b);
+        });
+    }
+
     std::vector<std::pair<std::string, std::string>> fields_;
 };
 
--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -44,4 +44,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(readHead_retryAfter_isAWishForRestOfA503Only)
+{
+    const auto &dialect = platform::adapter().dialect;
+    const auto asking = http::Fields().with("Retry-After", "3");
+    BOOST_TEST((dialect.readHead(503, asking).restFor == kernel::Duration(3s)));
+    BOOST_TEST((!dialect.readHead(429, asking).restFor));
+    BOOST_TEST((!dialect.readHead(200, asking).restFor));
+    const auto unreadable = dialect.readHead(503, http::Fields().with("Retry-After", "soon"));
+    BOOST_TEST(!unreadable.restFor.has_value());
+    BOOST_TEST(unreadable.restUnreadable);
+}
+
+BOOST_AUTO_TEST_CASE(readHead_leaving_isReadFromEveryAnswer)
+{
+    const auto &dialect = platform::adapter().dialect;
+    const auto leaving = http::Fields().with("Server-Leaving", "1");
+    for (const int status : {200, 421, 500, 503}) {
+        BOOST_TEST(dialect.readHead(status, leaving).leaving);
+    }
+    BOOST_TEST(!dialect.readHead(200, http::Fields()).leaving);
+    BOOST_TEST(!dialect.readHead(200, http::Fields().with("Server-Leaving", "0")).leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -153,10 +153,23 @@
             fault = faults.front();
             faults.pop_front();
         }
+        if (fault == RunnerFault::None && turnsAway) {
+            fault = RunnerFault::Reject;
+        }
         more = co_await answer(socket, request, fault);
     }
 }
 
+// What it says of itself in the head of an answer.
+std::string RunnerStandin::words(bool turnedAway) const
+{
+    std::string fields = saysLeaving ? "Server-Leaving: 1\r\n" : "";
+    if (turnedAway && !restAsked.empty()) {
+        fields += "Retry-After: " + restAsked + "\r\n";
+    }
+    return fields;
+}
+
 asio::awaitable<bool> RunnerStandin::answer(tcp::socket &socket, const http::Request &request,
                                             RunnerFault fault)
 {
@@ -166,7 +179,7 @@
                       && fault != RunnerFault::ResetUnread;
     state_->records.push_back({id, request, runs});
     if (wrong || fault == RunnerFault::Misdirect) {
-        const std::string text = framed("421 Misdirected Request", id, "", "");
+        const std::string text = framed("421 Misdirected Request", id, "", "", words(false));
         co_return co_await write(socket, text);
     }
     if (runs && !endedBy.empty() && request.body == endedBy) {
@@ -180,10 +193,11 @@
     std::string text;
     switch (fault) {
     case RunnerFault::Reject:
-        text = framed("503 Service Unavailable", id, "", "", "X-Not-Executed: 1\r\n");
+        text = framed("503 Service Unavailable", id, "", "",
+                      "X-Not-Executed: 1\r\n" + words(true));
         break;
     case RunnerFault::Fail:
-        text = framed("500 Internal Server Error", id, stamp, "it failed");
+        text = framed("500 Internal Server Error", id, stamp, "it failed", words(false));
         break;
     case RunnerFault::ResetUnread:
     case RunnerFault::ResetAfter:
@@ -224,7 +238,7 @@
         co_return co_await stream(socket, request, fault);
     }
     if (text.empty()) {
-        text = framed("200 OK", id, stamp, body);
+        text = framed("200 OK", id, stamp, body, words(false));
     }
     if (fault == RunnerFault::Trailing) {
         text += "HTTP/1.1 200 OK\r\n";
@@ -238,7 +252,9 @@
     const std::string id(request.fields.get("X-Attempt-Id"));
     const int first = firstEvent(request);
     std::string text = head("200 OK", id, name_ + "." + id,
-                            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+                            words(false)
+                                    + "Content-Type: text/event-stream\r\n"
+                                      "Transfer-Encoding: chunked\r\n");
     if (!co_await write(socket, text)) {
         co_return false;
     }
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -57,6 +57,15 @@
     /** Events of a stream. */
     int events = 5;
 
+    /** Turns each request away that meets no other fault. */
+    bool turnsAway = false;
+
+    /** The Retry-After of an answer that turns a request away; empty: none. */
+    std::string restAsked;
+
+    /** Says in each answer that it is about to end. */
+    bool saysLeaving = false;
+
     /** Between two events. */
     kernel::Duration pause = 0ms;
 
@@ -98,6 +107,7 @@
     boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket &socket);
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket &socket,
                                         const http::Request &request, RunnerFault fault);
+    std::string words(bool turnedAway) const;
     boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket &socket,
                                         const http::Request &request, RunnerFault fault);
 
