--- a/src/forward/BookPolicy.h
+++ b/src/forward/BookPolicy.h
@@ -27,8 +27,8 @@
      * copies are left when servers crash (parts read again 0.034 -> 0.038). Further down the order
      * a box that has forgotten where the parts lie wouldn't look for them. */
     std::size_t nearHolders = 3;
-    std::size_t quietServers = 2;       ///< Of a hall; then the way to it is doubted.
-    kernel::Duration hallTrial = 500ms; ///< Between two requests to a doubted hall.
+    std::size_t quietServers = 2;        ///< Of a hall; then the way to it is doubted.
+    kernel::Duration hallTrial = 500ms;  ///< Between two requests to a doubted hall.
     kernel::Duration longestRest = 600s; ///< What is kept of a longer rest that a server asks for.
     kernel::Duration awake = 150ms; ///< Longer between two calls of noteAwake(), made each 100 ms,
                                     ///< is a standstill.
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -89,8 +89,7 @@
 
 void logRestUnreadable(const RunState &run)
 {
-    log().event("rest-unreadable",
-                {{"request", run.call.id}, {"server", run.choice.server.id}},
+    log().event("rest-unreadable", {{"request", run.call.id}, {"server", run.choice.server.id}},
                 "A backend server asks for rest in a way that can't be read.");
 }
 
--- a/test/correctness/RetryAfterTest.cpp
+++ b/test/correctness/RetryAfterTest.cpp
@@ -64,13 +64,12 @@
 {
     const std::string later = "Sun, 06 Nov 1994 08:49:47 GMT";
     BOOST_TEST((read(later) == RetryAfter{10s, false}));
-    const auto dated = http::Fields()
-                               .with("Retry-After", later)
-                               .with("Date", "Sun, 06 Nov 1994 08:49:44 GMT");
+    const auto dated =
+            http::Fields().with("Retry-After", later).with("Date", "Sun, 06 Nov 1994 08:49:44 GMT");
     BOOST_TEST((http::retryAfter(dated, Noon) == RetryAfter{3s, false}));
     BOOST_TEST((read("Sun, 06 Nov 1994 08:49:07 GMT") == RetryAfter{0s, false}));
-    BOOST_TEST((read("Sun, 06 Nov 2094 08:49:07 GMT")
-                == RetryAfter{http::LongestRetryAfter, false}));
+    BOOST_TEST(
+            (read("Sun, 06 Nov 2094 08:49:07 GMT") == RetryAfter{http::LongestRetryAfter, false}));
     BOOST_TEST((read("Sun, 36 Nov 1994 08:49:07 GMT") == RetryAfter{std::nullopt, true}));
 }
 
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -193,8 +193,7 @@
     std::string text;
     switch (fault) {
     case RunnerFault::Reject:
-        text = framed("503 Service Unavailable", id, "", "",
-                      "X-Not-Executed: 1\r\n" + words(true));
+        text = framed("503 Service Unavailable", id, "", "", "X-Not-Executed: 1\r\n" + words(true));
         break;
     case RunnerFault::Fail:
         text = framed("500 Internal Server Error", id, stamp, "it failed", words(false));
