A backend server that says itself that it leaves gets nothing new from this box

What callers would see: requests sent to a server that has said in its answers that it ends, while the list doesn't say so yet, or never does (DRAIN).

Cause, the same class as with rests: the field was dropped; a leaving server was known from the store's list alone.

The word is read from every answer's head, of whichever request, and kept by the server's life (LeavingBook) as long as that is listed and ten minutes more, so that no list that is behind, no good answer and no time take it back. What runs there goes on, and others may still take prompt parts from there. A 421 is the word of another server at the address and counts for nothing. Not only boxes in touch are bound, since nothing outside the box is needed.

RestingServersTest has the pure cases.

--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -23,10 +23,16 @@
 
 void ServerBook::put(const ListedServer &server, kernel::Instant since)
 {
-    index_.put(server, since);
+    index_.put(known(server), since);
     setRest(*index_.find(server.id));
 }
 
+ListedServer ServerBook::known(ListedServer listed) const
+{
+    listed.leaving = listed.leaving || leaving_.contains(listed.hash());
+    return listed;
+}
+
 // By its life: it may have been listed no more for a while, or have taken another's place.
 void ServerBook::setRest(ServerRecord &record)
 {
@@ -145,6 +151,7 @@
     }
     health_.noteAwake(now);
     rests_.expire(now);
+    leaving_.expire(now, [this](std::uint64_t life) { return index_.findHash(life) != nullptr; });
     index_.dropUnused(now);
 }
 
@@ -362,14 +369,24 @@
     }
 }
 
-void ServerBook::noteRest(const std::string &id, kernel::Duration asked, kernel::Instant now)
+void ServerBook::noteRest(const ListedServer &server, kernel::Duration asked, kernel::Instant now)
 {
-    if (ServerRecord *record = index_.find(id)) {
-        rests_.note(record->hash, asked, now);
+    rests_.note(server.hash(), asked, now);
+    if (ServerRecord *record = index_.find(server.id)) {
         setRest(*record);
     }
 }
 
+bool ServerBook::noteLeaving(const ListedServer &server, kernel::Instant now)
+{
+    const bool news = leaving_.note(server.hash(), now);
+    const ServerRecord *record = index_.find(server.id);
+    if (news && record != nullptr) {
+        index_.put(known(record->server), record->since);
+    }
+    return news;
+}
+
 kernel::Duration ServerBook::restLeft(const std::string &id, kernel::Instant now) const
 {
     const ServerRecord *record = index_.find(id);
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include "forward/HallBook.h"
+#include "forward/LeavingBook.h"
 #include "forward/PartIndex.h"
 #include "forward/RestBook.h"
 #include "forward/ServerHealth.h"
@@ -44,9 +45,13 @@
         , halls_({policy_.quietServers, policy_.silence, policy_.hallTrial})
         , parts_(policy_.partRemembered)
         , rests_(policy_.longestRest)
+        , leaving_(policy_.leavingKept)
     {
     }
 
+    /** \a listed as it counts: it leaves also if it has said so itself. */
+    ListedServer known(ListedServer listed) const;
+
     /** Takes in a listed server, new or changed. \param since when it was first listed, if that
      * was seen; one that was there before counts as old. */
     void put(const ListedServer &server, kernel::Instant since = {});
@@ -110,8 +115,11 @@
     void noteSuccess(const std::string &id, kernel::Instant now);
     void noteFailure(const std::string &id, Failure failure, kernel::Instant now);
 
-    /** \a id asks this box for rest. */
-    void noteRest(const std::string &id, kernel::Duration asked, kernel::Instant now);
+    /** This life of a server asks this box for rest. */
+    void noteRest(const ListedServer &server, kernel::Duration asked, kernel::Instant now);
+
+    /** This life of a server says that it leaves. \return whether that is news. */
+    bool noteLeaving(const ListedServer &server, kernel::Instant now);
 
     /** For how long \a id still wants nothing from this box; zero: it doesn't rest. */
     kernel::Duration restLeft(const std::string &id, kernel::Instant now) const;
@@ -170,6 +178,7 @@
     HallBook halls_;
     PartIndex parts_;
     RestBook rests_;
+    LeavingBook leaving_;
     std::set<std::string> drainedHalls_;
     std::map<std::string, std::string> hallRegions_;
 };
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -192,15 +192,23 @@
 }
 
 // Whichever request the answer belongs to: what the server says of itself is meant for this box.
+// Another server that has its address now speaks for itself only.
 void BackendExchange::noteWords(const AnswerHead &head)
 {
+    if (head.wrongInstance) {
+        return;
+    }
+    if (head.leaving && run_.world.servers().noteLeaving(server_, run_.context.now())) {
+        run_.context.counters.add("servers_said_leaving");
+        logLeaving(run_);
+    }
     if (head.restUnreadable) {
         run_.context.counters.add("rests_unreadable");
         logRestUnreadable(run_);
     }
     if (head.restFor && *head.restFor > kernel::Duration(0)) {
         run_.context.counters.add("rests_asked");
-        run_.world.servers().noteRest(server_.id, *head.restFor, run_.context.now());
+        run_.world.servers().noteRest(server_, *head.restFor, run_.context.now());
         logRest(run_, *head.restFor);
     }
 }
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -87,6 +87,17 @@
                 "A backend server asks this box for rest.");
 }
 
+void logLeaving(const RunState &run)
+{
+    const auto listed = run.world.servers().find(run.choice.server.id);
+    log().event("server-said-leaving",
+                {{"request", run.call.id},
+                 {"server", run.choice.server.id},
+                 {"listed", listed.has_value()},
+                 {"own_load", run.world.servers().ownLoadAt(run.choice.server.id)}},
+                "A backend server says itself that it leaves; it gets nothing new.");
+}
+
 void logRestUnreadable(const RunState &run)
 {
     log().event("rest-unreadable", {{"request", run.call.id}, {"server", run.choice.server.id}},
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -21,6 +21,9 @@
 /** The server of the attempt asks this box for rest. */
 void logRest(const RunState &run, kernel::Duration asked);
 
+/** The server of the attempt says that it leaves. */
+void logLeaving(const RunState &run);
+
 /** It asks for rest in a way that can't be read. */
 void logRestUnreadable(const RunState &run);
 
--- a/src/gateway/World.cpp
+++ b/src/gateway/World.cpp
@@ -279,7 +279,7 @@
 
 void World::takeEntry(const forward::ServerEntry &entry)
 {
-    const forward::ListedServer &server = entry.server;
+    const forward::ListedServer server = servers_.known(entry.server);
     const kernel::Instant now = context_.now();
     const auto known = servers_.find(server.id);
     if (known && known->born && server.born && *known->born > *server.born) {
--- a/test/correctness/RestingServersTest.cpp
+++ b/test/correctness/RestingServersTest.cpp
@@ -67,7 +67,7 @@
             const std::string id = "i-" + std::to_string(random() % servers.book.ids().size());
             if (random() % 3 == 0) {
                 const auto asked = std::chrono::milliseconds(random() % 5000);
-                servers.book.noteRest(id, asked, now);
+                servers.book.noteRest(*servers.book.find(id), asked, now);
                 rests[id] = std::max(rests[id], now + asked);
             }
             if (random() % 3 == 0) {
@@ -103,7 +103,7 @@
     Servers servers(1);
     const auto choice = servers.choose(Start);
     BOOST_REQUIRE(choice.has_value());
-    servers.book.noteRest("i-0", 3s, Start);
+    servers.book.noteRest(serverOf(0), 3s, Start);
     BOOST_TEST(!servers.book.mayBeSent(choice->server, Start));
     BOOST_TEST(!servers.book.mayBeSent(choice->server, Start + 2999ms));
     BOOST_TEST(servers.book.mayBeSent(choice->server, Start + 3s));
@@ -115,17 +115,50 @@
     ListedServer server = serverOf(0);
     server.born = 1;
     servers.book.put(server);
-    servers.book.noteRest("i-0", 30s, Start);
+    servers.book.noteRest(server, 30s, Start);
     server.born = 2;
     servers.book.put(server);
     BOOST_TEST(servers.book.mayBeSent(server, Start));
 }
 
+BOOST_AUTO_TEST_CASE(noteRest_lateWordOfAnEarlierLife_doesNotBindTheNewOne)
+{
+    Servers servers(0);
+    ListedServer server = serverOf(0);
+    server.born = 2;
+    servers.book.put(server);
+    ListedServer earlier = server;
+    earlier.born = 1;
+    servers.book.noteRest(earlier, 30s, Start);
+    BOOST_TEST(servers.book.noteLeaving(earlier, Start));
+    BOOST_TEST(servers.book.mayBeSent(server, Start));
+}
+
+BOOST_AUTO_TEST_CASE(noteLeaving_listSaysOtherwiseOrLosesIt_staysSaid)
+{
+    Servers servers(2);
+    BOOST_TEST(servers.book.noteLeaving(serverOf(0), Start));
+    BOOST_TEST(!servers.book.noteLeaving(serverOf(0), Start));
+    servers.book.put(serverOf(0));
+    BOOST_TEST(!servers.book.mayBeSent(serverOf(0), Start));
+    servers.book.remove("i-0");
+    servers.book.noteAwake(Start + 300s);
+    servers.book.put(serverOf(0));
+    BOOST_TEST(!servers.book.mayBeSent(serverOf(0), Start + 300s));
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(servers.choose(Start + 300s)->server.id == "i-1");
+    }
+    // As long as it is listed.
+    servers.book.noteAwake(Start + 2000s);
+    servers.book.put(serverOf(0));
+    BOOST_TEST(!servers.book.mayBeSent(serverOf(0), Start + 2000s));
+}
+
 BOOST_AUTO_TEST_CASE(noteAwake_boxStoodStill_doesNotMakeTheRestLonger)
 {
     Servers servers(1);
     servers.book.noteAwake(Start);
-    servers.book.noteRest("i-0", 3s, Start);
+    servers.book.noteRest(serverOf(0), 3s, Start);
     servers.book.noteAwake(Start + 10s);
     BOOST_TEST((servers.book.restLeft("i-0", Start + 10s) == kernel::Duration(0)));
 }
@@ -133,9 +166,9 @@
 BOOST_AUTO_TEST_CASE(allRestFor_severalRest_isTheTimeUntilTheFirstHasRested)
 {
     Servers servers(2);
-    servers.book.noteRest("i-0", 30s, Start);
+    servers.book.noteRest(serverOf(0), 30s, Start);
     BOOST_TEST(!servers.book.allRestFor(servers.wish, Start).has_value());
-    servers.book.noteRest("i-1", 3s, Start);
+    servers.book.noteRest(serverOf(1), 3s, Start);
     BOOST_TEST((servers.book.allRestFor(servers.wish, Start + 1s) == kernel::Duration(2s)));
 }
 
