The own interfaces heed a server's wish for rest by the same rule

RestService keeps the rests of a box for the chat and the service interface; RestBook decides for both roads. A resting engine is asked for nothing, neither as the home of a chat, as the holder that a token names nor as a suggestion; a permit that another hall granted for one is given back. Where all rest, the request is refused at once (214, not run).

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -128,6 +128,15 @@
     return place == head.end() ? std::string() : std::string(place->value());
 }
 
+Fields Stream::fields() const
+{
+    Fields fields;
+    for (const auto &field : connection_->parser.get()) {
+        fields.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return fields;
+}
+
 asio::awaitable<tl::expected<std::string, CallFailure>> Stream::read()
 {
     Connection &connection = *connection_;
@@ -170,10 +179,11 @@
         co_return tl::unexpected(stream.error());
     }
     Answer answer(stream->status());
+    const Fields head = stream->fields();
     for (const char *name :
-         {"Content-Type", "Retry-After", "X-Request-Id", "X-Not-Started", "X-Version"}) {
-        if (std::string value = stream->field(name); !value.empty()) {
-            answer.fields.add(name, std::move(value));
+         {"Content-Type", "Date", "Retry-After", "X-Request-Id", "X-Not-Started", "X-Version"}) {
+        for (const std::string_view value : head.all(name)) {
+            answer.fields.add(name, std::string(value));
         }
     }
     while (true) {
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -57,6 +57,7 @@
 
     int status() const;
     std::string field(std::string_view name) const;
+    Fields fields() const;
 
     /** The next part of the body; empty at its proper end. A connection that ends early is a
      * failure. */
--- a/src/services/ChatHandler.cpp
+++ b/src/services/ChatHandler.cpp
@@ -9,6 +9,7 @@
 #include "services/ConfigService.h"
 #include "services/CrashGuard.h"
 #include "services/PermitService.h"
+#include "services/RestService.h"
 #include "services/SpillService.h"
 
 #include <ctime>
@@ -26,6 +27,7 @@
 
 constexpr int MostAttempts = 4;
 constexpr const char *ChatTarget = "chat";
+constexpr const char *AllRest = "the engines that could take it have asked for rest";
 
 std::string dump(const json &value)
 {
@@ -147,6 +149,13 @@
                 co_return;
             }
             permit_ = *permit;
+            // Another hall's boxes don't know who has asked this one for rest.
+            const auto rest = context_.kernel.find<RestService>("rests").left(permit_.life());
+            if (rest > kernel::Duration(0)) {
+                permits.giveBack(permit_, peer::Observed::Unused);
+                co_await giveUp(refusalOf(ResultCode::ServersRest, AllRest, rest));
+                co_return;
+            }
             const ChatOutcome outcome = co_await attempt(number);
             if (outcome.callerLeft) {
                 count(ResultCode::CallerLeft);
@@ -193,6 +202,8 @@
             observed = Observed::RefusedLeaving;
         }
         context_.kernel.find<PermitService>("permits").giveBack(permit_, observed);
+        context_.kernel.find<RestService>("rests").note(
+                permit_.life(), permit_.backend.backend.text(), outcome.rest);
         co_await noteEnd(outcome);
         co_return outcome;
     }
@@ -207,7 +218,7 @@
         }
         AttemptServer server;
         server.id = permit_.backend.backend.text();
-        server.life = kernel::combine(permit_.resource, permit_.incarnation);
+        server.life = permit_.life();
         if (const auto address = kernel::endpointFrom(permit_.backend.address)) {
             server.address = *address;
         }
--- a/src/services/ChatRun.h
+++ b/src/services/ChatRun.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "answer/FrameCheck.h"
-#include "http/Message.h"
+#include "http/RetryAfter.h"
 #include "outcome/Attempt.h"
 #include "services/Context.h"
 #include "store/Directory.h"
@@ -35,6 +35,7 @@
 {
     std::optional<outcome::Point> failure; ///< Nothing: the answer is whole.
     bool leaving = false;                  ///< The engine refused because it is leaving.
+    http::RetryAfter rest;                 ///< What it said of rest as it refused.
     bool callerLeft = false;
     std::string message;
     std::size_t frames = 0;
--- a/src/services/PermitService.cpp
+++ b/src/services/PermitService.cpp
@@ -4,6 +4,7 @@
 #include "services/MembershipService.h"
 #include "services/OwnerService.h"
 #include "services/PeerService.h"
+#include "services/RestService.h"
 #include "services/SpillService.h"
 
 #include <algorithm>
@@ -105,16 +106,42 @@
     }
 }
 
+// Engines that have asked this box for rest are left out. Gives the time until the first of them
+// has rested; nothing if none rests.
+std::optional<kernel::Duration>
+PermitService::excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const
+{
+    const auto &rests = context_.kernel.find<RestService>("rests");
+    const auto &view = context_.kernel.find<OwnerService>("owner").view();
+    std::optional<kernel::Duration> shortest;
+    for (const auto &engine : engines) {
+        const BackendView *const backend = view.find(engine.engine);
+        const kernel::Duration left =
+                backend == nullptr
+                        ? kernel::Duration(0)
+                        : rests.left(kernel::combine(engine.engine, backend->state.incarnation));
+        if (left > kernel::Duration(0)) {
+            need.excluded.insert(engine.engine);
+            shortest = std::min(shortest.value_or(left), left);
+        }
+    }
+    return shortest;
+}
+
 asio::awaitable<tl::expected<Permit, NoPermit>> PermitService::acquireEngine(Need need)
 {
     auto &owner = context_.kernel.find<OwnerService>("owner");
     auto engines = owner.view().enginesOf(need.model);
+    const auto firstRested = excludeResting(need, engines);
     std::erase_if(engines,
                   [&](const auto &engine) { return need.excluded.contains(engine.engine); });
+    NoPermit refusal{ResultCode::NoEngine, ComeBackWithoutWord};
     if (engines.empty()) {
-        co_return tl::unexpected(NoPermit{ResultCode::NoEngine, ComeBackWithoutWord});
+        if (firstRested) {
+            refusal = {ResultCode::ServersRest, *firstRested};
+        }
+        co_return tl::unexpected(refusal);
     }
-    NoPermit refusal{ResultCode::NoEngine, ComeBackWithoutWord};
     AskPermit ask = askFor(need);
     const std::uint64_t home = routing::candidatesFor(need.chat, engines, 1).front().engine;
     const auto *const preferredEngine =
--- a/src/services/PermitService.h
+++ b/src/services/PermitService.h
@@ -32,7 +32,7 @@
     kernel::ChatKey chat = 0;
     membership::ShortHash model = 0;
     std::size_t candidates = 1;             ///< As the pool's settings say.
-    std::set<std::uint64_t> excluded;       ///< Engines that failed this request already.
+    std::set<std::uint64_t> excluded;       ///< Engines that failed this request already, or rest.
     std::optional<std::uint64_t> preferred; ///< Engine that the caller's chat token names.
     std::uint32_t preferredIncarnation = 0;
 };
@@ -45,6 +45,9 @@
     store::ListedBackend backend;  ///< Of an engine's permit.
     std::uint32_t incarnation = 0; ///< Of the engine, as known at the grant.
     routing::Reason reason = routing::Reason::First;
+
+    /** Names the life of the engine. */
+    std::uint64_t life() const { return kernel::combine(resource, incarnation); }
 };
 
 /** Why there is no permit. */
@@ -112,6 +115,8 @@
     boost::asio::awaitable<std::optional<Permit>> tryEngine(const Need &need, peer::AskPermit ask,
                                                             peer::Suggestion suggestion,
                                                             NoPermit &refusal);
+    std::optional<kernel::Duration>
+    excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const;
     Permit take(const peer::AskPermit &ask, std::uint64_t owner, const BackendView &backend,
                 routing::Reason reason);
     boost::asio::awaitable<kernel::Duration> renewRound();
--- /dev/null
+++ b/src/services/RestService.h
@@ -0,0 +1,44 @@
+/** \file
+ * Which backend servers have asked this box for rest over the own interface. Every way of a request
+ * through it asks here before it sends; the decision itself is RestBook's.
+ */
+#pragma once
+
+#include "forward/RestBook.h"
+#include "http/RetryAfter.h"
+#include "services/Context.h"
+#include "services/Repeat.h"
+
+#include <memory>
+#include <string>
+
+namespace limereel::services {
+
+/** The rests of one box. */
+class RestService : public kernel::Service
+{
+public:
+    explicit RestService(Context &context);
+
+    std::string_view name() const override { return "rests"; }
+    void start() override;
+    void stop() override;
+
+    /** A backend server has turned a request away. \param word what it says of when to come back.
+     */
+    void note(std::uint64_t life, const std::string &server, const http::RetryAfter &word);
+
+    /** For how long \a life still wants nothing from this box; zero: it doesn't rest. */
+    kernel::Duration left(std::uint64_t life) const;
+    bool rests(std::uint64_t life) const { return left(life) > kernel::Duration(0); }
+
+private:
+    Context &context_;
+    forward::RestBook book_;
+    std::unique_ptr<Repeat> sweep_;
+};
+
+/** What an answer with \a status says of rest; only one that turns a request away does. */
+http::RetryAfter restAsked(int status, const http::Fields &fields);
+
+} // namespace limereel::services
--- a/src/services/Router.cpp
+++ b/src/services/Router.cpp
@@ -16,6 +16,7 @@
 #include "services/PermitService.h"
 #include "services/PlacementService.h"
 #include "services/PlatformService.h"
+#include "services/RestService.h"
 #include "services/SpillService.h"
 #include "services/Start.h"
 #include "services/StopService.h"
@@ -62,6 +63,7 @@
     kernel.add(std::make_unique<DirectoryService>(context));
     kernel.add(std::make_unique<MembershipService>(context, acquaintanceOf(context)));
     kernel.add(std::make_unique<CrashService>(context));
+    kernel.add(std::make_unique<RestService>(context));
     kernel.add(std::make_unique<ConfigService>(context));
     kernel.add(std::make_unique<OwnerService>(context));
     kernel.add(std::make_unique<PermitService>(context));
--- a/src/services/ServiceHandler.cpp
+++ b/src/services/ServiceHandler.cpp
@@ -9,6 +9,7 @@
 #include "services/CrashGuard.h"
 #include "services/OwnerService.h"
 #include "services/PermitService.h"
+#include "services/RestService.h"
 
 #include <algorithm>
 #include <set>
@@ -158,13 +159,12 @@
             }
             const auto runner = choose();
             if (!runner) {
-                co_return tell(refusalOf(ResultCode::NoEngine,
-                                         "no runner of the service can be reached",
-                                         ComeBackAfterFailure));
+                co_return tell(noRunner());
             }
             ++handler_.inFlight_[runner->backend.hash()];
             auto answer = co_await call(*runner);
             --handler_.inFlight_[runner->backend.hash()];
+            noteRest(*runner, answer);
             const auto failure = judgeAnswer(answer);
             co_await noteEnd(*runner, failure);
             if (!failure) {
@@ -190,8 +190,15 @@
     {
         auto runners =
                 context_.kernel.find<OwnerService>("owner").view().runnersOf(target_.service);
-        std::erase_if(runners, [this](const BackendView *runner) {
-            return excluded_.contains(runner->listed.backend.hash());
+        const auto &rests = context_.kernel.find<RestService>("rests");
+        firstRested_.reset();
+        std::erase_if(runners, [&](const BackendView *runner) {
+            const std::uint64_t hash = runner->listed.backend.hash();
+            const kernel::Duration rest = rests.left(hash);
+            if (rest > kernel::Duration(0)) {
+                firstRested_ = std::min(firstRested_.value_or(rest), rest);
+            }
+            return rest > kernel::Duration(0) || excluded_.contains(hash);
         });
         if (runners.empty()) {
             return std::nullopt;
@@ -203,6 +210,25 @@
         return (*best)->listed;
     }
 
+    Refusal noRunner() const
+    {
+        return firstRested_
+                       ? refusalOf(ResultCode::ServersRest,
+                                   "the runners of the service have asked for rest", *firstRested_)
+                       : refusalOf(ResultCode::NoEngine, "no runner of the service can be reached",
+                                   ComeBackAfterFailure);
+    }
+
+    void noteRest(const store::ListedBackend &runner,
+                  const tl::expected<http::Answer, http::CallFailure> &answer)
+    {
+        if (answer) {
+            context_.kernel.find<RestService>("rests").note(
+                    runner.backend.hash(), runner.backend.text(),
+                    restAsked(answer->status, answer->fields));
+        }
+    }
+
     asio::awaitable<tl::expected<http::Answer, http::CallFailure>>
     call(const store::ListedBackend &runner)
     {
@@ -290,6 +316,7 @@
     std::string key_;
     bool repeatable_ = false;
     std::set<std::uint64_t> excluded_;
+    std::optional<kernel::Duration> firstRested_; ///< Of the runners that rest, at the last choice.
     outcome::Story story_;
 };
 
--- /dev/null
+++ b/test/correctness/ChatRestTest.cpp
@@ -0,0 +1,106 @@
+// The own interfaces, and backend servers that turn requests away and ask for rest.
+// Guards against requests that go to a server while it rests.
+
+#include "support/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using support::Fleet;
+using support::Turn;
+
+namespace {
+
+constexpr int Many = 1000;
+
+struct RestFleet
+{
+    RestFleet()
+    {
+        fleet.engines("hall-a", 2).serviceRunners("hall-a", 2, "calendar").routers("hall-a", 1);
+        fleet.start();
+    }
+
+    support::CallerAnswer chat(int number)
+    {
+        return fleet.chat(0, Turn{.chat = "c" + std::to_string(number)});
+    }
+
+    support::CallerAnswer call()
+    {
+        return fleet.call(0, http::Request("GET", "/v1/services/calendar/day",
+                                           http::Fields().with("Authorization",
+                                                               "Bearer key-of-the-hauler-a")));
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ChatRestTest, RestFleet)
+
+BOOST_AUTO_TEST_CASE(engine_asksForRest_isSentNothingMore)
+{
+    fleet.engine(0).faults.refuseFull = Many;
+    fleet.engine(0).faults.restAsked = "300";
+    for (int number = 0; number < 40; ++number) {
+        BOOST_TEST(chat(number).whole);
+    }
+    BOOST_TEST(fleet.engine(0).faults.refuseFull == Many - 1);
+}
+
+BOOST_AUTO_TEST_CASE(allEngines_askForRest_chatIsRefusedAtOnceAndToldWhenToComeBack)
+{
+    for (std::size_t index = 0; index < 2; ++index) {
+        fleet.engine(index).faults.refuseFull = Many;
+        fleet.engine(index).faults.restAsked = "300";
+    }
+    chat(0);
+    const auto answer = chat(1);
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.resultCode == "214");
+    BOOST_TEST(answer.ran == "not-run");
+    BOOST_REQUIRE(!answer.retryAfter.empty());
+    BOOST_TEST(std::stod(answer.retryAfter) > 100);
+    BOOST_TEST(fleet.engine(0).faults.refuseFull == Many - 1);
+    BOOST_TEST(fleet.engine(1).faults.refuseFull == Many - 1);
+}
+
+BOOST_AUTO_TEST_CASE(engine_startsAnewWhileItRests_takesWork)
+{
+    for (std::size_t index = 0; index < 2; ++index) {
+        fleet.engine(index).faults.refuseFull = 1;
+        fleet.engine(index).faults.restAsked = "300";
+    }
+    chat(0);
+    BOOST_TEST(chat(1).status == 503);
+    fleet.engine(0).restart();
+    BOOST_TEST(fleet.until([this] { return chat(2).whole; }));
+}
+
+BOOST_AUTO_TEST_CASE(runner_asksForRest_isSentNothingMore)
+{
+    fleet.service(0).faults.refuse = Many;
+    fleet.service(0).faults.restAsked = "300";
+    for (int number = 0; number < 40; ++number) {
+        BOOST_TEST(call().status == 200);
+    }
+    BOOST_TEST(fleet.service(0).faults.refuse == Many - 1);
+}
+
+BOOST_AUTO_TEST_CASE(allRunners_askForRest_callIsRefusedAndNotRun)
+{
+    for (std::size_t index = 0; index < 2; ++index) {
+        fleet.service(index).faults.refuse = Many;
+        fleet.service(index).faults.restAsked = "300";
+    }
+    call();
+    const auto answer = call();
+    BOOST_TEST(answer.resultCode == "214");
+    BOOST_TEST(answer.ran == "not-run");
+    BOOST_TEST(fleet.service(0).faults.refuse == Many - 1);
+    BOOST_TEST(fleet.service(1).faults.refuse == Many - 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/standin/EngineStandin.cpp
+++ b/test/standin/EngineStandin.cpp
@@ -24,9 +24,13 @@
                         body.dump()};
 }
 
-http::Answer notStarted(const char *why)
+http::Answer notStarted(const char *why, const std::string &rest = {})
 {
-    return http::Answer{503, http::Fields().with("X-Not-Started", why), {}};
+    http::Answer answer{503, http::Fields().with("X-Not-Started", why), {}};
+    if (!rest.empty()) {
+        answer.fields.add("Retry-After", rest);
+    }
+    return answer;
 }
 
 bool take(int &fault)
@@ -153,7 +157,7 @@
     if (faults.leaving) {
         refusal = notStarted("leaving");
     } else if (running_ >= options_.slots || take(faults.refuseFull)) {
-        refusal = notStarted("full");
+        refusal = notStarted("full", faults.restAsked);
     } else if (!known) {
         refusal = notStarted("model");
     }
--- a/test/standin/EngineStandin.h
+++ b/test/standin/EngineStandin.h
@@ -38,6 +38,7 @@
 struct EngineFaults
 {
     int refuseFull = 0;     ///< 503, not started.
+    std::string restAsked;  ///< The Retry-After of such a refusal; empty: none.
     int dropUnanswered = 0; ///< Begins the work, closes without an answer.
     int failAnswer = 0;     ///< 500 after the work.
     int cutStream = 0;      ///< Closes the stream after cutAfter frames.
--- a/test/standin/ServiceStandin.cpp
+++ b/test/standin/ServiceStandin.cpp
@@ -46,6 +46,9 @@
     } else if (faults.leaving || take(faults.refuse)) {
         answer.status = 503;
         answer.fields.add("X-Not-Started", faults.leaving ? "leaving" : "full");
+        if (!faults.restAsked.empty()) {
+            answer.fields.add("Retry-After", faults.restAsked);
+        }
     }
     if (answer.status != 0) {
         co_await reply.send(std::move(answer));
--- a/test/standin/ServiceStandin.h
+++ b/test/standin/ServiceStandin.h
@@ -16,6 +16,7 @@
 struct ServiceFaults
 {
     int refuse = 0;        ///< 503, not started.
+    std::string restAsked; ///< The Retry-After of such a refusal; empty: none.
     int dropBeforeRun = 0; ///< Reads the call, closes, doesn't run it.
     int dropAfterRun = 0;  ///< Runs it, closes without an answer.
     int cutAnswer = 0;     ///< Runs it, sends half of an answer.
