Where servers ask for rest, none is sent more than it has places

Cause: once rests are heeded, one request too many takes a server away from the box for the whole rest.

Change: for a minute after one of its servers has asked for rest, servers of that service get no more requests from a box than they have places. Services that never ask aren't touched.

--- a/src/forward/BookPolicy.h
+++ b/src/forward/BookPolicy.h
@@ -30,6 +30,9 @@
     std::size_t quietServers = 2;        ///< Of a hall; then the way to it is doubted.
     kernel::Duration hallTrial = 500ms;  ///< Between two requests to a doubted hall.
     kernel::Duration longestRest = 600s; ///< What is kept of a longer rest that a server asks for.
+    /** For so long after one of them has asked for rest, the servers of a service get no more than
+     * they have places. */
+    kernel::Duration heldToPlaces = 60s;
     kernel::Duration leavingKept = 600s; ///< After a server that said that it leaves was last
                                          ///< listed; a list that is behind may name it anew.
     kernel::Duration awake = 150ms; ///< Longer between two calls of noteAwake(), made each 100 ms,
--- a/src/forward/ServerBook.cpp
+++ b/src/forward/ServerBook.cpp
@@ -151,6 +151,8 @@
     }
     health_.noteAwake(now);
     rests_.expire(now);
+    std::erase_if(restAskedAt_,
+                  [&](const auto &asked) { return now - asked.second >= policy_.heldToPlaces; });
     leaving_.expire(now, [this](std::uint64_t life) { return index_.findHash(life) != nullptr; });
     index_.dropUnused(now);
 }
@@ -183,7 +185,9 @@
 std::optional<Choice> ServerBook::choose(const Wish &wish, kernel::Instant now,
                                          std::mt19937_64 &random) const
 {
-    const ServerView view{index_, health_, openHalls(wish), closedHalls(now), now};
+    const ServerView view{
+            index_, health_, openHalls(wish), closedHalls(now), heldToPlaces(wish.service, now),
+            now};
     const ServerChoice servers(view, policy_, wish);
     const bool byParts = wish.prompt != nullptr && !wish.prompt->parts.empty();
     const auto holds = [&](const ServerRecord &record) { return holdsAll(record, wish, now); };
@@ -372,6 +376,7 @@
 void ServerBook::noteRest(const ListedServer &server, kernel::Duration asked, kernel::Instant now)
 {
     rests_.note(server.hash(), asked, now);
+    restAskedAt_[server.service] = now;
     if (ServerRecord *record = index_.find(server.id)) {
         setRest(*record);
     }
@@ -393,26 +398,32 @@
     return record == nullptr ? kernel::Duration(0) : leftUntil(record->restUntil, now);
 }
 
-std::optional<kernel::Duration> ServerBook::allRestFor(const Wish &wish, kernel::Instant now) const
+bool ServerBook::allRest(const Wish &wish, kernel::Instant now) const
 {
     const ServiceServers *service = index_.service(wish.service);
-    std::optional<kernel::Duration> shortest;
     if (service == nullptr) {
-        return shortest;
+        return false;
     }
     const HallSet open = openHalls(wish);
+    bool any = false;
     for (HallNumber hall = 0; hall < service->byHall.size(); ++hall) {
-        for (const ServerRecord *record : service->byHall[hall]) {
-            if (open[hall] && !record->rests(now)) {
-                return std::nullopt;
-            }
-            if (open[hall]) {
-                const kernel::Duration left = record->restUntil - now;
-                shortest = std::min(shortest.value_or(left), left);
-            }
+        if (!open[hall]) {
+            continue;
+        }
+        const auto &servers = service->byHall[hall];
+        any = any || !servers.empty();
+        if (!std::ranges::all_of(servers,
+                                 [now](const auto *record) { return record->rests(now); })) {
+            return false;
         }
     }
-    return shortest;
+    return any;
+}
+
+bool ServerBook::heldToPlaces(const std::string &service, kernel::Instant now) const
+{
+    const auto place = restAskedAt_.find(service);
+    return place != restAskedAt_.end() && now - place->second < policy_.heldToPlaces;
 }
 
 kernel::Duration ServerBook::fullLeft(const std::string &id, kernel::Instant now) const
--- a/src/forward/ServerBook.h
+++ b/src/forward/ServerBook.h
@@ -124,9 +124,12 @@
     /** For how long \a id still wants nothing from this box; zero: it doesn't rest. */
     kernel::Duration restLeft(const std::string &id, kernel::Instant now) const;
 
-    /** How long until the first server that could take \a wish has rested; nothing if one of them
-     * doesn't rest, or there is none. */
-    std::optional<kernel::Duration> allRestFor(const Wish &wish, kernel::Instant now) const;
+    /** Whether there are servers that could take \a wish, but that all of them rest. */
+    bool allRest(const Wish &wish, kernel::Instant now) const;
+
+    /** Whether the servers of \a service get no more than they have places. A server that is sent
+     * more may ask for rest, and then not even its places are used. */
+    bool heldToPlaces(const std::string &service, kernel::Instant now) const;
 
     /** For how long \a id is still taken for full, as it turned a request away. */
     kernel::Duration fullLeft(const std::string &id, kernel::Instant now) const;
@@ -179,6 +182,7 @@
     PartIndex parts_;
     RestBook rests_;
     LeavingBook leaving_;
+    std::map<std::string, kernel::Instant> restAskedAt_; ///< By service, of any of its servers.
     std::set<std::string> drainedHalls_;
     std::map<std::string, std::string> hallRegions_;
 };
--- a/src/forward/ServerRecord.h
+++ b/src/forward/ServerRecord.h
@@ -8,6 +8,7 @@
 
 #include "forward/Backend.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -51,6 +52,12 @@
 
     bool rests(kernel::Instant now) const { return now < restUntil; }
 
+    /** Whether it has at least as many requests as places. */
+    bool allPlacesTaken(kernel::Instant now) const
+    {
+        return load(now) >= std::max<std::uint32_t>(1, server.slots);
+    }
+
     /** Whether connecting to it brought nothing back lately. */
     bool unansweredLately(kernel::Instant now) const;
 
--- a/src/forward/UsableServers.cpp
+++ b/src/forward/UsableServers.cpp
@@ -75,7 +75,8 @@
 
 bool UsableServers::mayTake(const ServerRecord &record) const
 {
-    return belongs(record) && !record.rests(view_.now);
+    return belongs(record) && !record.rests(view_.now)
+           && !(view_.heldToPlaces && record.allPlacesTaken(view_.now));
 }
 
 bool UsableServers::belongs(const ServerRecord &record) const
--- a/src/forward/UsableServers.h
+++ b/src/forward/UsableServers.h
@@ -3,7 +3,8 @@
  *
  * Those that may take it at all are sorted by what is noted on them: good ones, fair ones (many
  * failed answers, or full a moment ago), and doubted ones. Only the best sort that has any is used.
- * One that has asked this box for rest isn't used, even if no other is left.
+ * One that has asked this box for rest isn't used, even if no other is left, and where servers do
+ * that, none is sent more than it has places.
  * Servers on which nothing is noted are counted, not visited, so the time that this takes grows
  * with what this box did lately, and not with how many servers there are.
  */
@@ -26,8 +27,9 @@
 {
     const ServerIndex &index;
     const ServerHealth &health;
-    HallSet open;   ///< Halls in which the request may run.
-    HallSet closed; ///< Halls that get nothing for now, as the way to them seems cut.
+    HallSet open;      ///< Halls in which the request may run.
+    HallSet closed;    ///< Halls that get nothing for now, as the way to them seems cut.
+    bool heldToPlaces; ///< Servers get no more requests than they have places.
     kernel::Instant now;
 };
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -21,6 +21,8 @@
 constexpr kernel::Duration StartOnce = 20s;
 constexpr const char *AllCold = "all backend servers that could run it have just started and have "
                                 "been sent as many requests as they bear";
+constexpr const char *AllAtTheirPlaces =
+        "all backend servers that could run it have as many requests as they have places";
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
 
@@ -214,7 +216,7 @@
     while (true) {
         auto choice = run_.world.servers().choose(wish, run_.context.now(), run_.context.random);
         if (!choice) {
-            allRestFor_ = run_.world.servers().allRestFor(wish, run_.context.now());
+            noteNoServer(wish);
             run_.lastMessage = wish.barred.empty() ? run_.lastMessage : AllCold;
             co_return choice;
         }
@@ -230,6 +232,16 @@
     }
 }
 
+void RequestRun::noteNoServer(const forward::Wish &wish)
+{
+    const kernel::Instant now = run_.context.now();
+    allRest_ = run_.world.servers().allRest(wish, now);
+    if (!allRest_ && run_.world.servers().heldToPlaces(wish.service, now)) {
+        run_.context.counters.add("held_to_places");
+        run_.lastMessage = AllAtTheirPlaces;
+    }
+}
+
 // Where the chosen engine isn't known to hold the prompt's parts, nor any other, the box is asked
 // that remembers it for all. Gives true if it named some: then the choice is made anew.
 asio::awaitable<bool> RequestRun::learnHolders(forward::Wish &wish, const forward::Choice &choice)
@@ -409,8 +421,8 @@
     if (run_.counts.sends > 0) {
         const bool late = reason == Interruption::Deadline;
         refusal = {late ? ResultCode::AnswerLost : ResultCode::BackendFailed, run_.lastMessage};
-    } else if (allRestFor_) {
-        refusal = {ResultCode::ServersRest, AllRest, true, *allRestFor_};
+    } else if (allRest_) {
+        refusal = {ResultCode::ServersRest, AllRest, true};
     } else if (run_.counts.rejected > 0) {
         refusal.code = ResultCode::BackendRefused;
     } else if (run_.counts.unsent > 0) {
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<bool> takePlace(forward::Wish &wish, forward::Choice &choice);
     boost::asio::awaitable<bool> learnHolders(forward::Wish &wish, const forward::Choice &choice);
     void noteTrial(const forward::Choice &choice);
+    void noteNoServer(const forward::Wish &wish);
     void barCold(forward::Wish &wish, const std::string &id);
     boost::asio::awaitable<void> settleParts(forward::Wish &wish, forward::Choice &choice);
     void givePlaceBack();
@@ -64,8 +65,8 @@
     ConnectionPool &pool_;
     PlaceService &places_;
     http::AnswerTimer deadlineTimer_;
-    std::vector<std::string> tried_;             ///< Servers that are not chosen again.
-    std::optional<kernel::Duration> allRestFor_; ///< As no server could be chosen.
+    std::vector<std::string> tried_; ///< Servers that are not chosen again.
+    bool allRest_ = false;           ///< No server could be chosen, as all rest.
 };
 
 } // namespace limereel::gateway
--- a/src/services/ChatHandler.cpp
+++ b/src/services/ChatHandler.cpp
@@ -150,10 +150,9 @@
             }
             permit_ = *permit;
             // Another hall's boxes don't know who has asked this one for rest.
-            const auto rest = context_.kernel.find<RestService>("rests").left(permit_.life());
-            if (rest > kernel::Duration(0)) {
+            if (context_.kernel.find<RestService>("rests").rests(permit_.life())) {
                 permits.giveBack(permit_, peer::Observed::Unused);
-                co_await giveUp(refusalOf(ResultCode::ServersRest, AllRest, rest));
+                co_await giveUp(refusalOf(ResultCode::ServersRest, AllRest, ComeBackAfterFailure));
                 co_return;
             }
             const ChatOutcome outcome = co_await attempt(number);
--- a/src/services/PermitService.cpp
+++ b/src/services/PermitService.cpp
@@ -106,39 +106,34 @@
     }
 }
 
-// Engines that have asked this box for rest are left out. Gives the time until the first of them
-// has rested; nothing if none rests.
-std::optional<kernel::Duration>
-PermitService::excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const
+// Engines that have asked this box for rest are left out. Gives whether there are some.
+bool PermitService::excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const
 {
     const auto &rests = context_.kernel.find<RestService>("rests");
     const auto &view = context_.kernel.find<OwnerService>("owner").view();
-    std::optional<kernel::Duration> shortest;
+    bool some = false;
     for (const auto &engine : engines) {
         const BackendView *const backend = view.find(engine.engine);
-        const kernel::Duration left =
-                backend == nullptr
-                        ? kernel::Duration(0)
-                        : rests.left(kernel::combine(engine.engine, backend->state.incarnation));
-        if (left > kernel::Duration(0)) {
+        if (backend != nullptr
+            && rests.rests(kernel::combine(engine.engine, backend->state.incarnation))) {
             need.excluded.insert(engine.engine);
-            shortest = std::min(shortest.value_or(left), left);
+            some = true;
         }
     }
-    return shortest;
+    return some;
 }
 
 asio::awaitable<tl::expected<Permit, NoPermit>> PermitService::acquireEngine(Need need)
 {
     auto &owner = context_.kernel.find<OwnerService>("owner");
     auto engines = owner.view().enginesOf(need.model);
-    const auto firstRested = excludeResting(need, engines);
+    const bool someRest = excludeResting(need, engines);
     std::erase_if(engines,
                   [&](const auto &engine) { return need.excluded.contains(engine.engine); });
     NoPermit refusal{ResultCode::NoEngine, ComeBackWithoutWord};
     if (engines.empty()) {
-        if (firstRested) {
-            refusal = {ResultCode::ServersRest, *firstRested};
+        if (someRest) {
+            refusal.code = ResultCode::ServersRest;
         }
         co_return tl::unexpected(refusal);
     }
--- a/src/services/PermitService.h
+++ b/src/services/PermitService.h
@@ -115,8 +115,7 @@
     boost::asio::awaitable<std::optional<Permit>> tryEngine(const Need &need, peer::AskPermit ask,
                                                             peer::Suggestion suggestion,
                                                             NoPermit &refusal);
-    std::optional<kernel::Duration>
-    excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const;
+    bool excludeResting(Need &need, const std::vector<routing::Candidate> &engines) const;
     Permit take(const peer::AskPermit &ask, std::uint64_t owner, const BackendView &backend,
                 routing::Reason reason);
     boost::asio::awaitable<kernel::Duration> renewRound();
--- a/src/services/ServiceHandler.cpp
+++ b/src/services/ServiceHandler.cpp
@@ -191,14 +191,12 @@
         auto runners =
                 context_.kernel.find<OwnerService>("owner").view().runnersOf(target_.service);
         const auto &rests = context_.kernel.find<RestService>("rests");
-        firstRested_.reset();
+        someRest_ = false;
         std::erase_if(runners, [&](const BackendView *runner) {
             const std::uint64_t hash = runner->listed.backend.hash();
-            const kernel::Duration rest = rests.left(hash);
-            if (rest > kernel::Duration(0)) {
-                firstRested_ = std::min(firstRested_.value_or(rest), rest);
-            }
-            return rest > kernel::Duration(0) || excluded_.contains(hash);
+            const bool resting = rests.rests(hash);
+            someRest_ = someRest_ || resting;
+            return resting || excluded_.contains(hash);
         });
         if (runners.empty()) {
             return std::nullopt;
@@ -212,9 +210,10 @@
 
     Refusal noRunner() const
     {
-        return firstRested_
+        return someRest_
                        ? refusalOf(ResultCode::ServersRest,
-                                   "the runners of the service have asked for rest", *firstRested_)
+                                   "the runners of the service have asked for rest",
+                                   ComeBackAfterFailure)
                        : refusalOf(ResultCode::NoEngine, "no runner of the service can be reached",
                                    ComeBackAfterFailure);
     }
@@ -316,7 +315,7 @@
     std::string key_;
     bool repeatable_ = false;
     std::set<std::uint64_t> excluded_;
-    std::optional<kernel::Duration> firstRested_; ///< Of the runners that rest, at the last choice.
+    bool someRest_ = false; ///< Of the runners, at the last choice.
     outcome::Story story_;
 };
 
