--- a/test/platform/CrashingRequestTest.cpp
+++ b/test/platform/CrashingRequestTest.cpp
@@ -14,6 +14,7 @@
 #include "support/Ports.h"
 
 #include <algorithm>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace limereel;
@@ -79,6 +80,27 @@
         return answers;
     }
 
+    /** Callers come again every 100 ms until a box says that the request is stopped, 20 s at
+     * most. */
+    void comeAgainUntilStopped()
+    {
+        constexpr int Most = 200;
+        const auto stopped = [this](std::size_t box) {
+            return counter(box, "results", {{"kind", "refused"}, {"code", "ends-servers"}}) > 0U;
+        };
+        for (int turn = 0; turn < Most; ++turn) {
+            const std::size_t box = static_cast<std::size_t>(turn) % Boxes;
+            call(box, "/stream/", Crashing);
+            bringBack();
+            if (stopped(box)) {
+                return;
+            }
+            const auto until = std::chrono::steady_clock::now() + 100ms;
+            this->until([&] { return std::chrono::steady_clock::now() >= until; }, "a pause");
+        }
+        BOOST_ERROR("the request was never stopped");
+    }
+
     Got call(std::size_t box, const std::string &prefix, const std::string &body)
     {
         const auto pending = begin(box, prefix, body);
@@ -173,9 +195,41 @@
         until([&] { return std::ranges::all_of(boxes, stopped); }, "the stop at each box");
     }
 
+    /** Servers that have ended, those whose port is still open included. */
+    std::size_t ends() const
+    {
+        std::size_t sum = 0;
+        for (const auto &engine : engines_) {
+            sum += static_cast<std::size_t>(engine->ends());
+        }
+        return sum;
+    }
+
+    /** Engines whose ports are held by something else: the next process there serves at once, and
+     * its entry follows some time later. */
+    void letProcessesFollowEachOther()
+    {
+        for (auto &engine : engines_) {
+            engine->followedBy = [this, where = engine->where()](const std::string &before) {
+                const std::string after = before + "+";
+                asio::co_spawn(io_, listLater(before, after, where), asio::detached);
+                return after;
+            };
+        }
+    }
+
     std::vector<std::unique_ptr<standin::RunnerStandin>> engines_;
+    kernel::Duration portEndsAfter = 0ms;
 
 private:
+    asio::awaitable<void> listLater(std::string before, std::string after, kernel::Endpoint where)
+    {
+        asio::steady_timer timer(io_, 1s);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        store().remove("servers", before);
+        putEntry(after, where);
+    }
+
     void untilListed(const std::string &id)
     {
         until(
@@ -195,7 +249,14 @@
                 io_, "i-" + std::to_string(engines_.size() + 1), where);
         engine->endedBy = Crashing;
         engine->endsAfter = 5ms;
-        store().put("servers", engine->name(),
+        engine->portEndsAfter = portEndsAfter;
+        putEntry(engine->name(), where);
+        engines_.push_back(std::move(engine));
+    }
+
+    void putEntry(const std::string &id, const kernel::Endpoint &where)
+    {
+        store().put("servers", id,
                     {{"service", "pool"},
                      {"address", kernel::text(where)},
                      {"zone", "hall-a"},
@@ -205,7 +266,6 @@
                      {"cold_left_ms", 0},
                      {"models", json::array()},
                      {"call_seq", 1}});
-        engines_.push_back(std::move(engine));
     }
 
     void putConfiguration()
@@ -385,6 +445,24 @@
     }
 }
 
+// Guards against a request that runs alone again and again, as the end of its server shows late.
+BOOST_DATA_TEST_CASE_F(CrashFixture, serversPortsEndLater_requestComesAgain_isStoppedAfterSix,
+                       boost::unit_test::data::make({5, 100, 2000}), milliseconds)
+{
+    portEndsAfter = std::chrono::milliseconds(milliseconds);
+    startAll();
+    comeAgainUntilStopped();
+    BOOST_TEST(ends() <= 6U);
+}
+
+BOOST_AUTO_TEST_CASE(serversAreFollowedAtTheirPorts_requestComesAgain_isStoppedAfterSix)
+{
+    startAll();
+    letProcessesFollowEachOther();
+    comeAgainUntilStopped();
+    BOOST_TEST(ends() <= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(requestThatEndsItsServers_isRepeatedByTheBoxToo_threeServersEndInAll)
 {
     startAll();
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -96,20 +96,49 @@
     acceptor_.close(ignored);
 }
 
-void RunnerStandin::crash()
+void RunnerStandin::resetAll()
 {
-    state_->crashed = true;
-    close();
     for (tcp::socket *socket : state_->sockets) {
         reset(*socket);
     }
 }
 
+void RunnerStandin::crash()
+{
+    if (state_->ending || state_->crashed) {
+        return;
+    }
+    ++state_->ends;
+    if (followedBy) {
+        name_ = followedBy(name_);
+        resetAll();
+        return;
+    }
+    state_->ending = true;
+    resetAll();
+    if (portEndsAfter == 0ms) {
+        close();
+        state_->crashed = true;
+    } else {
+        asio::co_spawn(io_, endPort(state_), asio::detached);
+    }
+}
+
 std::size_t RunnerStandin::runs() const
 {
     return static_cast<std::size_t>(std::ranges::count(state_->records, true, &RunnerRecord::ran));
 }
 
+asio::awaitable<void> RunnerStandin::endPort(std::shared_ptr<State> state)
+{
+    asio::steady_timer timer(io_, portEndsAfter);
+    co_await timer.async_wait(Quiet);
+    if (state->open) {
+        close();
+        state->crashed = true;
+    }
+}
+
 asio::awaitable<void> RunnerStandin::accept()
 {
     const std::shared_ptr<State> state = state_;
@@ -118,6 +147,10 @@
         if (error) {
             break;
         }
+        if (state->ending) {
+            reset(socket);
+            continue;
+        }
         ++state->connections;
         asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
     }
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -89,6 +90,16 @@
 
     /** Ends as a process does that is killed: all connections are reset, the port is dead. */
     void crash();
+
+    /** For so long after its connections have been reset the port still takes new ones. */
+    kernel::Duration portEndsAfter = 0ms;
+
+    /** Something else holds the port: the process is followed there by one of this name, which
+     * serves at once. Nothing: it isn't followed. */
+    std::function<std::string(const std::string &ended)> followedBy;
+
+    /** How often the process has ended. */
+    int ends() const { return state_->ends; }
     bool crashed() const { return state_->crashed; }
 
 private:
@@ -99,9 +110,13 @@
         int left = 0;
         bool open = true;
         bool crashed = false;
+        bool ending = false; ///< Only the port is left of it.
+        int ends = 0;
         std::set<boost::asio::ip::tcp::socket *> sockets; ///< Of open connections.
     };
 
+    void resetAll();
+    boost::asio::awaitable<void> endPort(std::shared_ptr<State> state);
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket &socket);
