--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -26,7 +26,8 @@
 // Whose port is dead answers within a round trip.
 constexpr kernel::Duration LongestLook = 50ms;
 // Of a server that still takes connections: its port may outlast them.
-constexpr std::array<kernel::Duration, 4> LookedAgainAfter = {20ms, 80ms, 400ms, 1800ms};
+constexpr kernel::Duration FirstLookAgain = 20ms; ///< The pause doubles with each look.
+constexpr kernel::Duration LastLookAgain = 1280ms;
 // A list shows that a server has ended within some of its beats.
 constexpr kernel::Duration UnsettledFor = 15s;
 constexpr std::size_t MostUnsettled = 4096;
@@ -179,7 +180,7 @@
 
 asio::awaitable<void> CrashService::lookAgain(std::uint64_t server, kernel::Endpoint address)
 {
-    for (const kernel::Duration pause : LookedAgainAfter) {
+    for (kernel::Duration pause = FirstLookAgain; pause <= LastLookAgain; pause *= 2) {
         asio::steady_timer timer(context_.io, pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         if (!isUnsettled(server)) {
