--- a/src/http/RetryAfter.h
+++ b/src/http/RetryAfter.h
@@ -26,8 +26,8 @@
 /**
  * Reads the Retry-After fields of an answer. Seconds may have a fraction. Where there are several
  * values, the longest readable one counts, so that nobody comes back sooner than was asked. A date
- * is taken against the answer's own Date field. What is neither, such as an empty, a negative or
- * an endless number, is unreadable.
+ * is taken against the answer's own Date field. What is neither, such as nothing, a negative number
+ * or "inf", is unreadable.
  *
  * \param now the time of day, for answers without a readable Date.
  */
--- a/src/services/RestService.cpp
+++ b/src/services/RestService.cpp
@@ -3,6 +3,7 @@
 #include "kernel/Log.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace limereel::services {
 
--- a/test/platform/CrashingRequestTest.cpp
+++ b/test/platform/CrashingRequestTest.cpp
@@ -211,7 +211,7 @@
     {
         for (auto &engine : engines_) {
             engine->followedBy = [this, where = engine->where()](const std::string &before) {
-                const std::string after = before + "+";
+                std::string after = before + "+";
                 asio::co_spawn(io_, listLater(before, after, where), asio::detached);
                 return after;
             };
