--- /dev/null
+++ b/src/admission/ReturnSchedule.h
@@ -0,0 +1,70 @@
+/** \file
+ * When callers that were refused are to return, and which of them are expected now.
+ *
+ * Answers callers that all return at once while there is still no room for them. Each refusal
+ * reserves room at the first moment at which some comes free that isn't promised yet. A caller that
+ * returns then goes before new ones; one that returns early isn't known yet and gains nothing. What
+ * is lost with the process costs a caller that privilege and nothing else.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <unordered_map>
+
+namespace limereel::admission {
+
+/** The settings of a schedule. */
+struct ReturnPolicy
+{
+    kernel::Duration bucket = 100ms;
+    kernel::Duration horizon = 60s;
+    kernel::Duration shortest = 100ms; ///< Delay told at least.
+    /** Part of the places that come free which may be promised; the rest is for new callers. */
+    double promisedPart = 0.5;
+    /** How long after its time a caller is still expected: a new connection to another box takes
+     * part of it. */
+    kernel::Duration grace = 1s;
+    std::size_t most = 4096; ///< Callers remembered.
+};
+
+/** The schedule for one server. Deterministic: callers pass in the time and the random generator.
+ */
+class ReturnSchedule
+{
+public:
+    explicit ReturnSchedule(ReturnPolicy policy = {})
+        : policy_(policy)
+    {
+    }
+
+    /** Reserves room for the return of a refused caller. \param identity what the request has in
+     * common with its repetition; 0: not known, nothing is reserved. \param freedPerSecond places
+     * that come free; 0: not known. \return the delay to tell, spread by chance within a bucket. */
+    kernel::Duration promise(std::uint64_t identity, double freedPerSecond, kernel::Instant now,
+                             std::mt19937_64 &random);
+
+    /** Whether the caller of a request with this identity was told to return by now. Such a caller
+     * is forgotten, so that it goes first only once. */
+    bool returns(std::uint64_t identity, kernel::Instant now);
+
+    /** Forgets callers that didn't return. */
+    void expire(kernel::Instant now);
+
+    /** Callers that are expected. */
+    std::size_t size() const { return due_.size(); }
+
+private:
+    void advance(kernel::Instant now);
+
+    ReturnPolicy policy_;
+    std::deque<double> promised_; ///< Callers by bucket; the first is the current one.
+    kernel::Instant firstBucket_;
+    std::unordered_map<std::uint64_t, kernel::Instant> due_; ///< By identity.
+};
+
+} // namespace limereel::admission
--- /dev/null
+++ b/src/admission/WaitQueue.h
@@ -0,0 +1,95 @@
+/** \file
+ * The requests that wait for a place at one backend server, in the order in which they get one.
+ *
+ * Answers a load that is beyond what a server can run for a while: requests that can still begin in
+ * time go before those that can't; then by priority; then callers that return when they were told
+ * to; then by max-min fairness, the organisation that was granted the least lately; then the one
+ * that has to begin first.
+ */
+#pragma once
+
+#include "kernel/decisions/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace limereel::admission {
+
+/** A request that waits for a place. */
+struct Waiting
+{
+    std::uint64_t request = 0;
+    std::uint64_t organisation = 0; ///< 0: none.
+    std::uint32_t priority = 0;     ///< 0 goes first.
+    bool returning = false;         ///< Its caller was told to return now.
+    kernel::Instant inTimeUntil;    ///< If it begins later, its answer misses the objective.
+    kernel::Instant usefulUntil;    ///< If it can't begin by then, it is refused.
+
+    auto operator<=>(const Waiting &) const = default;
+};
+
+/** The settings of a queue. */
+struct WaitQueuePolicy
+{
+    std::size_t most = 512;              ///< Requests that may wait at one server.
+    kernel::Duration shareHalfLife = 1s; ///< Of the grants counted for an organisation's share.
+};
+
+/** The queue of one server. Deterministic: callers pass in the current time. */
+class WaitQueue
+{
+public:
+    explicit WaitQueue(WaitQueuePolicy policy = {})
+        : policy_(policy)
+    {
+    }
+
+    std::size_t size() const { return waiting_.size(); }
+    bool full() const { return waiting_.size() >= policy_.most; }
+
+    /** How many of the waiting requests would get a place before \a request. */
+    std::size_t ahead(const Waiting &request, kernel::Instant now) const;
+
+    /** Adds \a request; one that waits already is replaced. */
+    void add(const Waiting &request);
+
+    /** Removes a request. \return whether it was waiting. */
+    bool remove(std::uint64_t request);
+
+    bool contains(std::uint64_t request) const;
+
+    /** Removes and returns the request that gets the next place; nothing if none waits. */
+    std::optional<Waiting> takeNext(kernel::Instant now);
+
+    /** Removes and returns those that can't begin by the time until which they are useful.
+     * \param waitBehind the expected wait behind so many others. */
+    std::vector<Waiting>
+    takeHopeless(kernel::Instant now,
+                 const std::function<kernel::Duration(std::size_t ahead)> &waitBehind);
+
+    /** Removes and returns all. */
+    std::vector<Waiting> takeAll();
+
+    /** Counts a grant to \a organisation, whether it waited or not. */
+    void noteGranted(std::uint64_t organisation, kernel::Instant now);
+
+private:
+    struct Share
+    {
+        double grants = 0;
+        kernel::Instant at;
+    };
+
+    double shareOf(std::uint64_t organisation, kernel::Instant now) const;
+    bool before(const Waiting &left, const Waiting &right, kernel::Instant now) const;
+
+    WaitQueuePolicy policy_;
+    std::vector<Waiting> waiting_;
+    std::unordered_map<std::uint64_t, Share> shares_;
+};
+
+} // namespace limereel::admission
