Concurrency limit and wait queue of one server

The headers declare how many requests a server may hold and in which order waiting ones get a place. The queue gains the removal of its last request, the number that is in time and the next lapse.

--- a/src/admission/ServerCapacity.h
+++ b/src/admission/ServerCapacity.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace limereel::admission {
 
@@ -38,7 +39,8 @@
     {
     }
 
-    /** Sets the slots that the server has. The limit is raised or lowered in proportion. */
+    /** Sets the slots that the server has; 0: not known, nothing changes. The limit is raised or
+     * lowered in proportion. */
     void setSlots(std::uint32_t slots);
 
     /** Requests that it may hold; at least 1. */
@@ -67,7 +69,7 @@
     double slots_ = 1;
     double limit_ = 2;
     kernel::Duration meanHold_{};
-    kernel::Instant decreasedAt_;
+    std::optional<kernel::Instant> decreasedAt_;
 };
 
 } // namespace limereel::admission
--- a/src/admission/WaitQueue.h
+++ b/src/admission/WaitQueue.h
@@ -51,7 +51,8 @@
     std::size_t size() const { return waiting_.size(); }
     bool full() const { return waiting_.size() >= policy_.most; }
 
-    /** How many of the waiting requests would get a place before \a request. */
+    /** How many of the waiting requests would get a place before \a request, if none arrived and
+     * each grant counted for the share of its organisation. */
     std::size_t ahead(const Waiting &request, kernel::Instant now) const;
 
     /** Adds \a request; one that waits already is replaced. */
@@ -65,6 +66,15 @@
     /** Removes and returns the request that gets the next place; nothing if none waits. */
     std::optional<Waiting> takeNext(kernel::Instant now);
 
+    /** Removes and returns the request that would get its place last; nothing if none waits. */
+    std::optional<Waiting> takeLast(kernel::Instant now);
+
+    /** Waiting requests that can still begin in time; they stand before all others. */
+    std::size_t inTime(kernel::Instant now) const;
+
+    /** The next time at which a request misses its objective or is no longer useful. */
+    std::optional<kernel::Instant> nextLapse(kernel::Instant now) const;
+
     /** Removes and returns those that can't begin by the time until which they are useful.
      * \param waitBehind the expected wait behind so many others. */
     std::vector<Waiting>
@@ -85,11 +95,13 @@
     };
 
     double shareOf(std::uint64_t organisation, kernel::Instant now) const;
-    bool before(const Waiting &left, const Waiting &right, kernel::Instant now) const;
+    /** Indices into \c waiting_, in the order in which the requests would get a place. */
+    std::vector<std::size_t> order(kernel::Instant now) const;
 
     WaitQueuePolicy policy_;
     std::vector<Waiting> waiting_;
     std::unordered_map<std::uint64_t, Share> shares_;
+    std::size_t sharesSwept_ = 0; ///< Shares left by the latest removal of those that are zero.
 };
 
 } // namespace limereel::admission
