Load bound of an engine for callers that count places elsewhere

Where admission is on, the book counts the places of an engine, while its load bound still comes from the reports that the ledger keeps. noteReport() records one and returns the bound; ask() uses it and decides as before: a test plays 2,000 random reports to both.

--- a/src/forward/PlaceLedger.cpp
+++ b/src/forward/PlaceLedger.cpp
@@ -45,17 +45,23 @@
     return confidence * sum / weights * static_cast<double>(fleet.boxes) / engines;
 }
 
-PlaceAnswer PlaceLedger::ask(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now)
+double PlaceLedger::noteReport(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now)
 {
     reports_[ask.service][ask.box] = {ask.boxLoad, ask.boxAsks, now};
+    const double mean = meanLoad(ask.service, fleet, now);
+    const double bound = policy_.loadMultiple * mean * policy_.grantedPart + policy_.beyond;
+    return std::max(bound, 1.0);
+}
+
+PlaceAnswer PlaceLedger::ask(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now)
+{
+    const double bound = noteReport(ask, fleet, now);
     Places &places = engines_[ask.engine];
     const auto load = static_cast<std::uint32_t>(places.size());
     if (places.contains(ask.request)) {
         return {true, load};
     }
-    const double mean = meanLoad(ask.service, fleet, now);
-    const double bound = policy_.loadMultiple * mean * policy_.grantedPart + policy_.beyond;
-    if (load + 1 > std::max(bound, 1.0)) {
+    if (load + 1 > bound) {
         return {false, load};
     }
     places[ask.request] = now + policy_.lease;
--- a/src/forward/PlaceLedger.h
+++ b/src/forward/PlaceLedger.h
@@ -72,6 +72,10 @@
     /** Decides a request for a place. A repeated one is answered again but counted once. */
     PlaceAnswer ask(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now);
 
+    /** Records the load report of a request for a place, and returns the most places that ask()
+     * would grant on its engine, for a caller that counts the places itself. */
+    double noteReport(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now);
+
     void giveBack(std::uint64_t engine, std::uint64_t request);
 
     /** Drops places whose lease has ended, and old reports. */
--- a/test/correctness/PlaceLedgerTest.cpp
+++ b/test/correctness/PlaceLedgerTest.cpp
@@ -83,6 +83,45 @@
     BOOST_TEST(ledger.load(7) == 1U);
 }
 
+// Guards against a bound for callers that count places elsewhere which differs from what ask()
+// decides by: random reports go to two ledgers, one of which counts the places.
+BOOST_AUTO_TEST_CASE(noteReport_randomReports_boundIsWhatAskGrants)
+{
+    std::mt19937_64 random(17);
+    PlaceLedger asked{PlacePolicy{}};
+    PlaceLedger reported{PlacePolicy{}};
+    int refused = 0;
+    for (std::uint64_t request = 1; request <= 2000; ++request) {
+        const kernel::Instant now = at(5ms * request);
+        PlaceAsk ask = askOf(request, random() % 20, static_cast<std::uint32_t>(random() % 12));
+        ask.engine = random() % 4;
+        ask.boxAsks = 1 + static_cast<double>(random() % 30);
+        const FleetSize fleet{20, 10};
+        const std::uint32_t load = asked.load(ask.engine);
+        const bool fits = load + 1 <= reported.noteReport(ask, fleet, now);
+        BOOST_TEST(asked.ask(ask, fleet, now).granted == fits);
+        refused += fits ? 0 : 1;
+        if (random() % 3 == 0) {
+            asked.giveBack(ask.engine, request - random() % 8);
+        }
+        asked.expire(now);
+        reported.expire(now);
+    }
+    BOOST_TEST(refused > 100);
+    BOOST_TEST(refused < 1900);
+}
+
+// Guards against places that are counted twice, here and by the caller.
+BOOST_AUTO_TEST_CASE(noteReport_manyReports_takeNoPlace)
+{
+    PlaceLedger ledger{PlacePolicy{}};
+    for (std::uint64_t request = 1; request <= 10; ++request) {
+        BOOST_TEST(ledger.noteReport(askOf(request), {1, 4}, at(0s)) == 3.0);
+    }
+    BOOST_TEST(ledger.load(7) == 0U);
+    BOOST_TEST(ledger.ask(askOf(1), {1, 4}, at(0s)).load == 1U);
+}
+
 // A surge of requests to one engine: every box prefers it, and tries the next ones in the same
 // order when it is full.
 BOOST_AUTO_TEST_CASE(ask_allBoxesPreferOneEngine_noneGoesOverTwiceTheMeanAndThree)
