--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -12,11 +12,17 @@
 #include "admission/ReturnSchedule.h"
 #include "admission/ServerCapacity.h"
 #include "admission/WaitQueue.h"
+#include "forward/RecentCount.h"
 #include "kernel/decisions/Time.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace limereel::admission {
@@ -136,10 +142,51 @@
         kernel::Instant firstAsked;
         kernel::Instant lastUsed;
         std::uint32_t seen = 0; ///< Most requests that other boxes believed to run there.
+        /** Asks that could be answered in time, within about the last second. */
+        forward::RecentCount inTimeAsks{1s};
+        /** The same over a longer time. Waiting late requests are refused only if both counts leave
+         * them nothing, since the short one alone exceeds the capacity by chance. */
+        forward::RecentCount inTimeAsksLonger{5s};
+        std::optional<kernel::Instant> due; ///< Its entry in \c due_.
     };
 
+    using Key = std::pair<std::uint64_t, std::uint64_t>; ///< Server and request.
+
+    /** A request that ended or was refused a short time ago. */
+    struct Past
+    {
+        kernel::Instant at;
+        std::optional<Decision> refusal; ///< Nothing: it ended.
+        kernel::Duration wait{};         ///< What a refused one allowed.
+        kernel::Duration late{};
+    };
+
+    Server &serverOf(const PlaceRequest &ask, kernel::Instant now);
+    std::uint32_t loadOf(const Server &server, kernel::Instant now) const;
+    kernel::Duration waitBehind(const Server &server, std::size_t ahead, kernel::Instant now) const;
+    kernel::Duration lateWaitBehind(const Server &server, std::size_t ahead, double inTimePerSecond,
+                                    kernel::Instant now) const;
+    Decision decisionOn(const Server &server, const PlaceRequest &ask, Verdict verdict,
+                        kernel::Instant now) const;
+    Decision repeated(const Server &server, const PlaceRequest &ask, kernel::Instant now) const;
+    Decision grant(Server &server, const PlaceRequest &ask, kernel::Instant now);
+    Decision enqueue(Server &server, const PlaceRequest &ask, const Waiting &waiting,
+                     kernel::Instant now, std::mt19937_64 &random);
+    Decision refuse(Server &server, const PlaceRequest &ask, kernel::Duration expectedWait,
+                    kernel::Instant now, std::mt19937_64 &random);
+    void settleServer(Server &server, kernel::Instant now, std::mt19937_64 &random,
+                      std::vector<Decision> &decided);
+    void schedule(std::uint64_t id, Server &server, kernel::Instant due);
+    void remember(const Key &key, const Past &past);
+    void forgetOldest();
+    std::optional<Decision> answerFromPast(const PlaceRequest &ask, kernel::Instant now) const;
+
     PlaceBookPolicy policy_;
     std::unordered_map<std::uint64_t, Server> servers_;
+    std::set<std::pair<kernel::Instant, std::uint64_t>> due_; ///< When settle() sees to a server.
+    std::vector<Decision> pushedOut_; ///< Refusals by a full queue, for the next settle().
+    std::map<Key, Past> past_;
+    std::deque<std::pair<kernel::Instant, Key>> pastOrder_; ///< Entries of \c past_ by age.
 };
 
 } // namespace limereel::admission
--- a/src/admission/WaitQueue.cpp
+++ b/src/admission/WaitQueue.cpp
@@ -94,6 +94,13 @@
     return before;
 }
 
+std::size_t WaitQueue::positionOf(std::uint64_t request, Instant now) const
+{
+    const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [&](const Waiting &item) { return item.request == request; });
+    return found == waiting_.end() ? waiting_.size() : ahead(*found, now);
+}
+
 void WaitQueue::add(const Waiting &request)
 {
     remove(request.request);
