Retry schedule of one server for refused callers

Callers that are refused together and retry together are refused again.

A bucket with room for less than one caller shares it with the next ones. Equal requests of several callers have one identity, so an identity may be expected several times; the map of the header became a multimap for that.

--- a/src/admission/ReturnSchedule.h
+++ b/src/admission/ReturnSchedule.h
@@ -43,8 +43,10 @@
     }
 
     /** Reserves room for the return of a refused caller. \param identity what the request has in
-     * common with its repetition; 0: not known, nothing is reserved. \param freedPerSecond places
-     * that come free; 0: not known. \return the delay to tell, spread by chance within a bucket. */
+     * common with its repetition; 0: not known, nothing is reserved. Equal requests of several
+     * callers have the same identity, so each call reserves room of its own. \param freedPerSecond
+     * places that come free; 0: not known. \return the delay to tell, spread by chance within a
+     * bucket; the end of the schedule if that has no room left. */
     kernel::Duration promise(std::uint64_t identity, double freedPerSecond, kernel::Instant now,
                              std::mt19937_64 &random);
 
@@ -60,11 +62,13 @@
 
 private:
     void advance(kernel::Instant now);
+    double roomIn(std::int64_t bucket, double perBucket) const;
+    void reserve(std::int64_t first, std::int64_t last, double perBucket);
 
     ReturnPolicy policy_;
     std::deque<double> promised_; ///< Callers by bucket; the first is the current one.
-    kernel::Instant firstBucket_;
-    std::unordered_map<std::uint64_t, kernel::Instant> due_; ///< By identity.
+    kernel::Instant firstBucket_; ///< When the first bucket begins.
+    std::unordered_multimap<std::uint64_t, kernel::Instant> due_; ///< By identity.
 };
 
 } // namespace limereel::admission
