Source of prompt parts as a concept of its own

What finds a source for the prompt parts that a chosen server lacks moves to PartSource, with no change of behaviour.

--- a/src/forward/ServerTable.cpp
+++ b/src/forward/ServerTable.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-bool namedAsHolder(const ServerRecord &record, const ServerRequirements &requirements)
-{
-    const auto shortened = static_cast<std::uint32_t>(record.hash);
-    return std::ranges::find(requirements.holders, shortened) != requirements.holders.end();
-}
-
 kernel::Duration leftUntil(kernel::Instant end, kernel::Instant now)
 {
     return std::max(kernel::Duration(0), end - now);
@@ -179,12 +173,10 @@
     return record == nullptr ? 0 : record->load(now);
 }
 
-bool ServerTable::holdsAll(const ServerRecord &record, const ServerRequirements &requirements,
-                           kernel::Instant now) const
+PartSource ServerTable::partSource(const ServerRequirements &requirements,
+                                   kernel::Instant now) const
 {
-    return namedAsHolder(record, requirements)
-           || parts_.depth(*requirements.prompt, record.server.id, now)
-                      >= sharedPrefixes(*requirements.prompt).size();
+    return {{index_, health_, parts_, policy_.newServerAge, now}, requirements};
 }
 
 std::optional<Choice> ServerTable::choose(const ServerRequirements &requirements,
@@ -198,8 +190,8 @@
                           now};
     const ServerChoice servers(view, policy_, requirements);
     const bool byParts = requirements.prompt != nullptr && !requirements.prompt->parts.empty();
-    const auto holds = [&](const ServerRecord &record) {
-        return holdsAll(record, requirements, now);
+    const auto holds = [source = partSource(requirements, now)](const ServerRecord &record) {
+        return source.holdsAll(record);
     };
     const bool idlest = !byParts || requirements.alone;
     const ServerRecord *chosen = idlest                ? servers.idlest(random)
@@ -224,78 +216,11 @@
     if (requirements.prompt == nullptr || chosen == nullptr) {
         return;
     }
-    choice.held = namedAsHolder(*chosen, requirements)
-                          ? sharedPrefixes(*requirements.prompt).size()
-                          : parts_.depth(*requirements.prompt, chosen->server.id, now);
-    choice.takeFrom = requirements.takeParts ? sourceFor(*chosen, requirements, choice.held, now)
-                                             : std::nullopt;
-}
-
-// Finds another server from which \a target may fetch the prompt parts that it lacks: one that is
-// known to hold them, or else the one that would be chosen without \a target and without servers
-// added recently, since those weren't listed when the parts were read.
-std::optional<kernel::Endpoint> ServerTable::sourceFor(const ServerRecord &target,
-                                                       const ServerRequirements &requirements,
-                                                       std::size_t held, kernel::Instant now) const
-{
-    const Prompt &prompt = *requirements.prompt;
-    if (held >= sharedPrefixes(prompt).size()) {
-        return std::nullopt;
-    }
-    const HallSet allowed = allowedHalls(requirements);
-    const auto mayBeSource = [&](const ServerRecord &record) {
-        const bool tried =
-                std::ranges::find(requirements.tried, record.server.id) != requirements.tried.end();
-        return record.server.service == requirements.service && allowed[record.hall]
-               && &record != &target && !tried && !health_.isSuspected(record, now);
-    };
-    if (const ServerRecord *holder = namedSource(requirements.holders, mayBeSource)) {
-        return holder->server.address;
-    }
-    for (const std::string &id : parts_.holders(prompt, held, now)) {
-        const ServerRecord *record = index_.find(id);
-        if (record != nullptr && mayBeSource(*record)) {
-            return record->server.address;
-        }
-    }
-    // A server known to hold the first part is better than a guess: many prompts begin with that
-    // part, so it is also at engines that never had this prompt.
-    const ServerRecord *firstPartHolder =
-            held == 0 ? namedSource(requirements.firstPartHolders, mayBeSource) : nullptr;
-    const ServerRecord *source = firstPartHolder != nullptr
-                                         ? firstPartHolder
-                                         : guessedSource(requirements, mayBeSource, now);
-    return source == nullptr ? std::nullopt : std::optional(source->server.address);
-}
-
-const ServerRecord *
-ServerTable::namedSource(const std::vector<std::uint32_t> &named,
-                         const std::function<bool(const ServerRecord &)> &mayBeSource) const
-{
-    for (const std::uint32_t hash : named) {
-        const ServerRecord *record = index_.findShort(hash);
-        if (record != nullptr && mayBeSource(*record)) {
-            return record;
-        }
-    }
-    return nullptr;
-}
-
-const ServerRecord *
-ServerTable::guessedSource(const ServerRequirements &requirements,
-                           const std::function<bool(const ServerRecord &)> &mayBeSource,
-                           kernel::Instant now) const
-{
-    const ServiceServers *service = index_.service(requirements.service);
-    if (service == nullptr) {
-        return nullptr;
-    }
-    const std::uint64_t key = sharedPartsKey(*requirements.prompt);
-    CandidateOrder established(service->table, key, [&](const ServerRecord &record) {
-        return now - record.since >= policy_.newServerAge && mayBeSource(record);
-    });
-    const ServerRecord *source = established.next();
-    return source != nullptr ? source : CandidateOrder(service->table, key, mayBeSource).next();
+    const PartSource source = partSource(requirements, now);
+    choice.held = source.heldBy(*chosen);
+    choice.takeFrom = requirements.takeParts
+                              ? source.find(*chosen, choice.held, allowedHalls(requirements))
+                              : std::nullopt;
 }
 
 std::optional<ListedServer>
@@ -317,12 +242,7 @@
 bool ServerTable::sourceKnown(const ServerRequirements &requirements, const Choice &choice,
                               kernel::Instant now) const
 {
-    const std::size_t shared = sharedPrefixes(*requirements.prompt).size();
-    const bool named = std::ranges::any_of(requirements.holders, [this](std::uint32_t hash) {
-        return index_.findShort(hash) != nullptr;
-    });
-    return choice.held >= shared || named
-           || !parts_.holders(*requirements.prompt, shared - 1, now).empty();
+    return partSource(requirements, now).known(choice);
 }
 
 void ServerTable::begin(const std::string &id, const Prompt *prompt, kernel::Instant now)
--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -22,6 +22,7 @@
 #include "forward/HallReachability.h"
 #include "forward/LeavingServers.h"
 #include "forward/PartIndex.h"
+#include "forward/PartSource.h"
 #include "forward/ServerHealth.h"
 #include "forward/ServerIndex.h"
 #include "forward/ServerRequirements.h"
@@ -176,17 +177,7 @@
     HallSet openHalls(const ServerRequirements &requirements) const;
     HallSet closedHalls(kernel::Instant now) const;
     HallSigns signsOf(const std::string &hall, kernel::Instant now) const;
-    bool holdsAll(const ServerRecord &record, const ServerRequirements &requirements,
-                  kernel::Instant now) const;
-    const ServerRecord *
-    namedSource(const std::vector<std::uint32_t> &named,
-                const std::function<bool(const ServerRecord &)> &mayBeSource) const;
-    const ServerRecord *guessedSource(const ServerRequirements &requirements,
-                                      const std::function<bool(const ServerRecord &)> &mayBeSource,
-                                      kernel::Instant now) const;
-    std::optional<kernel::Endpoint> sourceFor(const ServerRecord &target,
-                                              const ServerRequirements &requirements,
-                                              std::size_t held, kernel::Instant now) const;
+    PartSource partSource(const ServerRequirements &requirements, kernel::Instant now) const;
 
     ServerPolicy policy_;
     ServerHealth health_;
