Servers of a plain service are compared by the time of their answers

With equal shares, the slowest server of a plain service decides how many answers are late, and a retry goes to the least loaded server also if that one fails as well.

Where ServerPolicy::comparePaces is set, a server with a smoothed time of answers at least twice the best one's competes by its load alone for a part of the requests in proportion to its speed, and for the others with its extra time in units of one slot's load. Without that part it would get nothing while the others have no queue. Among equal costs the choice is uniform, as the next one in the rotation got the share of a slow server. In a retry, failed answers weigh ten times as much.

For plain services that are short, ServerRequirements::order gives the first server in the rendezvous order of a key, slow ones last, and hasFreeSlot() says whether a server has room as far as the box knows.

--- a/src/forward/AnswerPace.h
+++ b/src/forward/AnswerPace.h
@@ -16,8 +16,11 @@
     /** Records an answer that took \a taken. */
     void note(kernel::Duration taken, kernel::Instant now);
 
-    /** The smoothed time of an answer; zero if none came lately. Decays, so that a slow server is
-     * tried again after some seconds. */
+    /** The smoothed time of an answer; zero if none came lately. */
+    kernel::Duration mean(kernel::Instant now) const;
+
+    /** The same, decayed since the last answer, so that a slow server is tried again after some
+     * seconds. */
     kernel::Duration current(kernel::Instant now) const;
 
 private:
--- a/src/forward/ServerChoice.cpp
+++ b/src/forward/ServerChoice.cpp
@@ -12,33 +12,58 @@
 // Reduces the bound, to allow for what other boxes send at the same moment.
 constexpr double BoundMargin = 0.85;
 constexpr double OtherHallCost = 0.25;
+// Weight of failed answers in a retry. A first failure adds 0.12 to the share of failed answers,
+// which then outweighs a server with all slots taken.
+constexpr double RetryErrorWeight = 10;
 
 } // namespace
 
+ServerChoice::ServerChoice(const ServerView &view, const ServerPolicy &policy,
+                           const ServerRequirements &requirements)
+    : view_(view)
+    , policy_(policy)
+    , requirements_(requirements)
+    , usable_(view, requirements)
+{
+    if (!policy.comparePaces || requirements.prompt != nullptr) {
+        return;
+    }
+    for (const ServerRecord *record : usable_.tracked()) {
+        const kernel::Duration pace = record->pace.mean(view.now);
+        if (pace > 0s && (bestPace_ == 0s || pace < bestPace_)) {
+            bestPace_ = pace;
+        }
+    }
+}
+
 const ServerRecord *ServerChoice::idlest(std::mt19937_64 &random) const
 {
     const ServerRecord *untracked = idlestUntracked(random);
-    const ServerRecord *tracked = idlestTracked(random);
-    if (untracked == nullptr || tracked == nullptr) {
-        return untracked == nullptr ? tracked : untracked;
+    const Candidate tracked = idlestTracked(random);
+    if (untracked == nullptr || tracked.record == nullptr) {
+        return untracked == nullptr ? tracked.record : untracked;
     }
-    return cost(*tracked) < cost(*untracked) ? tracked : untracked;
+    return tracked.cost < cost(*untracked) ? tracked.record : untracked;
 }
 
-const ServerRecord *ServerChoice::idlestTracked(std::mt19937_64 &random) const
+ServerChoice::Candidate ServerChoice::idlestTracked(std::mt19937_64 &random) const
 {
     const auto &tracked = usable_.tracked();
     if (tracked.empty()) {
-        return nullptr;
+        return {};
     }
     const std::size_t first = random() % tracked.size();
-    const ServerRecord *best = tracked[first];
-    double least = cost(*best);
-    for (std::size_t step = 1; step < tracked.size(); ++step) {
+    Candidate best;
+    std::size_t equal = 0;
+    for (std::size_t step = 0; step < tracked.size(); ++step) {
         const ServerRecord *record = tracked[(first + step) % tracked.size()];
-        if (const double found = cost(*record); found < least) {
-            best = record;
-            least = found;
+        const double found = cost(*record) + extraTime(*record, random);
+        if (best.record == nullptr || found < best.cost) {
+            best = {record, found};
+            equal = 1;
+        } else if (policy_.comparePaces && found == best.cost && random() % ++equal == 0) {
+            // Otherwise the server that follows a slow one would get the share of both.
+            best.record = record;
         }
     }
     return best;
@@ -62,10 +87,48 @@
 {
     const double places = std::max<std::uint32_t>(1, record.server.slots);
     const bool inOwnHall = record.server.hall == policy_.hall;
-    return record.load(view_.now) / places + record.errorShare(view_.now)
+    const bool retry = policy_.comparePaces && !requirements_.tried.empty();
+    return record.load(view_.now) / places
+           + record.errorShare(view_.now) * (retry ? RetryErrorWeight : 1)
            + (inOwnHall ? 0 : OtherHallCost);
 }
 
+double ServerChoice::slowness(const ServerRecord &record) const
+{
+    return paceFactor(record.pace.current(view_.now), bestPace_);
+}
+
+// In units of one slot's load. A server that is several times slower than the best is exempt from
+// it for a part of the requests that is in proportion to its speed: if it were never exempt, it
+// would get nothing until the others have a queue.
+double ServerChoice::extraTime(const ServerRecord &record, std::mt19937_64 &random) const
+{
+    const double factor = slowness(record);
+    if (factor <= 1 || std::bernoulli_distribution(1 / factor)(random)) {
+        return 0;
+    }
+    return (factor - 1) / std::max<std::uint32_t>(1, record.server.slots);
+}
+
+const ServerRecord *ServerChoice::inOrder() const
+{
+    const ServiceServers *service = view_.index.service(requirements_.service);
+    if (service == nullptr) {
+        return nullptr;
+    }
+    CandidateOrder order(service->table, requirements_.order, [this](const ServerRecord &record) {
+        return usable_.contains(record) && !full(record);
+    });
+    const ServerRecord *firstSlow = nullptr;
+    while (const ServerRecord *record = order.next()) {
+        if (slowness(*record) <= 1) {
+            return record;
+        }
+        firstSlow = firstSlow == nullptr ? record : firstSlow;
+    }
+    return firstSlow;
+}
+
 bool ServerChoice::full(const ServerRecord &record) const
 {
     return std::ranges::find(requirements_.full, record.server.id) != requirements_.full.end();
--- a/src/forward/ServerPolicy.h
+++ b/src/forward/ServerPolicy.h
@@ -45,6 +45,9 @@
     /** A longer gap between two calls of noteAwake(), which is called every 100 ms, counts as a
      * stall of this process. */
     kernel::Duration stallThreshold = 150ms;
+    /** Whether the servers of a plain service are compared by the time that their answers take, and
+     * whether retries avoid servers with failures. */
+    bool comparePaces = false;
 };
 
 } // namespace limereel::forward
--- a/src/forward/ServerRecord.cpp
+++ b/src/forward/ServerRecord.cpp
@@ -55,7 +55,8 @@
 bool ServerRecord::hasDefaultState(kernel::Instant now) const
 {
     return own == 0 && failuresInARow == 0 && now >= suspectedUntil && now >= fullUntil
-           && !inBackoff(now) && load(now) == 0 && errorShare(now) == 0 && !unansweredLately(now);
+           && !inBackoff(now) && load(now) == 0 && errorShare(now) == 0 && !unansweredLately(now)
+           && pace.mean(now) == kernel::Duration(0);
 }
 
 } // namespace limereel::forward
--- a/src/forward/ServerRecord.h
+++ b/src/forward/ServerRecord.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "forward/AnswerPace.h"
 #include "forward/Backend.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
     kernel::Instant backoffUntil; ///< End of the backoff that it asked this box for.
     double errors = 0;            ///< Share of failed answers, which decays over time.
     kernel::Instant errorsAt;
+    AnswerPace pace; ///< Of its answers, if paces are compared.
     kernel::Instant lastHeard;
     kernel::Instant noResponseAt; ///< When a connection attempt last got no response.
     kernel::Instant dueSince;     ///< When the first of the running requests was sent.
--- a/src/forward/ServerRequirements.h
+++ b/src/forward/ServerRequirements.h
@@ -30,6 +30,10 @@
     std::vector<std::uint32_t> firstPartHolders;
     /** Whether the box that keeps the HolderIndex for these parts was asked. */
     bool holdersAsked = false;
+    /** If it isn't 0 and there is no prompt, the first usable server in the rendezvous order of
+     * this key that isn't in \c full is chosen instead of the least loaded one. For plain services
+     * that are short: a caller that returns then meets the owner that refused it. */
+    std::uint64_t order = 0;
     bool alone = false;  ///< Whether it may crash its server: the least loaded one is chosen.
     bool spread = false; ///< Whether enough owners said that their servers are full: a random other
                          ///< server is chosen instead of the next in the order, which is the same
--- a/src/forward/ServerTable.cpp
+++ b/src/forward/ServerTable.cpp
@@ -173,6 +173,12 @@
     return record == nullptr ? 0 : record->load(now);
 }
 
+bool ServerTable::hasFreeSlot(const std::string &id, kernel::Instant now) const
+{
+    const ServerRecord *record = index_.find(id);
+    return record != nullptr && !record->allSlotsTaken(now) && now >= record->fullUntil;
+}
+
 PartSource ServerTable::partSource(const ServerRequirements &requirements,
                                    kernel::Instant now) const
 {
@@ -193,8 +199,10 @@
     const auto holds = [source = partSource(requirements, now)](const ServerRecord &record) {
         return source.holdsAll(record);
     };
+    const bool inOrder = requirements.prompt == nullptr && requirements.order != 0;
     const bool idlest = !byParts || requirements.alone;
-    const ServerRecord *chosen = idlest                ? servers.idlest(random)
+    const ServerRecord *chosen = inOrder               ? servers.inOrder()
+                                 : idlest              ? servers.idlest(random)
                                  : requirements.spread ? servers.spread(random)
                                                        : servers.forPrompt(holds);
     if (chosen == nullptr) {
@@ -316,6 +324,16 @@
     }
 }
 
+// Without the flag, a record must not become tracked because of its pace: choices would differ.
+void ServerTable::noteAnswerTime(const std::string &id, kernel::Duration taken, kernel::Instant now)
+{
+    ServerRecord *record = index_.find(id);
+    if (policy_.comparePaces && record != nullptr && !record->server.engine) {
+        record->pace.note(taken, now);
+        index_.track(*record);
+    }
+}
+
 void ServerTable::noteBackoff(const ListedServer &server, kernel::Duration asked,
                               kernel::Instant now)
 {
--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -124,6 +124,10 @@
     void noteSuccess(const std::string &id, kernel::Instant now);
     void noteFailure(const std::string &id, Failure failure, kernel::Instant now);
 
+    /** Records that a good answer of \a id took \a taken, from sending the request to the end of
+     * the answer. Used if ServerPolicy::comparePaces is set, for plain servers. */
+    void noteAnswerTime(const std::string &id, kernel::Duration taken, kernel::Instant now);
+
     /** Records that this incarnation of a server asks this box for backoff. */
     void noteBackoff(const ListedServer &server, kernel::Duration asked, kernel::Instant now);
 
@@ -170,6 +174,10 @@
     /** The estimated load of \a id: requests that run or wait there. */
     double load(const std::string &id, kernel::Instant now) const;
 
+    /** Whether \a id has fewer requests than slots, as far as this box knows, and hasn't just
+     * rejected one. */
+    bool hasFreeSlot(const std::string &id, kernel::Instant now) const;
+
 private:
     bool takesWork(const ServerRecord &record) const;
     void setBackoff(ServerRecord &record);
