limereel-bench: ways of taking account of the pace of servers

Section pace: a plain service of 4 servers with 6 slots at 83 boxes, two of them six times slower for 10 s, noise of a factor 2.5.

--- a/test/performance/Bench.cpp
+++ b/test/performance/Bench.cpp
@@ -7,6 +7,7 @@
 #include "membership/HeartbeatTable.h"
 #include "membership/Rendezvous.h"
 #include "peer/Envelope.h"
+#include "performance/PaceBench.h"
 #include "performance/Plot.h"
 #include "performance/PolicyBench.h"
 #include "performance/RestBench.h"
@@ -558,6 +559,30 @@
     }
 }
 
+void comparePaces(Report &report, std::uint64_t seed)
+{
+    constexpr std::uint64_t Seeds = 20;
+    for (const std::string load : {"0.2", "0.4", "0.5"}) {
+        report.section("pace, load " + load + " of what the servers run, mean of 20 seeds");
+        for (const std::string &way : performance::paceWays()) {
+            performance::PaceResult sum;
+            for (std::uint64_t next = seed; next < seed + Seeds; ++next) {
+                const auto one = performance::runPaces({way, std::stod(load), next});
+                sum.calmWithin += one.calmWithin / Seeds;
+                sum.within += one.within / Seeds;
+                sum.p99 += one.p99 / Seeds;
+                sum.slowShare += one.slowShare / Seeds;
+                sum.backAfter += one.backAfter / Seeds;
+            }
+            report.row(way, {{"calm-within", sum.calmWithin},
+                             {"within", sum.within},
+                             {"p99-ms", sum.p99},
+                             {"slow-share", sum.slowShare},
+                             {"back-after", sum.backAfter}});
+        }
+    }
+}
+
 void comparePolicies(Report &report, std::uint64_t seed)
 {
     const auto run = [&](const performance::PolicyCase &what, const std::string &name) {
@@ -644,8 +669,8 @@
     app.add_flag("--json", options.asJson);
     app.add_option("--seed", options.seed);
     app.add_option("--only", options.only,
-                   "decisions, servers, bytes, memory, codecs, policies or "
-                   "rests");
+                   "decisions, servers, bytes, memory, codecs, policies, "
+                   "rests or pace");
     app.add_option("--plots", options.plots, "Folder for SVG files");
     CLI11_PARSE(app, argc, argv);
     Report report(options.asJson);
@@ -675,6 +700,9 @@
     if (wanted("rests")) {
         compareRests(report, options.seed);
     }
+    if (wanted("pace")) {
+        comparePaces(report, options.seed);
+    }
     if (!options.plots.empty()) {
         draw(report, options.plots);
     }
