--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -22,6 +22,7 @@
 #include "forward/HallReachability.h"
 #include "forward/LeavingServers.h"
 #include "forward/PartIndex.h"
+#include "forward/PartSource.h"
 #include "forward/ServerHealth.h"
 #include "forward/ServerIndex.h"
 #include "forward/ServerRequirements.h"
@@ -123,6 +124,10 @@
     void noteSuccess(const std::string &id, kernel::Instant now);
     void noteFailure(const std::string &id, Failure failure, kernel::Instant now);
 
+    /** Records that a good answer of \a id took \a taken, from sending the request to the end of
+     * the answer. Used if ServerPolicy::comparePaces is set, for plain servers. */
+    void noteAnswerTime(const std::string &id, kernel::Duration taken, kernel::Instant now);
+
     /** Records that this incarnation of a server asks this box for backoff. */
     void noteBackoff(const ListedServer &server, kernel::Duration asked, kernel::Instant now);
 
@@ -169,6 +174,10 @@
     /** The estimated load of \a id: requests that run or wait there. */
     double load(const std::string &id, kernel::Instant now) const;
 
+    /** Whether \a id has fewer requests than slots, as far as this box knows, and hasn't just
+     * rejected one. */
+    bool hasFreeSlot(const std::string &id, kernel::Instant now) const;
+
 private:
     bool takesWork(const ServerRecord &record) const;
     void setBackoff(ServerRecord &record);
@@ -176,17 +185,7 @@
     HallSet openHalls(const ServerRequirements &requirements) const;
     HallSet closedHalls(kernel::Instant now) const;
     HallSigns signsOf(const std::string &hall, kernel::Instant now) const;
-    bool holdsAll(const ServerRecord &record, const ServerRequirements &requirements,
-                  kernel::Instant now) const;
-    const ServerRecord *
-    namedSource(const std::vector<std::uint32_t> &named,
-                const std::function<bool(const ServerRecord &)> &mayBeSource) const;
-    const ServerRecord *guessedSource(const ServerRequirements &requirements,
-                                      const std::function<bool(const ServerRecord &)> &mayBeSource,
-                                      kernel::Instant now) const;
-    std::optional<kernel::Endpoint> sourceFor(const ServerRecord &target,
-                                              const ServerRequirements &requirements,
-                                              std::size_t held, kernel::Instant now) const;
+    PartSource partSource(const ServerRequirements &requirements, kernel::Instant now) const;
 
     ServerPolicy policy_;
     ServerHealth health_;
