--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -1,7 +1,6 @@
 #include "admission/PlaceBook.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace limereel::admission {
 
@@ -18,13 +17,6 @@
 constexpr std::size_t MostPast = 4096;
 // How often expected waits are compared with what is left when nothing else happens.
 constexpr Duration RecheckAfter = 10ms;
-constexpr Duration LongestWait = 3600s;
-
-constexpr double ShortSpanSeconds = 1;
-constexpr double LongSpanSeconds = 5;
-constexpr double MicrosPerSecond = 1e6;
-constexpr double LeastSparePart = 0.25;
-constexpr std::uint32_t LeastPriority = 15; ///< Lower ones are counted together.
 
 bool mayWait(const PlaceRequest &ask)
 {
@@ -80,17 +72,16 @@
         schedule(ask.server, server, now);
         return grant(server, ask, now);
     }
-    const Rank inTime{.priority = ask.priority};
-    const Duration expected = waitBehind(server, ahead, competing(server, inTime, false, now), now);
-    if (waiting.inTimeUntil >= now && now + expected <= waiting.inTimeUntil) {
+    const Duration expected = waitOf(server, waiting, now);
+    // An ask that may not wait is never queued, also while no wait is known: boxes of earlier
+    // builds don't know the answer.
+    if (ask.wait > Duration::zero() && now + expected <= waiting.inTimeUntil) {
         noteDemand(server, waiting, now);
         return enqueue(server, ask, waiting, now, random);
     }
     if (ask.late > Duration::zero()) {
         const Waiting late = asLate(waiting, now);
-        const double before = competing(server, {.late = true}, false, now);
-        const Duration lateWait = waitBehind(server, server.queue.ahead(late, now), before, now);
-        if (lateWait <= ask.wait + ask.late) {
+        if (waitOf(server, late, now) <= ask.wait + ask.late) {
             return enqueue(server, ask, late, now, random);
         }
     }
@@ -274,55 +265,20 @@
 }
 
 // Requests that arrive later and go first take their part of the places that come free.
-Duration PlaceBook::waitBehind(const Server &server, std::size_t ahead, double competingPerSecond,
-                               Instant now) const
+Duration PlaceBook::waitOf(const Server &server, const Waiting &waiting, Instant now) const
 {
-    const Duration behind = waitBehind(server, ahead, now);
-    const double freed = server.capacity.freedPerSecond();
-    if (behind == Duration::zero() || freed <= 0) {
-        return behind;
-    }
-    const double spare = freed - competingPerSecond;
-    if (spare <= 0) {
-        return LongestWait;
-    }
-    const double wait = kernel::seconds(behind) * freed / spare;
-    return std::min(LongestWait, Duration(std::llround(wait * MicrosPerSecond)));
-}
-
-// Requests a second that go before one of this rank whenever they arrive. \a steady: as far as they
-// have done so for some seconds.
-double PlaceBook::competing(const Server &server, const Rank &rank, bool steady, Instant now)
-{
-    double lately = 0;
-    double longer = 0;
-    for (const auto &[priority, demand] : server.demand) {
-        if (rank.late || priority < rank.priority) {
-            lately += demand.lately.value(now) / ShortSpanSeconds;
-            longer += demand.longer.value(now) / LongSpanSeconds;
-        }
-    }
-    return steady ? std::min(lately, longer) : lately;
-}
-
-// Places a second that requests in time leave. Some are always counted on, since the demand may
-// fall before a caller returns.
-double PlaceBook::sparePerSecond(const Server &server, Instant now) const
-{
-    const double freed = server.capacity.freedPerSecond();
-    const double spare = freed - competing(server, {.late = true}, false, now);
-    return std::max(spare, freed * LeastSparePart);
+    const double competing = now > waiting.inTimeUntil
+                                     ? server.demand.all(now)
+                                     : server.demand.higherThan(waiting.priority, now);
+    return waitBesides(waitBehind(server, server.queue.ahead(waiting, now), now),
+                       server.capacity.freedPerSecond(), competing);
 }
 
 void PlaceBook::noteDemand(Server &server, const Waiting &waiting, Instant now)
 {
-    if (now > waiting.inTimeUntil) {
-        return;
+    if (now <= waiting.inTimeUntil) {
+        server.demand.note(waiting.priority, now);
     }
-    const std::uint32_t priority = std::min(waiting.priority, LeastPriority);
-    Demand &demand = server.demand[priority];
-    demand.lately.add(now);
-    demand.longer.add(now);
 }
 
 Decision PlaceBook::decisionOn(const Server &server, const PlaceRequest &ask, Verdict verdict,
@@ -344,7 +300,9 @@
         return decisionOn(server, ask, Verdict::Granted, now);
     }
     Decision decision = decisionOn(server, ask, Verdict::Queued, now);
-    decision.expectedWait = waitBehind(server, server.queue.positionOf(ask.request, now), now);
+    if (const auto waiting = server.queue.find(ask.request)) {
+        decision.expectedWait = waitOf(server, *waiting, now);
+    }
     return decision;
 }
 
@@ -361,7 +319,7 @@
                             Instant now, std::mt19937_64 &random)
 {
     const std::size_t ahead = server.queue.ahead(waiting, now);
-    const Duration expected = waitBehind(server, ahead, now);
+    const Duration expected = waitOf(server, waiting, now);
     if (server.queue.full()) {
         // The last one makes room for one that goes before it.
         const auto last = ahead < server.queue.size() ? server.queue.takeLast(now) : std::nullopt;
@@ -388,8 +346,9 @@
     decision.expectedWait = expectedWait;
     Duration comeBack = expectedWait;
     if (mayWait(ask)) {
-        comeBack = server.returns.promise(ask.identity, sparePerSecond(server, now),
-                                          waiting.inTimeUntil, now, random);
+        const double spare =
+                spareForReturns(server.capacity.freedPerSecond(), server.demand.all(now));
+        comeBack = server.returns.promise(ask.identity, spare, waiting.inTimeUntil, now, random);
     }
     decision.comeBack = std::max(comeBack, policy_.shortestReturn);
     remember({ask.server, ask.request},
@@ -418,10 +377,11 @@
         decided.push_back(grant(server, asked.mapped(), now));
     }
     const std::size_t inTime = server.queue.inTime(now);
-    const double beforeLate = competing(server, {.late = true}, true, now);
+    const double freed = server.capacity.freedPerSecond();
+    const double beforeLate = server.demand.allSteadily(now);
     const auto wait = [&](std::size_t ahead) {
-        return ahead < inTime ? waitBehind(server, ahead, now)
-                              : waitBehind(server, ahead, beforeLate, now);
+        const Duration behind = waitBehind(server, ahead, now);
+        return ahead < inTime ? behind : waitBesides(behind, freed, beforeLate);
     };
     for (const Waiting &waiting : server.queue.takeHopeless(now, wait)) {
         refuseTaken(waiting);
--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -9,10 +9,10 @@
  */
 #pragma once
 
+#include "admission/AcceptedDemand.h"
 #include "admission/ReturnSchedule.h"
 #include "admission/ServerCapacity.h"
 #include "admission/WaitQueue.h"
-#include "forward/RecentCount.h"
 #include "kernel/decisions/Time.h"
 
 #include <cstdint>
@@ -132,22 +132,6 @@
         kernel::Instant until;
     };
 
-    /** Requests of one priority that got a place or wait for one and can be in time. */
-    struct Demand
-    {
-        forward::RecentCount lately{1s};
-        /** Waiting requests are refused only if both counts leave them nothing, since the short one
-         * alone exceeds the capacity by chance. */
-        forward::RecentCount longer{5s};
-    };
-
-    /** Whose requests go before another one's that arrive after it. */
-    struct Rank
-    {
-        bool late = false; ///< All that can be in time do.
-        std::uint32_t priority = 0;
-    };
-
     struct Server
     {
         ServerCapacity capacity;
@@ -158,8 +142,8 @@
         kernel::Instant firstAsked;
         kernel::Instant lastUsed;
         std::uint32_t seen = 0; ///< Most requests that other boxes believed to run there.
-        std::map<std::uint32_t, Demand> demand; ///< By priority.
-        std::optional<kernel::Instant> due;     ///< Its entry in \c due_.
+        AcceptedDemand demand;
+        std::optional<kernel::Instant> due; ///< Its entry in \c due_.
     };
 
     using Key = std::pair<std::uint64_t, std::uint64_t>; ///< Server and request.
@@ -176,11 +160,8 @@
     Server &serverOf(const PlaceRequest &ask, kernel::Instant now);
     std::uint32_t loadOf(const Server &server, kernel::Instant now) const;
     kernel::Duration waitBehind(const Server &server, std::size_t ahead, kernel::Instant now) const;
-    kernel::Duration waitBehind(const Server &server, std::size_t ahead, double competingPerSecond,
-                                kernel::Instant now) const;
-    static double competing(const Server &server, const Rank &rank, bool steady,
-                            kernel::Instant now);
-    double sparePerSecond(const Server &server, kernel::Instant now) const;
+    kernel::Duration waitOf(const Server &server, const Waiting &waiting,
+                            kernel::Instant now) const;
     static void noteDemand(Server &server, const Waiting &waiting, kernel::Instant now);
     Decision decisionOn(const Server &server, const PlaceRequest &ask, Verdict verdict,
                         kernel::Instant now) const;
--- a/src/admission/WaitQueue.cpp
+++ b/src/admission/WaitQueue.cpp
@@ -94,11 +94,11 @@
     return before;
 }
 
-std::size_t WaitQueue::positionOf(std::uint64_t request, Instant now) const
+std::optional<Waiting> WaitQueue::find(std::uint64_t request) const
 {
     const auto found = std::find_if(waiting_.begin(), waiting_.end(),
                                     [&](const Waiting &item) { return item.request == request; });
-    return found == waiting_.end() ? waiting_.size() : ahead(*found, now);
+    return found == waiting_.end() ? std::nullopt : std::optional(*found);
 }
 
 void WaitQueue::add(const Waiting &request)
--- a/src/admission/WaitQueue.h
+++ b/src/admission/WaitQueue.h
@@ -58,8 +58,8 @@
      * each grant counted for the share of its organisation. */
     std::size_t ahead(const Waiting &request, kernel::Instant now) const;
 
-    /** How many of the waiting requests would get a place before this one of them. */
-    std::size_t positionOf(std::uint64_t request, kernel::Instant now) const;
+    /** The waiting request with this number. */
+    std::optional<Waiting> find(std::uint64_t request) const;
 
     /** Adds \a request; one that waits already is replaced. */
     void add(const Waiting &request);
--- a/test/correctness/ReturnScheduleTest.cpp
+++ b/test/correctness/ReturnScheduleTest.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 using namespace limereel;
+using admission::Returning;
 using admission::ReturnPolicy;
 using admission::ReturnSchedule;
 using kernel::Duration;
@@ -138,6 +139,48 @@
     BOOST_TEST(returns(7, Start + told));
 }
 
+// Guards against a return that is ranked by its latest try: it has the objective of the first.
+BOOST_FIXTURE_TEST_CASE(returns_asToldOrEarly_givesTheFirstObjective, ScheduleFixture)
+{
+    const Duration told = promise(7, 100);
+    const auto early = schedule.returns(7, Start + told - Duration(1));
+    BOOST_REQUIRE(early.has_value());
+    BOOST_TEST((*early == Returning{false, Objective}));
+    BOOST_TEST(schedule.size() == 1U);
+    const auto asTold = schedule.returns(7, Start + told);
+    BOOST_REQUIRE(asTold.has_value());
+    BOOST_TEST((*asTold == Returning{true, Objective}));
+    BOOST_TEST(schedule.size() == 0U);
+}
+
+// Guards against equal requests of other callers that are taken for the early return of one.
+BOOST_FIXTURE_TEST_CASE(returns_earlySeveralTimes_isRecognisedOnceForEachRefusal, ScheduleFixture)
+{
+    const std::vector<Instant> due = {Start + promise(7, 100), Start + promise(7, 100)};
+    const Instant early = std::ranges::min(due) - Duration(1);
+    for (int refusal = 0; refusal < 2; ++refusal) {
+        const auto returning = schedule.returns(7, early);
+        BOOST_REQUIRE(returning.has_value());
+        BOOST_TEST(!returning->asTold);
+    }
+    BOOST_TEST(!schedule.returns(7, early).has_value());
+    BOOST_TEST(schedule.size() == 2U);
+    // Both promises are kept.
+    const Instant later = std::ranges::max(due);
+    BOOST_TEST(returns(7, later));
+    BOOST_TEST(returns(7, later));
+    BOOST_TEST(!schedule.returns(7, later).has_value());
+}
+
+// Guards against requests of unknown or other callers that are given somebody's objective.
+BOOST_FIXTURE_TEST_CASE(returns_notRefusedHere_givesNothing, ScheduleFixture)
+{
+    const Duration told = promise(7, 100);
+    BOOST_TEST(!schedule.returns(8, Start).has_value());
+    BOOST_TEST(!schedule.returns(0, Start).has_value());
+    BOOST_TEST(!schedule.returns(7, Start + told + 1s + Duration(1)).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(returns_twice_isExpectedOnce, ScheduleFixture)
 {
     const Duration told = promise(7, 100);
