--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -9,10 +9,10 @@
  */
 #pragma once
 
+#include "admission/AcceptedDemand.h"
 #include "admission/ReturnSchedule.h"
 #include "admission/ServerCapacity.h"
 #include "admission/WaitQueue.h"
-#include "forward/RecentCount.h"
 #include "kernel/decisions/Time.h"
 
 #include <cstdint>
@@ -142,11 +142,7 @@
         kernel::Instant firstAsked;
         kernel::Instant lastUsed;
         std::uint32_t seen = 0; ///< Most requests that other boxes believed to run there.
-        /** Asks that could be answered in time, within about the last second. */
-        forward::RecentCount inTimeAsks{1s};
-        /** The same over a longer time. Waiting late requests are refused only if both counts leave
-         * them nothing, since the short one alone exceeds the capacity by chance. */
-        forward::RecentCount inTimeAsksLonger{5s};
+        AcceptedDemand demand;
         std::optional<kernel::Instant> due; ///< Its entry in \c due_.
     };
 
@@ -164,16 +160,17 @@
     Server &serverOf(const PlaceRequest &ask, kernel::Instant now);
     std::uint32_t loadOf(const Server &server, kernel::Instant now) const;
     kernel::Duration waitBehind(const Server &server, std::size_t ahead, kernel::Instant now) const;
-    kernel::Duration lateWaitBehind(const Server &server, std::size_t ahead, double inTimePerSecond,
-                                    kernel::Instant now) const;
+    kernel::Duration waitOf(const Server &server, const Waiting &waiting,
+                            kernel::Instant now) const;
+    static void noteDemand(Server &server, const Waiting &waiting, kernel::Instant now);
     Decision decisionOn(const Server &server, const PlaceRequest &ask, Verdict verdict,
                         kernel::Instant now) const;
     Decision repeated(const Server &server, const PlaceRequest &ask, kernel::Instant now) const;
     Decision grant(Server &server, const PlaceRequest &ask, kernel::Instant now);
     Decision enqueue(Server &server, const PlaceRequest &ask, const Waiting &waiting,
                      kernel::Instant now, std::mt19937_64 &random);
-    Decision refuse(Server &server, const PlaceRequest &ask, kernel::Duration expectedWait,
-                    kernel::Instant now, std::mt19937_64 &random);
+    Decision refuse(Server &server, const PlaceRequest &ask, const Waiting &waiting,
+                    kernel::Duration expectedWait, kernel::Instant now, std::mt19937_64 &random);
     void settleServer(Server &server, kernel::Instant now, std::mt19937_64 &random,
                       std::vector<Decision> &decided);
     void schedule(std::uint64_t id, Server &server, kernel::Instant due);
--- a/test/correctness/ReturnScheduleTest.cpp
+++ b/test/correctness/ReturnScheduleTest.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 using namespace limereel;
+using admission::Returning;
 using admission::ReturnPolicy;
 using admission::ReturnSchedule;
 using kernel::Duration;
@@ -15,12 +16,20 @@
 namespace {
 
 const Instant Start{1000s};
+const Instant Objective = Start + 300ms;
 
 struct ScheduleFixture
 {
     Duration promise(std::uint64_t identity, double freedPerSecond, Instant now = Start)
     {
-        return schedule.promise(identity, freedPerSecond, now, random);
+        return schedule.promise(identity, freedPerSecond, Objective, now, random);
+    }
+
+    /** Whether a caller with this identity is expected at this time. */
+    bool returns(std::uint64_t identity, Instant now)
+    {
+        const auto returning = schedule.returns(identity, now);
+        return returning && returning->asTold;
     }
 
     ReturnSchedule schedule;
@@ -119,30 +128,72 @@
         BOOST_TEST((promise(0, 100) < 200ms));
     }
     BOOST_TEST(schedule.size() == 0U);
-    BOOST_TEST(!schedule.returns(0, Start + 150ms));
+    BOOST_TEST(!returns(0, Start + 150ms));
 }
 
 // Guards against a privilege for a caller that retries before it was told to.
 BOOST_FIXTURE_TEST_CASE(returns_early_isNotExpectedAndKeepsItsPromise, ScheduleFixture)
 {
     const Duration told = promise(7, 100);
-    BOOST_TEST(!schedule.returns(7, Start + told - Duration(1)));
-    BOOST_TEST(schedule.returns(7, Start + told));
+    BOOST_TEST(!returns(7, Start + told - Duration(1)));
+    BOOST_TEST(returns(7, Start + told));
+}
+
+// Guards against a return that is ranked by its latest try: it has the objective of the first.
+BOOST_FIXTURE_TEST_CASE(returns_asToldOrEarly_givesTheFirstObjective, ScheduleFixture)
+{
+    const Duration told = promise(7, 100);
+    const auto early = schedule.returns(7, Start + told - Duration(1));
+    BOOST_REQUIRE(early.has_value());
+    BOOST_TEST((*early == Returning{false, Objective}));
+    BOOST_TEST(schedule.size() == 1U);
+    const auto asTold = schedule.returns(7, Start + told);
+    BOOST_REQUIRE(asTold.has_value());
+    BOOST_TEST((*asTold == Returning{true, Objective}));
+    BOOST_TEST(schedule.size() == 0U);
+}
+
+// Guards against equal requests of other callers that are taken for the early return of one.
+BOOST_FIXTURE_TEST_CASE(returns_earlySeveralTimes_isRecognisedOnceForEachRefusal, ScheduleFixture)
+{
+    const std::vector<Instant> due = {Start + promise(7, 100), Start + promise(7, 100)};
+    const Instant early = std::ranges::min(due) - Duration(1);
+    for (int refusal = 0; refusal < 2; ++refusal) {
+        const auto returning = schedule.returns(7, early);
+        BOOST_REQUIRE(returning.has_value());
+        BOOST_TEST(!returning->asTold);
+    }
+    BOOST_TEST(!schedule.returns(7, early).has_value());
+    BOOST_TEST(schedule.size() == 2U);
+    // Both promises are kept.
+    const Instant later = std::ranges::max(due);
+    BOOST_TEST(returns(7, later));
+    BOOST_TEST(returns(7, later));
+    BOOST_TEST(!schedule.returns(7, later).has_value());
+}
+
+// Guards against requests of unknown or other callers that are given somebody's objective.
+BOOST_FIXTURE_TEST_CASE(returns_notRefusedHere_givesNothing, ScheduleFixture)
+{
+    const Duration told = promise(7, 100);
+    BOOST_TEST(!schedule.returns(8, Start).has_value());
+    BOOST_TEST(!schedule.returns(0, Start).has_value());
+    BOOST_TEST(!schedule.returns(7, Start + told + 1s + Duration(1)).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(returns_twice_isExpectedOnce, ScheduleFixture)
 {
     const Duration told = promise(7, 100);
-    BOOST_TEST(!schedule.returns(8, Start + told));
-    BOOST_TEST(schedule.returns(7, Start + told + 500ms));
-    BOOST_TEST(!schedule.returns(7, Start + told + 500ms));
+    BOOST_TEST(!returns(8, Start + told));
+    BOOST_TEST(returns(7, Start + told + 500ms));
+    BOOST_TEST(!returns(7, Start + told + 500ms));
     BOOST_TEST(schedule.size() == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(returns_afterTheGrace_isNotExpected, ScheduleFixture)
 {
     const Duration told = promise(7, 100);
-    BOOST_TEST(!schedule.returns(7, Start + told + 1s + Duration(1)));
+    BOOST_TEST(!returns(7, Start + told + 1s + Duration(1)));
 }
 
 // Guards against equal requests of several callers that all return in one bucket, where only one
@@ -156,7 +207,7 @@
     BOOST_TEST(mostWithin(times, 100ms) <= 10U);
     std::ranges::sort(times);
     for (const Instant time : times) {
-        BOOST_TEST(schedule.returns(7, time));
+        BOOST_TEST(returns(7, time));
     }
     BOOST_TEST(schedule.size() == 0U);
 }
@@ -170,7 +221,7 @@
     const Duration told = promise(5000, 10000);
     BOOST_TEST((told >= 59900ms && told <= 60s));
     BOOST_TEST(schedule.size() == 4096U);
-    BOOST_TEST(!schedule.returns(5000, Start + told));
+    BOOST_TEST(!returns(5000, Start + told));
 }
 
 // Guards against a promise beyond what can be served within the schedule.
@@ -192,7 +243,7 @@
     const Duration told = promise(2, 100, later);
     schedule.expire(Start + 1300ms);
     BOOST_TEST(schedule.size() == 1U);
-    BOOST_TEST(schedule.returns(2, later + told));
+    BOOST_TEST(returns(2, later + told));
 }
 
 // Guards against room that stays reserved after its time.
