Messages for admission control: new fields behind the old ones

Cause: owners need to know how long a request can wait and whom it is from. Change: fields as in docs/design/admission.md, appended to AskPermit, PermitAnswer and GiveBack, and PermitResult::Queued. Missing ones are read as 0; trailing ones that are 0 aren't sent, so boxes with admission control disabled send the same bytes as before. Result: PeerTest passes, with the old form, the new one and the view of an earlier decoder.

--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -80,12 +80,42 @@
     return json::array({0, std::move(states), std::move(ages)});
 }
 
+// Later fields that are zero are left out: a missing one is read as 0, and a message that uses none
+// of them takes as many bytes as one of an earlier version.
+json withoutTrailingZeros(json array, std::size_t earlierFields)
+{
+    const auto isZero = [](const json &value) { return value == 0 || value == false; };
+    while (array.size() > earlierFields && isZero(array.back())) {
+        array.erase(array.size() - 1);
+    }
+    return array;
+}
+
 json toJson(const AskPermit &message)
 {
-    return json::array({1, static_cast<int>(message.kind), message.request, message.router,
-                        message.organisation, message.resource, message.chat, message.model,
-                        message.load, message.asks, message.excluded, message.coldMs,
-                        message.coldPerSecond});
+    constexpr std::size_t EarlierFields = 13;
+    json array = json::array({1,
+                              static_cast<int>(message.kind),
+                              message.request,
+                              message.router,
+                              message.organisation,
+                              message.resource,
+                              message.chat,
+                              message.model,
+                              message.load,
+                              message.asks,
+                              message.excluded,
+                              message.coldMs,
+                              message.coldPerSecond,
+                              message.waitMs,
+                              message.lateMs,
+                              message.priority,
+                              message.caller,
+                              message.identity,
+                              message.slots,
+                              message.leaseMs,
+                              message.seen});
+    return withoutTrailingZeros(std::move(array), EarlierFields);
 }
 
 json toJson(const PermitAnswer &message)
@@ -95,13 +125,20 @@
         suggestions.push_back(suggestion.engine);
         suggestions.push_back(suggestion.reason);
     }
-    return json::array({2, message.request, static_cast<int>(message.result),
-                        std::move(suggestions), message.comeBackMs, message.load});
+    constexpr std::size_t EarlierFields = 6;
+    json array = json::array({2, message.request, static_cast<int>(message.result),
+                              std::move(suggestions), message.comeBackMs, message.load,
+                              message.waitMs, message.limit});
+    return withoutTrailingZeros(std::move(array), EarlierFields);
 }
 
 json toJson(const GiveBack &message)
 {
-    return json::array({3, message.request, message.resource, static_cast<int>(message.observed)});
+    constexpr std::size_t EarlierFields = 4;
+    json array =
+            json::array({3, message.request, message.resource, static_cast<int>(message.observed),
+                         message.rejected, message.firstMs});
+    return withoutTrailingZeros(std::move(array), EarlierFields);
 }
 
 json toJson(const Renew &message)
@@ -155,6 +192,13 @@
     return array.at(index).get<std::uint64_t>();
 }
 
+// A field that messages of earlier versions don't have; missing: 0.
+template <typename Number>
+Number laterAt(const json &array, std::size_t index)
+{
+    return index < array.size() ? array.at(index).get<Number>() : Number{};
+}
+
 Heartbeat heartbeat(const json &array)
 {
     Heartbeat message;
@@ -184,16 +228,26 @@
             .excluded = array.size() > 10 ? array.at(10).get<std::vector<std::uint64_t>>()
                                           : std::vector<std::uint64_t>(),
             .coldMs = array.size() > 12 ? array.at(11).get<std::uint32_t>() : 0,
-            .coldPerSecond = array.size() > 12 ? array.at(12).get<std::uint32_t>() : 0};
+            .coldPerSecond = array.size() > 12 ? array.at(12).get<std::uint32_t>() : 0,
+            .waitMs = laterAt<std::uint32_t>(array, 13),
+            .lateMs = laterAt<std::uint32_t>(array, 14),
+            .priority = laterAt<std::uint32_t>(array, 15),
+            .caller = laterAt<std::uint64_t>(array, 16),
+            .identity = laterAt<std::uint64_t>(array, 17),
+            .slots = laterAt<std::uint32_t>(array, 18),
+            .leaseMs = laterAt<std::uint32_t>(array, 19),
+            .seen = laterAt<std::uint32_t>(array, 20)};
 }
 
 PermitAnswer permitAnswer(const json &array)
 {
     PermitAnswer message{.request = wordAt(array, 1),
-                         .result = enumAt(array, 2, PermitResult::Cold),
+                         .result = enumAt(array, 2, PermitResult::Queued),
                          .suggestions = {},
                          .comeBackMs = array.at(4).get<std::uint32_t>(),
-                         .load = array.at(5).get<std::uint32_t>()};
+                         .load = array.at(5).get<std::uint32_t>(),
+                         .waitMs = laterAt<std::uint32_t>(array, 6),
+                         .limit = laterAt<std::uint32_t>(array, 7)};
     const json &list = array.at(3);
     for (std::size_t index = 0; index + 1 < list.size(); index += 2) {
         message.suggestions.push_back(
@@ -204,7 +258,11 @@
 
 GiveBack giveBack(const json &array)
 {
-    return {wordAt(array, 1), wordAt(array, 2), enumAt(array, 3, Observed::Unused)};
+    return {.request = wordAt(array, 1),
+            .resource = wordAt(array, 2),
+            .observed = enumAt(array, 3, Observed::Unused),
+            .rejected = laterAt<bool>(array, 4),
+            .firstMs = laterAt<std::uint32_t>(array, 5)};
 }
 
 Renew renew(const json &array)
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -57,6 +57,14 @@
                                          ///< name them again would push out one with room.
     std::uint32_t coldMs = 0;        ///< For so long the asker takes the engine for cold; 0: warm.
     std::uint32_t coldPerSecond = 0; ///< Thousandths of a request a second that it bears then.
+    std::uint32_t waitMs = 0;   ///< How long it may wait for a place and still be answered in time.
+    std::uint32_t lateMs = 0;   ///< How long beyond that it is still of use.
+    std::uint32_t priority = 0; ///< 0 goes first.
+    std::uint64_t caller = 0;   ///< Hash of the organisation's name; 0: none.
+    std::uint64_t identity = 0; ///< What it has in common with its repetition; 0: unknown.
+    std::uint32_t slots = 0;    ///< Of the server; 0: the asker follows the earlier rules.
+    std::uint32_t leaseMs = 0;  ///< How long it may hold the place; 0: the owner's default.
+    std::uint32_t seen = 0;     ///< Requests that the asker believes to run on the server.
 
     auto operator<=>(const AskPermit &) const = default;
 };
@@ -64,7 +72,8 @@
 /**
  * What the owner says. Full and Unfair: it works but has no place for this ask. Leaving: it takes
  * no work, since it leaves or can't be reached. Cold: it has just started, and has been sent as
- * many requests as it bears.
+ * many requests as it bears. Queued: it waits at the owner, whose second answer ends the wait; sent
+ * only to boxes that said how long the request may wait.
  */
 enum class PermitResult : std::uint8_t {
     Granted,
@@ -73,7 +82,8 @@
     Unfair,
     Leaving,
     NotOwner,
-    Cold
+    Cold,
+    Queued
 };
 
 /** One engine to use or to ask. */
@@ -93,6 +103,8 @@
     std::vector<Suggestion> suggestions; ///< Granted: the engine. Else: whom to ask, best first.
     std::uint32_t comeBackMs = 0;        ///< Of a refusal: when a place should be free.
     std::uint32_t load = 0;              ///< In flight on the owner's engines of the model.
+    std::uint32_t waitMs = 0; ///< Expected wait for a place there, for a request like this one.
+    std::uint32_t limit = 0;  ///< Places that the owner grants there; 0: unknown.
 
     auto operator<=>(const PermitAnswer &) const = default;
 };
@@ -106,6 +118,8 @@
     std::uint64_t request = 0;
     std::uint64_t resource = 0; ///< Hash of the engine or organisation.
     Observed observed = Observed::Served;
+    bool rejected = false;     ///< The server rejected the request for lack of room.
+    std::uint32_t firstMs = 0; ///< From the send to the answer's first byte; 0: none came.
 
     auto operator<=>(const GiveBack &) const = default;
 };
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -13,6 +13,40 @@
 
 namespace {
 
+AskPermit newAsk()
+{
+    AskPermit ask{AskKind::Engine, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9}, 10, 11};
+    ask.waitMs = 120;
+    ask.lateMs = 600;
+    ask.priority = 3;
+    ask.caller = ~0ULL;
+    ask.identity = 12;
+    ask.slots = 16;
+    ask.leaseMs = 1500;
+    ask.seen = 13;
+    return ask;
+}
+
+PermitAnswer newAnswer()
+{
+    PermitAnswer answer{9, PermitResult::Queued, {{1, 2}}, 1500, 8};
+    answer.waitMs = 40;
+    answer.limit = 20;
+    return answer;
+}
+
+GiveBack newGiveBack()
+{
+    return {1, 2, Observed::Served, true, 15};
+}
+
+/** The fields that a box of an earlier version reads of \a message. */
+nlohmann::json earlierFields(const Message &message, std::size_t count)
+{
+    const nlohmann::json array = nlohmann::json::from_msgpack(encode(message));
+    return {array.begin(), array.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
 std::vector<Message> samples()
 {
     const BackendState engine{.backend = 7,
@@ -32,6 +66,9 @@
             AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9, ~0ULL}},
             PermitAnswer{9, PermitResult::Redirected, {{1, 2}, {3, 0}}, 1500, 8},
             GiveBack{1, 2, Observed::RefusedLeaving},
+            newAsk(),
+            newAnswer(),
+            newGiveBack(),
             Renew{4, {{1, 2, 3}, {4, 5, 6}}},
             Placed{1, 2, 3, 4, true},
             CrashReport{9, CrashMatter::AskAlone, {{1, 2, ~0ULL}, 3, {4, ~0ULL}, 5}, 6000},
@@ -70,6 +107,50 @@
     BOOST_TEST((std::get<AskPermit>(*withoutExcluded) == expected));
 }
 
+// A wait taken from an ask of an earlier version would be answered with Queued, which it can't
+// read.
+BOOST_AUTO_TEST_CASE(decode_messagesWithoutTheLaterFields_readThemAsZero)
+{
+    const auto read = [](const nlohmann::json &array) {
+        return decode(nlohmann::json::to_msgpack(array)).value();
+    };
+    const auto ask = std::get<AskPermit>(read(earlierFields(newAsk(), 13)));
+    AskPermit expected{AskKind::Engine, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9}, 10, 11};
+    BOOST_TEST((ask == expected));
+    const auto answer = std::get<PermitAnswer>(read(earlierFields(newAnswer(), 6)));
+    BOOST_TEST((answer == PermitAnswer{9, PermitResult::Queued, {{1, 2}}, 1500, 8}));
+    const auto giveBack = std::get<GiveBack>(read(earlierFields(newGiveBack(), 4)));
+    BOOST_TEST((giveBack == GiveBack{1, 2, Observed::Served}));
+}
+
+// A box of an earlier version reads the first fields of each array and ignores what follows.
+BOOST_AUTO_TEST_CASE(encode_laterFields_standBehindTheEarlierOnes)
+{
+    using nlohmann::json;
+    BOOST_TEST(earlierFields(newAsk(), 13)
+               == json::array({1, 1, 1, 2, 3, ~0ULL, 5, 6, 7, 8, json::array({9}), 10, 11}));
+    BOOST_TEST(earlierFields(newAnswer(), 6)
+               == json::array({2, 9, 7, json::array({1, 2}), 1500, 8}));
+    BOOST_TEST(earlierFields(newGiveBack(), 4) == json::array({3, 1, 2, 0}));
+}
+
+// The deployed fleets measure control traffic: a box with admission off must not send more bytes.
+BOOST_AUTO_TEST_CASE(encode_laterFieldsZero_isTheEarlierForm)
+{
+    const AskPermit ask{AskKind::Engine, 1, 2, 3, 4, 5, 6, 0, 0, {}, 0, 0};
+    BOOST_TEST(nlohmann::json::from_msgpack(encode(ask)).size() == 13U);
+    const PermitAnswer answer{9, PermitResult::Granted, {}, 0, 0};
+    BOOST_TEST(nlohmann::json::from_msgpack(encode(answer)).size() == 6U);
+    BOOST_TEST(nlohmann::json::from_msgpack(encode(GiveBack{1, 2, Observed::Served})).size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(decode_unknownResult_isNothing)
+{
+    auto array = nlohmann::json::from_msgpack(encode(newAnswer()));
+    array[2] = static_cast<int>(PermitResult::Queued) + 1;
+    BOOST_TEST(!decode(nlohmann::json::to_msgpack(array)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(decode_anyPrefix_isNothing)
 {
     for (const Message &message : samples()) {
