--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -15,30 +15,6 @@
 
 constexpr kernel::Duration SweepInterval = 1s;
 constexpr int MaxSilences = 2; ///< After these, another box is considered the owner.
-// Consecutive samples, a second apart, in which this box has to own a server before it counts as
-// the only owner. Other boxes learn within two seconds of a box that starts, stops or is cut off.
-constexpr std::size_t SamplesForSoleOwner = 4;
-// The reason in a suggestion says what the engine holds.
-constexpr std::uint8_t AllParts = 0;
-constexpr std::uint8_t FirstPart = 1;
-
-forward::PlacePolicy policyOf(const kernel::BoxSettings &settings)
-{
-    forward::PlacePolicy policy;
-    policy.loadMultiple = settings.gateway.loadMultiple;
-    return policy;
-}
-
-// A box that has several seeds but hears from no other box may be cut off from all of them since
-// its restart. For a minute it assumes that others exist and limits itself to a share.
-forward::FleetSizeEstimatePolicy startFleetPolicy(const kernel::BoxSettings &settings)
-{
-    forward::FleetSizeEstimatePolicy policy;
-    if (settings.gateway.seeds.size() > 1) {
-        policy.guessFor = policy.rememberedFor;
-    }
-    return policy;
-}
 
 std::uint32_t thousandths(double perSecond)
 {
@@ -47,29 +23,12 @@
     return static_cast<std::uint32_t>(std::clamp(perSecond * Parts, 0.0, Most));
 }
 
-double fromThousandths(std::uint32_t perSecond)
-{
-    constexpr double Parts = 1000;
-    return perSecond / Parts;
-}
-
-forward::PlaceAsk placeAskOf(const peer::AskPermit &ask)
-{
-    return {.request = ask.request,
-            .engine = ask.resource,
-            .service = ask.organisation,
-            .box = ask.router,
-            .boxLoad = ask.load,
-            .boxAsks = static_cast<double>(ask.asks)};
-}
-
 } // namespace
 
 PlaceService::PlaceService(services::Context &context, FleetView &fleetView)
     : context_(context)
     , fleetView_(fleetView)
-    , ledger_(policyOf(context.settings))
-    , startFleet_(startFleetPolicy(context.settings))
+    , owner_(context, fleetView)
 {
 }
 
@@ -81,10 +40,7 @@
             });
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
-                ledger_.expire(context_.now());
-                holders_.expire(context_.now());
-                starts_.expire(context_.now());
-                sampleOwners();
+                owner_.sweep();
                 const auto &members =
                         context_.kernel.find<services::MembershipService>("membership");
                 fleetView_.budget().setBoxes(fleet_.note(members.owners().size(), context_.now()));
@@ -97,140 +53,6 @@
     sweep_.reset();
 }
 
-forward::FleetSize PlaceService::fleetFor(std::uint64_t engine) const
-{
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    return {std::max<std::size_t>(members.owners().size(), 1),
-            std::max<std::size_t>(fleetView_.servers().serversInSameService(engine), 1)};
-}
-
-peer::PermitAnswer PlaceService::findHolders(const peer::AskPermit &ask) const
-{
-    const kernel::Instant now = context_.now();
-    peer::PermitAnswer reply;
-    reply.request = ask.request;
-    reply.result = peer::PermitResult::Redirected;
-    for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
-        reply.suggestions.push_back({engine, AllParts});
-    }
-    if (reply.suggestions.empty()) {
-        for (const membership::ShortHash engine : holders_.holders(ask.resource, now)) {
-            reply.suggestions.push_back({engine, FirstPart});
-        }
-    }
-    return reply;
-}
-
-forward::FleetPart PlaceService::fleetPart(std::uint64_t server)
-{
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const std::size_t seen = std::max<std::size_t>(members.owners().size(), 1);
-    return {seen, startFleet_.note(seen, context_.now()), isSoleOwner(server)};
-}
-
-bool PlaceService::isSoleOwner(std::uint64_t server) const
-{
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const auto owns = [&](const std::vector<std::uint64_t> &owners) {
-        return membership::ownerOf(server, owners) == members.self();
-    };
-    return ownerSamples_.size() >= SamplesForSoleOwner && owns(members.owners())
-           && std::ranges::all_of(ownerSamples_, owns);
-}
-
-void PlaceService::sampleOwners()
-{
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    ownerSamples_.push_back(members.owners());
-    if (ownerSamples_.size() > SamplesForSoleOwner) {
-        ownerSamples_.pop_front();
-    }
-}
-
-// Returns, as the owner, the request rate that the server accepts while it is cold, or 0 if it
-// isn't cold. The limit holds as soon as any box knows that the server is cold: the owner remembers
-// the cold state reported by an asking box. Asking boxes don't store the owner's answer, because
-// they would report it back and the state would never expire.
-double PlaceService::coldRate(const peer::AskPermit &ask)
-{
-    const kernel::Instant now = context_.now();
-    forward::ColdStarts &known = fleetView_.coldStarts();
-    known.noteReported(ask.resource, std::chrono::milliseconds(ask.coldMs), now);
-    const forward::ColdState state = known.state(ask.organisation, ask.resource, now);
-    return state.cold() ? state.perSecond : fromThousandths(ask.coldPerSecond);
-}
-
-bool PlaceService::grantsStart(const peer::AskPermit &ask, double perSecond)
-{
-    if (perSecond <= 0) {
-        return true;
-    }
-    const kernel::Instant now = context_.now();
-    const kernel::GatewaySettings &settings = context_.settings.gateway;
-    starts_.setBound(settings.coldExcess, settings.coldSlack);
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    return starts_.grant({ask.resource, perSecond, members.self()}, fleetPart(ask.resource), now);
-}
-
-bool PlaceService::grantStartAlone(const forward::ListedServer &server)
-{
-    const kernel::Instant now = context_.now();
-    const forward::ColdState state = fleetView_.coldStarts().state(server, now);
-    if (!state.cold()) {
-        return true;
-    }
-    const kernel::GatewaySettings &settings = context_.settings.gateway;
-    starts_.setBound(settings.coldExcess, settings.coldSlack);
-    const auto &members = context_.kernel.find<services::MembershipService>("membership");
-    return starts_.grantWithoutOwner({server.hash(), state.perSecond, members.self()},
-                                     fleetPart(server.hash()), now);
-}
-
-peer::PermitAnswer PlaceService::decideStart(const peer::AskPermit &ask)
-{
-    peer::PermitAnswer reply;
-    reply.request = ask.request;
-    reply.result = grantsStart(ask, coldRate(ask)) ? peer::PermitResult::Granted
-                                                   : peer::PermitResult::Cold;
-    return reply;
-}
-
-// Decides as the owner, for other boxes and for this one alike.
-peer::PermitAnswer PlaceService::decide(const peer::AskPermit &ask)
-{
-    if (ask.kind == peer::AskKind::Holders) {
-        return findHolders(ask);
-    }
-    if (ask.kind == peer::AskKind::Start) {
-        return decideStart(ask);
-    }
-    const kernel::Instant now = context_.now();
-    const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(ask.resource), now);
-    peer::PermitAnswer reply;
-    reply.request = ask.request;
-    reply.result = answer.granted ? peer::PermitResult::Granted : peer::PermitResult::Full;
-    reply.load = answer.load;
-    const double perSecond = coldRate(ask);
-    if (answer.granted && !grantsStart(ask, perSecond)) {
-        ledger_.giveBack(ask.resource, ask.request);
-        reply.result = peer::PermitResult::Cold;
-        reply.load = answer.load - 1;
-    } else if (!answer.granted && perSecond > 0) {
-        // An engine that is merely full may still be used when the others are full, too. A cold one
-        // must not be.
-        reply.result = peer::PermitResult::Cold;
-    }
-    if (ask.chat != 0) {
-        for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
-            reply.suggestions.push_back({engine, 0});
-        }
-    }
-    if (ask.chat != 0 && reply.result == peer::PermitResult::Granted) {
-        holders_.note(ask.chat, membership::shortHash(ask.resource), now);
-    }
-    return reply;
-}
-
 peer::AskPermit PlaceService::askOf(const forward::ListedServer &server, peer::AskKind kind) const
 {
     const forward::ColdState cold = fleetView_.coldStarts().state(server, context_.now());
@@ -254,7 +76,7 @@
         co_return std::nullopt;
     }
     if (*owner == members.self()) {
-        co_return decide(ask);
+        co_return owner_.decide(ask);
     }
     const std::uint64_t asked = *owner;
     co_return co_await askOwner(asked, ask);
@@ -265,7 +87,7 @@
     peer::AskPermit ask = askOf(server, peer::AskKind::Start);
     const auto answer = co_await askOwnerOf(ask);
     const bool granted =
-            answer ? answer->result == peer::PermitResult::Granted : grantStartAlone(server);
+            answer ? answer->result == peer::PermitResult::Granted : owner_.grantStartAlone(server);
     context_.counters.add("cold_starts", {{"result", granted ? "granted" : "refused"},
                                           {"by", answer ? "owner" : "share"}});
     co_return granted;
@@ -285,7 +107,7 @@
     const auto answer = co_await askOwnerOf(ask);
     if (!answer) {
         context_.counters.add("places", {{"result", "no-answer"}});
-        outcome.cold = !grantStartAlone(server);
+        outcome.cold = !owner_.grantStartAlone(server);
         if (outcome.cold) {
             // The owner may have granted the place and only its answer may have been lost.
             giveBack(*outcome.place);
@@ -341,7 +163,7 @@
     context_.counters.add("parts_asked", {{"result", answer ? "answered" : "no-answer"}});
     if (answer) {
         for (const peer::Suggestion &suggestion : answer->suggestions) {
-            auto &engines = suggestion.reason == AllParts ? found.holders : found.beginners;
+            auto &engines = suggestion.reason == HoldsAllParts ? found.holders : found.beginners;
             engines.push_back(suggestion.engine);
         }
     }
@@ -370,7 +192,7 @@
         return;
     }
     if (*owner == members.self()) {
-        holders_.note(partsKey, engine, context_.now());
+        owner_.noteHolder(partsKey, engine);
     } else if (const auto address = members.addressOf(*owner)) {
         peer::Placed placed;
         placed.chat = partsKey;
@@ -426,7 +248,7 @@
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
     if (place.asked == members.self()) {
-        ledger_.giveBack(place.engine, place.request);
+        owner_.giveBack(place.engine, place.request);
     } else if (const auto address = members.addressOf(place.asked); place.asked != 0 && address) {
         context_.kernel.find<services::PeerService>("peer").send(
                 *address, peer::GiveBack{place.request, place.engine, peer::Observed::Served});
@@ -436,11 +258,11 @@
 void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
 {
     if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
-        context_.kernel.find<services::PeerService>("peer").send(from, decide(*ask));
+        context_.kernel.find<services::PeerService>("peer").send(from, owner_.decide(*ask));
     } else if (const auto *const placed = std::get_if<peer::Placed>(&message)) {
-        holders_.note(placed->chat, placed->engine, context_.now());
+        owner_.noteHolder(placed->chat, placed->engine);
     } else if (const auto *const back = std::get_if<peer::GiveBack>(&message)) {
-        ledger_.giveBack(back->resource, back->request);
+        owner_.giveBack(back->resource, back->request);
     } else if (const auto *const answer = std::get_if<peer::PermitAnswer>(&message)) {
         const auto waiting = pending_.find(answer->request);
         if (waiting != pending_.end()) {
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -1,23 +1,19 @@
 /** \file
- * Asks the owner of an engine for a place, which is a lease on one slot of the engine, and grants
- * places at the engines that this box owns.
+ * Asks the owner of an engine for a place, which is a lease on one slot of the engine, and passes
+ * the asks of other boxes on to this box's own PlaceOwner.
  *
  * The owner of an engine is found by rendezvous hashing over the live boxes. If the owner doesn't
  * answer in time, the asking box decides on what it knows itself.
  */
 #pragma once
 
-#include "forward/ColdRateLimiter.h"
 #include "forward/FleetSizeEstimate.h"
-#include "forward/HolderIndex.h"
-#include "forward/PlaceLedger.h"
 #include "forward/RecentCount.h"
-#include "gateway/FleetView.h"
+#include "gateway/PlaceOwner.h"
 #include "peer/Messages.h"
 #include "services/MembershipService.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,7 +44,7 @@
     std::vector<membership::ShortHash> beginners; ///< Engines that recently received the first one.
 };
 
-/** Asks for places and, as an owner, grants them. */
+/** Asks for places and answers the asks of other boxes. */
 class PlaceService : public kernel::Service
 {
 public:
@@ -94,20 +90,10 @@
         std::optional<peer::PermitAnswer> answer;
     };
 
-    forward::FleetSize fleetFor(std::uint64_t engine) const;
-    forward::FleetPart fleetPart(std::uint64_t server);
-    bool isSoleOwner(std::uint64_t server) const;
-    void sampleOwners();
     boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwnerOf(peer::AskPermit ask);
     peer::AskPermit askOf(const forward::ListedServer &server, peer::AskKind kind) const;
     void applyAnswer(const forward::ListedServer &server, const peer::PermitAnswer &answer,
                      PlaceOutcome &outcome);
-    bool grantStartAlone(const forward::ListedServer &server);
-    double coldRate(const peer::AskPermit &ask);
-    bool grantsStart(const peer::AskPermit &ask, double perSecond);
-    peer::PermitAnswer decideStart(const peer::AskPermit &ask);
-    peer::PermitAnswer findHolders(const peer::AskPermit &ask) const;
-    peer::PermitAnswer decide(const peer::AskPermit &ask);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
     boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
                                                                        peer::AskPermit ask);
@@ -118,15 +104,11 @@
 
     services::Context &context_;
     FleetView &fleetView_;
-    forward::PlaceLedger ledger_;
-    forward::HolderIndex holders_;
+    PlaceOwner owner_;
     std::map<std::string, forward::RecentCount> asks_; ///< Recent asks of this box, by service.
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< Unanswered asks, by request.
     forward::FleetSizeEstimate fleet_;      ///< Number of boxes that share the retry budget.
-    forward::ColdRateLimiter starts_;       ///< Requests granted to cold servers.
-    forward::FleetSizeEstimate startFleet_; ///< Number of boxes that share a cold server's limit.
-    std::deque<std::vector<std::uint64_t>> ownerSamples_; ///< A sample a second, newest last.
-    std::map<std::uint64_t, int> silences_;               ///< Unanswered asks in a row, by owner.
+    std::map<std::uint64_t, int> silences_; ///< Unanswered asks in a row, by owner.
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
