--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -9,12 +9,12 @@
 #pragma once
 
 #include "gateway/BackendExchange.h"
+#include "gateway/ServerSelection.h"
 #include "http/AnswerTimer.h"
 #include "outcome/ResultCode.h"
 
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace limereel::gateway {
 
@@ -47,16 +47,6 @@
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
-    boost::asio::awaitable<std::optional<forward::Choice>> chooseServer();
-    boost::asio::awaitable<bool> takePlace(forward::ServerRequirements &requirements,
-                                           forward::Choice &choice);
-    boost::asio::awaitable<bool> learnHolders(forward::ServerRequirements &requirements,
-                                              const forward::Choice &choice);
-    void noteTrial(const forward::Choice &choice);
-    void noteNoServer(const forward::ServerRequirements &requirements);
-    void excludeCold(forward::ServerRequirements &requirements, const std::string &id);
-    boost::asio::awaitable<void> assignPartSource(forward::ServerRequirements &requirements,
-                                                  forward::Choice &choice);
     void releasePlace();
     boost::asio::awaitable<AttemptEnd> attempt();
     bool mayTryAgain(AttemptEnd end);
@@ -67,9 +57,8 @@
     RunState run_;
     ConnectionPool &pool_;
     PlaceService &places_;
+    ServerSelection selection_;
     http::AnswerTimer deadlineTimer_;
-    std::vector<std::string> tried_; ///< Servers already tried; they aren't chosen again.
-    bool allInBackoff_ = false;      ///< No server could be chosen because all are in backoff.
 };
 
 } // namespace limereel::gateway
