Setting [gateway] admission and result code servers-full

Change: a flag, default false, and the result of a request that no server has a place for in time. Nothing uses them yet.

--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -105,6 +105,11 @@
             {{"gateway", "longest-rest", "1s to 86400s", "600s",
               "what is kept of a longer rest that a backend server asks this box for"},
              duration(field(&G::longestRest), 1s, 86400s)},
+            {{"gateway", "admission", "true or false", "false",
+              "whether the boxes that own backend servers limit how many requests each gets at "
+              "once, queue those that can still be served in time and refuse the others at once "
+              "with a time to come back; set it for all boxes or none"},
+             flag(field(&G::admission))},
             {{"gateway", "hall-regions", "HALL@REGION ...", "",
               "the region of each hall, for requests that may run only in some"},
              storeHallRegions},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -38,6 +38,7 @@
     double coldExcess = 0;         ///< Requests to a cold server, as a multiple of what it bears,
     double coldSlack = 0;          ///< and a second beyond that.
     Duration longestRest{};        ///< What is kept of a rest that a backend server asks for.
+    bool admission = false;        ///< Whether owners limit and queue what backend servers get.
     std::map<std::string, std::string> hallRegions; ///< The region of each hall.
     std::vector<std::string> seeds;                 ///< Addresses of boxes that may know others.
 };
--- a/src/kernel/SettingChecks.h
+++ b/src/kernel/SettingChecks.h
@@ -84,6 +84,20 @@
     };
 }
 
+/** True or false. */
+template <typename Field>
+SettingCheck flag(Field field)
+{
+    return [field](const std::string &value,
+                   BoxSettings &settings) -> tl::expected<void, std::string> {
+        if (value != "true" && value != "false") {
+            return wrong(value, "true or false");
+        }
+        std::invoke(field, settings) = value == "true";
+        return {};
+    };
+}
+
 /** An integer between two limits. */
 template <typename Field>
 SettingCheck count(Field field, std::int64_t least, std::int64_t most)
--- a/src/outcome/ResultCode.cpp
+++ b/src/outcome/ResultCode.cpp
@@ -48,6 +48,7 @@
          "don't send it again as it is; ask the operator, who can lift it"},
         {RunsAlone, "runs-alone", Ran::NotRun, 503, false, "come back after Retry-After"},
         {ServersRest, "servers-rest", Ran::NotRun, 503, false, "come back after Retry-After"},
+        {ServersFull, "servers-full", Ran::NotRun, 503, false, "come back after Retry-After"},
         {BackendFailed, "backend-failed", Ran::Ran, 502, false,
          "the backend server answered with a failure; see the message"},
         {StreamCut, "stream-cut", Ran::Ran, 502, false,
--- a/src/outcome/ResultCode.h
+++ b/src/outcome/ResultCode.h
@@ -42,6 +42,7 @@
     EndsServers = 212,
     RunsAlone = 213,
     ServersRest = 214,
+    ServersFull = 215,
     BackendFailed = 300,
     StreamCut = 301,
     ForeignAnswer = 302,
