--- a/test/platform/AskWaitTest.cpp
+++ b/test/platform/AskWaitTest.cpp
@@ -10,8 +10,8 @@
 
 #include "gateway/PlaceService.h"
 #include "membership/Ownership.h"
-#include "peer/Envelope.h"
 #include "platform/GatewayFixture.h"
+#include "platform/OtherBox.h"
 #include "services/MembershipService.h"
 #include "services/OwnerService.h"
 #include "services/PeerService.h"
@@ -22,14 +22,12 @@
 #include "support/Standstill.h"
 
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <future>
-#include <sstream>
 #include <thread>
 
 using namespace limereel;
-using boost::asio::ip::udp;
 using kernel::Duration;
+using support::OtherBox;
 
 namespace {
 
@@ -38,106 +36,6 @@
 constexpr Duration AskWait = 100ms;
 constexpr int Rounds = 10;
 
-std::uint64_t numberFrom(const std::string &hexadecimal)
-{
-    return std::stoull(hexadecimal, nullptr, 16);
-}
-
-/** Bytes that lie unread in the UDP socket at \a port, as the system's own table says. */
-std::uint64_t unreadAt(std::uint16_t port)
-{
-    std::ifstream table("/proc/net/udp");
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-        std::istringstream fields(line);
-        std::string slot;
-        std::string local;
-        std::string remote;
-        std::string state;
-        std::string queues;
-        fields >> slot >> local >> remote >> state >> queues;
-        if (numberFrom(local.substr(local.find(':') + 1)) == port) {
-            return numberFrom(queues.substr(queues.find(':') + 1));
-        }
-    }
-    return 0;
-}
-
-/** Another box, on a blocking socket; its steps run in a thread of their own. */
-class OtherBox
-{
-public:
-    OtherBox(const kernel::Endpoint &box, const std::string &key)
-        : socket_(io_, udp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , box_(asio::ip::make_address(box.address), box.port)
-        , key_(peer::peerKeyFromHex(key).value())
-    {
-    }
-
-    kernel::Endpoint endpoint() const { return {"127.0.0.1", socket_.local_endpoint().port()}; }
-
-    void send(const peer::Message &message)
-    {
-        socket_.send_to(asio::buffer(peer::seal(peer::encode(message), key_)), box_);
-    }
-
-    /** The next message of one of these kinds; all others are passed over. */
-    template <typename... Kinds>
-    peer::Message nextOf()
-    {
-        while (true) {
-            std::array<std::uint8_t, 65536> buffer{};
-            udp::endpoint from;
-            const std::size_t bytes = socket_.receive_from(asio::buffer(buffer), from);
-            const std::span<const peer::PeerKey> keys(&key_, 1);
-            const auto payload = peer::open(std::span(buffer).first(bytes), keys);
-            const auto message = payload ? peer::decode(*payload) : std::nullopt;
-            if (message && (std::holds_alternative<Kinds>(*message) || ...)) {
-                return *message;
-            }
-        }
-    }
-
-    peer::AskPermit nextAsk() { return std::get<peer::AskPermit>(nextOf<peer::AskPermit>()); }
-
-    /** Grants \a ask and waits until the answer lies unread at the box, behind \a others. */
-    void grant(const peer::AskPermit &ask, int others = 0)
-    {
-        for (int other = 0; other < others; ++other) {
-            sendUntilUnread(peer::Placed{});
-        }
-        sendUntilUnread(peer::PermitAnswer{.request = ask.request,
-                                           .result = peer::PermitResult::Granted,
-                                           .suggestions = {},
-                                           .load = 1});
-    }
-
-    /** Waits until something lies unread at the box. */
-    void untilUnread() const
-    {
-        while (unreadAt(box_.port()) == 0) {
-            std::this_thread::yield();
-        }
-    }
-
-private:
-    /** Sends \a message while the box reads nothing, and waits until its system has it. */
-    void sendUntilUnread(const peer::Message &message)
-    {
-        const std::uint64_t before = unreadAt(box_.port());
-        send(message);
-        while (unreadAt(box_.port()) <= before) {
-            std::this_thread::yield();
-        }
-    }
-
-    asio::io_context io_;
-    udp::socket socket_;
-    udp::endpoint box_;
-    peer::PeerKey key_;
-};
-
 /** Holds a loop up past the end of an ask's wait until the answer has come behind it. */
 class HoldUp
 {
