--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -134,6 +134,9 @@
     if (reason == Interruption::None || reason == Interruption::Silent) {
         const Failure seen = reason == Interruption::Silent ? Failure::Silent : failure;
         run_.fleetView.servers().noteFailure(server_.id, seen, run_.context.now());
+        if (seen == Failure::Full && run_.context.settings.gateway.admission) {
+            run_.fleetView.shortServices().noteShort(run_.service, run_.context.now());
+        }
         run_.context.counters.add("attempt_failures", {{"reason", text(seen)}});
         logFailure(run_, seen, message, sent);
     }
@@ -243,6 +246,7 @@
         co_return fail(Failure::Lost, "answer: " + start.error().message, sent);
     }
     const kernel::Instant now = run_.context.now();
+    run_.headAt = now;
     AnswerHead head = run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
     run_.fleetView.servers().noteHeard(server_.id, now);
     if (head.loadUnreadable) {
@@ -260,6 +264,15 @@
     co_return co_await forwardWhole(std::move(first), std::move(head));
 }
 
+// The time that the route's objective is about: to the first piece of a stream, or else to the end
+// of the answer.
+void BackendExchange::noteAnswerTime()
+{
+    const kernel::Instant now = run_.context.now();
+    const kernel::Duration taken = now - run_.sentAt.value_or(now);
+    run_.fleetView.answerTimes().note(run_.service, taken);
+}
+
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
     auto body = co_await connection_->readAll(MaxAnswerBytes);
@@ -285,6 +298,7 @@
         co_return AttemptEnd::MayHaveRun;
     }
     run_.fleetView.servers().noteSuccess(server_.id, run_.context.now());
+    noteAnswerTime();
     if (run_.reply.begun()) {
         co_return AttemptEnd::MayHaveRun;
     }
@@ -335,6 +349,9 @@
             co_return fail(Failure::Lost, "stream: " + part.error().message, true);
         }
         run_.fleetView.servers().noteHeard(server_.id, run_.context.now());
+        if (!run_.firstPiece) {
+            noteAnswerTime();
+        }
         run_.notePiece();
         const bool whole = part->empty();
         std::string bytes = whole ? cutter_.takeRest() : newEvents(*part);
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -46,6 +46,7 @@
                                                      forward::AnswerHead head);
     boost::asio::awaitable<bool> forwardEvents(const http::AnswerStart &start, std::string bytes);
     std::string newEvents(std::string_view part);
+    void noteAnswerTime();
     AttemptEnd fail(forward::Failure failure, const std::string &message, bool sent);
 
     RunState &run_;
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -199,6 +199,9 @@
     servers_.noteAwake(*caughtUpAt_);
     dropMissing();
     coldStarts_.expire(*caughtUpAt_);
+    shortServices_.expire(*caughtUpAt_);
+    context_.counters.set("short_services",
+                          static_cast<double>(shortServices_.count(*caughtUpAt_)));
     noteFreshness();
     co_return kernel::Duration(SweepInterval);
 }
--- a/src/gateway/FleetView.h
+++ b/src/gateway/FleetView.h
@@ -4,10 +4,12 @@
  */
 #pragma once
 
+#include "forward/AnswerTimes.h"
 #include "forward/ColdStarts.h"
 #include "forward/FleetRetryBudget.h"
 #include "forward/Freshness.h"
 #include "forward/ServerTable.h"
+#include "forward/ShortServices.h"
 #include "gateway/ObjectFeed.h"
 
 #include <functional>
@@ -59,6 +61,8 @@
     forward::ServerTable &servers() { return servers_; }
     forward::FleetRetryBudget &budget() { return budget_; }
     forward::ColdStarts &coldStarts() { return coldStarts_; }
+    forward::ShortServices &shortServices() { return shortServices_; }
+    forward::AnswerTimes &answerTimes() { return answerTimes_; }
 
     /**
      * After a stall of this process, lets the event loop process what the store has sent about
@@ -111,6 +115,8 @@
     forward::ServerTable servers_;
     forward::FleetRetryBudget budget_;
     forward::ColdStarts coldStarts_;
+    forward::ShortServices shortServices_;
+    forward::AnswerTimes answerTimes_;
     std::set<std::string> drainedHalls_;
     kernel::Instant started_;
     KeyTrust trust_ = KeyTrust::Stale; ///< The state that was last logged.
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -121,6 +121,7 @@
     context_.kernel.find<ReadyService>("ready").beginLeaving();
     context_.kernel.find<FrontService>("front").beginLeaving();
     context_.kernel.find<services::MembershipService>("membership").leave();
+    context_.kernel.find<PlaceService>("places").beginLeaving();
     asio::co_spawn(context_.io, run(), asio::detached);
 }
 
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -94,6 +94,7 @@
             {"configuration", configurationOf(fleetView, now)},
             {"boxes", boxesOf(context)},
             {"servers", serversOf(fleetView, now)},
+            {"short_services", fleetView.shortServices().count(now)},
             {"requests", requestsOf(context)}};
 }
 
@@ -129,6 +130,10 @@
              << (server.at("leaving") == true ? ", leaving" : "")
              << (server.at("doubted") == true ? ", doubted" : "") << restIn(server) << '\n';
     }
+    // Boxes of earlier versions don't report it.
+    if (const auto count = status.value("short_services", std::size_t{0}); count > 0) {
+        text << count << " services are short of places\n";
+    }
     // Boxes of earlier versions don't report them.
     const json requests = status.value("requests", json::array());
     text << requests.size() << " requests don't run freely\n";
--- /dev/null
+++ b/src/gateway/PlaceAsks.cpp
@@ -0,0 +1,215 @@
+#include "gateway/PlaceAsks.h"
+
+#include "membership/Ownership.h"
+#include "services/MembershipService.h"
+#include "services/PeerService.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A datagram that is delayed for longer than this counts as lost; the lease makes up for its place.
+constexpr kernel::Duration ReturnedKept = 5s;
+constexpr int MaxSilences = 2; ///< After these, another box is considered the owner.
+
+bool isQueued(const std::optional<peer::PermitAnswer> &answer)
+{
+    return answer && answer->result == peer::PermitResult::Queued;
+}
+
+} // namespace
+
+Place PlaceAsks::placeOf(const peer::AskPermit &ask) const
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    const auto owner = membership::ownerOf(ask.resource, members.owners());
+    return {ask.request, ask.resource, 0, owner.value_or(0)};
+}
+
+PlaceAsks::PendingPtr PlaceAsks::addPending(std::uint64_t request)
+{
+    const auto pending =
+            std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), std::nullopt});
+    pending_[request] = pending;
+    return pending;
+}
+
+asio::awaitable<AskResult> PlaceAsks::ask(peer::AskPermit ask)
+{
+    AskResult result;
+    result.place = placeOf(ask);
+    const PendingPtr pending = addPending(ask.request);
+    co_await firstAnswer(result.place, ask, pending);
+    pending_.erase(ask.request);
+    result.answer = pending->answer;
+    co_return result;
+}
+
+asio::awaitable<AskResult> PlaceAsks::askAndWait(peer::AskPermit ask, OnWait onWait)
+{
+    if (leaving_) {
+        ask.waitMs = 0;
+        ask.lateMs = 0;
+    }
+    AskResult result;
+    result.place = placeOf(ask);
+    const PendingPtr pending = addPending(ask.request);
+    co_await firstAnswer(result.place, ask, pending);
+    result.queued = isQueued(pending->answer);
+    if (result.queued) {
+        co_await waitForPlace(ask, pending, std::move(onWait));
+    }
+    pending_.erase(ask.request);
+    result.answer = pending->answer;
+    result.stopping = leaving_;
+    if (result.withdrawn()) {
+        giveBack(result.place, {.unused = true});
+    }
+    co_return result;
+}
+
+asio::awaitable<void> PlaceAsks::firstAnswer(Place place, peer::AskPermit ask, PendingPtr pending)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    if (place.asked == members.self()) {
+        pending->answer = owner_.decide(ask, std::nullopt);
+        owner_.settle();
+        co_return;
+    }
+    const auto address = members.addressOf(place.asked);
+    if (!address) {
+        co_return;
+    }
+    pending->timer.expires_after(context_.settings.askTimeout);
+    context_.kernel.find<services::PeerService>("peer").send(*address, ask);
+    co_await waitForAnswer(pending);
+    if (pending->answer) {
+        silences_.erase(place.asked);
+    } else {
+        noteSilent(place.asked);
+    }
+}
+
+// The owner's second answer ends the wait. The wait is longer than expected if that answer is lost,
+// if the owner has ended, or if other requests went ahead.
+asio::awaitable<void> PlaceAsks::waitForPlace(peer::AskPermit ask, PendingPtr pending,
+                                              OnWait onWait)
+{
+    context_.counters.add("places", {{"result", "queued"}});
+    const kernel::Duration expected = std::chrono::milliseconds(pending->answer->waitMs);
+    const kernel::Duration useful =
+            std::chrono::milliseconds(ask.waitMs) + std::chrono::milliseconds(ask.lateMs);
+    pending->timer.expires_after(
+            std::min<kernel::Duration>(expected + context_.settings.askTimeout, useful));
+    if (onWait) {
+        onWait([pending] {
+            pending->ended = true;
+            pending->timer.cancel();
+        });
+    }
+    if (!pending->ended) {
+        co_await waitForAnswer(pending);
+    }
+    if (onWait) {
+        onWait({});
+    }
+    const char *outcome = "withdrawn";
+    if (!isQueued(pending->answer)) {
+        outcome = pending->answer->result == peer::PermitResult::Granted ? "granted" : "refused";
+    } else if (pending->ended) {
+        outcome = "ended";
+    }
+    context_.counters.add("admission_waits", {{"outcome", outcome}});
+}
+
+// Waits until the timer of \a pending ends, or until the next answer or the end of the request
+// cancels it.
+asio::awaitable<void> PlaceAsks::waitForAnswer(PendingPtr pending)
+{
+    const bool second = isQueued(pending->answer);
+    const auto answered = [pending, second] {
+        return pending->answer.has_value() && !(second && isQueued(pending->answer));
+    };
+    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (answered() || pending->ended) {
+        co_return;
+    }
+    auto &peer = context_.kernel.find<services::PeerService>("peer");
+    std::function<bool()> enough = answered;
+    co_await peer.readPending(std::move(enough));
+    context_.counters.add("waits_rescued", {{"what", "place"}}, answered() ? 1 : 0);
+}
+
+void PlaceAsks::noteSilent(std::uint64_t owner)
+{
+    if (++silences_[owner] >= MaxSilences) {
+        silences_.erase(owner);
+        context_.kernel.find<services::MembershipService>("membership").noteUnreachable(owner);
+    }
+}
+
+void PlaceAsks::giveBack(const Place &place, const PlaceUse &use)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    if (place.asked == members.self()) {
+        owner_.giveBack({.request = place.request,
+                         .engine = place.engine,
+                         .unused = use.unused,
+                         .rejected = use.rejected});
+    } else if (const auto address = members.addressOf(place.asked); place.asked != 0 && address) {
+        peer::GiveBack message{place.request, place.engine, peer::Observed::Served};
+        if (context_.settings.gateway.admission) {
+            message.observed = use.unused ? peer::Observed::Unused : peer::Observed::Served;
+            message.rejected = use.rejected;
+            message.firstMs =
+                    static_cast<std::uint32_t>(std::max<std::int64_t>(0, use.first / 1ms));
+            returned_[place.request] = {place, context_.now()};
+        }
+        context_.kernel.find<services::PeerService>("peer").send(*address, message);
+    }
+}
+
+void PlaceAsks::receive(const peer::PermitAnswer &answer)
+{
+    const auto waiting = pending_.find(answer.request);
+    if (waiting != pending_.end()) {
+        // Queued is never a second answer; it may arrive twice, or behind the second one.
+        Pending &pending = *waiting->second;
+        if (answer.result != peer::PermitResult::Queued || !pending.answer) {
+            pending.answer = answer;
+            pending.timer.cancel();
+        }
+        return;
+    }
+    const auto returned = returned_.find(answer.request);
+    if (returned != returned_.end() && answer.result == peer::PermitResult::Granted) {
+        // The withdrawal was lost, or the ask was delayed and arrived behind it.
+        const Place place = returned->second.place;
+        giveBack(place, {.unused = true});
+    }
+}
+
+void PlaceAsks::beginLeaving()
+{
+    leaving_ = true;
+    for (const auto &[request, pending] : pending_) {
+        if (isQueued(pending->answer)) {
+            pending->ended = true;
+            pending->timer.cancel();
+        }
+    }
+}
+
+void PlaceAsks::expire()
+{
+    const kernel::Instant now = context_.now();
+    std::erase_if(returned_,
+                  [now](const auto &item) { return now - item.second.at > ReturnedKept; });
+}
+
+} // namespace limereel::gateway
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -1,14 +1,26 @@
 #include "gateway/PlaceOwner.h"
 
+#include "kernel/Log.h"
 #include "membership/Ownership.h"
 #include "services/MembershipService.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace limereel::gateway {
 
 namespace {
 
+// A grant after this pause at the latest still reaches the asker before its wait ends, and a busy
+// owner settles all servers with one pass.
+constexpr kernel::Duration SettleInterval = 10ms;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("places");
+    return Log;
+}
+
 // Consecutive samples, a second apart, in which this box has to own a server before it counts as
 // the only owner. Other boxes learn within two seconds of a box that starts, stops or is cut off.
 constexpr std::size_t SamplesForSoleOwner = 4;
@@ -47,12 +59,52 @@
             .boxAsks = static_cast<double>(ask.asks)};
 }
 
+admission::PlaceRequest placeRequestOf(const peer::AskPermit &ask)
+{
+    return {.request = ask.request,
+            .server = ask.resource,
+            .box = ask.router,
+            .organisation = ask.caller,
+            .identity = ask.identity,
+            .priority = ask.priority,
+            .slots = ask.slots,
+            .seen = ask.seen,
+            .wait = std::chrono::milliseconds(ask.waitMs),
+            .late = std::chrono::milliseconds(ask.lateMs),
+            .lease = std::chrono::milliseconds(ask.leaseMs)};
+}
+
+std::uint32_t milliseconds(kernel::Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration / 1ms));
+}
+
+void logRefusal(const admission::Decision &decision, const peer::AskPermit &ask)
+{
+    log().event("place-refused",
+                {{"permit", decision.request},
+                 {"server", decision.server},
+                 {"box", decision.box},
+                 {"limit", decision.limit},
+                 {"load", decision.load},
+                 {"waiting", decision.waiting},
+                 {"expected_wait_ms", decision.expectedWait / 1ms},
+                 {"come_back_ms", decision.comeBack / 1ms},
+                 {"wait_ms", ask.waitMs},
+                 {"late_ms", ask.lateMs},
+                 {"priority", ask.priority},
+                 {"organisation", ask.caller}},
+                "The owner of a backend server refuses a request.");
+}
+
 } // namespace
 
-PlaceOwner::PlaceOwner(services::Context &context, FleetView &fleetView)
+PlaceOwner::PlaceOwner(services::Context &context, FleetView &fleetView, Deliver deliver)
     : context_(context)
     , fleetView_(fleetView)
+    , deliver_(std::move(deliver))
     , ledger_(policyOf(context.settings))
+    , settleTimer_(context.io)
     , startFleet_(startFleetPolicy(context.settings))
 {
 }
@@ -64,11 +116,91 @@
     holders_.expire(now);
     starts_.expire(now);
     sampleOwners();
+    if (admits()) {
+        book_.expire(now);
+        dropGoneBoxes();
+        settle();
+    }
 }
 
-void PlaceOwner::giveBack(std::uint64_t engine, std::uint64_t request)
+// A box that leaves in a planned way is still live, and its running requests keep their places. One
+// that asked before its first heartbeat arrived isn't live yet, and has not left.
+void PlaceOwner::dropGoneBoxes()
 {
-    ledger_.giveBack(engine, request);
+    const auto &members = context_.kernel.find<services::MembershipService>("membership");
+    for (auto box = askingBoxes_.begin(); box != askingBoxes_.end();) {
+        const std::uint64_t id = box->first;
+        const bool live =
+                id == members.self() || members.liveness(id) == membership::Liveness::Live;
+        const bool gone = box->second && !live;
+        box->second = live;
+        box = gone ? askingBoxes_.erase(box) : std::next(box);
+        if (gone) {
+            book_.dropBox(id, context_.now());
+            std::erase_if(queued_,
+                          [id](const auto &queued) { return queued.second.ask.router == id; });
+        }
+    }
+}
+
+void PlaceOwner::giveBack(const PlaceReturn &returned)
+{
+    ledger_.giveBack(returned.engine, returned.request);
+    queued_.erase(returned.request);
+    if (admits()) {
+        book_.end({.request = returned.request,
+                   .server = returned.engine,
+                   .unused = returned.unused,
+                   .rejected = returned.rejected},
+                  context_.now());
+        settle();
+    }
+}
+
+void PlaceOwner::settle()
+{
+    if (admits()) {
+        deliver(book_.settle(context_.now(), context_.random));
+        armSettleTimer();
+    }
+}
+
+void PlaceOwner::armSettleTimer()
+{
+    if (settleArmed_ || !book_.anyWaiting()) {
+        return;
+    }
+    settleArmed_ = true;
+    settleTimer_.expires_after(SettleInterval);
+    settleTimer_.async_wait([this](boost::system::error_code stopped) {
+        // After a stop this object may be gone.
+        if (!stopped) {
+            settleArmed_ = false;
+            settle();
+        }
+    });
+}
+
+void PlaceOwner::beginLeaving()
+{
+    leaving_ = true;
+    deliver(book_.refuseAll(context_.now()));
+}
+
+void PlaceOwner::deliver(const std::vector<admission::Decision> &decisions)
+{
+    for (const admission::Decision &decision : decisions) {
+        const auto waiting = queued_.find(decision.request);
+        if (waiting == queued_.end() || decision.verdict == admission::Verdict::Queued) {
+            continue;
+        }
+        const QueuedAsk queued = std::move(waiting->second);
+        queued_.erase(waiting);
+        peer::PermitAnswer reply = answerOf(decision, queued.ask);
+        refuseStart(queued.ask, reply);
+        suggestHolders(queued.ask, reply);
+        deliver_(reply, queued.from);
+    }
 }
 
 void PlaceOwner::noteHolder(std::uint64_t partsKey, membership::ShortHash engine)
@@ -174,8 +306,8 @@
     return reply;
 }
 
-// Decides as the owner, for other boxes and for this one alike.
-peer::PermitAnswer PlaceOwner::decide(const peer::AskPermit &ask)
+peer::PermitAnswer PlaceOwner::decide(const peer::AskPermit &ask,
+                                      const std::optional<kernel::Endpoint> &from)
 {
     if (ask.kind == peer::AskKind::Holders) {
         return findHolders(ask);
@@ -183,6 +315,11 @@
     if (ask.kind == peer::AskKind::Start) {
         return decideStart(ask);
     }
+    return admits() ? decideByBook(ask, from) : decideByLedger(ask);
+}
+
+peer::PermitAnswer PlaceOwner::decideByLedger(const peer::AskPermit &ask)
+{
     const kernel::Instant now = context_.now();
     const auto answer = ledger_.ask(placeAskOf(ask), fleetFor(ask.resource), now);
     peer::PermitAnswer reply;
@@ -199,14 +336,108 @@
         // must not be.
         reply.result = peer::PermitResult::Cold;
     }
-    if (ask.chat != 0) {
-        for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
-            reply.suggestions.push_back({engine, 0});
-        }
+    suggestHolders(ask, reply);
+    return reply;
+}
+
+void PlaceOwner::suggestHolders(const peer::AskPermit &ask, peer::PermitAnswer &reply)
+{
+    if (ask.chat == 0) {
+        return;
+    }
+    const kernel::Instant now = context_.now();
+    for (const membership::ShortHash engine : holders_.holders(ask.chat, now)) {
+        reply.suggestions.push_back({engine, 0});
     }
-    if (ask.chat != 0 && reply.result == peer::PermitResult::Granted) {
+    if (reply.result == peer::PermitResult::Granted) {
         holders_.note(ask.chat, membership::shortHash(ask.resource), now);
     }
+}
+
+// Only requests with prompts go to one engine in particular, so only they can crowd there. Other
+// requests are spread by load anyway.
+bool PlaceOwner::aboveBound(const peer::AskPermit &ask)
+{
+    const double bound =
+            ledger_.noteReport(placeAskOf(ask), fleetFor(ask.resource), context_.now());
+    return ask.chat != 0 && book_.load(ask.resource) + 1 > bound;
+}
+
+// Decides on the leases that the book counts, which include those of boxes of earlier versions.
+peer::PermitAnswer PlaceOwner::decideByBook(const peer::AskPermit &ask,
+                                            const std::optional<kernel::Endpoint> &from)
+{
+    const kernel::Instant now = context_.now();
+    askingBoxes_.try_emplace(ask.router, false);
+    peer::PermitAnswer reply;
+    reply.request = ask.request;
+    if (aboveBound(ask)) {
+        reply.result = peer::PermitResult::Full;
+        reply.load = book_.load(ask.resource);
+    } else if (ask.slots == 0) {
+        book_.hold(placeRequestOf(ask), now);
+        reply.result = peer::PermitResult::Granted;
+        reply.load = book_.load(ask.resource);
+    } else {
+        admission::PlaceRequest request = placeRequestOf(ask);
+        if (leaving_) {
+            request.wait = request.late = kernel::Duration(0);
+        }
+        reply = answerOf(book_.ask(request, now, context_.random), ask);
+    }
+    refuseStart(ask, reply);
+    if (reply.result == peer::PermitResult::Queued) {
+        queued_[ask.request] = {ask, from};
+    } else {
+        suggestHolders(ask, reply);
+    }
+    return reply;
+}
+
+// A cold server gets no more requests than it bears, however many places it has, and nobody waits
+// for one there.
+void PlaceOwner::refuseStart(const peer::AskPermit &ask, peer::PermitAnswer &reply)
+{
+    const double perSecond = coldRate(ask);
+    const bool granted = reply.result == peer::PermitResult::Granted;
+    const bool starts = granted ? grantsStart(ask, perSecond) : perSecond <= 0;
+    if (starts) {
+        return;
+    }
+    if (granted || reply.result == peer::PermitResult::Queued) {
+        book_.end({.request = ask.request, .server = ask.resource, .unused = true}, context_.now());
+        reply.load = book_.load(ask.resource);
+    }
+    reply.result = peer::PermitResult::Cold;
+    reply.comeBackMs = 0;
+}
+
+peer::PermitAnswer PlaceOwner::answerOf(const admission::Decision &decision,
+                                        const peer::AskPermit &ask)
+{
+    peer::PermitAnswer reply;
+    reply.request = ask.request;
+    reply.load = decision.load;
+    reply.limit = decision.limit;
+    if (decision.verdict == admission::Verdict::Granted) {
+        reply.result = peer::PermitResult::Granted;
+        return reply;
+    }
+    reply.waitMs = milliseconds(decision.expectedWait);
+    if (decision.verdict == admission::Verdict::Queued) {
+        reply.result = peer::PermitResult::Queued;
+        return reply;
+    }
+    reply.result = peer::PermitResult::Full;
+    // Without a time to come back, Full would mean that the server is above the load bound.
+    reply.comeBackMs = std::max(1U, milliseconds(decision.comeBack));
+    // An ask that may not wait only asks for the expected wait; another one follows it.
+    if (ask.waitMs + ask.lateMs > 0) {
+        const bool queueFull = decision.waiting >= admission::WaitQueuePolicy{}.most;
+        context_.counters.add("admission_refusals",
+                              {{"reason", queueFull ? "queue-bound" : "no-time"}});
+        logRefusal(decision, ask);
+    }
     return reply;
 }
 
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr kernel::Duration SweepInterval = 1s;
-constexpr int MaxSilences = 2; ///< After these, another box is considered the owner.
+constexpr kernel::Duration StopRetryDelay = 50ms; ///< Told to callers at a planned stop.
 
 std::uint32_t thousandths(double perSecond)
 {
@@ -23,12 +23,25 @@
     return static_cast<std::uint32_t>(std::clamp(perSecond * Parts, 0.0, Most));
 }
 
+std::uint32_t milliseconds(kernel::Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration / 1ms));
+}
+
 } // namespace
 
 PlaceService::PlaceService(services::Context &context, FleetView &fleetView)
     : context_(context)
     , fleetView_(fleetView)
-    , owner_(context, fleetView)
+    , owner_(context, fleetView,
+             [this](const peer::PermitAnswer &answer, const std::optional<kernel::Endpoint> &to) {
+                 if (to) {
+                     context_.kernel.find<services::PeerService>("peer").send(*to, answer);
+                 } else {
+                     asks_.receive(answer);
+                 }
+             })
+    , asks_(context, owner_)
 {
 }
 
@@ -41,6 +54,7 @@
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
                 owner_.sweep();
+                asks_.expire();
                 const auto &members =
                         context_.kernel.find<services::MembershipService>("membership");
                 fleetView_.budget().setBoxes(fleet_.note(members.owners().size(), context_.now()));
@@ -51,6 +65,18 @@
 void PlaceService::stop()
 {
     sweep_.reset();
+    owner_.stop();
+}
+
+void PlaceService::beginLeaving()
+{
+    owner_.beginLeaving();
+    asks_.beginLeaving();
+}
+
+void PlaceService::giveBack(const Place &place, const PlaceUse &use)
+{
+    asks_.giveBack(place, use);
 }
 
 peer::AskPermit PlaceService::askOf(const forward::ListedServer &server, peer::AskKind kind) const
@@ -67,25 +93,21 @@
     return ask;
 }
 
-// Asks the owner of the requested resource, which may be this box.
-asio::awaitable<std::optional<peer::PermitAnswer>> PlaceService::askOwnerOf(peer::AskPermit ask)
+peer::AskPermit PlaceService::placeAskFor(const forward::ListedServer &server,
+                                          std::uint64_t partsKey)
 {
-    auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const auto owner = membership::ownerOf(ask.resource, members.owners());
-    if (!owner) {
-        co_return std::nullopt;
-    }
-    if (*owner == members.self()) {
-        co_return owner_.decide(ask);
-    }
-    const std::uint64_t asked = *owner;
-    co_return co_await askOwner(asked, ask);
+    peer::AskPermit ask = askOf(server, peer::AskKind::Engine);
+    ask.chat = partsKey;
+    ask.load = fleetView_.servers().ownLoad(server.service);
+    ask.asks = countAsk(server.service);
+    return ask;
 }
 
 asio::awaitable<bool> PlaceService::acquireColdSend(forward::ListedServer server)
 {
     peer::AskPermit ask = askOf(server, peer::AskKind::Start);
-    const auto answer = co_await askOwnerOf(ask);
+    const AskResult result = co_await asks_.ask(ask);
+    const auto &answer = result.answer;
     const bool granted =
             answer ? answer->result == peer::PermitResult::Granted : owner_.grantStartAlone(server);
     context_.counters.add("cold_starts", {{"result", granted ? "granted" : "refused"},
@@ -96,27 +118,52 @@
 asio::awaitable<PlaceOutcome> PlaceService::acquire(forward::ListedServer server,
                                                     std::uint64_t partsKey)
 {
-    auto &members = context_.kernel.find<services::MembershipService>("membership");
-    peer::AskPermit ask = askOf(server, peer::AskKind::Engine);
-    ask.chat = partsKey;
-    ask.load = fleetView_.servers().ownLoad(server.service);
-    ask.asks = countAsk(server.service);
-    const auto owner = membership::ownerOf(ask.resource, members.owners());
+    peer::AskPermit ask = placeAskFor(server, partsKey);
+    AskResult result = co_await asks_.ask(ask);
+    co_return outcomeOf(server, result);
+}
+
+asio::awaitable<PlaceOutcome> PlaceService::acquire(forward::ListedServer server, PlaceTerms terms)
+{
+    peer::AskPermit ask = placeAskFor(server, terms.partsKey);
+    ask.waitMs = milliseconds(terms.wait);
+    ask.lateMs = milliseconds(terms.late);
+    ask.priority = terms.priority;
+    ask.caller = terms.organisation;
+    ask.identity = terms.identity;
+    ask.slots = std::max(1U, server.slots);
+    ask.leaseMs = milliseconds(terms.lease);
+    ask.seen = static_cast<std::uint32_t>(
+            std::lround(fleetView_.servers().load(server.id, context_.now())));
+    AskResult result = co_await asks_.askAndWait(ask, std::move(terms.onWait));
+    co_return outcomeOf(server, result);
+}
+
+PlaceOutcome PlaceService::outcomeOf(const forward::ListedServer &server, const AskResult &result)
+{
     PlaceOutcome outcome;
-    outcome.place = Place{ask.request, ask.resource, 0, owner.value_or(0)};
-    const auto answer = co_await askOwnerOf(ask);
-    if (!answer) {
+    outcome.place = result.place;
+    outcome.queued = result.queued;
+    outcome.withdrawn = result.withdrawn();
+    if (!result.answer) {
         context_.counters.add("places", {{"result", "no-answer"}});
+        outcome.unanswered = true;
         outcome.cold = !owner_.grantStartAlone(server);
         if (outcome.cold) {
             // The owner may have granted the place and only its answer may have been lost.
-            giveBack(*outcome.place);
+            giveBack(*outcome.place, {.unused = true});
             outcome.place.reset();
         }
     } else {
-        applyAnswer(server, *answer, outcome);
+        applyAnswer(server, *result.answer, outcome);
+        outcome.answeredAt = context_.now();
+    }
+    if (outcome.withdrawn) {
+        outcome.noPlace = true;
+        outcome.comeBack = result.stopping ? StopRetryDelay : kernel::Duration(0);
+        context_.counters.add("places", {{"result", "withdrawn"}});
     }
-    co_return outcome;
+    return outcome;
 }
 
 void PlaceService::applyAnswer(const forward::ListedServer &server,
@@ -126,10 +173,17 @@
     const bool granted = answer.result == peer::PermitResult::Granted;
     const std::uint32_t ownRequests = fleetView_.servers().ownLoadAt(server.id) + (granted ? 1 : 0);
     const std::uint32_t load = answer.load;
+    outcome.load = load;
+    outcome.limit = answer.limit;
+    outcome.expectedWait = std::chrono::milliseconds(answer.waitMs);
+    outcome.comeBack = std::chrono::milliseconds(answer.comeBackMs);
     fleetView_.servers().setOthers(server.id, load > ownRequests ? load - ownRequests : 0, now);
     outcome.cold = answer.result == peer::PermitResult::Cold;
-    const char *refused = outcome.cold ? "cold" : "full";
-    context_.counters.add("places", {{"result", granted ? "granted" : refused}});
+    outcome.noPlace = answer.result == peer::PermitResult::Full && answer.comeBackMs > 0;
+    const char *refused = outcome.cold ? "cold" : outcome.noPlace ? "no-place" : "full";
+    if (answer.result != peer::PermitResult::Queued) {
+        context_.counters.add("places", {{"result", granted ? "granted" : refused}});
+    }
     for (const peer::Suggestion &suggestion : answer.suggestions) {
         outcome.holders.push_back(suggestion.engine);
     }
@@ -159,7 +213,8 @@
     ask.router = members.self();
     ask.chat = keys.back();
     ask.resource = keys.front();
-    const auto answer = co_await askOwnerOf(ask);
+    const AskResult result = co_await asks_.ask(ask);
+    const auto &answer = result.answer;
     context_.counters.add("parts_asked", {{"result", answer ? "answered" : "no-answer"}});
     if (answer) {
         for (const peer::Suggestion &suggestion : answer->suggestions) {
@@ -202,73 +257,26 @@
     }
 }
 
-asio::awaitable<std::optional<peer::PermitAnswer>> PlaceService::askOwner(std::uint64_t owner,
-                                                                          peer::AskPermit ask)
-{
-    auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const auto address = members.addressOf(owner);
-    if (!address) {
-        co_return std::nullopt;
-    }
-    auto pending = std::make_shared<Pending>(
-            Pending{asio::steady_timer(context_.io, context_.settings.askTimeout), std::nullopt});
-    pending_[ask.request] = pending;
-    auto &peer = context_.kernel.find<services::PeerService>("peer");
-    peer.send(*address, ask);
-    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (!pending->answer) {
-        std::function<bool()> answered = [pending] { return pending->answer.has_value(); };
-        co_await peer.readPending(std::move(answered));
-        context_.counters.add("waits_rescued", {{"what", "place"}}, pending->answer ? 1 : 0);
-    }
-    pending_.erase(ask.request);
-    if (pending->answer) {
-        silences_.erase(owner);
-    } else {
-        noteSilent(owner);
-    }
-    co_return pending->answer;
-}
-
 std::uint32_t PlaceService::countAsk(const std::string &service)
 {
-    const auto count = asks_.try_emplace(service, forward::PlacePolicy{}.reportMaxAge).first;
+    const auto count = recentAsks_.try_emplace(service, forward::PlacePolicy{}.reportMaxAge).first;
     return static_cast<std::uint32_t>(std::lround(count->second.add(context_.now())));
 }
 
-void PlaceService::noteSilent(std::uint64_t owner)
-{
-    if (++silences_[owner] >= MaxSilences) {
-        silences_.erase(owner);
-        context_.kernel.find<services::MembershipService>("membership").noteUnreachable(owner);
-    }
-}
-
-void PlaceService::giveBack(const Place &place)
-{
-    auto &members = context_.kernel.find<services::MembershipService>("membership");
-    if (place.asked == members.self()) {
-        owner_.giveBack(place.engine, place.request);
-    } else if (const auto address = members.addressOf(place.asked); place.asked != 0 && address) {
-        context_.kernel.find<services::PeerService>("peer").send(
-                *address, peer::GiveBack{place.request, place.engine, peer::Observed::Served});
-    }
-}
-
 void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
 {
     if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
-        context_.kernel.find<services::PeerService>("peer").send(from, owner_.decide(*ask));
+        context_.kernel.find<services::PeerService>("peer").send(from, owner_.decide(*ask, from));
+        owner_.settle();
     } else if (const auto *const placed = std::get_if<peer::Placed>(&message)) {
         owner_.noteHolder(placed->chat, placed->engine);
     } else if (const auto *const back = std::get_if<peer::GiveBack>(&message)) {
-        owner_.giveBack(back->resource, back->request);
+        owner_.giveBack({.request = back->request,
+                         .engine = back->resource,
+                         .unused = back->observed == peer::Observed::Unused,
+                         .rejected = back->rejected});
     } else if (const auto *const answer = std::get_if<peer::PermitAnswer>(&message)) {
-        const auto waiting = pending_.find(answer->request);
-        if (waiting != pending_.end()) {
-            waiting->second->answer = *answer;
-            waiting->second->timer.cancel();
-        }
+        asks_.receive(*answer);
     }
 }
 
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -9,32 +9,48 @@
 
 #include "forward/FleetSizeEstimate.h"
 #include "forward/RecentCount.h"
+#include "gateway/PlaceAsks.h"
 #include "gateway/PlaceOwner.h"
 #include "peer/Messages.h"
 #include "services/MembershipService.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 
 namespace limereel::gateway {
 
-/** A lease on one slot of an engine, granted by its owner or taken without the owner's answer. */
-struct Place
-{
-    std::uint64_t request = 0;
-    std::uint64_t engine = 0;
-    std::uint64_t owner = 0; ///< The box that granted it; 0: none did.
-    std::uint64_t asked = 0; ///< The box asked; may count it even if its answer was lost.
-};
-
 /** The result of asking for a place. */
 struct PlaceOutcome
 {
     std::optional<Place> place;                 ///< Empty if the owner refused it.
     std::vector<membership::ShortHash> holders; ///< Engines that hold the prompt's shared parts.
     bool cold = false; ///< Refused because the server is cold and has reached its limit.
+    /** The owner didn't answer; \c place is set, unless the server is cold. */
+    bool unanswered = false;
+    /** The server has no place for this request. Else, without a place, it is above the load bound.
+     */
+    bool noPlace = false;
+    bool queued = false;             ///< The request waited at the owner.
+    bool withdrawn = false;          ///< The request waited longer than expected and was withdrawn.
+    kernel::Duration expectedWait{}; ///< For a place there, if it has none.
+    kernel::Duration comeBack{};     ///< When the caller should return; zero: not stated.
+    std::uint32_t load = 0;          ///< Of the server, as its owner said.
+    std::uint32_t limit = 0;         ///< Places that the owner grants; 0: unknown.
+    std::optional<kernel::Instant> answeredAt; ///< When the owner's last answer came.
+};
+
+/** What the owner of a server needs to know of a request in order to let it wait. */
+struct PlaceTerms
+{
+    std::uint64_t partsKey = 0;     ///< Key of the prompt's shared parts; 0: there are none.
+    std::uint32_t priority = 0;     ///< 0 goes first.
+    std::uint64_t organisation = 0; ///< Hash of its name; 0: none.
+    std::uint64_t identity = 0;     ///< What it has in common with its repetition.
+    kernel::Duration wait{};        ///< How long it can wait and still be answered in time.
+    kernel::Duration late{};        ///< How long beyond that it is still of use.
+    kernel::Duration lease{};       ///< How long it may hold the place.
+    PlaceAsks::OnWait onWait;
 };
 
 /** Which engines hold the shared parts of a prompt, according to the box that keeps their index. */
@@ -62,6 +78,9 @@
     boost::asio::awaitable<PlaceOutcome> acquire(forward::ListedServer server,
                                                  std::uint64_t partsKey);
 
+    /** The same where admission control is enabled: the request may wait at the owner. */
+    boost::asio::awaitable<PlaceOutcome> acquire(forward::ListedServer server, PlaceTerms terms);
+
     /** Asks for permission to send one more request to a plain server that may be cold. */
     boost::asio::awaitable<bool> acquireColdSend(forward::ListedServer server);
 
@@ -81,34 +100,29 @@
     /** Tells the box that keeps the index that \a server holds the parts from now on. */
     void reportParts(const forward::Prompt &prompt, const forward::ListedServer &server);
 
-    void giveBack(const Place &place);
+    /** Tells the owner that \a place has ended. */
+    void giveBack(const Place &place, const PlaceUse &use = {});
 
-private:
-    struct Pending
-    {
-        boost::asio::steady_timer timer;
-        std::optional<peer::PermitAnswer> answer;
-    };
+    /** Before a planned stop: refuses the asks that wait here, and withdraws this box's own. */
+    void beginLeaving();
 
-    boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwnerOf(peer::AskPermit ask);
+private:
     peer::AskPermit askOf(const forward::ListedServer &server, peer::AskKind kind) const;
+    peer::AskPermit placeAskFor(const forward::ListedServer &server, std::uint64_t partsKey);
+    PlaceOutcome outcomeOf(const forward::ListedServer &server, const AskResult &result);
     void applyAnswer(const forward::ListedServer &server, const peer::PermitAnswer &answer,
                      PlaceOutcome &outcome);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
-    boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
-                                                                       peer::AskPermit ask);
     void reportToKeyOwner(std::uint64_t home, std::uint64_t partsKey,
                           const forward::ListedServer &server);
-    void noteSilent(std::uint64_t owner);
     std::uint32_t countAsk(const std::string &service);
 
     services::Context &context_;
     FleetView &fleetView_;
     PlaceOwner owner_;
-    std::map<std::string, forward::RecentCount> asks_; ///< Recent asks of this box, by service.
-    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< Unanswered asks, by request.
-    forward::FleetSizeEstimate fleet_;      ///< Number of boxes that share the retry budget.
-    std::map<std::uint64_t, int> silences_; ///< Unanswered asks in a row, by owner.
+    PlaceAsks asks_;
+    std::map<std::string, forward::RecentCount> recentAsks_; ///< Of this box, by service.
+    forward::FleetSizeEstimate fleet_; ///< Number of boxes that share the retry budget.
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -18,6 +18,8 @@
 constexpr kernel::Duration DefaultPatience = 60s;
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
+constexpr const char *NoPlace =
+        "no backend server that could run it has a place for it in time; come back then";
 
 } // namespace
 
@@ -62,7 +64,7 @@
     });
     run_.fleetView.budget().countRequest(run_.service, run_.began);
     co_await runAttempts();
-    releasePlace();
+    releasePlace(AttemptEnd::Unsent);
 }
 
 std::optional<RequestRun::Refusal> RequestRun::admit()
@@ -155,7 +157,7 @@
         run_.choice = std::move(*choice);
         run_.beginAttempt();
         const AttemptEnd end = co_await attempt();
-        releasePlace();
+        releasePlace(end);
         co_await noteEnd(end);
         if (end == AttemptEnd::Answered) {
             co_return;
@@ -203,12 +205,20 @@
     co_await run_.guard.noteEnd(sight, std::move(tried));
 }
 
-void RequestRun::releasePlace()
+void RequestRun::releasePlace(AttemptEnd end)
 {
-    if (run_.place) {
-        places_.giveBack(*run_.place);
-        run_.place.reset();
+    if (!run_.place) {
+        return;
     }
+    const bool rejected = end == AttemptEnd::Rejected;
+    PlaceUse use;
+    use.rejected = rejected && run_.failure == forward::Failure::Full;
+    use.unused = end == AttemptEnd::Unsent || (rejected && !use.rejected);
+    if (run_.sentAt && run_.headAt) {
+        use.first = *run_.headAt - *run_.sentAt;
+    }
+    places_.giveBack(*run_.place, use);
+    run_.place.reset();
 }
 
 bool RequestRun::mayTryAgain(AttemptEnd end)
@@ -290,6 +300,8 @@
     if (run_.counts.sends > 0) {
         const bool late = reason == Interruption::Deadline;
         refusal = {late ? ResultCode::AnswerLost : ResultCode::BackendFailed, run_.lastMessage};
+    } else if (selection_.noPlace()) {
+        refusal = {ResultCode::ServersFull, NoPlace, true, selection_.retryDelay()};
     } else if (selection_.allInBackoff()) {
         refusal = {ResultCode::ServersRest, AllRest, true};
     } else if (run_.counts.rejected > 0) {
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -47,7 +47,7 @@
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
-    void releasePlace();
+    void releasePlace(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
     bool mayTryAgain(AttemptEnd end);
 
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -117,6 +117,28 @@
                 "The request isn't sent, as backend servers have ended under it.");
 }
 
+void logNoPlace(const RunState &run, const std::string &server, const PlaceOutcome &outcome)
+{
+    const kernel::Instant now = run.context.now();
+    const char *why = outcome.withdrawn    ? "withdrawn"
+                      : outcome.unanswered ? "no-answer"
+                                           : "refused";
+    log().event("no-place",
+                {{"request", run.call.id},
+                 {"server", server},
+                 {"why", why},
+                 {"limit", outcome.limit},
+                 {"load", outcome.load},
+                 {"own_load", run.fleetView.servers().ownLoadAt(server)},
+                 {"expected_wait_ms", outcome.expectedWait / 1ms},
+                 {"come_back_ms", outcome.comeBack / 1ms},
+                 {"priority", run.priority.value_or(0)},
+                 {"organisation", run.organisation},
+                 {"answer_age_ms", millisecondsSince(outcome.answeredAt, now)},
+                 {"left_ms", run.left() / 1ms}},
+                "The owner of a backend server has no place there for the request.");
+}
+
 void logEnd(const RunState &run, std::string_view result, const std::string &why)
 {
     const kernel::Duration took = run.context.now() - run.began;
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -30,6 +30,9 @@
 /** Logs that the request isn't sent because backend servers crashed while running it. */
 void logSendDenied(RunState &run, const services::SendPermission &permission);
 
+/** Logs that the request got no place at \a server. */
+void logNoPlace(const RunState &run, const std::string &server, const PlaceOutcome &outcome);
+
 /** Logs the end of the request. */
 void logEnd(const RunState &run, std::string_view result, const std::string &why = {});
 
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -11,6 +11,9 @@
     if (connection) {
         connection->close();
     }
+    if (endWait) {
+        endWait();
+    }
 }
 
 void AttemptCounts::add(AttemptEnd end)
@@ -34,6 +37,7 @@
 void RunState::beginAttempt()
 {
     sentAt.reset();
+    headAt.reset();
     firstPiece.reset();
     failure.reset();
     answeredWhole = false;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -10,6 +10,7 @@
 #include "http/Server.h"
 #include "services/CrashGuard.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,9 +26,11 @@
 {
     Interruption reason = Interruption::None;
     http::KeptConnection::Ptr connection; ///< The one to the backend server, while it is in use.
+    std::function<void()> endWait;        ///< Ends the wait for a place, while there is one.
     bool ended = false;                   ///< The run has ended.
 
-    /** Closes the connection to the backend server, so that reading its answer fails. */
+    /** Closes the connection to the backend server, so that reading its answer fails, and ends the
+     * wait for a place. */
     void end(Interruption why);
 };
 
@@ -76,6 +79,7 @@
 
     forward::Choice choice;                    ///< The server of this attempt.
     std::optional<kernel::Instant> sentAt;     ///< When this attempt was sent; empty before that.
+    std::optional<kernel::Instant> headAt;     ///< When the head of its answer had arrived.
     std::optional<kernel::Instant> firstPiece; ///< When this attempt's answer began to arrive.
     std::optional<forward::Failure> failure;   ///< How this attempt failed.
     bool answeredWhole = false; ///< The server of this attempt has sent a complete answer.
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -1,5 +1,9 @@
 #include "gateway/ServerSelection.h"
 
+#include "gateway/RunLog.h"
+
+#include <algorithm>
+
 namespace limereel::gateway {
 
 namespace asio = boost::asio;
@@ -7,6 +11,11 @@
 namespace {
 
 constexpr std::size_t MaxOwnersAsked = 3; ///< Owners that are asked for a place.
+// Owners that may queue the request. A second one still finds a place where the first has ended or
+// its answer was lost; each further one costs the caller more time than it is likely to gain.
+constexpr std::size_t MaxWaitingAsks = 2;
+// The end of a request reaches the owner within this time of its deadline, unless it is lost.
+constexpr kernel::Duration LeaseMargin = 500ms;
 // Shortest time between two restarts that are assumed of one server; longer than any is cold.
 constexpr kernel::Duration MinRestartInterval = 20s;
 constexpr const char *AllCold = "all backend servers that could run it have just started and have "
@@ -17,7 +26,6 @@
 } // namespace
 
 // An engine has a limited number of slots, so the owner of the chosen engine has to grant a place.
-// After several full engines another one is used without a place, since waiting here wouldn't help.
 // A cold server is never used without permission, because too many requests would overload it.
 asio::awaitable<std::optional<forward::Choice>> ServerSelection::choose()
 {
@@ -28,24 +36,91 @@
     requirements.regions = run_.regions;
     requirements.takeParts = run_.movesParts;
     requirements.alone = run_.guard.isAlone();
+    begin();
     while (true) {
         auto choice = run_.fleetView.servers().choose(requirements, run_.context.now(),
                                                       run_.context.random);
         if (!choice) {
-            noteNoServer(requirements);
-            run_.lastMessage = requirements.barred.empty() ? run_.lastMessage : AllCold;
-            co_return choice;
+            co_return co_await withoutChoice(requirements);
         }
         const bool learned = co_await learnHolders(requirements, *choice);
         if (learned) {
             continue;
         }
         noteTrial(*choice);
-        const bool taken = co_await takePlace(requirements, *choice);
-        if (taken) {
+        const Step step = co_await takePlace(requirements, *choice);
+        if (step == Step::Taken) {
             co_return choice;
         }
+        if (step == Step::Refused) {
+            noPlace_ = true;
+            co_return std::nullopt;
+        }
+        const std::size_t asked = full_.size() + requirements.full.size();
+        if (!mayWait_ && !full_.empty() && asked >= MaxOwnersAsked) {
+            auto queued = co_await queueAtBest(requirements);
+            if (queued || noPlace_) {
+                co_return queued;
+            }
+        }
+    }
+}
+
+bool ServerSelection::isShort() const
+{
+    return admits() && run_.fleetView.shortServices().isShort(run_.service, run_.context.now());
+}
+
+void ServerSelection::begin()
+{
+    mayWait_ = isShort();
+    waitingAsks_ = MaxWaitingAsks;
+    full_.clear();
+    aboveBound_.reset();
+    noPlace_ = false;
+}
+
+// No server is left that could be asked.
+asio::awaitable<std::optional<forward::Choice>>
+ServerSelection::withoutChoice(forward::ServerRequirements &requirements)
+{
+    if (!full_.empty()) {
+        std::optional<forward::Choice> queued;
+        if (!mayWait_) {
+            queued = co_await queueAtBest(requirements);
+        }
+        noPlace_ = !queued;
+        co_return queued;
+    }
+    if (aboveBound_) {
+        co_return aboveBound_;
+    }
+    noteNoServer(requirements);
+    run_.lastMessage = requirements.barred.empty() ? run_.lastMessage : AllCold;
+    co_return std::nullopt;
+}
+
+// Lets the owner with the least expected wait queue the request. Returns nothing with noPlace_
+// unset if the owner gave no answer, so that one other server is asked.
+asio::awaitable<std::optional<forward::Choice>>
+ServerSelection::queueAtBest(forward::ServerRequirements &requirements)
+{
+    mayWait_ = true;
+    forward::Choice best = std::ranges::min_element(full_, {}, &FullServer::expectedWait)->choice;
+    const PlaceTerms offered = terms(requirements);
+    if (offered.wait + offered.late <= 0s) {
+        noPlace_ = true;
+        co_return std::nullopt;
+    }
+    const std::size_t refusals = full_.size();
+    const Step step = co_await admit(requirements, best);
+    if (step == Step::Taken) {
+        co_return best;
     }
+    // A refusal by the owner is final, as the others had longer waits still.
+    const bool refused = full_.size() > refusals && !full_.back().silent;
+    noPlace_ = step == Step::Refused || refused;
+    co_return std::nullopt;
 }
 
 void ServerSelection::noteNoServer(const forward::ServerRequirements &requirements)
@@ -86,22 +161,43 @@
     }
 }
 
-// Returns false if another server has to be chosen; \a requirements then excludes this one.
-asio::awaitable<bool> ServerSelection::takePlace(forward::ServerRequirements &requirements,
-                                                 forward::Choice &choice)
+asio::awaitable<ServerSelection::Step>
+ServerSelection::takePlace(forward::ServerRequirements &requirements, forward::Choice &choice)
 {
-    forward::ListedServer asked = choice.server;
+    if (admits() && (requirements.prompt != nullptr || mayWait_)) {
+        co_return co_await admit(requirements, choice);
+    }
+    bool taken = false;
     if (requirements.prompt == nullptr) {
-        // The owner is asked even if this box considers the server warm, because it may know more.
-        bool granted = true;
-        if (run_.fleetView.coldStarts().bounded(run_.service)) {
-            granted = co_await places_.acquireColdSend(std::move(asked));
-        }
-        if (!granted) {
-            excludeCold(requirements, choice.server.id);
-        }
-        co_return granted;
+        taken = co_await takeColdSend(requirements, choice);
+    } else {
+        taken = co_await takePlaceByBound(requirements, choice);
+    }
+    co_return taken ? Step::Taken : Step::Next;
+}
+
+// The owner is asked even if this box considers the server warm, because it may know more. Returns
+// false if another server has to be chosen; \a requirements then excludes this one.
+asio::awaitable<bool> ServerSelection::takeColdSend(forward::ServerRequirements &requirements,
+                                                    const forward::Choice &choice)
+{
+    bool granted = true;
+    if (run_.fleetView.coldStarts().bounded(run_.service)) {
+        forward::ListedServer asked = choice.server;
+        granted = co_await places_.acquireColdSend(std::move(asked));
+    }
+    if (!granted) {
+        excludeCold(requirements, choice.server.id);
     }
+    co_return granted;
+}
+
+// Without admission control. After several full engines another one is used without a place, since
+// waiting here wouldn't help. Returns false if another server has to be chosen.
+asio::awaitable<bool> ServerSelection::takePlaceByBound(forward::ServerRequirements &requirements,
+                                                        forward::Choice &choice)
+{
+    forward::ListedServer asked = choice.server;
     const std::uint64_t partsKey = forward::sharedPartsKey(run_.call.prompt);
     PlaceOutcome outcome = co_await places_.acquire(std::move(asked), partsKey);
     run_.place = outcome.place;
@@ -119,6 +215,133 @@
     co_return false;
 }
 
+// With admission control: asks the owner of the chosen server for a place, and waits there if the
+// request may.
+asio::awaitable<ServerSelection::Step>
+ServerSelection::admit(forward::ServerRequirements &requirements, forward::Choice &choice)
+{
+    forward::ListedServer asked = choice.server;
+    PlaceTerms offered = terms(requirements);
+    PlaceOutcome outcome = co_await places_.acquire(std::move(asked), std::move(offered));
+    std::ranges::move(outcome.holders, std::back_inserter(requirements.holders));
+    if (outcome.noPlace || outcome.queued) {
+        run_.fleetView.shortServices().noteShort(run_.service, run_.context.now());
+    }
+    if (outcome.unanswered && outcome.place && !mayUseUnanswered(choice.server)) {
+        places_.giveBack(*outcome.place, {.unused = true});
+        outcome.place.reset();
+        outcome.noPlace = true;
+    }
+    run_.place = outcome.place;
+    if (run_.stopped()) {
+        co_return Step::Refused;
+    }
+    if (outcome.cold) {
+        excludeCold(requirements, choice.server.id);
+        co_return Step::Next;
+    }
+    if (outcome.noPlace) {
+        co_return afterRefusal(requirements, choice, outcome);
+    }
+    if (!run_.place && !requirements.spread) {
+        co_return afterBound(requirements, choice);
+    }
+    if (requirements.prompt != nullptr) {
+        co_await assignPartSource(requirements, choice);
+    }
+    co_return Step::Taken;
+}
+
+// While a service isn't short, a request whose owner doesn't answer is sent, as without admission
+// control. While it is short, it is sent only where this box itself knows of a free slot.
+bool ServerSelection::mayUseUnanswered(const forward::ListedServer &server) const
+{
+    const double load = run_.fleetView.servers().load(server.id, run_.context.now());
+    return !isShort() || load < std::max(1U, server.slots);
+}
+
+ServerSelection::Step ServerSelection::afterRefusal(forward::ServerRequirements &requirements,
+                                                    const forward::Choice &choice,
+                                                    const PlaceOutcome &outcome)
+{
+    logNoPlace(run_, choice.server.id, outcome);
+    retryDelay_ = outcome.comeBack > 0s ? outcome.comeBack : retryDelay_;
+    full_.push_back({choice, outcome.expectedWait, outcome.withdrawn || outcome.unanswered});
+    requirements.tried.push_back(choice.server.id);
+    requirements.spread = false;
+    if (mayWait_ && --waitingAsks_ == 0) {
+        return Step::Refused;
+    }
+    return Step::Next;
+}
+
+// The server is above the load bound. After several of these, a random other one is used without a
+// place, since all boxes would otherwise crowd at the next in the order.
+ServerSelection::Step ServerSelection::afterBound(forward::ServerRequirements &requirements,
+                                                  const forward::Choice &choice)
+{
+    requirements.full.push_back(choice.server.id);
+    const bool enough = requirements.full.size() >= MaxOwnersAsked;
+    if (enough && mayWait_ && !full_.empty()) {
+        return Step::Refused;
+    }
+    requirements.spread = enough && full_.empty();
+    if (requirements.prompt == nullptr) {
+        requirements.tried.push_back(choice.server.id);
+        aboveBound_ = choice;
+    }
+    return Step::Next;
+}
+
+PlaceTerms ServerSelection::terms(const forward::ServerRequirements &requirements)
+{
+    PlaceTerms terms;
+    if (requirements.prompt != nullptr) {
+        terms.partsKey = forward::sharedPartsKey(run_.call.prompt);
+    }
+    terms.priority = run_.priority.value_or(0);
+    terms.organisation = run_.organisation.empty() ? 0 : kernel::hashOf(run_.organisation);
+    terms.identity = identity();
+    terms.lease = std::max<kernel::Duration>(run_.left(), 0s) + LeaseMargin;
+    if (!mayWait_) {
+        return terms;
+    }
+    constexpr kernel::Duration None{};
+    const kernel::Duration elapsed = run_.context.now() - run_.began;
+    const kernel::Duration usual = run_.fleetView.answerTimes().usual(run_.service);
+    const kernel::Duration whole = run_.deadline - run_.began;
+    terms.wait = std::max(None, std::min(run_.route.objective, whole) - elapsed - usual);
+    // A caller that is refused by then still has as long again to try elsewhere.
+    const kernel::Duration half = whole / 2;
+    terms.late = std::max(None, half - elapsed - terms.wait);
+    if (run_.route.stream) {
+        // Callers of streams leave after some objectives without an event.
+        terms.late = std::min(terms.late, run_.route.objective);
+    }
+    terms.onWait = [interrupt = run_.interrupt](std::function<void()> end) {
+        interrupt->endWait = std::move(end);
+        if (interrupt->endWait && interrupt->reason != Interruption::None) {
+            interrupt->endWait();
+        }
+    };
+    return terms;
+}
+
+std::uint64_t ServerSelection::identity()
+{
+    if (!identity_) {
+        std::string parts;
+        for (const std::string_view part : std::initializer_list<std::string_view>{
+                     run_.organisation, run_.request.method, run_.call.host, run_.request.target,
+                     run_.request.body}) {
+            parts += part;
+            parts += '\0';
+        }
+        identity_ = kernel::hashOf(parts);
+    }
+    return *identity_;
+}
+
 // After several cold servers that accept no more requests, excludes all cold ones: each further
 // query would cost a message and time.
 void ServerSelection::excludeCold(forward::ServerRequirements &requirements, const std::string &id)
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -1,6 +1,12 @@
 /** \file
  * Chooses the backend server for each attempt of a request, and acquires what it takes to send the
  * request there: a place at an engine, or permission to use a cold server.
+ *
+ * Where admission control is enabled, a request needs a place at an engine always, and at a plain
+ * server while its service is short of capacity. While the service isn't short, up to three owners
+ * are asked without waiting, and one of those that had no place may then queue the request. While
+ * it is short, one owner after the other may queue it. If none has a place in time, there is no
+ * server.
  */
 #pragma once
 
@@ -32,9 +38,49 @@
     /** Whether the last choice failed because all servers are in backoff. */
     bool allInBackoff() const { return allInBackoff_; }
 
+    /** Whether the last choice failed because no server has a place for the request in time. */
+    bool noPlace() const { return noPlace_; }
+
+    /** When the caller should return then, as the last owner said; zero: none said. */
+    kernel::Duration retryDelay() const { return retryDelay_; }
+
 private:
-    boost::asio::awaitable<bool> takePlace(forward::ServerRequirements &requirements,
+    /** What becomes of a chosen server. */
+    enum class Step : std::uint8_t {
+        Taken,  ///< The request is sent there.
+        Next,   ///< Another server is chosen.
+        Refused ///< No server is used.
+    };
+
+    /** A server that has no place for the request. */
+    struct FullServer
+    {
+        forward::Choice choice;
+        kernel::Duration expectedWait{};
+        bool silent = false; ///< Its owner didn't answer, or not in the time that it had named.
+    };
+
+    bool admits() const { return run_.context.settings.gateway.admission; }
+    bool isShort() const;
+    void begin();
+    boost::asio::awaitable<Step> takePlace(forward::ServerRequirements &requirements,
                                            forward::Choice &choice);
+    boost::asio::awaitable<bool> takePlaceByBound(forward::ServerRequirements &requirements,
+                                                  forward::Choice &choice);
+    boost::asio::awaitable<bool> takeColdSend(forward::ServerRequirements &requirements,
+                                              const forward::Choice &choice);
+    boost::asio::awaitable<Step> admit(forward::ServerRequirements &requirements,
+                                       forward::Choice &choice);
+    boost::asio::awaitable<std::optional<forward::Choice>>
+    withoutChoice(forward::ServerRequirements &requirements);
+    boost::asio::awaitable<std::optional<forward::Choice>>
+    queueAtBest(forward::ServerRequirements &requirements);
+    Step afterRefusal(forward::ServerRequirements &requirements, const forward::Choice &choice,
+                      const PlaceOutcome &outcome);
+    Step afterBound(forward::ServerRequirements &requirements, const forward::Choice &choice);
+    bool mayUseUnanswered(const forward::ListedServer &server) const;
+    PlaceTerms terms(const forward::ServerRequirements &requirements);
+    std::uint64_t identity();
     boost::asio::awaitable<bool> learnHolders(forward::ServerRequirements &requirements,
                                               const forward::Choice &choice);
     void noteTrial(const forward::Choice &choice);
@@ -47,6 +93,15 @@
     PlaceService &places_;
     std::vector<std::string> tried_;
     bool allInBackoff_ = false;
+
+    // Of one choice where admission control is enabled.
+    bool mayWait_ = false;                      ///< Whether owners may queue the request.
+    std::size_t waitingAsks_ = 0;               ///< Asks left that may wait.
+    std::vector<FullServer> full_;              ///< Servers whose owners had no place.
+    std::optional<forward::Choice> aboveBound_; ///< The last server that is above the load bound.
+    bool noPlace_ = false;
+    kernel::Duration retryDelay_{};
+    std::optional<std::uint64_t> identity_; ///< Computed when first needed.
 };
 
 } // namespace limereel::gateway
