Plain servers are chosen by pace, and in the order of the request while they are short

Change: ServerPolicy::comparePaces follows [gateway] admission, answer times go to the ServerTable, and a request of a plain service that is short has its identity as order, so that a caller that returns meets the owner that told it to. While the owner is silent, hasFreeSlot() decides.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -271,6 +271,9 @@
     const kernel::Instant now = run_.context.now();
     const kernel::Duration taken = now - run_.sentAt.value_or(now);
     run_.fleetView.answerTimes().note(run_.service, taken);
+    if (!server_.engine) {
+        run_.fleetView.servers().noteAnswerTime(server_.id, taken, now);
+    }
 }
 
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -51,6 +51,7 @@
     policy.loadMultiple = settings.gateway.loadMultiple;
     policy.partRemembered = settings.gateway.partRemembered * 6;
     policy.maxBackoff = settings.gateway.longestRest;
+    policy.comparePaces = settings.gateway.admission;
     return policy;
 }
 
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -1,8 +1,8 @@
 /** \file
- * Asks the owner of an engine for a place, which is a lease on one slot of the engine, and passes
+ * Asks the owner of a backend server for a place, which is a lease on one of its slots, and passes
  * the asks of other boxes on to this box's own PlaceOwner.
  *
- * The owner of an engine is found by rendezvous hashing over the live boxes. If the owner doesn't
+ * The owner of a server is found by rendezvous hashing over the live boxes. If the owner doesn't
  * answer in time, the asking box decides on what it knows itself.
  */
 #pragma once
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -36,7 +36,7 @@
     requirements.regions = run_.regions;
     requirements.takeParts = run_.movesParts;
     requirements.alone = run_.guard.isAlone();
-    begin();
+    begin(requirements);
     while (true) {
         auto choice = run_.fleetView.servers().choose(requirements, run_.context.now(),
                                                       run_.context.random);
@@ -71,13 +71,16 @@
     return admits() && run_.fleetView.shortServices().isShort(run_.service, run_.context.now());
 }
 
-void ServerSelection::begin()
+void ServerSelection::begin(forward::ServerRequirements &requirements)
 {
     mayWait_ = isShort();
     waitingAsks_ = MaxWaitingAsks;
     full_.clear();
     aboveBound_.reset();
     noPlace_ = false;
+    if (mayWait_ && requirements.prompt == nullptr) {
+        requirements.order = identity();
+    }
 }
 
 // No server is left that could be asked.
@@ -256,8 +259,7 @@
 // control. While it is short, it is sent only where this box itself knows of a free slot.
 bool ServerSelection::mayUseUnanswered(const forward::ListedServer &server) const
 {
-    const double load = run_.fleetView.servers().load(server.id, run_.context.now());
-    return !isShort() || load < std::max(1U, server.slots);
+    return !isShort() || run_.fleetView.servers().hasFreeSlot(server.id, run_.context.now());
 }
 
 ServerSelection::Step ServerSelection::afterRefusal(forward::ServerRequirements &requirements,
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -62,7 +62,7 @@
 
     bool admits() const { return run_.context.settings.gateway.admission; }
     bool isShort() const;
-    void begin();
+    void begin(forward::ServerRequirements &requirements);
     boost::asio::awaitable<Step> takePlace(forward::ServerRequirements &requirements,
                                            forward::Choice &choice);
     boost::asio::awaitable<bool> takePlaceByBound(forward::ServerRequirements &requirements,
