--- a/test/platform/PlaceWaitTest.cpp
+++ b/test/platform/PlaceWaitTest.cpp
@@ -96,8 +96,8 @@
 /** The same with another box, which the test plays, and a server that this box owns. */
 struct ShortageOfTwoBoxes : Shortage
 {
-    /** Starts with a server that the other box owns, while its service is short. */
-    void startWithOther()
+    /** Starts with a server that the other box owns, by default while its service is short. */
+    void startWithOther(bool isShort = true)
     {
         theirs = std::make_unique<standin::RunnerStandin>(io_, idOwnedBy("box-2"),
                                                           support::freeEndpoint());
@@ -110,7 +110,9 @@
                 .box = kernel::hashOf("box-2"), .incarnation = 1, .version = 1};
         other->send(peer::Heartbeat{{state}, {}});
         until([this] { return boxes() == 2; }, "the other box is known");
-        world().shortServices().noteShort("pool", context().now());
+        if (isShort) {
+            world().shortServices().noteShort("pool", context().now());
+        }
     }
 
     std::size_t boxes()
@@ -174,11 +176,28 @@
         return pending;
     }
 
-    void answer(PermitResult result, std::uint32_t waitMs = 0)
+    /** Begins a request with a prompt, whose engine the other box owns. */
+    std::shared_ptr<support::PendingCall> beginWithPrompt()
+    {
+        return begin(promptRequest("/stream/x"));
+    }
+
+    /** The next ask for a place at an engine; asks for holders of prompt parts are answered. */
+    void nextPlaceAsk()
+    {
+        asked = next<peer::AskPermit>();
+        while (asked.kind != peer::AskKind::Engine) {
+            answer(PermitResult::Redirected);
+            asked = next<peer::AskPermit>();
+        }
+    }
+
+    void answer(PermitResult result, std::uint32_t waitMs = 0, std::uint32_t comeBackMs = 0)
     {
         peer::PermitAnswer message{
                 .request = asked.request, .result = result, .suggestions = {}, .load = 2};
         message.waitMs = waitMs;
+        message.comeBackMs = comeBackMs;
         message.limit = 2;
         other->send(message);
     }
@@ -342,7 +361,7 @@
     BOOST_TEST(!pending->done);
 }
 
-// Failure: an answer Queued that came late, behind the grant, made the request wait again.
+// Failure: the owner didn't learn what it needs for its decision, or that the server was full.
 BOOST_FIXTURE_TEST_CASE(waitingRequest_isGranted_runsAndTellsTheOwnerOfTheRejection,
                         ShortageOfTwoBoxes)
 {
@@ -365,6 +384,70 @@
     BOOST_TEST((back.observed == peer::Observed::Served));
 }
 
+// Failure: a request of a service that isn't short waited at the first owner, though others might
+// have had a place at once; and one that no owner had a place for was refused without a wait.
+BOOST_FIXTURE_TEST_CASE(promptRequest_ownersHaveNoPlace_isAskedWithoutWaitingFirst,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther(false);
+    const auto pending = beginWithPrompt();
+    nextPlaceAsk();
+    BOOST_TEST(asked.waitMs + asked.lateMs == 0U);
+    answer(PermitResult::Full, 100, 100);
+    nextPlaceAsk();
+    BOOST_TEST(asked.waitMs > 0U);
+    BOOST_TEST(world().shortServices().count(context().now()) == 1U);
+    answer(PermitResult::Queued, 9000);
+    until([this] { return places("queued") == 1; }, "the wait");
+    answer(PermitResult::Granted);
+    BOOST_TEST(finish(pending).status == 200);
+    BOOST_TEST(theirs->runs() == 1U);
+}
+
+// Failure: a refusal by the load bound alone, which says nothing about free slots, refused
+// requests.
+BOOST_FIXTURE_TEST_CASE(promptRequest_ownersAreAboveTheBound_isSentWithoutAPlace,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther(false);
+    const auto pending = beginWithPrompt();
+    while (places("full") < 4) {
+        nextPlaceAsk();
+        BOOST_TEST(asked.waitMs + asked.lateMs == 0U);
+        const std::uint64_t before = places("full");
+        answer(PermitResult::Full);
+        until([&] { return places("full") > before; }, "the answer");
+    }
+    BOOST_TEST(finish(pending).status == 200);
+    BOOST_TEST(world().shortServices().count(context().now()) == 0U);
+}
+
+// Failure: a request for which the owner that had queued it refused a place waited once more.
+BOOST_FIXTURE_TEST_CASE(waitingRequest_isRefused_isAnsweredAtOnceWithTheOwnersDelay,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther();
+    const auto pending = beginAsking();
+    answer(PermitResult::Queued, 9000);
+    until([this] { return places("queued") == 1; }, "the wait");
+    answer(PermitResult::Full, 400, 1250);
+    const auto refused = finish(pending);
+    checkRefused(refused);
+    BOOST_TEST(refused.fields.get("Retry-After") == "1.25");
+    BOOST_TEST(waits("refused") == 1U);
+    // Its repetition is known by its identity, and another request isn't taken for it.
+    const std::uint64_t identity = asked.identity;
+    const auto again = beginAsking();
+    BOOST_TEST(asked.identity == identity);
+    answer(PermitResult::Full, 400, 1250);
+    finish(again);
+    const auto different = begin(request("POST", "/once/y"));
+    asked = next<peer::AskPermit>();
+    BOOST_TEST(asked.identity != identity);
+    answer(PermitResult::Full, 400, 1250);
+    finish(different);
+}
+
 // Failure: while the owner was silent, requests went to a server that was full.
 BOOST_FIXTURE_TEST_CASE(ask_unansweredWhileShort_isSentOnlyWhereASlotIsFree, ShortageOfTwoBoxes)
 {
