--- a/src/gateway/PlaceAsks.cpp
+++ b/src/gateway/PlaceAsks.cpp
@@ -62,7 +62,7 @@
     co_await firstAnswer(result.place, ask, pending);
     result.queued = isQueued(pending->answer);
     if (result.queued) {
-        co_await waitForPlace(ask, pending, std::move(onWait));
+        co_await waitForPlace(result.place, ask, pending, std::move(onWait));
     }
     pending_.erase(ask.request);
     result.answer = pending->answer;
@@ -95,33 +95,66 @@
     }
 }
 
-// The owner's second answer ends the wait. The wait is longer than expected if that answer is lost,
-// if the owner has ended, or if other requests went ahead.
-asio::awaitable<void> PlaceAsks::waitForPlace(peer::AskPermit ask, PendingPtr pending,
+// The owner's second answer ends the wait. If it hasn't come when it was expected, other requests
+// may have gone ahead, the answer may be lost or the owner may have ended: the ask is repeated, and
+// the wait goes on only if the owner still answers.
+asio::awaitable<void> PlaceAsks::waitForPlace(Place place, peer::AskPermit ask, PendingPtr pending,
                                               OnWait onWait)
 {
     context_.counters.add("places", {{"result", "queued"}});
-    const kernel::Duration expected = std::chrono::milliseconds(pending->answer->waitMs);
-    const kernel::Duration useful =
-            std::chrono::milliseconds(ask.waitMs) + std::chrono::milliseconds(ask.lateMs);
-    pending->timer.expires_after(
-            std::min<kernel::Duration>(expected + context_.settings.askTimeout, useful));
+    const kernel::Instant usefulUntil = context_.now() + std::chrono::milliseconds(ask.waitMs)
+                                        + std::chrono::milliseconds(ask.lateMs);
     if (onWait) {
         onWait([pending] {
             pending->ended = true;
             pending->timer.cancel();
         });
     }
-    if (!pending->ended) {
+    bool confirmed = true;
+    while (confirmed && isQueued(pending->answer) && !pending->ended) {
+        const kernel::Duration left = usefulUntil - context_.now();
+        const kernel::Duration expected = std::chrono::milliseconds(pending->answer->waitMs);
+        const bool last = expected + context_.settings.askTimeout >= left;
+        pending->timer.expires_after(last ? left : expected + context_.settings.askTimeout);
         co_await waitForAnswer(pending);
+        if (last) {
+            break;
+        }
+        confirmed = co_await confirmWait(place, ask, pending);
     }
     if (onWait) {
         onWait({});
     }
+    countWait(*pending);
+}
+
+// Whether the owner still has the ask. Its answer may also be the one that is waited for.
+asio::awaitable<bool> PlaceAsks::confirmWait(Place place, peer::AskPermit ask, PendingPtr pending)
+{
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    if (place.asked == members.self() || !isQueued(pending->answer) || pending->ended) {
+        co_return true;
+    }
+    const auto address = members.addressOf(place.asked);
+    if (!address) {
+        co_return false;
+    }
+    pending->confirmed = false;
+    pending->timer.expires_after(context_.settings.askTimeout);
+    context_.kernel.find<services::PeerService>("peer").send(*address, ask);
+    co_await waitForAnswer(pending);
+    if (!pending->confirmed && isQueued(pending->answer)) {
+        noteSilent(place.asked);
+    }
+    co_return pending->confirmed;
+}
+
+void PlaceAsks::countWait(const Pending &pending)
+{
     const char *outcome = "withdrawn";
-    if (!isQueued(pending->answer)) {
-        outcome = pending->answer->result == peer::PermitResult::Granted ? "granted" : "refused";
-    } else if (pending->ended) {
+    if (!isQueued(pending.answer)) {
+        outcome = pending.answer->result == peer::PermitResult::Granted ? "granted" : "refused";
+    } else if (pending.ended) {
         outcome = "ended";
     }
     context_.counters.add("admission_waits", {{"outcome", outcome}});
@@ -132,8 +165,10 @@
 asio::awaitable<void> PlaceAsks::waitForAnswer(PendingPtr pending)
 {
     const bool second = isQueued(pending->answer);
-    const auto answered = [pending, second] {
-        return pending->answer.has_value() && !(second && isQueued(pending->answer));
+    const bool repeated = second && !pending->confirmed;
+    const auto answered = [pending, second, repeated] {
+        const bool confirmed = repeated && pending->confirmed;
+        return pending->answer.has_value() && (confirmed || !second || !isQueued(pending->answer));
     };
     co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (answered() || pending->ended) {
@@ -178,10 +213,12 @@
 {
     const auto waiting = pending_.find(answer.request);
     if (waiting != pending_.end()) {
-        // Queued is never a second answer; it may arrive twice, or behind the second one.
+        // Queued may arrive behind the answer that ends the wait, or twice.
         Pending &pending = *waiting->second;
-        if (answer.result != peer::PermitResult::Queued || !pending.answer) {
+        const bool queued = answer.result == peer::PermitResult::Queued;
+        if (!queued || !pending.answer || (isQueued(pending.answer) && !pending.confirmed)) {
             pending.answer = answer;
+            pending.confirmed = true;
             pending.timer.cancel();
         }
         return;
--- a/src/gateway/PlaceAsks.h
+++ b/src/gateway/PlaceAsks.h
@@ -3,8 +3,9 @@
  * place is no longer needed.
  *
  * Each message may be lost, delayed or duplicated. An ask that isn't answered in time counts as
- * unanswered; a request that waits at its owner for longer than expected is withdrawn; a grant that
- * arrives after that is given back.
+ * unanswered. A request that waits at its owner for longer than expected asks again, and is
+ * withdrawn if the owner doesn't answer or once it is no longer of use; a grant that arrives after
+ * that is given back.
  */
 #pragma once
 
@@ -85,7 +86,8 @@
     {
         boost::asio::steady_timer timer;
         std::optional<peer::PermitAnswer> answer;
-        bool ended = false; ///< The request has ended or is no longer to wait.
+        bool ended = false;    ///< The request has ended or is no longer to wait.
+        bool confirmed = true; ///< Unset from a repetition of the ask until it is answered.
     };
     using PendingPtr = std::shared_ptr<Pending>;
 
@@ -99,8 +101,10 @@
     Place placeOf(const peer::AskPermit &ask) const;
     PendingPtr addPending(std::uint64_t request);
     boost::asio::awaitable<void> firstAnswer(Place place, peer::AskPermit ask, PendingPtr pending);
-    boost::asio::awaitable<void> waitForPlace(peer::AskPermit ask, PendingPtr pending,
+    boost::asio::awaitable<void> waitForPlace(Place place, peer::AskPermit ask, PendingPtr pending,
                                               OnWait onWait);
+    boost::asio::awaitable<bool> confirmWait(Place place, peer::AskPermit ask, PendingPtr pending);
+    void countWait(const Pending &pending);
     boost::asio::awaitable<void> waitForAnswer(PendingPtr pending);
     void noteSilent(std::uint64_t owner);
 
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -394,22 +394,19 @@
     return reply;
 }
 
-// A cold server gets no more requests than it bears, however many places it has, and nobody waits
-// for one there.
+// A cold server gets no more requests than it bears, however many places it has. A request may wait
+// for a place there; whether the server is still cold is decided with the grant. A server above the
+// load bound may still be used when the others are, too. A cold one must not be.
 void PlaceOwner::refuseStart(const peer::AskPermit &ask, peer::PermitAnswer &reply)
 {
     const double perSecond = coldRate(ask);
-    const bool granted = reply.result == peer::PermitResult::Granted;
-    const bool starts = granted ? grantsStart(ask, perSecond) : perSecond <= 0;
-    if (starts) {
-        return;
-    }
-    if (granted || reply.result == peer::PermitResult::Queued) {
+    if (reply.result == peer::PermitResult::Granted && !grantsStart(ask, perSecond)) {
         book_.end({.request = ask.request, .server = ask.resource, .unused = true}, context_.now());
         reply.load = book_.load(ask.resource);
+        reply.result = peer::PermitResult::Cold;
+    } else if (reply.result == peer::PermitResult::Full && reply.comeBackMs == 0 && perSecond > 0) {
+        reply.result = peer::PermitResult::Cold;
     }
-    reply.result = peer::PermitResult::Cold;
-    reply.comeBackMs = 0;
 }
 
 peer::PermitAnswer PlaceOwner::answerOf(const admission::Decision &decision,
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -267,7 +267,10 @@
                                                     const PlaceOutcome &outcome)
 {
     logNoPlace(run_, choice.server.id, outcome);
-    retryDelay_ = outcome.comeBack > 0s ? outcome.comeBack : retryDelay_;
+    if (outcome.comeBack > 0s && !returnReserved_) {
+        retryDelay_ = outcome.comeBack;
+        returnReserved_ = mayWait_;
+    }
     full_.push_back({choice, outcome.expectedWait, outcome.withdrawn || outcome.unanswered});
     requirements.tried.push_back(choice.server.id);
     requirements.spread = false;
@@ -303,7 +306,8 @@
     }
     terms.priority = run_.priority.value_or(0);
     terms.organisation = run_.organisation.empty() ? 0 : kernel::hashOf(run_.organisation);
-    terms.identity = identity();
+    // One owner at most expects the caller's return, since the caller returns once.
+    terms.identity = returnReserved_ ? 0 : identity();
     terms.lease = std::max<kernel::Duration>(run_.left(), 0s) + LeaseMargin;
     if (!mayWait_) {
         return terms;
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -101,6 +101,7 @@
     std::optional<forward::Choice> aboveBound_; ///< The last server that is above the load bound.
     bool noPlace_ = false;
     kernel::Duration retryDelay_{};
+    bool returnReserved_ = false; ///< An owner expects the caller's return after that time.
     std::optional<std::uint64_t> identity_; ///< Computed when first needed.
 };
 
