--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -51,6 +51,7 @@
     policy.loadMultiple = settings.gateway.loadMultiple;
     policy.partRemembered = settings.gateway.partRemembered * 6;
     policy.maxBackoff = settings.gateway.longestRest;
+    policy.comparePaces = settings.gateway.admission;
     return policy;
 }
 
@@ -199,6 +200,9 @@
     servers_.noteAwake(*caughtUpAt_);
     dropMissing();
     coldStarts_.expire(*caughtUpAt_);
+    shortServices_.expire(*caughtUpAt_);
+    context_.counters.set("short_services",
+                          static_cast<double>(shortServices_.count(*caughtUpAt_)));
     noteFreshness();
     co_return kernel::Duration(SweepInterval);
 }
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -1,44 +1,56 @@
 /** \file
- * Asks the owner of an engine for a place, which is a lease on one slot of the engine, and grants
- * places at the engines that this box owns.
+ * Asks the owner of a backend server for a place, which is a lease on one of its slots, and passes
+ * the asks of other boxes on to this box's own PlaceOwner.
  *
- * The owner of an engine is found by rendezvous hashing over the live boxes. If the owner doesn't
+ * The owner of a server is found by rendezvous hashing over the live boxes. If the owner doesn't
  * answer in time, the asking box decides on what it knows itself.
  */
 #pragma once
 
-#include "forward/ColdRateLimiter.h"
 #include "forward/FleetSizeEstimate.h"
-#include "forward/HolderIndex.h"
-#include "forward/PlaceLedger.h"
 #include "forward/RecentCount.h"
-#include "gateway/FleetView.h"
+#include "gateway/PlaceAsks.h"
+#include "gateway/PlaceOwner.h"
 #include "peer/Messages.h"
 #include "services/MembershipService.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 
 namespace limereel::gateway {
 
-/** A lease on one slot of an engine, granted by its owner or taken without the owner's answer. */
-struct Place
-{
-    std::uint64_t request = 0;
-    std::uint64_t engine = 0;
-    std::uint64_t owner = 0; ///< The box that granted it; 0: none did.
-    std::uint64_t asked = 0; ///< The box asked; may count it even if its answer was lost.
-};
-
 /** The result of asking for a place. */
 struct PlaceOutcome
 {
     std::optional<Place> place;                 ///< Empty if the owner refused it.
     std::vector<membership::ShortHash> holders; ///< Engines that hold the prompt's shared parts.
     bool cold = false; ///< Refused because the server is cold and has reached its limit.
+    /** The owner didn't answer; \c place is set, unless the server is cold. */
+    bool unanswered = false;
+    /** The server has no place for this request. Else, without a place, it is above the load bound.
+     */
+    bool noPlace = false;
+    bool queued = false;             ///< The request waited at the owner.
+    bool withdrawn = false;          ///< The request waited longer than expected and was withdrawn.
+    kernel::Duration expectedWait{}; ///< For a place there, if it has none.
+    kernel::Duration comeBack{};     ///< When the caller should return; zero: not stated.
+    std::uint32_t load = 0;          ///< Of the server, as its owner said.
+    std::uint32_t limit = 0;         ///< Places that the owner grants; 0: unknown.
+    std::optional<kernel::Instant> answeredAt; ///< When the owner's last answer came.
+};
+
+/** What the owner of a server needs to know of a request in order to let it wait. */
+struct PlaceTerms
+{
+    std::uint64_t partsKey = 0;     ///< Key of the prompt's shared parts; 0: there are none.
+    std::uint32_t priority = 0;     ///< 0 goes first.
+    std::uint64_t organisation = 0; ///< Hash of its name; 0: none.
+    std::uint64_t identity = 0;     ///< What it has in common with its repetition.
+    kernel::Duration wait{};        ///< How long it can wait and still be answered in time.
+    kernel::Duration late{};        ///< How long beyond that it is still of use.
+    kernel::Duration lease{};       ///< How long it may hold the place.
+    PlaceAsks::OnWait onWait;
 };
 
 /** Which engines hold the shared parts of a prompt, according to the box that keeps their index. */
@@ -48,7 +60,7 @@
     std::vector<membership::ShortHash> beginners; ///< Engines that recently received the first one.
 };
 
-/** Asks for places and, as an owner, grants them. */
+/** Asks for places and answers the asks of other boxes. */
 class PlaceService : public kernel::Service
 {
 public:
@@ -66,6 +78,9 @@
     boost::asio::awaitable<PlaceOutcome> acquire(forward::ListedServer server,
                                                  std::uint64_t partsKey);
 
+    /** The same where admission control is enabled: the request may wait at the owner. */
+    boost::asio::awaitable<PlaceOutcome> acquire(forward::ListedServer server, PlaceTerms terms);
+
     /** Asks for permission to send one more request to a plain server that may be cold. */
     boost::asio::awaitable<bool> acquireColdSend(forward::ListedServer server);
 
@@ -85,48 +100,29 @@
     /** Tells the box that keeps the index that \a server holds the parts from now on. */
     void reportParts(const forward::Prompt &prompt, const forward::ListedServer &server);
 
-    void giveBack(const Place &place);
+    /** Tells the owner that \a place has ended. */
+    void giveBack(const Place &place, const PlaceUse &use = {});
+
+    /** Before a planned stop: refuses the asks that wait here, and withdraws this box's own. */
+    void beginLeaving();
 
 private:
-    struct Pending
-    {
-        boost::asio::steady_timer timer;
-        std::optional<peer::PermitAnswer> answer;
-    };
-
-    forward::FleetSize fleetFor(std::uint64_t engine) const;
-    forward::FleetPart fleetPart(std::uint64_t server);
-    bool isSoleOwner(std::uint64_t server) const;
-    void sampleOwners();
-    boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwnerOf(peer::AskPermit ask);
     peer::AskPermit askOf(const forward::ListedServer &server, peer::AskKind kind) const;
+    peer::AskPermit placeAskFor(const forward::ListedServer &server, std::uint64_t partsKey);
+    PlaceOutcome outcomeOf(const forward::ListedServer &server, const AskResult &result);
     void applyAnswer(const forward::ListedServer &server, const peer::PermitAnswer &answer,
                      PlaceOutcome &outcome);
-    bool grantStartAlone(const forward::ListedServer &server);
-    double coldRate(const peer::AskPermit &ask);
-    bool grantsStart(const peer::AskPermit &ask, double perSecond);
-    peer::PermitAnswer decideStart(const peer::AskPermit &ask);
-    peer::PermitAnswer findHolders(const peer::AskPermit &ask) const;
-    peer::PermitAnswer decide(const peer::AskPermit &ask);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
-    boost::asio::awaitable<std::optional<peer::PermitAnswer>> askOwner(std::uint64_t owner,
-                                                                       peer::AskPermit ask);
     void reportToKeyOwner(std::uint64_t home, std::uint64_t partsKey,
                           const forward::ListedServer &server);
-    void noteSilent(std::uint64_t owner);
     std::uint32_t countAsk(const std::string &service);
 
     services::Context &context_;
     FleetView &fleetView_;
-    forward::PlaceLedger ledger_;
-    forward::HolderIndex holders_;
-    std::map<std::string, forward::RecentCount> asks_; ///< Recent asks of this box, by service.
-    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< Unanswered asks, by request.
-    forward::FleetSizeEstimate fleet_;      ///< Number of boxes that share the retry budget.
-    forward::ColdRateLimiter starts_;       ///< Requests granted to cold servers.
-    forward::FleetSizeEstimate startFleet_; ///< Number of boxes that share a cold server's limit.
-    std::deque<std::vector<std::uint64_t>> ownerSamples_; ///< A sample a second, newest last.
-    std::map<std::uint64_t, int> silences_;               ///< Unanswered asks in a row, by owner.
+    PlaceOwner owner_;
+    PlaceAsks asks_;
+    std::map<std::string, forward::RecentCount> recentAsks_; ///< Of this box, by service.
+    forward::FleetSizeEstimate fleet_; ///< Number of boxes that share the retry budget.
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
