Stand-in of a backend server with limited slots and a queue

Cause: the soak and the tests of admission control need servers that are short of capacity; the stand-in ran everything at once. Change: slots, queue and work time of RunnerStandin, settable while it runs. What finds slots and queue taken is rejected as RunnerFault::Reject does. It counts these and the largest number that ran at once. Off by default.

--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -87,6 +87,7 @@
 RunnerStandin::~RunnerStandin()
 {
     state_->open = false;
+    room_->open = false;
     close();
 }
 
@@ -109,6 +110,7 @@
         return;
     }
     ++state_->ends;
+    closeRoom();
     if (followedBy) {
         name_ = followedBy(name_);
         resetAll();
@@ -193,6 +195,51 @@
     }
 }
 
+bool RunnerStandin::accepts() const
+{
+    return slots == 0 || room_->running < slots || room_->waiting.size() < queue;
+}
+
+// \return false if the process ended while the request waited.
+asio::awaitable<bool> RunnerStandin::takeSlot(std::shared_ptr<Room> room)
+{
+    const std::shared_ptr<State> state = state_;
+    if (room->running < slots && room->waiting.empty()) {
+        ++room->running;
+    } else {
+        auto waiter = std::make_shared<Waiter>(Waiter{asio::steady_timer(io_)});
+        waiter->timer.expires_at(asio::steady_timer::time_point::max());
+        room->waiting.push_back(waiter);
+        co_await waiter->timer.async_wait(Quiet);
+        if (!waiter->granted || !room->open) {
+            co_return false;
+        }
+    }
+    state->mostRunning = std::max(state->mostRunning, room->running);
+    co_return true;
+}
+
+void RunnerStandin::leaveSlot(Room &room)
+{
+    --room.running;
+    while (!room.waiting.empty() && (slots == 0 || room.running < slots)) {
+        ++room.running;
+        room.waiting.front()->granted = true;
+        room.waiting.front()->timer.cancel();
+        room.waiting.pop_front();
+    }
+}
+
+// What waits in a process that ends never runs.
+void RunnerStandin::closeRoom()
+{
+    room_->open = false;
+    for (const std::shared_ptr<Waiter> &waiter : room_->waiting) {
+        waiter->timer.cancel();
+    }
+    room_ = std::make_shared<Room>();
+}
+
 // What it says of itself in the head of an answer.
 std::string RunnerStandin::words(bool turnedAway) const
 {
@@ -208,13 +255,45 @@
 {
     const std::string id(request.fields.get("X-Attempt-Id"));
     const bool wrong = request.fields.get("X-Expect-Instance") != name_;
-    const bool runs = !wrong && fault != RunnerFault::Reject && fault != RunnerFault::Misdirect
-                      && fault != RunnerFault::ResetUnread;
+    const auto meets = [&] {
+        return !wrong && fault != RunnerFault::Reject && fault != RunnerFault::Misdirect
+               && fault != RunnerFault::ResetUnread;
+    };
+    if (meets() && !accepts()) {
+        ++state_->rejections;
+        fault = RunnerFault::Reject;
+    }
+    const bool runs = meets();
     state_->records.push_back({id, request, runs});
     if (wrong || fault == RunnerFault::Misdirect) {
         const std::string text = framed("421 Misdirected Request", id, "", "", words(false));
         co_return co_await write(socket, text);
     }
+    if (!runs || slots == 0) {
+        co_return co_await run(socket, request, fault);
+    }
+    const std::shared_ptr<State> state = state_;
+    const std::shared_ptr<Room> room = room_;
+    if (!co_await takeSlot(room)) {
+        co_return false;
+    }
+    asio::steady_timer timer(io_, work);
+    co_await timer.async_wait(Quiet);
+    bool more = false;
+    if (room->open) {
+        more = co_await run(socket, request, fault);
+    }
+    if (state->open && room->open) {
+        leaveSlot(*room);
+    }
+    co_return more;
+}
+
+asio::awaitable<bool> RunnerStandin::run(tcp::socket &socket, const http::Request &request,
+                                         RunnerFault fault)
+{
+    const std::string id(request.fields.get("X-Attempt-Id"));
+    const bool runs = fault != RunnerFault::Reject && fault != RunnerFault::ResetUnread;
     if (runs && !endedBy.empty() && request.body == endedBy) {
         asio::steady_timer timer(io_, endsAfter);
         co_await timer.async_wait(Quiet);
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -42,7 +43,7 @@
 {
     std::string id;
     http::Request request;
-    bool ran = false;
+    bool ran = false; ///< It ran, or waits in the queue to run.
 };
 
 /** The runner. */
@@ -70,6 +71,19 @@
     /** Between two events. */
     kernel::Duration pause = 0ms;
 
+    /** Requests that run at once, each for \a work before its answer; 0: no limit, and \a work is
+     * not used. Up to \a queue more wait, the rest are rejected as RunnerFault::Reject does. All
+     * three can be changed at any time; a request keeps the work with which it began. */
+    std::size_t slots = 0;
+    std::size_t queue = 0;
+    kernel::Duration work = 0ms;
+
+    /** Requests that were rejected because all slots and the queue were taken. */
+    std::size_t rejections() const { return state_->rejections; }
+
+    /** Largest number of requests that ran at once while \a slots was set. */
+    std::size_t mostRunning() const { return state_->mostRunning; }
+
     const std::vector<RunnerRecord> &records() const { return state_->records; }
     std::size_t runs() const;
     int connections() const { return state_->connections; }
@@ -112,9 +126,32 @@
         bool crashed = false;
         bool ending = false; ///< Only the port is left of it.
         int ends = 0;
+        std::size_t rejections = 0;
+        std::size_t mostRunning = 0;
         std::set<boost::asio::ip::tcp::socket *> sockets; ///< Of open connections.
     };
 
+    /** A request that waits for a slot. */
+    struct Waiter
+    {
+        boost::asio::steady_timer timer;
+        bool granted = false;
+    };
+
+    /** The slots of one process, and the requests that wait for one. */
+    struct Room
+    {
+        std::size_t running = 0;
+        std::deque<std::shared_ptr<Waiter>> waiting;
+        bool open = true;
+    };
+
+    bool accepts() const;
+    boost::asio::awaitable<bool> takeSlot(std::shared_ptr<Room> room);
+    void leaveSlot(Room &room);
+    void closeRoom();
+    boost::asio::awaitable<bool> run(boost::asio::ip::tcp::socket &socket,
+                                     const http::Request &request, RunnerFault fault);
     void resetAll();
     boost::asio::awaitable<void> endPort(std::shared_ptr<State> state);
     boost::asio::awaitable<void> accept();
@@ -131,6 +168,7 @@
     kernel::Endpoint where_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<State> state_ = std::make_shared<State>();
+    std::shared_ptr<Room> room_ = std::make_shared<Room>();
 };
 
 } // namespace limereel::standin
