Soak: shortage of capacity and slow servers

Cause: no soak had servers that run out of slots, so admission control would have been without one. Promises that the judge checks with it, each broken on purpose in SoakTest: a request of any kind refused as not run has not run nor runs later; a 503 carries Retry-After, unless its result has none; a request is answered within 3 s of its deadline, unless its box was paused or gone; 6 s after a shortage and 4 s after any disturbance nothing is refused with 503. A soak with the flag goes on for 12 s after recovery so that this is judged.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -47,12 +47,27 @@
     SoakJudge judge{{3s, 1s, 4s, 3s, 2s, 3}};
 };
 
-SoakReport play(std::uint64_t seed, kernel::Duration faultsFor, bool serverStates = false)
+class ScarceJudgeFixture : public JudgeFixture
+{
+public:
+    ScarceJudgeFixture()
+    {
+        judge = SoakJudge({.revoke = 3s, .drain = 1s, .calm = 4s, .served = 6s});
+        judge.noteDisturbance(at(-100s));
+        judge.noteShortage(at(0s));
+    }
+
+    void refuse(const std::string &id, const std::string &type, const std::string &retryAfter)
+    {
+        SoakAnswer answer{true, 503, "", "{\"type\":\"" + type + "\"}", at(0s), retryAfter};
+        judge.noteAnswer(id, answer);
+    }
+};
+
+SoakReport play(std::uint64_t seed, kernel::Duration faultsFor, SoakPlan plan = {})
 {
-    SoakPlan plan;
     plan.seed = seed;
     plan.faultsFor = faultsFor;
-    plan.serverStates = serverStates;
     plan.folder = std::filesystem::temp_directory_path()
                   / ("limereel-soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed));
     SoakReport report = playSoak(plan);
@@ -228,14 +243,98 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(ScarceJudgeTest, ScarceJudgeFixture)
+
+BOOST_AUTO_TEST_CASE(refusal_withoutRetryAfter_isSeenUnlessItsResultHasNone)
+{
+    attempt("a1", Kind::Once);
+    refuse("a1", "servers-full", "0.25");
+    attempt("a2", Kind::Once);
+    refuse("a2", "stopping", "");
+    BOOST_TEST(broken() == "");
+    attempt("a3", Kind::Once);
+    refuse("a3", "servers-full", "");
+    BOOST_TEST(broken() == "a refusal says when to come back");
+}
+
+BOOST_AUTO_TEST_CASE(refusal_longAfterTheShortage_isSeenInCalmOnly)
+{
+    judge.noteShortage(at(0s));
+    attempt("a1", Kind::Once, 5s);
+    refuse("a1", "servers-full", "0.25");
+    judge.noteDisturbance(at(6s));
+    attempt("a2", Kind::Once, 7s);
+    refuse("a2", "servers-full", "0.25");
+    BOOST_TEST(broken() == "");
+    attempt("a3", Kind::Once, 11s);
+    refuse("a3", "servers-full", "0.25");
+    BOOST_TEST(broken() == "requests are served again after a shortage");
+}
+
+BOOST_AUTO_TEST_CASE(repeatable_isRefusedAndHadRun_isSeen)
+{
+    attempt("a1", Kind::Repeatable);
+    run("a1");
+    refuse("a1", "servers-full", "0.25");
+    BOOST_TEST(broken() == "refused means not run");
+}
+
+BOOST_AUTO_TEST_CASE(repeatable_runsAfterItsRefusal_isSeen)
+{
+    attempt("a1", Kind::Repeatable);
+    refuse("a1", "servers-full", "0.25");
+    run("a1");
+    BOOST_TEST(broken() == "refused means not run");
+}
+
+BOOST_AUTO_TEST_CASE(request_isNotAnsweredByItsDeadline_isSeenUnlessTheBoxWasAbsent)
+{
+    const auto overdue = [this](const std::string &id, kernel::Duration sent) {
+        attempt(id, Kind::Once, sent);
+        judge.noteAnswer(id, {.at = at(sent + 5s), .overdue = true});
+    };
+    judge.noteAbsent(0, at(3s));
+    overdue("a1", 2s);
+    BOOST_TEST(broken() == "");
+    overdue("a2", 4s);
+    BOOST_TEST(broken() == "each request is answered by its deadline");
+}
+
+BOOST_AUTO_TEST_CASE(secondOrganisation_itsRequestComesAsTheFirst_isSeen)
+{
+    attempt("a1", Kind::Once, 0s, KeyTwo);
+    judge.noteArrival({"a1", "i-1", "two", true, at(0s)});
+    BOOST_TEST(broken() == "");
+    attempt("a2", Kind::Once, 0s, KeyTwo);
+    run("a2");
+    BOOST_TEST(broken() == "the organisation is the key's");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(SoakTest)
 
 // Halls are drained and servers cold beside all other faults.
 BOOST_AUTO_TEST_CASE(shortSoak_serverStates_keepsEveryPromise)
 {
     for (const std::uint64_t seed : {3U, 4U}) {
-        const SoakReport report = play(seed, 6s, true);
+        SoakPlan plan;
+        plan.serverStates = true;
+        const SoakReport report = play(seed, 6s, plan);
+        BOOST_TEST(report.served > 0U);
+        BOOST_TEST(!report.faults.empty());
+    }
+}
+
+// Servers are short of slots and slow beside all other faults.
+BOOST_AUTO_TEST_CASE(shortSoak_scarceServers_keepsEveryPromise)
+{
+    for (const std::uint64_t seed : {5U, 6U}) {
+        SoakPlan plan;
+        plan.scarce = true;
+        const SoakReport report = play(seed, 6s, plan);
         BOOST_TEST(report.served > 0U);
+        BOOST_TEST(report.refused > 0U);
         BOOST_TEST(!report.faults.empty());
     }
 }
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -19,6 +19,10 @@
               << " of them by boxes that had the time to know; " << report.faults.size()
               << " faults; all serve again after " << report.recovery / 1ms << " ms; "
               << report.violations.size() << " broken promises\n";
+    if (report.rejections > 0) {
+        std::cout << "  " << report.rejections << " of " << report.sends
+                  << " sends rejected by servers whose slots and queue were taken\n";
+    }
     for (const soak::Violation &violation : report.violations) {
         std::cout << "  broken: " << violation.promise << ": " << violation.what << '\n';
     }
@@ -53,6 +57,9 @@
                  "halls of servers are drained, and servers are cold after a start");
     app.add_flag("--crashing", plan.crashing,
                  "some requests end each server that begins to run them");
+    app.add_flag(
+            "--scarce", plan.scarce,
+            "servers have few slots and are slow at times, callers ask for more than they run");
     app.add_flag("--list", all, "list the faults of good seeds too");
     CLI11_PARSE(app, argc, argv);
     plan.faultsFor =
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -19,6 +19,9 @@
 // Boxes gather changes of entries for a third of the bound in which a leaving server must be known;
 // the rest is for a relay and for turns of this process.
 constexpr kernel::Duration ColdKnown = 600ms;
+// A service is taken for short until 5 s after the last rejection; one more second for the answers.
+constexpr kernel::Duration ServedAgain = 6s;
+constexpr std::size_t RushFactor = 4; ///< Callers that join in a rush, as a multiple of the others.
 constexpr kernel::Duration DrainSlack = 500ms; ///< Of this process, between a send and its stamp.
 
 kernel::Instant now()
@@ -26,14 +29,17 @@
     return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now());
 }
 
-JudgeBounds judgeBounds(const SoakBounds &bounds, bool serverStates)
+JudgeBounds judgeBounds(const SoakBounds &bounds, const SoakPlan &plan)
 {
     JudgeBounds judged;
     judged.revoke = bounds.revokeWithin;
     judged.drain = bounds.drainWithin + DrainSlack;
     judged.calm = Calm;
     judged.hallDrain = bounds.hallDrainWithin + DrainSlack;
-    if (serverStates) {
+    if (plan.scarce) {
+        judged.served = ServedAgain;
+    }
+    if (plan.serverStates) {
         judged.coldFor = ColdFor;
         judged.coldKnown = ColdKnown;
         judged.coldPerSecond = ColdPerSecond * ColdExcess + ColdSlack;
@@ -41,15 +47,21 @@
     return judged;
 }
 
+// With one slot more than its part of the callers, a server is short of slots in rushes only.
+std::size_t scarceSlots(const SoakPlan &plan)
+{
+    return plan.scarce ? 1 + (plan.callers + plan.servers - 1) / plan.servers : 0;
+}
+
 /** Everything of one soak. */
 class Play
 {
 public:
     explicit Play(const SoakPlan &plan)
         : plan_(plan)
-        , fleet_(plan.folder, plan.boxes, bounds_)
-        , judge_(judgeBounds(bounds_, plan.serverStates))
-        , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing)
+        , fleet_(plan.folder, plan.boxes, bounds_, plan.scarce)
+        , judge_(judgeBounds(bounds_, plan))
+        , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing, scarceSlots(plan))
         , faults_(fleet_, world_, judge_, plan.seed, plan.serverStates)
         , callers_{io_, fleet_, world_, judge_, std::mt19937_64(plan.seed + 1), plan.crashing}
     {
@@ -68,6 +80,10 @@
         for (std::size_t caller = 0; caller < plan_.callers; ++caller) {
             asio::co_spawn(io_, callOnAndOn(callers_), asio::detached);
         }
+        for (std::size_t caller = 0; plan_.scarce && caller < RushFactor * plan_.callers;
+             ++caller) {
+            asio::co_spawn(io_, callInRushes(callers_), asio::detached);
+        }
         // By turns, not by the clock: on a busy machine a turn takes longer, and a seed would have
         // fewer of its faults, or none.
         for (kernel::Duration played{}; played < plan_.faultsFor; played += Tick) {
@@ -82,6 +98,10 @@
         }
         SoakReport report;
         report.recovery = now() - lifted;
+        // The refusals of this time are judged.
+        for (kernel::Duration played{}; plan_.scarce && played < 2 * ServedAgain; played += Tick) {
+            turn(Tick);
+        }
         finishCallers();
         report.attempts = judge_.attempts();
         report.served = judge_.served();
@@ -89,6 +109,10 @@
         report.cut = judge_.cut();
         report.ends = judge_.ends();
         report.endsJudged = judge_.endsJudged();
+        for (const SoakServer &server : world_.servers()) {
+            report.sends += server.runner->records().size();
+            report.rejections += server.runner->rejections();
+        }
         report.faults = faults_.history();
         report.violations = judge_.violations();
         return report;
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -32,6 +32,10 @@
 
     /** Some requests end each server that begins to run them. */
     bool crashing = false;
+
+    /** Servers have few slots and a short queue and are slow at times, callers ask for more than
+     * they can run at times, and one organisation sends most of it. Gateways have admission. */
+    bool scarce = false;
     std::filesystem::path folder; ///< For settings and logs.
 };
 
@@ -44,6 +48,8 @@
     std::size_t cut = 0;
     std::size_t ends = 0;            ///< Servers that requests have ended,
     std::size_t endsJudged = 0;      ///< so many of them by boxes that had the time to know.
+    std::size_t sends = 0;           ///< Requests that reached a server,
+    std::size_t rejections = 0;      ///< so many of them found its slots and queue taken.
     std::vector<std::string> faults; ///< Each with its moment, in seconds.
     kernel::Duration recovery{};     ///< From the last fault's end until all boxes serve all kinds.
     std::vector<Violation> violations;
--- a/test/platform/soak/SoakCaller.cpp
+++ b/test/platform/soak/SoakCaller.cpp
@@ -82,6 +82,12 @@
     } else {
         attempt.key = shared.random() % 2 == 0 ? "key-one" : shared.world.changingKey();
     }
+    // A rush is of the first organisation: it sends about eleven times as much as the second then.
+    const std::size_t twoOneIn = shared.world.rush ? 12 : 2;
+    const bool ofTwo = shared.world.scarce() && shared.random() % twoOneIn == 0;
+    if (ofTwo && !attempt.key.empty()) {
+        attempt.key = KeyTwo;
+    }
     attempt.sent = now();
     return attempt;
 }
@@ -95,6 +101,7 @@
     }
     answer.status = head->status;
     answer.stamp = std::string(head->fields.get("X-Response-Stamp"));
+    answer.retryAfter = std::string(head->fields.get("Retry-After"));
     while (answer.body.size() < MostBodyBytes) {
         auto part = co_await connection->readPart();
         if (!part) {
@@ -133,6 +140,7 @@
     if (ended && leaves) {
         co_return 0;
     }
+    answer.overdue = ended;
     shared.world.collect(shared.judge, answer.at);
     shared.judge.noteAnswer(attempt.id, answer);
     co_return answer.whole ? answer.status : 0;
@@ -163,7 +171,9 @@
 
 } // namespace
 
-asio::awaitable<void> callOnAndOn(CallerWorld &shared)
+namespace {
+
+asio::awaitable<void> callWhile(CallerWorld &shared, bool onlyInRushes)
 {
     ++shared.running;
     asio::steady_timer timer(shared.io);
@@ -171,6 +181,10 @@
     while (!shared.over) {
         timer.expires_after(1ms * static_cast<std::int64_t>(1 + shared.random() % LongestPauseMs));
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (onlyInRushes && !shared.world.rush) {
+            line.connection.reset();
+            continue;
+        }
         const bool keeps = line.connection && line.connection->reusable()
                            && line.connection->quiet() && shared.random() % 3 != 0;
         if (!keeps) {
@@ -190,6 +204,18 @@
     --shared.running;
 }
 
+} // namespace
+
+asio::awaitable<void> callOnAndOn(CallerWorld &shared)
+{
+    return callWhile(shared, false);
+}
+
+asio::awaitable<void> callInRushes(CallerWorld &shared)
+{
+    return callWhile(shared, true);
+}
+
 asio::awaitable<int> callOnce(CallerWorld &shared, std::size_t box, Kind kind)
 {
     Line line = co_await connectTo(shared, box);
--- a/test/platform/soak/SoakCaller.h
+++ b/test/platform/soak/SoakCaller.h
@@ -29,6 +29,9 @@
 /** Calls until it is over. */
 boost::asio::awaitable<void> callOnAndOn(CallerWorld &shared);
 
+/** Calls while there is a rush, as the first organisation; until it is over. */
+boost::asio::awaitable<void> callInRushes(CallerWorld &shared);
+
 /** One request of \a kind to \a box on a connection of its own. \return its status; 0: none. */
 boost::asio::awaitable<int> callOnce(CallerWorld &shared, std::size_t box, Kind kind);
 
--- a/test/platform/soak/SoakFaults.cpp
+++ b/test/platform/soak/SoakFaults.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MostKinds = 7;
 constexpr std::size_t TicksBetween = 4; ///< On average, between two faults.
 constexpr int MostSpoiled = 6;
+constexpr int LeastSlowness = 3; ///< Times longer than usual, at a slow server.
+constexpr std::size_t MoreSlowness = 5;
 constexpr kernel::Duration SurelyListens = 2s;     ///< To signals, after its start.
 constexpr kernel::Duration SurelyWatches = 2500ms; ///< What the store holds, after its start.
 constexpr kernel::Duration StoreKnownAgain = 2s;   ///< After its trouble, by each box.
@@ -35,6 +37,10 @@
         kinds_.push_back({"drain-hall", true, [this] { return drainHall(); }});
         kinds_.push_back({"replace-server", true, [this] { return replaceServer(); }});
     }
+    if (world_.scarce()) {
+        kinds_.push_back({"rush", true, [this] { return rush(); }});
+        kinds_.push_back({"slow-server", true, [this] { return slowServer(); }});
+    }
 }
 
 std::vector<SoakFaults::Kind> SoakFaults::allKinds()
@@ -100,6 +106,9 @@
     if (unplanned_ > 0) {
         judge_.noteDisturbance(now);
     }
+    if (shortages_ > 0) {
+        judge_.noteShortage(now);
+    }
 }
 
 void SoakFaults::note(const std::string &what)
@@ -345,12 +354,48 @@
         const bool started = now_ - box.started < SurelyListens;
         const bool linkHarmed = world_.storeProxies()[index]->harm() != Harm::None;
         const bool ends = box.paused || box.stopping || !box.process.running();
+        if (box.paused || !box.process.running()) {
+            judge_.noteAbsent(index, now_);
+        }
         if (all || started || linkHarmed || ends) {
             judge_.noteOutOfTouch(index, now_);
         }
     }
 }
 
+std::string SoakFaults::rush()
+{
+    if (world_.rush) {
+        return {};
+    }
+    world_.rush = true;
+    ++shortages_;
+    until(span(), [this] {
+        --shortages_;
+        world_.rush = false;
+        judge_.noteShortage(now_);
+    });
+    return "begins";
+}
+
+std::string SoakFaults::slowServer()
+{
+    const auto listed = world_.listedServers();
+    const std::size_t index = listed.empty() ? 0 : listed[pick(listed.size())];
+    if (listed.empty() || world_.servers()[index].slow) {
+        return {};
+    }
+    const int factor = LeastSlowness + static_cast<int>(pick(MoreSlowness));
+    SoakWorld::setSlowness(world_.servers()[index], factor);
+    ++shortages_;
+    until(span() * 2, [this, index] {
+        --shortages_;
+        SoakWorld::setSlowness(world_.servers()[index], 1);
+        judge_.noteShortage(now_);
+    });
+    return std::to_string(index) + ", times " + std::to_string(factor);
+}
+
 void SoakFaults::lookAtStore()
 {
     const bool linksWork = std::ranges::all_of(
--- a/test/platform/soak/SoakFaults.h
+++ b/test/platform/soak/SoakFaults.h
@@ -61,6 +61,8 @@
     std::string changeConfiguration();
     std::string replaceServer();
     std::string drainHall();
+    std::string rush();
+    std::string slowServer();
     void noteCold(const SoakServer &server);
     void lookAtStore();
     void noteOutOfTouch();
@@ -82,6 +84,7 @@
     kernel::Instant now_;
     std::set<std::string> drained_; ///< Halls.
     kernel::Instant storeTroubled_; ///< When some box last couldn't read the store.
+    int shortages_ = 0;             ///< Rushes and slow servers that are on now.
     int unplanned_ = 0;             ///< Faults that are on now, planned work aside.
 };
 
--- a/test/platform/soak/SoakFleet.cpp
+++ b/test/platform/soak/SoakFleet.cpp
@@ -13,9 +13,11 @@
 
 } // namespace
 
-SoakFleet::SoakFleet(std::filesystem::path folder, std::size_t boxes, SoakBounds bounds)
+SoakFleet::SoakFleet(std::filesystem::path folder, std::size_t boxes, SoakBounds bounds,
+                     bool admission)
     : folder_(std::move(folder))
     , bounds_(bounds)
+    , admission_(admission)
     , boxes_(boxes)
 {
     std::filesystem::create_directories(folder_);
@@ -56,7 +58,8 @@
          << "drain-within = " << milliseconds(bounds_.drainWithin)
          << "stop-within = " << milliseconds(bounds_.stopWithin)
          << "hall-drain-within = " << milliseconds(bounds_.hallDrainWithin)
-         << "cold-excess = " << ColdExcess << "\ncold-slack = " << ColdSlack << '\n';
+         << "cold-excess = " << ColdExcess << "\ncold-slack = " << ColdSlack << '\n'
+         << (admission_ ? "admission = true\n" : "");
 }
 
 void SoakFleet::start(SoakBox &box, kernel::Instant now)
--- a/test/platform/soak/SoakFleet.h
+++ b/test/platform/soak/SoakFleet.h
@@ -54,7 +54,9 @@
 class SoakFleet
 {
 public:
-    SoakFleet(std::filesystem::path folder, std::size_t boxes, SoakBounds bounds);
+    /** \param admission whether gateways have admission control. */
+    SoakFleet(std::filesystem::path folder, std::size_t boxes, SoakBounds bounds,
+              bool admission = false);
 
     std::vector<SoakBox> &boxes() { return boxes_; }
     const std::filesystem::path &folder() const { return folder_; }
@@ -68,6 +70,7 @@
 private:
     std::filesystem::path folder_;
     SoakBounds bounds_;
+    bool admission_;
     std::vector<SoakBox> boxes_;
 };
 
--- a/test/platform/soak/SoakJudge.cpp
+++ b/test/platform/soak/SoakJudge.cpp
@@ -6,6 +6,7 @@
 
 constexpr int Ok = 200;
 constexpr int Unauthorized = 401;
+constexpr int Unavailable = 503;
 
 // Statuses that promise that the request did not run and never will.
 bool promisesNotRun(int status)
@@ -18,6 +19,25 @@
     return kind == Kind::Once || kind == Kind::OnceStream;
 }
 
+bool mustNotRun(Kind kind, bool scarce)
+{
+    return onceOnly(kind) || scarce;
+}
+
+// The results that are refused with 503 for another reason than a lack of servers, and by
+// docs/RESULT_CODES.md without Retry-After.
+bool tellsNoReturn(const std::string &body)
+{
+    return body.find("\"no-configuration\"") != std::string::npos
+           || body.find("\"stopping\"") != std::string::npos
+           || body.find("\"ends-servers\"") != std::string::npos;
+}
+
+std::string organisationOf(const std::string &key)
+{
+    return key == KeyTwo ? "two" : "one";
+}
+
 bool isStream(Kind kind)
 {
     return kind == Kind::OnceStream || kind == Kind::ResumableStream;
@@ -54,6 +74,7 @@
     } else if (answer.status == 0 || !answer.whole) {
         ++cut_;
         checkCut(attempt, answer);
+        checkOverdue(attempt, answer);
     } else {
         checkFailure(attempt, answer);
     }
@@ -83,14 +104,15 @@
 
 void SoakJudge::checkFailure(const SoakAttempt &attempt, const SoakAnswer &answer)
 {
-    if (answer.status == Unauthorized && attempt.key == "key-one") {
+    if (answer.status == Unauthorized && (attempt.key == "key-one" || attempt.key == KeyTwo)) {
         breach("no refusal of what is allowed", attempt.id + " got 401 with a good key");
     }
     if (!promisesNotRun(answer.status)) {
         return;
     }
     ++refusedCount_;
-    if (onceOnly(attempt.kind)) {
+    checkRefusal(attempt, answer);
+    if (mustNotRun(attempt.kind, bounds_.served > 0s)) {
         refused_.insert(attempt.id);
         if (runs_[attempt.id] > 0) {
             breach("refused means not run",
@@ -99,6 +121,32 @@
     }
 }
 
+void SoakJudge::checkRefusal(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    if (bounds_.served == 0s || answer.status != Unavailable || tellsNoReturn(answer.body)) {
+        return;
+    }
+    if (answer.retryAfter.empty()) {
+        breach("a refusal says when to come back", attempt.id + " got " + answer.body);
+    }
+    if (attempt.sent > shortage_ + bounds_.served && calmSince(attempt.sent)) {
+        breach("requests are served again after a shortage", attempt.id + " got " + answer.body);
+    }
+}
+
+// Faults of servers and of the store are no excuse, only those of the box itself.
+void SoakJudge::checkOverdue(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    const auto absent = absent_.find(attempt.box);
+    const bool excused =
+            absent != absent_.end() && absent->second + bounds_.absence >= attempt.sent;
+    if (bounds_.served > 0s && answer.overdue && !excused) {
+        breach("each request is answered by its deadline",
+               attempt.id + " at box " + std::to_string(attempt.box) + ", status "
+                       + std::to_string(answer.status));
+    }
+}
+
 // A later request must not be served as only an older version allows, by the same process.
 void SoakJudge::checkVersion(const SoakAttempt &attempt, const SoakAnswer &answer)
 {
@@ -238,7 +286,7 @@
     if (refused_.contains(arrival.id)) {
         breach("refused means not run", arrival.id + " ran at " + arrival.server + " afterwards");
     }
-    if (!attempt.key.empty() && arrival.organisation != "one") {
+    if (!attempt.key.empty() && arrival.organisation != organisationOf(attempt.key)) {
         breach("the organisation is the key's",
                arrival.id + " came as '" + arrival.organisation + "'");
     }
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -39,8 +39,13 @@
     std::string stamp;  ///< Of the backend server.
     std::string body;
     kernel::Instant at;
+    std::string retryAfter = {};
+    bool overdue = false; ///< The caller ended it, seconds after its deadline.
 };
 
+/** The key of the second organisation, which only a soak with scarce servers has. */
+inline constexpr const char *KeyTwo = "key-of-two";
+
 /** One arrival at a backend server. */
 struct SoakArrival
 {
@@ -65,11 +70,15 @@
     kernel::Duration revoke{}; ///< How long after it was taken away a key may still run a request.
     kernel::Duration drain{};  ///< How long after it began to leave a server may get new work.
     kernel::Duration calm{};   ///< Without a disturbance, before the word of the store is binding.
-    kernel::Duration hallDrain{};  ///< How long after it was asked for a drained hall may get work.
-    kernel::Duration coldFor{};    ///< How long a server is cold.
-    double coldPerSecond = 0;      ///< Most arrivals in a second at one that is cold,
-    kernel::Duration coldKnown{};  ///< from when on its entry's word can have reached each box.
-    kernel::Duration contact = 3s; ///< In touch for so long, a box knows what the others know.
+    kernel::Duration hallDrain{}; ///< How long after it was asked for a drained hall may get work.
+    kernel::Duration coldFor{};   ///< How long a server is cold.
+    double coldPerSecond = 0;     ///< Most arrivals in a second at one that is cold,
+    kernel::Duration coldKnown{}; ///< from when on its entry's word can have reached each box.
+    /** How long after a shortage all requests are served again; zero: there are no shortages, and
+     * the promises that concern them aren't checked. */
+    kernel::Duration served{};
+    kernel::Duration absence = 200ms; ///< Longest time between two looks at a box that is absent.
+    kernel::Duration contact = 3s;    ///< In touch for so long, a box knows what the others know.
 };
 
 /** The judge of one soak. */
@@ -105,6 +114,12 @@
     /** At this moment \a box can't be held to a bound of time. */
     void noteOutOfTouch(std::size_t box, kernel::Instant at) { outOfTouch_[box] = at; }
 
+    /** At this moment the process of \a box is paused or has ended. */
+    void noteAbsent(std::size_t box, kernel::Instant at) { absent_[box] = at; }
+
+    /** At this moment servers are slow, or callers ask for more than the servers can run. */
+    void noteShortage(kernel::Instant at) { shortage_ = at; }
+
     /** A request has ended a server. */
     void noteServerEnd(kernel::Instant at) { serverEnded_ = at; }
 
@@ -129,6 +144,8 @@
     void checkSuccess(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkFailure(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkVersion(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkRefusal(const SoakAttempt &attempt, const SoakAnswer &answer);
+    void checkOverdue(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkCut(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival);
     void checkHall(const SoakAttempt &attempt, const SoakArrival &arrival);
@@ -141,6 +158,7 @@
     JudgeBounds bounds_;
     kernel::Instant disturbed_;
     kernel::Instant serverEnded_;
+    kernel::Instant shortage_;
 
     /** Of one request that ends its servers. */
     struct Crashing
@@ -151,6 +169,7 @@
     };
 
     std::map<std::size_t, kernel::Instant> outOfTouch_; ///< By box, the last time.
+    std::map<std::size_t, kernel::Instant> absent_;     ///< By box, the last time.
     std::map<Kind, Crashing> crashing_;                 ///< All of one kind are one request.
     std::map<std::string, kernel::Instant> leaving_;
     std::map<std::string, kernel::Instant> drained_; ///< By hall.
@@ -159,7 +178,8 @@
     std::map<std::pair<std::size_t, int>, kernel::Instant> stops_; ///< By box and process.
     std::map<std::string, SoakAttempt> attempts_;
     std::map<std::string, int> runs_;
-    std::set<std::string> refused_; ///< Once-only attempts that were promised not to run.
+    std::set<std::string> refused_; ///< Attempts that were promised not to run: the once-only ones,
+                                    ///< with scarce servers all.
     std::map<std::string, kernel::Instant> takenAway_;
 
     struct SeenVersion
--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr kernel::Duration BetweenEvents = 5ms;
+constexpr kernel::Duration ScarceWork = 40ms;
+constexpr std::size_t PlentifulSlots = 8; ///< As listed; the servers themselves have no limit.
 constexpr kernel::Duration EntryLapsesIn = 1500ms; ///< Once its server has ended.
 
 json route(const std::string &prefix, const std::string &kind, int attempts)
@@ -28,12 +30,12 @@
             {"gap_goal_ms", 400}};
 }
 
-json poolOf(bool states)
+json poolOf(bool states, std::size_t slots)
 {
     json pool = {{"name", "pool"},
                  {"health_path", "/health"},
                  {"max_conns", 100},
-                 {"engine", {{"slots", 8}, {"moves", true}}}};
+                 {"engine", {{"slots", slots}, {"moves", true}}}};
     if (states) {
         pool["cold_start_s"] = kernel::seconds(ColdFor);
         pool["cold_per_s"] = ColdPerSecond;
@@ -41,34 +43,40 @@
     return pool;
 }
 
-json configurationOf(int version, const std::string &changingKey, bool states)
+json configurationOf(int version, const std::string &changingKey, const json &pool, bool scarce)
 {
     json resume = route("/resume/", "streaming", 2);
     resume["can_resume"] = true;
     json probe = route("/version-" + std::to_string(version) + "/", "idempotent", 2);
     probe["anonymous"] = true;
+    json organisations = json::array({{{"name", "one"},
+                                       {"api_keys", json::array({"key-one", changingKey})},
+                                       {"priority", 3}}});
+    if (scarce) {
+        organisations.push_back(
+                {{"name", "two"}, {"api_keys", json::array({KeyTwo})}, {"priority", 3}});
+    }
     return {{"version", version},
             {"routes",
              json::array({route("/once/", "non_idempotent", 1), route("/again/", "idempotent", 2),
                           route("/stream/", "streaming", 1), resume, probe})},
-            {"services", json::array({poolOf(states)})},
+            {"services", json::array({pool})},
             {"limits",
              {{"max_header_bytes", 8192},
               {"max_body_bytes", 65536},
               {"header_timeout_ms", 3000},
               {"idle_timeout_ms", 60000}}},
-            {"tenants", json::array({{{"name", "one"},
-                                      {"api_keys", json::array({"key-one", changingKey})},
-                                      {"priority", 3}}})}};
+            {"tenants", organisations}};
 }
 
 } // namespace
 
 SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers,
-                     bool states, bool crashing)
+                     bool states, bool crashing, std::size_t scarceSlots)
     : io_(io)
     , states_(states)
     , crashing_(crashing)
+    , scarceSlots_(scarceSlots)
 {
     const kernel::Endpoint storeAt = support::freeEndpoint();
     store_ = std::make_unique<standin::StoreStandin>(io, storeAt);
@@ -87,7 +95,8 @@
     std::string taken = changingKey_;
     ++version_;
     changingKey_ = "key-changing-" + std::to_string(version_);
-    store_->put("config", "main", configurationOf(version_, changingKey_, states_));
+    store_->put("config", "main",
+                configurationOf(version_, changingKey_, poolOf(states_, listedSlots()), scarce()));
     return taken;
 }
 
@@ -99,6 +108,9 @@
     server.runner->pause = BetweenEvents;
     server.runner->endedBy = crashing_ ? CrashingBody : "";
     server.runner->endsAfter = BetweenEvents;
+    server.runner->slots = scarceSlots_;
+    server.runner->queue = scarceSlots_;
+    server.runner->work = ScarceWork;
     server.proxy =
             std::make_unique<LoopbackProxy>(io_, support::freeEndpoint(), server.runner->where());
     server.hall = states_ ? ServerHalls.at(servers_.size() % ServerHalls.size()) : "hall-0";
@@ -108,6 +120,17 @@
     list(servers_.back(), "ready");
 }
 
+std::size_t SoakWorld::listedSlots() const
+{
+    return scarce() ? scarceSlots_ : PlentifulSlots;
+}
+
+void SoakWorld::setSlowness(SoakServer &server, int factor)
+{
+    server.slow = factor > 1;
+    server.runner->work = factor * ScarceWork;
+}
+
 void SoakWorld::list(const SoakServer &server, const std::string &state)
 {
     store_->put("servers", server.runner->name(),
@@ -115,7 +138,7 @@
                  {"address", kernel::text(server.proxy->where())},
                  {"zone", server.hall},
                  {"version", "v1"},
-                 {"slots", 8},
+                 {"slots", listedSlots()},
                  {"state", state},
                  {"cold_left_ms", server.cold ? ColdFor / 1ms : 0},
                  {"call_seq", 1}});
--- a/test/platform/soak/SoakWorld.h
+++ b/test/platform/soak/SoakWorld.h
@@ -26,6 +26,7 @@
     bool listed = false;
     std::string hall;
     bool cold = false;                      ///< By its entry.
+    bool slow = false;                      ///< It takes longer than usual.
     std::optional<kernel::Instant> endedAt; ///< A request has ended it.
 };
 
@@ -39,9 +40,18 @@
 class SoakWorld
 {
 public:
-    /** \param states, crashing see SoakPlan. */
+    /** \param states, crashing see SoakPlan. \param scarceSlots of each server; 0: no limit. */
     SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers, bool states,
-              bool crashing);
+              bool crashing, std::size_t scarceSlots);
+
+    /** See SoakPlan. */
+    bool scarce() const { return scarceSlots_ > 0; }
+
+    /** More callers than the servers can serve call now. */
+    bool rush = false;
+
+    /** Sets how many times longer a request takes at \a server than usual. */
+    static void setSlowness(SoakServer &server, int factor);
 
     /** Puts the next configuration; it takes the changing key away and makes a new one. \return the
      * key that was taken away. */
@@ -72,12 +82,15 @@
     std::vector<std::size_t> listedServers() const;
 
 private:
+    std::size_t listedSlots() const;
+
     boost::asio::io_context &io_;
     std::unique_ptr<standin::StoreStandin> store_;
     std::vector<std::unique_ptr<LoopbackProxy>> storeProxies_;
     std::vector<SoakServer> servers_;
     bool states_;
     bool crashing_;
+    std::size_t scarceSlots_;
     bool started_ = false; ///< The first servers stand; those that come later are cold.
     int version_ = 0;
     std::string changingKey_;
