--- a/test/performance/Bench.cpp
+++ b/test/performance/Bench.cpp
@@ -7,6 +7,7 @@
 #include "membership/HeartbeatTable.h"
 #include "membership/Rendezvous.h"
 #include "peer/Envelope.h"
+#include "performance/AdmissionBench.h"
 #include "performance/Plot.h"
 #include "performance/PolicyBench.h"
 #include "performance/RestBench.h"
@@ -558,6 +559,34 @@
     }
 }
 
+void compareAdmission(Report &report, std::uint64_t seed)
+{
+    for (const bool engines : {false, true}) {
+        for (const std::size_t boxes : {6, 83, 300}) {
+            for (const double load : {1.0, 1.5, 2.0, 5.0}) {
+                report.section("admission, " + std::string(engines ? "engines" : "plain service")
+                               + ", " + std::to_string(boxes) + " boxes, "
+                               + std::to_string(load).substr(0, 3) + " times capacity");
+                performance::AdmissionCase what{"", boxes, engines, load, seed};
+                const double oracle = performance::oracleInTime(what);
+                for (const std::string &way : performance::admissionWays()) {
+                    what.way = way;
+                    const auto result = performance::runAdmission(what);
+                    report.row(way, {{"in-time", result.inTime / oracle},
+                                     {"answered", result.answered},
+                                     {"rejected", result.rejected},
+                                     {"p99-ms", result.p99},
+                                     {"least-served", result.leastServed},
+                                     {"refused-twice", result.refusedTwice},
+                                     {"withdrawn", result.withdrawn},
+                                     {"messages/s", result.messages},
+                                     {"B/s", result.bytes}});
+                }
+            }
+        }
+    }
+}
+
 void comparePolicies(Report &report, std::uint64_t seed)
 {
     const auto run = [&](const performance::PolicyCase &what, const std::string &name) {
@@ -644,8 +673,8 @@
     app.add_flag("--json", options.asJson);
     app.add_option("--seed", options.seed);
     app.add_option("--only", options.only,
-                   "decisions, servers, bytes, memory, codecs, policies or "
-                   "rests");
+                   "decisions, servers, bytes, memory, codecs, policies, rests or "
+                   "admission");
     app.add_option("--plots", options.plots, "Folder for SVG files");
     CLI11_PARSE(app, argc, argv);
     Report report(options.asJson);
@@ -675,6 +704,9 @@
     if (wanted("rests")) {
         compareRests(report, options.seed);
     }
+    if (wanted("admission")) {
+        compareAdmission(report, options.seed);
+    }
     if (!options.plots.empty()) {
         draw(report, options.plots);
     }
