--- a/test/performance/AdmissionOwners.cpp
+++ b/test/performance/AdmissionOwners.cpp
@@ -17,36 +17,40 @@
 
 constexpr Duration SettleEach = 5ms;
 constexpr std::size_t IpAndUdpHeaders = 28;
-// The fields of docs/design/admission.md, in MessagePack: two hashes and the smaller numbers.
-constexpr std::size_t NewAskBytes = 30;
-constexpr std::size_t NewAnswerBytes = 4;
-constexpr std::size_t NewEndBytes = 4;
 constexpr std::uint64_t LargeHash = ~0ULL;
 
-std::size_t wire(const peer::Message &message, std::size_t added)
+std::size_t wire(const peer::Message &message)
 {
-    return peer::encode(message).size() + peer::EnvelopeBytes + IpAndUdpHeaders + added;
+    return peer::encode(message).size() + peer::EnvelopeBytes + IpAndUdpHeaders;
 }
 
+// Messages of usual values.
 std::size_t askBytes()
 {
     peer::AskPermit ask;
-    ask.request = ask.router = ask.organisation = ask.resource = ask.chat = LargeHash;
-    return wire(ask, NewAskBytes);
+    ask.request = ask.router = ask.organisation = ask.resource = LargeHash;
+    ask.caller = ask.identity = LargeHash;
+    ask.waitMs = 300;
+    ask.lateMs = 2000;
+    ask.leaseMs = 2500;
+    ask.slots = 24;
+    return wire(ask);
 }
 
 std::size_t answerBytes()
 {
     peer::PermitAnswer answer;
     answer.request = LargeHash;
-    return wire(answer, NewAnswerBytes);
+    answer.comeBackMs = answer.waitMs = 300;
+    return wire(answer);
 }
 
 std::size_t endBytes()
 {
     peer::GiveBack end;
     end.request = end.resource = LargeHash;
-    return wire(end, NewEndBytes);
+    end.firstMs = 300;
+    return wire(end);
 }
 
 } // namespace
