--- a/src/gateway/PlaceAsks.cpp
+++ b/src/gateway/PlaceAsks.cpp
@@ -33,7 +33,7 @@
 
 PlaceAsks::PendingPtr PlaceAsks::addPending(std::uint64_t request)
 {
-    const auto pending =
+    auto pending =
             std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), std::nullopt});
     pending_[request] = pending;
     return pending;
--- a/test/platform/OtherBox.h
+++ b/test/platform/OtherBox.h
@@ -80,7 +80,7 @@
     std::optional<peer::Message> arrivedOf()
     {
         while (socket_.available() > 0) {
-            const auto message = receive();
+            auto message = receive();
             if (message && (std::holds_alternative<Kinds>(*message) || ...)) {
                 return message;
             }
