Requests are ranked by the objective of their caller's first try

While many are refused, up to every second request repeats a refused one. The owner of a server recognises a repetition only if it refused the first try itself, so most of them competed with requests that could still be answered in time. A caller that states less time than the callers of its route usually do is now taken to have begun earlier by the difference.

--- a/src/gateway/FleetView.h
+++ b/src/gateway/FleetView.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "forward/AnswerTimes.h"
+#include "forward/CallerTimeouts.h"
 #include "forward/ColdStarts.h"
 #include "forward/FleetRetryBudget.h"
 #include "forward/Freshness.h"
@@ -63,6 +64,7 @@
     forward::ColdStarts &coldStarts() { return coldStarts_; }
     forward::ShortServices &shortServices() { return shortServices_; }
     forward::AnswerTimes &answerTimes() { return answerTimes_; }
+    forward::CallerTimeouts &callerTimeouts() { return callerTimeouts_; }
 
     /**
      * After a stall of this process, lets the event loop process what the store has sent about
@@ -117,6 +119,7 @@
     forward::ColdStarts coldStarts_;
     forward::ShortServices shortServices_;
     forward::AnswerTimes answerTimes_;
+    forward::CallerTimeouts callerTimeouts_;
     std::set<std::string> drainedHalls_;
     kernel::Instant started_;
     KeyTrust trust_ = KeyTrust::Stale; ///< The state that was last logged.
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -89,6 +89,11 @@
     run_.deadline = run_.began
                     + (run_.route.timeout > 0s ? std::min(patience, run_.route.timeout) : patience);
     run_.priority = run_.route.priority;
+    if (run_.context.settings.gateway.admission) {
+        forward::CallerTimeouts &timeouts = run_.fleetView.callerTimeouts();
+        timeouts.note(run_.route.name, run_.call.callerTimeout);
+        run_.sinceFirstTry = timeouts.sinceFirstTry(run_.route.name, run_.call.callerTimeout);
+    }
     return checkKey();
 }
 
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -316,7 +316,9 @@
     const kernel::Duration elapsed = run_.context.now() - run_.began;
     const kernel::Duration usual = run_.fleetView.answerTimes().usual(run_.service);
     const kernel::Duration whole = run_.deadline - run_.began;
-    terms.wait = std::max(None, std::min(run_.route.objective, whole) - elapsed - usual);
+    // The objective counts from the caller's first try.
+    const kernel::Duration objective = run_.route.objective - run_.sinceFirstTry;
+    terms.wait = std::max(None, std::min(objective, whole) - elapsed - usual);
     // A caller that is refused by then still has as long again to try elsewhere.
     const kernel::Duration half = whole / 2;
     terms.late = std::max(None, half - elapsed - terms.wait);
