Peer message units stand once; comments of PlaceAsks, PlaceService and ServerSelection

The conversions of durations and rates to message fields stood in PlaceOwner, PlaceService and PlaceAsks. Some comments still said that a request is withdrawn when it has waited longer than expected.

--- a/src/gateway/PlaceAsks.cpp
+++ b/src/gateway/PlaceAsks.cpp
@@ -1,10 +1,10 @@
 #include "gateway/PlaceAsks.h"
 
+#include "gateway/MessageUnits.h"
 #include "membership/Ownership.h"
 #include "services/MembershipService.h"
 #include "services/PeerService.h"
 
-#include <algorithm>
 #include <boost/asio.hpp>
 
 namespace limereel::gateway {
@@ -13,7 +13,7 @@
 
 namespace {
 
-// A datagram that is delayed for longer than this counts as lost; the lease makes up for its place.
+// A grant that is delayed for longer than this is not given back; its place ends with the lease.
 constexpr kernel::Duration ReturnedKept = 5s;
 constexpr int MaxSilences = 2; ///< After these, another box is considered the owner.
 
@@ -128,7 +128,8 @@
     countWait(*pending);
 }
 
-// Whether the owner still has the ask. Its answer may also be the one that is waited for.
+// Repeats the ask, unless this box is the owner or the wait is over. Returns false if the owner
+// doesn't answer, by Queued or by the answer that ends the wait.
 asio::awaitable<bool> PlaceAsks::confirmWait(Place place, peer::AskPermit ask, PendingPtr pending)
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
@@ -161,7 +162,8 @@
 }
 
 // Waits until the timer of \a pending ends, or until the next answer or the end of the request
-// cancels it.
+// cancels it. The timer may end while the answer is still unread in the socket, so pending messages
+// are read before the answer counts as missing.
 asio::awaitable<void> PlaceAsks::waitForAnswer(PendingPtr pending)
 {
     const bool second = isQueued(pending->answer);
@@ -201,8 +203,7 @@
         if (context_.settings.gateway.admission) {
             message.observed = use.unused ? peer::Observed::Unused : peer::Observed::Served;
             message.rejected = use.rejected;
-            message.firstMs =
-                    static_cast<std::uint32_t>(std::max<std::int64_t>(0, use.first / 1ms));
+            message.firstMs = milliseconds(use.first);
             returned_[place.request] = {place, context_.now()};
         }
         context_.kernel.find<services::PeerService>("peer").send(*address, message);
--- a/src/gateway/PlaceAsks.h
+++ b/src/gateway/PlaceAsks.h
@@ -46,7 +46,7 @@
     bool queued = false;   ///< The request waited at the owner.
     bool stopping = false; ///< This box is about to stop.
 
-    /** Whether the request waited for too long, or ended. */
+    /** Whether the wait ended without a second answer of the owner. */
     bool withdrawn() const { return answer && answer->result == peer::PermitResult::Queued; }
 };
 
@@ -87,7 +87,7 @@
         boost::asio::steady_timer timer;
         std::optional<peer::PermitAnswer> answer;
         bool ended = false;    ///< The request has ended or is no longer to wait.
-        bool confirmed = true; ///< Unset from a repetition of the ask until it is answered.
+        bool confirmed = true; ///< False from a repetition of the ask until it is answered.
     };
     using PendingPtr = std::shared_ptr<Pending>;
 
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PlaceOwner.h"
 
+#include "gateway/MessageUnits.h"
 #include "kernel/Log.h"
 #include "membership/Ownership.h"
 #include "services/MembershipService.h"
@@ -43,12 +44,6 @@
     return policy;
 }
 
-double fromThousandths(std::uint32_t perSecond)
-{
-    constexpr double Parts = 1000;
-    return perSecond / Parts;
-}
-
 forward::PlaceAsk placeAskOf(const peer::AskPermit &ask)
 {
     return {.request = ask.request,
@@ -74,11 +69,6 @@
             .lease = std::chrono::milliseconds(ask.leaseMs)};
 }
 
-std::uint32_t milliseconds(kernel::Duration duration)
-{
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration / 1ms));
-}
-
 void logRefusal(const admission::Decision &decision, const peer::AskPermit &ask)
 {
     log().event("place-refused",
@@ -354,8 +344,8 @@
     }
 }
 
-// Only requests with prompts go to one engine in particular, so only they can crowd there. Other
-// requests are spread by load anyway.
+// Only requests with prompts prefer one engine, so only they can overload it. Other requests are
+// spread by load anyway.
 bool PlaceOwner::aboveBound(const peer::AskPermit &ask)
 {
     const double bound =
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PlaceService.h"
 
+#include "gateway/MessageUnits.h"
 #include "membership/Ownership.h"
 #include "services/PeerService.h"
 
@@ -14,19 +15,8 @@
 namespace {
 
 constexpr kernel::Duration SweepInterval = 1s;
-constexpr kernel::Duration StopRetryDelay = 50ms; ///< Told to callers at a planned stop.
-
-std::uint32_t thousandths(double perSecond)
-{
-    constexpr double Parts = 1000;
-    constexpr double Most = 4e9;
-    return static_cast<std::uint32_t>(std::clamp(perSecond * Parts, 0.0, Most));
-}
-
-std::uint32_t milliseconds(kernel::Duration duration)
-{
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration / 1ms));
-}
+// Told to callers at a planned stop. Another box can take the request at once.
+constexpr kernel::Duration StopRetryDelay = 50ms;
 
 } // namespace
 
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -31,12 +31,14 @@
     /** The server has no place for this request. Else, without a place, it is above the load bound.
      */
     bool noPlace = false;
-    bool queued = false;             ///< The request waited at the owner.
-    bool withdrawn = false;          ///< The request waited longer than expected and was withdrawn.
-    kernel::Duration expectedWait{}; ///< For a place there, if it has none.
-    kernel::Duration comeBack{};     ///< When the caller should return; zero: not stated.
-    std::uint32_t load = 0;          ///< Of the server, as its owner said.
-    std::uint32_t limit = 0;         ///< Places that the owner grants; 0: unknown.
+    bool queued = false; ///< The request waited at the owner.
+    /** The request was withdrawn while it waited: it was no longer useful, its owner stopped
+     * answering, its caller left, or this box stops. */
+    bool withdrawn = false;
+    kernel::Duration expectedWait{};           ///< For a place there, if it has none.
+    kernel::Duration comeBack{};               ///< When the caller should return; zero: not stated.
+    std::uint32_t load = 0;                    ///< Of the server, as its owner said.
+    std::uint32_t limit = 0;                   ///< Places that the owner grants; 0: unknown.
     std::optional<kernel::Instant> answeredAt; ///< When the owner's last answer came.
 };
 
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -74,7 +74,8 @@
     bool movesParts = false; ///< Servers of the service copy cached prompt parts from each other.
     kernel::Instant began;
     kernel::Instant deadline;
-    /** Since the caller's first try, if this one repeats it; until \c began. */
+    /** From the caller's first try to \c began, if this request repeats it. Only set with
+     * admission control; see forward::CallerTimeouts. */
     kernel::Duration sinceFirstTry{};
     services::CrashGuard guard; ///< Tracks the request from its admission on.
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -281,7 +281,7 @@
 }
 
 // The server is above the load bound. After several of these, a random other one is used without a
-// place, since all boxes would otherwise crowd at the next in the order.
+// place, since all boxes would otherwise overload the next one in the order.
 ServerSelection::Step ServerSelection::afterBound(forward::ServerRequirements &requirements,
                                                   const forward::Choice &choice)
 {
@@ -323,7 +323,8 @@
     const kernel::Duration half = whole / 2;
     terms.late = std::max(None, half - elapsed - terms.wait);
     if (run_.route.stream) {
-        // Callers of streams leave after some objectives without an event.
+        // Callers of streams leave when no event comes for a few objectives; one of them is well
+        // within that.
         terms.late = std::min(terms.late, run_.route.objective);
     }
     terms.onWait = [interrupt = run_.interrupt](std::function<void()> end) {
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -57,7 +57,7 @@
     {
         forward::Choice choice;
         kernel::Duration expectedWait{};
-        bool silent = false; ///< Its owner didn't answer, or not in the time that it had named.
+        bool silent = false; ///< Its owner didn't answer the ask, or didn't end the wait.
     };
 
     bool admits() const { return run_.context.settings.gateway.admission; }
