Admission: plainer names and reasons, two long functions split

takeHopeless() is takeUnservable(), waitBesides() is waitWithCompetition() and allSteadily() is allSustained(). PlaceBook::waitingOf() and grantsBefore() are taken out of PlaceBook::ask() and WaitQueue::ahead(). The spans of AcceptedDemand's counts stand once. No behaviour changes.

--- a/src/admission/AcceptedDemand.cpp
+++ b/src/admission/AcceptedDemand.cpp
@@ -10,17 +10,17 @@
 
 namespace {
 
-constexpr double ShortSpanSeconds = 1;
-constexpr double LongSpanSeconds = 5;
 constexpr double MicrosPerSecond = 1e6;
-constexpr double LeastSparePart = 0.25;
-constexpr std::uint32_t LeastPriority = 15; ///< Lower ones are counted together.
+constexpr double LeastSparePart = 0.25; ///< Of the places that come free.
+// Lower priorities are counted together with this one. Asking boxes state the priority, so this
+// bounds the number of counts.
+constexpr std::uint32_t LowestCounted = 15;
 
 } // namespace
 
 void AcceptedDemand::note(std::uint32_t priority, Instant now)
 {
-    Counts &counts = byPriority_[std::min(priority, LeastPriority)];
+    Counts &counts = byPriority_[std::min(priority, LowestCounted)];
     counts.lately.add(now);
     counts.longer.add(now);
 }
@@ -28,9 +28,9 @@
 double AcceptedDemand::higherThan(std::uint32_t priority, Instant now) const
 {
     double lately = 0;
-    const auto end = byPriority_.lower_bound(std::min(priority, LeastPriority));
+    const auto end = byPriority_.lower_bound(std::min(priority, LowestCounted));
     for (auto entry = byPriority_.begin(); entry != end; ++entry) {
-        lately += entry->second.lately.value(now) / ShortSpanSeconds;
+        lately += entry->second.lately.value(now) / kernel::seconds(ShortSpan);
     }
     return lately;
 }
@@ -39,21 +39,21 @@
 {
     double lately = 0;
     for (const auto &[priority, counts] : byPriority_) {
-        lately += counts.lately.value(now) / ShortSpanSeconds;
+        lately += counts.lately.value(now) / kernel::seconds(ShortSpan);
     }
     return lately;
 }
 
-double AcceptedDemand::allSteadily(Instant now) const
+double AcceptedDemand::allSustained(Instant now) const
 {
     double longer = 0;
     for (const auto &[priority, counts] : byPriority_) {
-        longer += counts.longer.value(now) / LongSpanSeconds;
+        longer += counts.longer.value(now) / kernel::seconds(LongSpan);
     }
     return std::min(all(now), longer);
 }
 
-Duration waitBesides(Duration wait, double freedPerSecond, double competingPerSecond)
+Duration waitWithCompetition(Duration wait, double freedPerSecond, double competingPerSecond)
 {
     if (wait == Duration::zero() || freedPerSecond <= 0) {
         return wait;
--- a/src/admission/AcceptedDemand.h
+++ b/src/admission/AcceptedDemand.h
@@ -13,7 +13,8 @@
 
 namespace limereel::admission {
 
-/** The longest wait that is told, also where no place is left. */
+/** The expected wait where no place is left, and the longest that is computed. Far above the time
+ * for which requests usually may wait, so that they are refused. */
 constexpr kernel::Duration LongestWait = 3600s;
 
 /** The demand at one server. Deterministic: callers pass in the current time. */
@@ -29,24 +30,29 @@
     /** Requests a second of all priorities: these go before late ones. */
     double all(kernel::Instant now) const;
 
-    /** The same as far as it has lasted for some seconds. Waiting requests are refused only on
-     * this, since the short count alone exceeds the capacity by chance. */
-    double allSteadily(kernel::Instant now) const;
+    /** The lower of the rates over the short and the long span, of all priorities. Waiting requests
+     * are refused only on this, since the rate over the short span exceeds the capacity by chance.
+     */
+    double allSustained(kernel::Instant now) const;
 
 private:
+    static constexpr kernel::Duration ShortSpan = 1s;
+    static constexpr kernel::Duration LongSpan = 5s;
+
     struct Counts
     {
-        forward::RecentCount lately{1s};
-        forward::RecentCount longer{5s};
+        forward::RecentCount lately{ShortSpan};
+        forward::RecentCount longer{LongSpan};
     };
 
     std::map<std::uint32_t, Counts> byPriority_;
 };
 
-/** The wait of a request that waits for \a wait when \a freedPerSecond places come free, if
- * \a competingPerSecond of them go to requests that arrive later. */
-kernel::Duration waitBesides(kernel::Duration wait, double freedPerSecond,
-                             double competingPerSecond);
+/** The expected wait of a request that would wait for \a wait if all of the \a freedPerSecond
+ * places that come free went to the queue, while \a competingPerSecond of them go to requests that
+ * arrive later. */
+kernel::Duration waitWithCompetition(kernel::Duration wait, double freedPerSecond,
+                                     double competingPerSecond);
 
 /** Places a second that \a competingPerSecond requests leave to returning callers. Some are always
  * counted on, since the demand may fall before a caller returns. */
--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -46,29 +46,15 @@
     if (server.places.contains(ask.request) || server.asked.contains(ask.request)) {
         return repeated(server, ask, now);
     }
-    // An ask that may not wait is a probe: if it is refused, the caller's next one may wait and
-    // still has its turn.
-    const auto returning = mayWait(ask) ? server.returns.returns(ask.identity, now) : std::nullopt;
-    Waiting waiting{.request = ask.request,
-                    .organisation = ask.organisation,
-                    .priority = ask.priority,
-                    .returning = returning && returning->asTold,
-                    .inTimeUntil = now + ask.wait,
-                    .usefulUntil = now + ask.wait + ask.late};
-    if (returning) {
-        // The caller's objective counts from its first try.
-        waiting.inTimeUntil = std::min(waiting.inTimeUntil, returning->inTimeUntil);
-    }
-    if (!canBeInTime(ask)) {
-        waiting = asLate(waiting, now);
-    }
+    const Waiting waiting = waitingOf(server, ask, now);
     const std::size_t ahead = server.queue.ahead(waiting, now);
     if (ahead == 0 && loadOf(server, now) < server.capacity.limit()) {
         if (!mayWait(ask)) {
+            // The grant uses up the reserved return, which waitingOf() left in place.
             server.returns.returns(ask.identity, now);
         }
         noteDemand(server, waiting, now);
-        // Those that wait are pushed back.
+        // The expected waits of those in the queue have grown.
         schedule(ask.server, server, now);
         return grant(server, ask, now);
     }
@@ -264,14 +250,33 @@
     return taken < limit ? Duration::zero() : server.capacity.expectedWait(taken - limit);
 }
 
+// What decides on the position of an ask in the queue. An ask that may not wait only asks for the
+// expected wait: if it is refused, the caller's next one may wait and still uses the reserved
+// return.
+Waiting PlaceBook::waitingOf(Server &server, const PlaceRequest &ask, Instant now)
+{
+    const auto returning = mayWait(ask) ? server.returns.returns(ask.identity, now) : std::nullopt;
+    Waiting waiting{.request = ask.request,
+                    .organisation = ask.organisation,
+                    .priority = ask.priority,
+                    .returning = returning && returning->asTold,
+                    .inTimeUntil = now + ask.wait,
+                    .usefulUntil = now + ask.wait + ask.late};
+    if (returning) {
+        // The caller's objective counts from its first try.
+        waiting.inTimeUntil = std::min(waiting.inTimeUntil, returning->inTimeUntil);
+    }
+    return canBeInTime(ask) ? waiting : asLate(waiting, now);
+}
+
 // Requests that arrive later and go first take their part of the places that come free.
 Duration PlaceBook::waitOf(const Server &server, const Waiting &waiting, Instant now) const
 {
     const double competing = now > waiting.inTimeUntil
                                      ? server.demand.all(now)
                                      : server.demand.higherThan(waiting.priority, now);
-    return waitBesides(waitBehind(server, server.queue.ahead(waiting, now), now),
-                       server.capacity.freedPerSecond(), competing);
+    return waitWithCompetition(waitBehind(server, server.queue.ahead(waiting, now), now),
+                               server.capacity.freedPerSecond(), competing);
 }
 
 void PlaceBook::noteDemand(Server &server, const Waiting &waiting, Instant now)
@@ -378,17 +383,17 @@
     }
     const std::size_t inTime = server.queue.inTime(now);
     const double freed = server.capacity.freedPerSecond();
-    const double beforeLate = server.demand.allSteadily(now);
+    const double beforeLate = server.demand.allSustained(now);
     const auto wait = [&](std::size_t ahead) {
         const Duration behind = waitBehind(server, ahead, now);
-        return ahead < inTime ? behind : waitBesides(behind, freed, beforeLate);
+        return ahead < inTime ? behind : waitWithCompetition(behind, freed, beforeLate);
     };
-    for (const Waiting &waiting : server.queue.takeHopeless(now, wait)) {
+    for (const Waiting &waiting : server.queue.takeUnservable(now, wait)) {
         refuseTaken(waiting);
     }
 }
 
-// Sees that settle() comes to the server by then; an earlier time stands.
+// Makes settle() decide on the server's queue at \a due, unless an earlier time is set.
 void PlaceBook::schedule(std::uint64_t id, Server &server, Instant due)
 {
     if (server.queue.size() == 0 || (server.due && *server.due <= due)) {
--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -81,8 +81,10 @@
     CapacityPolicy capacity;
     WaitQueuePolicy queue;
     ReturnPolicy returns;
-    kernel::Duration lease = 20s;           ///< How long a place is held that isn't given back.
-    kernel::Duration settle = 2s;           ///< For how long a new owner heeds what others believe.
+    kernel::Duration lease = 20s; ///< How long a place is held that isn't given back.
+    /** How long a new owner takes the loads that other boxes believe in for its own. Other boxes
+     * learn of a new owner within this time. */
+    kernel::Duration settle = 2s;
     kernel::Duration shortestReturn = 50ms; ///< Told where no return is reserved.
     kernel::Duration idleKept = 60s;        ///< How long an unused server is remembered.
 };
@@ -162,6 +164,7 @@
     kernel::Duration waitBehind(const Server &server, std::size_t ahead, kernel::Instant now) const;
     kernel::Duration waitOf(const Server &server, const Waiting &waiting,
                             kernel::Instant now) const;
+    static Waiting waitingOf(Server &server, const PlaceRequest &ask, kernel::Instant now);
     static void noteDemand(Server &server, const Waiting &waiting, kernel::Instant now);
     Decision decisionOn(const Server &server, const PlaceRequest &ask, Verdict verdict,
                         kernel::Instant now) const;
@@ -180,7 +183,8 @@
 
     PlaceBookPolicy policy_;
     std::unordered_map<std::uint64_t, Server> servers_;
-    std::set<std::pair<kernel::Instant, std::uint64_t>> due_; ///< When settle() sees to a server.
+    /** When settle() next decides on the queue of a server. */
+    std::set<std::pair<kernel::Instant, std::uint64_t>> due_;
     std::vector<Decision> pushedOut_; ///< Refusals by a full queue, for the next settle().
     std::map<Key, Past> past_;
     std::deque<std::pair<kernel::Instant, Key>> pastOrder_; ///< Entries of \c past_ by age.
--- a/src/admission/ReturnSchedule.cpp
+++ b/src/admission/ReturnSchedule.cpp
@@ -8,7 +8,7 @@
 
 // Assumed while no place has ended: what an engine with 16 slots and answers of 1.5 s frees.
 constexpr double UnknownFreedPerSecond = 10;
-// Parts of a caller that are lost in sums of fractions.
+// Tolerance for rounding errors when parts of a caller are summed over buckets.
 constexpr double Rounding = 1e-9;
 
 } // namespace
--- a/src/admission/ReturnSchedule.h
+++ b/src/admission/ReturnSchedule.h
@@ -2,9 +2,10 @@
  * When callers that were refused are to return, and which of them are expected now.
  *
  * Answers callers that all return at once while there is still no room for them. Each refusal
- * reserves room at the first moment at which some comes free that isn't promised yet. A caller that
- * returns then goes before new ones; one that returns early isn't known yet and gains nothing. What
- * is lost with the process costs a caller that privilege and nothing else.
+ * reserves room at the first moment at which some comes free that isn't reserved yet. A caller that
+ * returns then goes before new ones; one that returns early gains nothing, since its objective
+ * counts from its first try. If the schedule is lost with its process, a returning caller is
+ * treated as a new one.
  */
 #pragma once
 
@@ -25,7 +26,7 @@
     kernel::Duration bucket = 100ms;
     kernel::Duration horizon = 60s;
     kernel::Duration shortest = 100ms; ///< Delay told at least.
-    /** Part of the places that come free which may be promised; the rest is for new callers. */
+    /** Part of the places that come free which may be reserved; the rest is for new callers. */
     double promisedPart = 0.5;
     /** How long after its time a caller is still expected: a new connection to another box takes
      * part of it. */
@@ -64,7 +65,7 @@
 
     /** What is known of the caller of a request with this identity; nothing if none was refused
      * here lately. A caller that comes as it was told is forgotten, so that it goes first only
-     * once; one that comes early keeps its promise. */
+     * once; the room of one that comes early stays reserved. */
     std::optional<Returning> returns(std::uint64_t identity, kernel::Instant now);
 
     /** Forgets callers that didn't return. */
@@ -86,7 +87,7 @@
     void reserve(std::int64_t first, std::int64_t last, double perBucket);
 
     ReturnPolicy policy_;
-    std::deque<double> promised_; ///< Callers by bucket; the first is the current one.
+    std::deque<double> promised_; ///< Room reserved in each bucket; the first is the current one.
     kernel::Instant firstBucket_; ///< When the first bucket begins.
     std::unordered_multimap<std::uint64_t, Caller> callers_; ///< By identity.
 };
--- a/src/admission/WaitQueue.cpp
+++ b/src/admission/WaitQueue.cpp
@@ -34,6 +34,29 @@
     return std::tuple(request.inTimeUntil, request.usefulUntil, request.request);
 }
 
+bool moreUrgent(const Waiting *left, const Waiting *right)
+{
+    return urgencyOf(*left) < urgencyOf(*right);
+}
+
+/** How many of another organisation's requests of equal rank get a place before \a request.
+ * \param gap by how much the share of the request's organisation exceeds the other's. Each grant
+ * adds one to a share, so the other one has its turn while its share is smaller. */
+std::size_t grantsBefore(const Waiting &request, double gap, std::vector<const Waiting *> &others)
+{
+    if (others.empty() || gap < 0) {
+        return 0;
+    }
+    const auto smaller = std::min(others.size(), static_cast<std::size_t>(std::ceil(gap)));
+    const bool tie = gap == std::floor(gap) && smaller < others.size();
+    if (!tie) {
+        return smaller;
+    }
+    const auto at = others.begin() + static_cast<std::ptrdiff_t>(smaller);
+    std::nth_element(others.begin(), at, others.end(), moreUrgent);
+    return smaller + (moreUrgent(*at, &request) ? 1 : 0);
+}
+
 } // namespace
 
 std::size_t WaitQueue::ahead(const Waiting &request, Instant now) const
@@ -68,28 +91,10 @@
     const double share = shareAfterHigher(request.organisation, counts[request.organisation].higher)
                          + static_cast<double>(ownBefore);
     before += ownBefore;
-    // Within a rank each grant adds one to its organisation's share, so the grants are a merge of
-    // the organisations' sequences: another one has its turn while its share is smaller.
+    // Within a rank the grants are a merge of the organisations' sequences, by share.
     for (auto &[organisation, count] : counts) {
-        if (count.equals.empty()) {
-            continue;
-        }
         const double gap = share - shareAfterHigher(organisation, count.higher);
-        if (gap < 0) {
-            continue;
-        }
-        const auto smaller =
-                std::min(count.equals.size(), static_cast<std::size_t>(std::ceil(gap)));
-        before += smaller;
-        const bool tie = gap == std::floor(gap) && smaller < count.equals.size();
-        if (tie) {
-            const auto at = count.equals.begin() + static_cast<std::ptrdiff_t>(smaller);
-            std::nth_element(count.equals.begin(), at, count.equals.end(),
-                             [](const Waiting *left, const Waiting *right) {
-                                 return urgencyOf(*left) < urgencyOf(*right);
-                             });
-            before += urgencyOf(**at) < urgencyOf(request) ? 1 : 0;
-        }
+        before += grantsBefore(request, gap, count.equals);
     }
     return before;
 }
@@ -170,19 +175,19 @@
 }
 
 std::vector<Waiting>
-WaitQueue::takeHopeless(Instant now, const std::function<Duration(std::size_t ahead)> &waitBehind)
+WaitQueue::takeUnservable(Instant now, const std::function<Duration(std::size_t ahead)> &waitBehind)
 {
-    std::vector<Waiting> hopeless;
+    std::vector<Waiting> unservable;
     std::vector<Waiting> kept;
     kept.reserve(waiting_.size());
     for (const std::size_t index : order(now)) {
         const Waiting &item = waiting_[index];
         const bool reachable =
                 item.usefulUntil >= now && waitBehind(kept.size()) <= item.usefulUntil - now;
-        (reachable ? kept : hopeless).push_back(item);
+        (reachable ? kept : unservable).push_back(item);
     }
     waiting_ = std::move(kept);
-    return hopeless;
+    return unservable;
 }
 
 std::vector<Waiting> WaitQueue::takeAll()
--- a/src/admission/WaitQueue.h
+++ b/src/admission/WaitQueue.h
@@ -84,8 +84,8 @@
     /** Removes and returns those that can't begin by the time until which they are useful.
      * \param waitBehind the expected wait behind so many others. */
     std::vector<Waiting>
-    takeHopeless(kernel::Instant now,
-                 const std::function<kernel::Duration(std::size_t ahead)> &waitBehind);
+    takeUnservable(kernel::Instant now,
+                   const std::function<kernel::Duration(std::size_t ahead)> &waitBehind);
 
     /** Removes and returns all. */
     std::vector<Waiting> takeAll();
--- a/src/forward/AnswerPace.cpp
+++ b/src/forward/AnswerPace.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
+// Single slow answers average out, and a server that has recovered is found within seconds.
 constexpr double HalfLifeAnswers = 3;
 constexpr double HalfLifeSeconds = 3;
 // A mean that is older than four half-lives says little and is forgotten, so that the record of a
 // server that is no longer used returns to its default state.
 constexpr kernel::Duration Kept = 12s;
-// Differences below this are noise.
+// Smaller factors between two paces count as noise of a shared machine.
 constexpr double LeastFactor = 2;
 
 double decay(kernel::Duration age)
--- a/src/forward/CallerTimeouts.cpp
+++ b/src/forward/CallerTimeouts.cpp
@@ -10,7 +10,7 @@
 // every second request is a repetition, and each of these states another value.
 constexpr int VotesFor = 2;
 constexpr int VotesAgainst = 1;
-constexpr int MostVotes = 200;  ///< A route whose callers change is learned anew after as many.
+constexpr int MostVotes = 200;  ///< As many other values at most replace a former usual one.
 constexpr int FewestVotes = 10; ///< With fewer, no value counts as usual.
 
 } // namespace
--- a/test/correctness/WaitQueueTest.cpp
+++ b/test/correctness/WaitQueueTest.cpp
@@ -199,14 +199,14 @@
                     const auto waitBehind = [&](std::size_t ahead) {
                         return turn * static_cast<std::int64_t>(ahead + 1);
                     };
-                    std::vector<Waiting> hopeless;
+                    std::vector<Waiting> unservable;
                     std::vector<Waiting> kept;
                     for (const Waiting &item : reference.future(now)) {
                         const bool lost = now + waitBehind(kept.size()) > item.usefulUntil;
-                        (lost ? hopeless : kept).push_back(item);
+                        (lost ? unservable : kept).push_back(item);
                     }
                     reference.waiting = kept;
-                    BOOST_REQUIRE((queue.takeHopeless(now, waitBehind) == hopeless));
+                    BOOST_REQUIRE((queue.takeUnservable(now, waitBehind) == unservable));
                 }
                 BOOST_REQUIRE_EQUAL(queue.size(), reference.waiting.size());
                 BOOST_REQUIRE_EQUAL(queue.inTime(now), std::count_if(reference.waiting.begin(),
@@ -271,8 +271,9 @@
     BOOST_TEST(!queue.full());
 }
 
-// Guards against refusals of requests that get a place once the hopeless ones before them are gone.
-BOOST_AUTO_TEST_CASE(takeHopeless_hopelessAhead_doesNotCountForThoseBehind)
+// Guards against refusals of requests that get a place once the unservable ones before them are
+// gone.
+BOOST_AUTO_TEST_CASE(takeUnservable_unservableAhead_doesNotCountForThoseBehind)
 {
     WaitQueue queue;
     for (std::uint64_t request = 1; request <= 10; ++request) {
@@ -282,7 +283,7 @@
     const auto turns = [](std::size_t ahead) {
         return 100ms * static_cast<std::int64_t>(ahead + 1);
     };
-    BOOST_TEST(queue.takeHopeless(at(0s), turns).size() == 10U);
+    BOOST_TEST(queue.takeUnservable(at(0s), turns).size() == 10U);
     BOOST_TEST(queue.contains(11));
 }
 
