--- a/test/performance/AdmissionLoad.cpp
+++ b/test/performance/AdmissionLoad.cpp
@@ -24,7 +24,7 @@
 constexpr Duration EngineWork = 1500ms;
 constexpr Duration FirstEvent = 100ms;
 constexpr Instant Begin(1000s);
-constexpr Duration ShareHalfLife = 1s; ///< As WaitQueuePolicy has it.
+constexpr Duration ShareHalfLife = 1s; ///< Of the oracle; WaitQueuePolicy has 10 s.
 
 Duration times(double factor, Duration duration)
 {
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -75,7 +75,7 @@
     double coldPerSecond = 0;     ///< Most arrivals in a second at one that is cold,
     kernel::Duration coldKnown{}; ///< from when on its entry's word can have reached each box.
     /** How long after a shortage all requests are served again; zero: there are no shortages, and
-     * the promises that concern them aren't checked. */
+     * the checks that concern them aren't made. */
     kernel::Duration served{};
     kernel::Duration absence = 200ms; ///< Longest time between two looks at a box that is absent.
     kernel::Duration contact = 3s;    ///< In touch for so long, a box knows what the others know.
