Admission: a refused probe is told at most the wait for a quarter of the places

Cause: the comeBack of an ask that may not wait was its expected wait, which is 3,600 s while higher priorities take all places that come free. Change: PlaceBook::refuse() limits it to the wait that the least spare part allows (longestReturn()); the expected wait in the answer is unchanged. Result: the new test's probe is told 24.4 s behind a queue of 6.1 s.

--- a/src/admission/AcceptedDemand.cpp
+++ b/src/admission/AcceptedDemand.cpp
@@ -74,4 +74,9 @@
     return std::max(freedPerSecond - competingPerSecond, freedPerSecond * LeastSparePart);
 }
 
+Duration longestReturn(Duration wait)
+{
+    return waitBesides(wait, 1, 1 - LeastSparePart);
+}
+
 } // namespace limereel::admission
--- a/src/admission/AcceptedDemand.h
+++ b/src/admission/AcceptedDemand.h
@@ -52,4 +52,8 @@
  * counted on, since the demand may fall before a caller returns. */
 double spareForReturns(double freedPerSecond, double competingPerSecond);
 
+/** The longest delay told to a caller that stands behind a wait of \a wait: its wait if no more
+ * places come free for it than are always counted on. */
+kernel::Duration longestReturn(kernel::Duration wait);
+
 } // namespace limereel::admission
--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -344,7 +344,10 @@
 {
     Decision decision = decisionOn(server, ask, Verdict::Refused, now);
     decision.expectedWait = expectedWait;
-    Duration comeBack = expectedWait;
+    // Where higher priorities take all places, the expected wait is LongestWait, but their demand
+    // may fall long before.
+    const Duration behind = waitBehind(server, server.queue.ahead(waiting, now), now);
+    Duration comeBack = std::min(expectedWait, longestReturn(behind));
     if (mayWait(ask)) {
         const double spare =
                 spareForReturns(server.capacity.freedPerSecond(), server.demand.all(now));
--- a/test/correctness/PlaceBookTest.cpp
+++ b/test/correctness/PlaceBookTest.cpp
@@ -906,6 +906,33 @@
     BOOST_TEST((verdict(lower, at(10s)) == Verdict::Refused));
 }
 
+// Guards against a probe of a low priority that is told to come back after an hour, though the
+// demand of higher priorities may fall within seconds.
+BOOST_FIXTURE_TEST_CASE(ask_higherPrioritiesTakeAll_probeComesBackAsAQuarterAllows, BookFixture)
+{
+    fillKnown(at(0s));
+    // Ten places a second come free; twenty requests a second of priority 1 are accepted.
+    for (std::uint64_t request = 1; request <= 60; ++request) {
+        PlaceRequest higher = requestOf(request, 10s);
+        higher.priority = 1;
+        BOOST_TEST((verdict(higher, at(50ms * request)) == Verdict::Queued));
+    }
+    PlaceRequest probe = requestOf(200);
+    probe.priority = 2;
+    const Decision refused = ask(probe, at(3s));
+    BOOST_TEST((refused.verdict == Verdict::Refused));
+    BOOST_TEST((refused.expectedWait == LongestWait));
+    // The queue alone takes 6.1 s; a quarter of the places that come free takes four times that.
+    BOOST_TEST((refused.comeBack == 24400ms));
+    // An equal one has no higher ones to wait for and is told its wait.
+    probe.request = 201;
+    probe.priority = 1;
+    const Decision equal = ask(probe, at(3s));
+    BOOST_TEST((equal.verdict == Verdict::Refused));
+    BOOST_TEST((equal.expectedWait < LongestWait));
+    BOOST_TEST((equal.comeBack == equal.expectedWait));
+}
+
 // Guards against requests of a low priority that count as higher ones than their equals.
 BOOST_FIXTURE_TEST_CASE(ask_lowPrioritiesCountedTogether_doNotCompeteWithEachOther, BookFixture)
 {
