Places: a repeated ask keeps its place, and waits end cleanly

Cause: the owner applied the load bound and the limit of a cold server again to an ask that already held a place or waited. The place was then ended under its request, or kept until its lease ended. An ask that a caller left during a repetition counted as silence of the owner; a wait could begin after a planned stop had; a later answer could replace a grant; a place was counted as served though its request was answered before anything was sent. Change: PlaceBook::contains() marks repeated asks, which the book alone answers. PlaceAsks keeps the answer that ends a wait, counts silence only if the request goes on, and doesn't wait while leaving. RequestRun reports such places as unused. Result: new tests of repetitions, of the silent owner and of a cold server without a place pass once. Not covered by a test: the limit of a cold server on a repeated ask, the wait that begins during a stop, the answer that replaces a grant, and the place of a request answered before its send.

--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -219,6 +219,13 @@
     });
 }
 
+bool PlaceBook::contains(std::uint64_t server, std::uint64_t request) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end()
+           && (found->second.places.contains(request) || found->second.asked.contains(request));
+}
+
 std::uint32_t PlaceBook::load(std::uint64_t server) const
 {
     const auto found = servers_.find(server);
--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -121,6 +121,9 @@
 
     bool anyWaiting() const;
 
+    /** Whether the request holds a place at \a server or waits for one. */
+    bool contains(std::uint64_t server, std::uint64_t request) const;
+
     /** Places taken at \a server. */
     std::uint32_t load(std::uint64_t server) const;
 
--- a/src/gateway/PlaceAsks.cpp
+++ b/src/gateway/PlaceAsks.cpp
@@ -111,7 +111,8 @@
         });
     }
     bool confirmed = true;
-    while (confirmed && isQueued(pending->answer) && !pending->ended) {
+    // The stop may have begun after the ask was sent.
+    while (confirmed && isQueued(pending->answer) && !pending->ended && !leaving_) {
         const kernel::Duration left = usefulUntil - context_.now();
         const kernel::Duration expected = std::chrono::milliseconds(pending->answer->waitMs);
         const bool last = expected + context_.settings.askTimeout >= left;
@@ -143,7 +144,9 @@
     pending->timer.expires_after(context_.settings.askTimeout);
     context_.kernel.find<services::PeerService>("peer").send(*address, ask);
     co_await waitForAnswer(pending);
-    if (!pending->confirmed && isQueued(pending->answer)) {
+    if (pending->confirmed) {
+        silences_.erase(place.asked);
+    } else if (!pending->ended) {
         noteSilent(place.asked);
     }
     co_return pending->confirmed;
@@ -213,10 +216,11 @@
 {
     const auto waiting = pending_.find(answer.request);
     if (waiting != pending_.end()) {
-        // Queued may arrive behind the answer that ends the wait, or twice.
+        // Queued may arrive behind the answer that ends the wait, or twice. An answer that ends
+        // the wait stands: the place that it grants is used or given back.
         Pending &pending = *waiting->second;
         const bool queued = answer.result == peer::PermitResult::Queued;
-        if (!queued || !pending.answer || (isQueued(pending.answer) && !pending.confirmed)) {
+        if (!pending.answer || (isQueued(pending.answer) && (!queued || !pending.confirmed))) {
             pending.answer = answer;
             pending.confirmed = true;
             pending.timer.cancel();
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -371,7 +371,10 @@
     askingBoxes_.try_emplace(ask.router, false);
     peer::PermitAnswer reply;
     reply.request = ask.request;
-    if (aboveBound(ask)) {
+    // A repeated ask is answered as before: neither the load bound, which counts its own place, nor
+    // the limit of a cold server applies to it once more.
+    const bool repeated = book_.contains(ask.resource, ask.request);
+    if (!repeated && aboveBound(ask)) {
         reply.result = peer::PermitResult::Full;
         reply.load = book_.load(ask.resource);
     } else if (ask.slots == 0) {
@@ -385,7 +388,9 @@
         }
         reply = answerOf(book_.ask(request, now, context_.random), ask);
     }
-    refuseStart(ask, reply);
+    if (!repeated) {
+        refuseStart(ask, reply);
+    }
     if (reply.result == peer::PermitResult::Queued) {
         queued_[ask.request] = {ask, from};
     } else {
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -218,7 +218,8 @@
     const bool rejected = end == AttemptEnd::Rejected;
     PlaceUse use;
     use.rejected = rejected && run_.failure == forward::Failure::Full;
-    use.unused = end == AttemptEnd::Unsent || (rejected && !use.rejected);
+    // A run may also be answered before anything was sent, as when its key has become invalid.
+    use.unused = end == AttemptEnd::Unsent || !run_.sentAt || (rejected && !use.rejected);
     if (run_.sentAt && run_.headAt) {
         use.first = *run_.headAt - *run_.sentAt;
     }
--- a/test/platform/PlaceWaitTest.cpp
+++ b/test/platform/PlaceWaitTest.cpp
@@ -328,6 +328,124 @@
     BOOST_TEST(theirs->records().empty());
 }
 
+// Failure: a request that others had gone ahead of was withdrawn when its expected wait was over,
+// though its owner still had it and would have granted a place.
+BOOST_FIXTURE_TEST_CASE(waitingRequest_waitsLongerThanExpected_asksAgainAndIsServed,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther();
+    const auto pending = beginAsking();
+    const std::uint64_t number = asked.request;
+    context().settings.askTimeout = 1s;
+    answer(PermitResult::Queued, 20);
+    for (int repetition = 0; repetition < 2; ++repetition) {
+        asked = next<peer::AskPermit>();
+        BOOST_TEST(asked.request == number);
+        answer(PermitResult::Queued, 20);
+        // Its answer shows that the one above has been handled.
+        BOOST_TEST((askHere(askOf(77, 1)).result == PermitResult::Granted));
+        BOOST_TEST(!pending->done);
+    }
+    answer(PermitResult::Granted);
+    BOOST_TEST(finish(pending).status == 200);
+    BOOST_TEST(theirs->runs() == 1U);
+    BOOST_TEST(places("queued") == 1U);
+    BOOST_TEST(waits("granted") == 1U);
+    BOOST_TEST(waits("withdrawn") == 0U);
+    BOOST_TEST(next<peer::GiveBack>().request == number);
+    BOOST_TEST(!more<peer::GiveBack>());
+}
+
+// Failure: a request waited to its deadline at an owner that had ended after it answered a
+// repetition.
+BOOST_FIXTURE_TEST_CASE(waitingRequest_ownerIsSilentToARepetition_isWithdrawn, ShortageOfTwoBoxes)
+{
+    startWithOther();
+    const auto pending = beginAsking();
+    const std::uint64_t number = asked.request;
+    context().settings.askTimeout = 1s;
+    answer(PermitResult::Queued, 20);
+    asked = next<peer::AskPermit>();
+    BOOST_TEST(asked.request == number);
+    answer(PermitResult::Queued, 20);
+    asked = next<peer::AskPermit>();
+    BOOST_TEST(asked.request == number);
+    BOOST_TEST(!pending->done);
+    checkRefused(finish(pending));
+    BOOST_TEST(waits("withdrawn") == 1U);
+    BOOST_TEST(places("withdrawn") == 1U);
+    BOOST_TEST(next<peer::GiveBack>().request == number);
+    BOOST_TEST(theirs->records().empty());
+}
+
+// Failure: an owner was taken for unreachable because callers left while their requests repeated
+// their asks there.
+BOOST_FIXTURE_TEST_CASE(waitingRequest_callerLeavesDuringARepetition_ownerIsNotSilent,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther();
+    for (std::uint64_t round = 1; round <= 2; ++round) {
+        const auto pending = beginAsking();
+        context().settings.askTimeout = 300ms;
+        answer(PermitResult::Queued, 20);
+        until([&] { return places("queued") == round; }, "the wait");
+        // The repetition has all this time.
+        context().settings.askTimeout = 20s;
+        asked = next<peer::AskPermit>();
+        pending->connection->close();
+        BOOST_TEST(next<peer::GiveBack>().request == asked.request);
+        BOOST_TEST(waits("ended") == round);
+    }
+    BOOST_TEST(boxes() == 2U);
+}
+
+// Failure: a request was answered Cold by a cold server without a place, and couldn't wait for one.
+BOOST_FIXTURE_TEST_CASE(ask_coldServerHasNoPlace_waitsAndIsGranted, ShortageOfTwoBoxes)
+{
+    startWithOther();
+    listSmall(*ours);
+    until([this] { return world().servers().ids().size() == 2; }, "the own server");
+    peer::AskPermit ask = askOf(100, 1);
+    while (askHere(ask).result == PermitResult::Granted) {
+        ++ask.request;
+        BOOST_REQUIRE(ask.request < 110U);
+    }
+    ask.request = 200;
+    ask.waitMs = 20000;
+    ask.coldMs = 30000;
+    ask.coldPerSecond = 1000000;
+    BOOST_TEST((askHere(ask).result == PermitResult::Queued));
+    other->send(peer::GiveBack{100, ask.resource, peer::Observed::Unused});
+    const auto granted = next<peer::PermitAnswer>();
+    BOOST_TEST(granted.request == ask.request);
+    BOOST_TEST((granted.result == PermitResult::Granted));
+}
+
+// Failure: a repeated ask was refused by the load bound, which counted its own place, and nobody
+// gave that place back.
+BOOST_FIXTURE_TEST_CASE(ask_repeatedAtTheLoadBound_keepsItsPlace, ShortageOfTwoBoxes)
+{
+    startWithOther();
+    listSmall(*ours);
+    until([this] { return world().servers().ids().size() == 2; }, "the own server");
+    peer::AskPermit ask = askOf(100, 64);
+    ask.chat = 1;
+    peer::PermitAnswer reply = askHere(ask);
+    BOOST_REQUIRE((reply.result == PermitResult::Granted));
+    while (reply.result == PermitResult::Granted) {
+        ++ask.request;
+        reply = askHere(ask);
+        BOOST_REQUIRE(ask.request < 164U);
+    }
+    BOOST_REQUIRE((reply.result == PermitResult::Full));
+    BOOST_REQUIRE(reply.comeBackMs == 0U);
+    const std::uint32_t load = reply.load;
+    ask.request = 100;
+    reply = askHere(ask);
+    BOOST_TEST((reply.result == PermitResult::Granted));
+    BOOST_TEST(reply.load == load);
+}
+
 // Failure: nobody used a place that was granted after the request had stopped waiting, until its
 // lease ended. The withdrawal may have been lost, or have passed the ask on its way.
 BOOST_FIXTURE_TEST_CASE(withdrawnRequest_grantComesLate_isGivenBackAgain, ShortageOfTwoBoxes)
