--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -205,6 +205,13 @@
     });
 }
 
+bool PlaceBook::contains(std::uint64_t server, std::uint64_t request) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end()
+           && (found->second.places.contains(request) || found->second.asked.contains(request));
+}
+
 std::uint32_t PlaceBook::load(std::uint64_t server) const
 {
     const auto found = servers_.find(server);
@@ -349,7 +356,10 @@
 {
     Decision decision = decisionOn(server, ask, Verdict::Refused, now);
     decision.expectedWait = expectedWait;
-    Duration comeBack = expectedWait;
+    // Where higher priorities take all places, the expected wait is LongestWait, but their demand
+    // may fall long before.
+    const Duration behind = waitBehind(server, server.queue.ahead(waiting, now), now);
+    Duration comeBack = std::min(expectedWait, longestReturn(behind));
     if (mayWait(ask)) {
         const double spare =
                 spareForReturns(server.capacity.freedPerSecond(), server.demand.all(now));
