--- a/src/admission/AcceptedDemand.cpp
+++ b/src/admission/AcceptedDemand.cpp
@@ -76,7 +76,7 @@
 
 Duration longestReturn(Duration wait)
 {
-    return waitBesides(wait, 1, 1 - LeastSparePart);
+    return waitWithCompetition(wait, 1, 1 - LeastSparePart);
 }
 
 } // namespace limereel::admission
