Answers say by what their end is known

Cause: the log could not tell whether an answer that reached its caller as complete ended with its length, its last chunk or its connection, which is what the hypotheses on the broken answers differ in. Change: http::BodyEnd names the ends of a body that was read without an error; KeptConnection and Stream hand it out with the last part instead of an empty string. A gateway counts it (answer_ends) and names it in the line "ended". What is forwarded stays as it was.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -276,6 +276,12 @@
     }
 }
 
+void BackendExchange::noteBodyEnd(http::BodyEnd end)
+{
+    run_.bodyEnd = end;
+    run_.context.counters.add("answer_ends", {{"by", std::string(text(end))}});
+}
+
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
     auto body = co_await connection_->readAll(MaxAnswerBytes);
@@ -293,7 +299,8 @@
         fail(failure, "rejected with " + std::to_string(head.status), true);
         co_return AttemptEnd::Rejected;
     }
-    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(*body));
+    noteBodyEnd(body->end);
+    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
     run_.answeredWhole = true;
     if (head.status >= ServerFailure) {
         fail(Failure::Error, "failed with " + std::to_string(head.status), true);
@@ -356,8 +363,11 @@
             noteAnswerTime();
         }
         run_.notePiece();
-        const bool whole = part->empty();
-        std::string bytes = whole ? cutter_.takeRest() : newEvents(*part);
+        const bool whole = part->end.has_value();
+        if (whole) {
+            noteBodyEnd(*part->end);
+        }
+        std::string bytes = whole ? cutter_.takeRest() : newEvents(part->bytes);
         if (!bytes.empty() || whole) {
             const bool passed = co_await forwardEvents(start, std::move(bytes));
             if (!passed) {
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -47,6 +47,7 @@
     boost::asio::awaitable<bool> forwardEvents(const http::AnswerStart &start, std::string bytes);
     std::string newEvents(std::string_view part);
     void noteAnswerTime();
+    void noteBodyEnd(http::BodyEnd end);
     AttemptEnd fail(forward::Failure failure, const std::string &message, bool sent);
 
     RunState &run_;
--- a/src/gateway/FeedConnection.cpp
+++ b/src/gateway/FeedConnection.cpp
@@ -83,10 +83,10 @@
         if (!part) {
             co_return tl::unexpected(part.error().message);
         }
-        if (part->empty()) {
+        if (part->end) {
             co_return answer;
         }
-        answer.body += *part;
+        answer.body += part->bytes;
         if (answer.body.size() > MaxAnswerBytes) {
             connection->close();
             co_return tl::unexpected<std::string>("the answer is too long");
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -152,6 +152,9 @@
             {"unsent", run.counts.unsent},
             {"took_ms", took / 1ms},
             {"budget_left", run.fleetView.budget().left(run.service, run.context.now())}};
+    if (run.bodyEnd) {
+        fields["answer_end"] = text(*run.bodyEnd);
+    }
     if (!why.empty()) {
         fields["why"] = why;
     }
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -40,6 +40,7 @@
     headAt.reset();
     firstPiece.reset();
     failure.reset();
+    bodyEnd.reset();
     answeredWhole = false;
 }
 
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -85,6 +85,7 @@
     std::optional<kernel::Instant> headAt;     ///< When the head of its answer had arrived.
     std::optional<kernel::Instant> firstPiece; ///< When this attempt's answer began to arrive.
     std::optional<forward::Failure> failure;   ///< How this attempt failed.
+    std::optional<http::BodyEnd> bodyEnd;      ///< How the body of its answer ended.
     bool answeredWhole = false; ///< The server of this attempt has sent a complete answer.
 
     std::optional<Place> place; ///< The place at the server of this attempt.
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,5 +1,6 @@
 #include "http/Client.h"
 
+#include "http/ResponseEnd.h"
 #include "http/TimeLimit.h"
 
 #include <boost/asio.hpp>
@@ -138,7 +139,7 @@
     return fields;
 }
 
-asio::awaitable<tl::expected<std::string, CallFailure>> Stream::read()
+asio::awaitable<tl::expected<BodyPart, CallFailure>> Stream::read()
 {
     Connection &connection = *connection_;
     std::string part;
@@ -162,7 +163,10 @@
             break;
         }
     }
-    co_return part;
+    if (part.empty()) {
+        co_return BodyPart{{}, endOf(connection.parser)};
+    }
+    co_return BodyPart{std::move(part), {}};
 }
 
 CallBytes Stream::bytes() const
@@ -192,10 +196,10 @@
         if (!part) {
             co_return tl::unexpected(part.error());
         }
-        if (part->empty()) {
+        if (part->end) {
             break;
         }
-        answer.body += *part;
+        answer.body += part->bytes;
         if (answer.body.size() > mostBytes) {
             co_return tl::unexpected(
                     CallFailure{FailurePoint::AnswerBegun, false, "the answer is too long"});
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "http/BodyEnd.h"
 #include "http/Message.h"
 #include "kernel/BoxSettings.h"
 #include "outcome/Attempt.h"
@@ -59,9 +60,8 @@
     std::string field(std::string_view name) const;
     Fields fields() const;
 
-    /** The next part of the body; empty at its proper end. A connection that ends early is a
-     * failure. */
-    boost::asio::awaitable<tl::expected<std::string, CallFailure>> read();
+    /** The next part of the body, or its end. A connection that ends early is a failure. */
+    boost::asio::awaitable<tl::expected<BodyPart, CallFailure>> read();
 
     CallBytes bytes() const;
 
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/KeptConnection.h"
 
+#include "http/ResponseEnd.h"
 #include "http/SocketState.h"
 
 #include <boost/asio.hpp>
@@ -174,7 +175,7 @@
     co_return start;
 }
 
-asio::awaitable<tl::expected<std::string, CallFailure>> KeptConnection::readPart()
+asio::awaitable<tl::expected<BodyPart, CallFailure>> KeptConnection::readPart()
 {
     const std::shared_ptr<State> state = state_;
     std::string part;
@@ -199,23 +200,26 @@
             break;
         }
     }
-    co_return part;
+    if (part.empty()) {
+        co_return BodyPart{{}, endOf(*state->parser)};
+    }
+    co_return BodyPart{std::move(part), {}};
 }
 
-asio::awaitable<tl::expected<std::string, CallFailure>>
-KeptConnection::readAll(std::size_t mostBytes)
+asio::awaitable<tl::expected<Body, CallFailure>> KeptConnection::readAll(std::size_t mostBytes)
 {
-    std::string all;
+    Body all;
     while (true) {
         auto part = co_await readPart();
         if (!part) {
             co_return tl::unexpected(part.error());
         }
-        if (part->empty()) {
+        if (part->end) {
+            all.end = *part->end;
             co_return all;
         }
-        all += *part;
-        if (all.size() > mostBytes) {
+        all.bytes += part->bytes;
+        if (all.bytes.size() > mostBytes) {
             state_->failed = true;
             co_return tl::unexpected(
                     CallFailure{FailurePoint::AnswerBegun, false, "the answer is too long"});
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -2,11 +2,12 @@
  * A client's connection that can be kept for several requests, over Beast.
  *
  * Sending and reading go on at the same time, since a server may answer before it has read a whole
- * body. An answer counts as whole only by its length, its last chunk, or a clean end of the
- * connection. A connection on which anything was left over, or not wholly sent, isn't used again.
+ * body. Each body says by what its end is known (BodyEnd). A connection on which anything was left
+ * over, or not wholly sent, isn't used again.
  */
 #pragma once
 
+#include "http/BodyEnd.h"
 #include "http/Client.h"
 #include "http/LateLooks.h"
 
@@ -45,11 +46,11 @@
     /** Waits for the head of the next answer. */
     boost::asio::awaitable<tl::expected<AnswerStart, CallFailure>> readHead();
 
-    /** The next part of the answer's body; empty at its proper end. */
-    boost::asio::awaitable<tl::expected<std::string, CallFailure>> readPart();
+    /** The next part of the answer's body, or its end. */
+    boost::asio::awaitable<tl::expected<BodyPart, CallFailure>> readPart();
 
     /** Reads the rest of the body, at most \a mostBytes. */
-    boost::asio::awaitable<tl::expected<std::string, CallFailure>> readAll(std::size_t mostBytes);
+    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(std::size_t mostBytes);
 
     /** Ends the connection; what is being read fails. */
     void close();
--- a/src/services/ChatRun.cpp
+++ b/src/services/ChatRun.cpp
@@ -125,14 +125,14 @@
         outcome_.failure.reset();
         while (!check_.whole() && !outcome_.callerLeft && !outcome_.failure) {
             const auto part = co_await stream.read();
-            if (!part || part->empty()) {
+            if (!part || part->end) {
                 fail(FailurePoint::AnswerBegun,
                      part ? "the engine's stream ended without its end marker"
                           : part.error().message);
                 co_return;
             }
             std::vector<std::string> events;
-            if (!splitter.take(*part, events)) {
+            if (!splitter.take(part->bytes, events)) {
                 fail(FailurePoint::AnswerBegun, "the engine sent an event that is too long");
                 unresumable_ = true;
                 co_return;
--- a/test/correctness/ClientWaitTest.cpp
+++ b/test/correctness/ClientWaitTest.cpp
@@ -149,10 +149,10 @@
         if (!part) {
             co_return tl::unexpected(part.error());
         }
-        if (part->empty()) {
+        if (part->end) {
             co_return answer;
         }
-        answer.body += *part;
+        answer.body += part->bytes;
     }
 }
 
--- a/test/correctness/OutcomeTruthTest.cpp
+++ b/test/correctness/OutcomeTruthTest.cpp
@@ -175,13 +175,13 @@
         auto stream = co_await http::Stream::open(fleet.io(), fleet.context(0).settings.caller,
                                                   longChat(), {});
         BOOST_REQUIRE(stream.has_value());
-        body = (co_await stream->read()).value();
+        body = (co_await stream->read()).value().bytes;
         for (std::size_t index = 0; index < fleet.engineCount(); ++index) {
             fleet.engine(index).restart();
         }
-        for (auto part = co_await stream->read(); part && !part->empty();
+        for (auto part = co_await stream->read(); part && !part->end;
              part = co_await stream->read()) {
-            body += *part;
+            body += part->bytes;
         }
     });
     BOOST_TEST(body.find("event: error") != std::string::npos);
--- a/test/correctness/ProcessTest.cpp
+++ b/test/correctness/ProcessTest.cpp
@@ -178,8 +178,8 @@
         BOOST_REQUIRE(stream.has_value());
         auto part = co_await stream->read();
         fleet.routers()[0].process.signal(SIGTERM);
-        while (part && !part->empty()) {
-            body += *part;
+        while (part && !part->end) {
+            body += part->bytes;
             part = co_await stream->read();
         }
     };
--- a/test/demo/Demo.cpp
+++ b/test/demo/Demo.cpp
@@ -78,7 +78,7 @@
     std::string body;
     while (true) {
         const auto part = co_await stream->read();
-        if (!part || part->empty()) {
+        if (!part || part->end) {
             break;
         }
         if (body.empty()) {
@@ -86,7 +86,7 @@
                                           std::chrono::steady_clock::now() - begun)
                                           .count();
         }
-        body += *part;
+        body += part->bytes;
     }
     result.right =
             textOf(body).starts_with("[" + says + "]") && body.find("[DONE]") != std::string::npos;
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -23,7 +23,8 @@
 struct GatewayAnswer
 {
     bool answered = false; ///< The head came.
-    bool whole = false;    ///< The body came to its proper end.
+    bool whole = false;    ///< The body came to an end without an error.
+    bool marked = false;   ///< The end was that of its length or of its chunks.
     int status = 0;
     http::Fields fields;
     std::string body;
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -167,6 +167,7 @@
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(answer.body == "done by " + used().name());
     BOOST_TEST(answer.whole);
+    BOOST_TEST(context().counters.value("answer_ends", {{"by", "connection-closed"}}) == 1);
 }
 
 BOOST_FIXTURE_TEST_CASE(bytesBehindTheAnswer_connectionIsNotUsedAgain, OneFault)
--- a/test/platform/soak/SoakCaller.cpp
+++ b/test/platform/soak/SoakCaller.cpp
@@ -107,11 +107,11 @@
         if (!part) {
             co_return answer;
         }
-        if (part->empty()) {
+        if (part->end) {
             answer.whole = true;
             co_return answer;
         }
-        answer.body += *part;
+        answer.body += part->bytes;
     }
     co_return answer;
 }
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -317,10 +317,10 @@
         if (!part) {
             co_return answer;
         }
-        if (part->empty()) {
+        if (part->end) {
             break;
         }
-        answer.body += *part;
+        answer.body += part->bytes;
     }
     const bool streamed = stream->field("Content-Type") == "text/event-stream";
     const bool ended = !streamed || answer.body.find("data: [DONE]") != std::string::npos;
