Tests: ends of answers that nothing marks reach callers as complete (failing)

Callers got status 200 with their engine's signature and a short body, framed as complete, after the engine had crashed.

--- a/test/platform/GatewayFixture.cpp
+++ b/test/platform/GatewayFixture.cpp
@@ -184,11 +184,12 @@
         pending->answer.fields = head->fields;
         while (true) {
             auto part = co_await connection->readPart();
-            if (!part || part->empty()) {
+            if (!part || part->end) {
                 pending->answer.whole = part.has_value();
+                pending->answer.marked = part && isMarked(*part->end);
                 break;
             }
-            pending->answer.body += *part;
+            pending->answer.body += part->bytes;
         }
     }
     pending->done = true;
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -300,6 +300,11 @@
         crash();
         co_return false;
     }
+    if (runs && nextCut) {
+        const CutAnswer cut = *std::exchange(nextCut, std::nullopt);
+        co_await writeCut(socket, request, cut);
+        co_return false;
+    }
     const std::string stamp = name_ + "." + id;
     const std::string body = "done by " + name_;
     std::string text;
@@ -357,6 +362,45 @@
     co_return co_await write(socket, text);
 }
 
+std::string RunnerStandin::framedBody(const http::Request &request, AnswerFraming framing) const
+{
+    std::vector<std::string> pieces;
+    if (isStream(request)) {
+        for (int event = firstEvent(request); event <= events; ++event) {
+            pieces.push_back(eventsFrom(event, event));
+        }
+    } else {
+        pieces.push_back("done by " + name_);
+    }
+    std::string bytes;
+    for (const std::string &piece : pieces) {
+        bytes += framing == AnswerFraming::Chunks ? chunk(piece) : piece;
+    }
+    return framing == AnswerFraming::Chunks ? bytes + "0\r\n\r\n" : bytes;
+}
+
+asio::awaitable<void> RunnerStandin::writeCut(tcp::socket &socket, const http::Request &request,
+                                              CutAnswer cut)
+{
+    const std::string body = framedBody(request, cut.framing);
+    std::string fields = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
+    if (cut.framing == AnswerFraming::Length) {
+        fields += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    } else if (cut.framing == AnswerFraming::Chunks) {
+        fields += "Transfer-Encoding: chunked\r\n";
+    }
+    const std::string id(request.fields.get("X-Attempt-Id"));
+    const std::string text =
+            head("200 OK", id, name_ + "." + id, fields + words(false)) + body.substr(0, cut.bytes);
+    if (cut.portToo) {
+        close();
+    }
+    co_await write(socket, text);
+    if (cut.reset) {
+        reset(socket);
+    }
+}
+
 asio::awaitable<bool> RunnerStandin::stream(tcp::socket &socket, const http::Request &request,
                                             RunnerFault fault)
 {
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,20 @@
     Trailing     ///< Another byte follows the whole answer.
 };
 
+/** How the body of an answer is framed. */
+enum class AnswerFraming : std::uint8_t { Length, Chunks, Connection };
+
+/** An answer that ends with its connection after some bytes. */
+struct CutAnswer
+{
+    AnswerFraming framing = AnswerFraming::Connection;
+    std::size_t bytes = 0; ///< Behind the head, with what its framing adds; at most all.
+    bool reset = false;    ///< The connection is reset instead of closed.
+    bool portToo = false;  ///< The process has ended: its port takes no connection any more.
+
+    auto operator<=>(const CutAnswer &) const = default;
+};
+
 /** One request that reached the runner. */
 struct RunnerRecord
 {
@@ -56,6 +71,12 @@
     /** The next requests meet these, one each. */
     std::deque<RunnerFault> faults;
 
+    /** The next answer of a request that runs ends like this. */
+    std::optional<CutAnswer> nextCut;
+
+    /** The bytes behind the head of the answer to \a request, framed in this way. */
+    std::string framedBody(const http::Request &request, AnswerFraming framing) const;
+
     /** Events of a stream. */
     int events = 5;
 
@@ -160,6 +181,8 @@
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket &socket,
                                         const http::Request &request, RunnerFault fault);
     std::string words(bool turnedAway) const;
+    boost::asio::awaitable<void> writeCut(boost::asio::ip::tcp::socket &socket,
+                                          const http::Request &request, CutAnswer cut);
     boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket &socket,
                                         const http::Request &request, RunnerFault fault);
 
