An answer is complete only where its end is known to be

What callers saw: status 200 with their engine's signature and a body that was too short, framed as complete, 2 ms after the engine had crashed. Cause: an answer with neither a length nor chunks ends with its connection, and the connections of a process that ends are closed cleanly too. A gateway took every clean end for the end of the answer, passed on the part of an event that it held, ended its own chunks or added a length, and counted a success. Change: forward::AnswerEnding decides from the framing, from whether the stream stopped inside an event, and from whether the server still listens. A broken answer counts as lost, so that it is repeated, resumed, or left open. A plain answer without a marked end is passed on without a length. EventCutter knows all three line ends and where an event is incomplete. Why this works: a stream that stops inside an event can't be complete whatever closed it, and no end is stated any more that the server didn't state. ForwardTest has the cutter at each byte and the whole table of endings. A server whose port outlives it and that ends between two events is still taken for complete.

--- a/src/forward/EventCutter.cpp
+++ b/src/forward/EventCutter.cpp
@@ -7,13 +7,45 @@
 
 namespace {
 
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
+/** Where a line ends in a text. */
+struct LineEnd
+{
+    std::size_t at = 0;    ///< Of its first byte that isn't part of the line's content.
+    std::size_t after = 0; ///< Where the next line begins.
+};
+
+// The end of the line of which no byte before \a from ends it. A CR that ends \a text may be half
+// of a CR LF.
+std::optional<LineEnd> lineEnd(std::string_view text, std::size_t from)
+{
+    const std::size_t at = text.find_first_of("\r\n", from);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const bool two = text.substr(at).starts_with("\r\n");
+    return LineEnd{at, at + (two ? 2 : 1)};
+}
+
+// Takes the next line off \a text, without its end.
+std::string_view takeLine(std::string_view &text)
+{
+    const LineEnd end = lineEnd(text, 0).value_or(LineEnd{text.size(), text.size()});
+    const std::string_view line = text.substr(0, end.at);
+    text.remove_prefix(end.after);
+    return line;
+}
+
 std::optional<std::uint64_t> idIn(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
+    if (event.starts_with(ByteOrderMark)) {
+        event.remove_prefix(ByteOrderMark.size());
+    }
+    std::optional<std::uint64_t> found;
     while (!event.empty()) {
-        const std::size_t end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
+        std::string_view line = takeLine(event);
         if (!line.starts_with(Field)) {
             continue;
         }
@@ -21,56 +53,59 @@
         line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
         std::uint64_t id = 0;
         const auto [place, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        return error == std::errc() ? std::optional(id) : std::nullopt;
-    }
-    return std::nullopt;
-}
-
-// The position after the first blank line at or after \a from; npos if there is none.
-std::size_t endOfEvent(std::string_view text, std::size_t from)
-{
-    while (true) {
-        const std::size_t lineEnd = text.find('\n', from);
-        if (lineEnd == std::string_view::npos) {
-            return lineEnd;
-        }
-        const std::string_view next = text.substr(lineEnd + 1, 2);
-        if (next.starts_with('\n')) {
-            return lineEnd + 2;
-        }
-        if (next == "\r\n") {
-            return lineEnd + 3;
-        }
-        from = lineEnd + 1;
+        found = error == std::errc() ? std::optional(id) : std::nullopt;
     }
+    return found;
 }
 
 } // namespace
 
 std::vector<RawEvent> EventCutter::take(std::string_view part)
 {
-    // A blank line may be split between two parts, so the last three bytes of the earlier one are
-    // searched again.
-    constexpr std::size_t Overlap = 3;
-    std::size_t from = pending_.size() < Overlap ? 0 : pending_.size() - Overlap;
     pending_ += part;
     std::vector<RawEvent> events;
     std::size_t begin = 0;
-    for (std::size_t end = endOfEvent(pending_, from); end != std::string::npos;
-         end = endOfEvent(pending_, begin)) {
-        std::string bytes = pending_.substr(begin, end - begin);
-        const auto id = idIn(bytes);
-        events.push_back({std::move(bytes), id});
-        begin = end;
+    while (const auto end = lineEnd(pending_, searchFrom_)) {
+        const bool blank = end->at == lineBegin_;
+        const bool undecided = end->after == pending_.size() && pending_.back() == '\r';
+        if (undecided && !blank) {
+            break;
+        }
+        lineBegin_ = searchFrom_ = end->after;
+        // An event that ends with a bare CR so far is passed on; an LF that follows it comes alone.
+        if (blank) {
+            std::string bytes = pending_.substr(begin, end->after - begin);
+            const auto id = idIn(bytes);
+            events.push_back({std::move(bytes), id});
+            begin = end->after;
+        }
     }
     pending_.erase(0, begin);
+    lineBegin_ -= begin;
+    const bool endsWithReturn = !pending_.empty() && pending_.back() == '\r';
+    searchFrom_ = std::max(lineBegin_, pending_.size() - (endsWithReturn ? 1 : 0));
     return events;
 }
 
+bool EventCutter::insideEvent() const
+{
+    std::string_view rest = pending_;
+    if (lineBegin_ != pending_.size()) {
+        return true;
+    }
+    while (!rest.empty()) {
+        if (!takeLine(rest).starts_with(':')) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string EventCutter::takeRest()
 {
     std::string rest;
     rest.swap(pending_);
+    lineBegin_ = searchFrom_ = 0;
     return rest;
 }
 
--- a/src/forward/EventCutter.h
+++ b/src/forward/EventCutter.h
@@ -2,7 +2,8 @@
  * Splits a stream of server-sent events into complete events, bytes unchanged, and reads their ids.
  *
  * Only complete events are passed on, so that an answer that breaks off in the middle of an event
- * can be resumed from another server after the last complete one.
+ * can be resumed from another server after the last complete one. Lines end with LF, CR LF or CR;
+ * an event ends with its blank line.
  */
 #pragma once
 
@@ -30,11 +31,16 @@
     /** Adds \a part to the stream. \return the events that it completes. */
     std::vector<RawEvent> take(std::string_view part);
 
-    /** Removes and returns the bytes of the last, incomplete event. */
+    /** Whether the stream has stopped inside an event, or inside a line. */
+    bool insideEvent() const;
+
+    /** Removes and returns the bytes that belong to no complete event. */
     std::string takeRest();
 
 private:
     std::string pending_;
+    std::size_t lineBegin_ = 0;  ///< Of the line in \c pending_ that isn't complete.
+    std::size_t searchFrom_ = 0; ///< No line ends in \c pending_ between lineBegin_ and here.
 };
 
 } // namespace limereel::forward
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -3,12 +3,14 @@
 #include "gateway/RunLog.h"
 #include "http/EndToEnd.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio.hpp>
 
 namespace limereel::gateway {
 
 namespace asio = boost::asio;
 using forward::AnswerHead;
+using forward::Completeness;
 using forward::Failure;
 
 namespace {
@@ -43,6 +45,14 @@
     return std::max<kernel::Duration>(run.route.objective * 3 / 2, MinSilence);
 }
 
+bool isEventStream(const http::Fields &fields)
+{
+    constexpr std::string_view EventStream = "text/event-stream";
+    const std::string_view type = fields.get("Content-Type");
+    const std::string_view coding = fields.get("Content-Encoding");
+    return coding.empty() && (type.empty() || boost::algorithm::istarts_with(type, EventStream));
+}
+
 } // namespace
 
 BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool)
@@ -301,12 +311,18 @@
     }
     noteBodyEnd(body->end);
     http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
+    answer.endMarked = isMarked(body->end);
     run_.answeredWhole = true;
     if (head.status >= ServerFailure) {
         fail(Failure::Error, "failed with " + std::to_string(head.status), true);
         run_.failedAnswer = std::move(answer);
         co_return AttemptEnd::MayHaveRun;
     }
+    const Completeness completeness = co_await judge({.end = body->end}, head.leaving);
+    if (completeness == Completeness::BrokenOff && run_.repeatable()) {
+        run_.answeredWhole = false;
+        co_return fail(Failure::Lost, "body: it ended as its server stopped listening", true);
+    }
     run_.fleetView.servers().noteSuccess(server_.id, run_.context.now());
     noteAnswerTime();
     if (run_.reply.begun()) {
@@ -363,24 +379,37 @@
             noteAnswerTime();
         }
         run_.notePiece();
-        const bool whole = part->end.has_value();
-        if (whole) {
-            noteBodyEnd(*part->end);
+        if (part->end) {
+            co_return co_await endStream(std::move(start), std::move(head), *part->end);
         }
-        std::string bytes = whole ? cutter_.takeRest() : newEvents(part->bytes);
-        if (!bytes.empty() || whole) {
-            const bool passed = co_await forwardEvents(start, std::move(bytes));
-            if (!passed) {
-                connection_->close();
-                run_.context.counters.add("results", {{"kind", "stream"}, {"code", "caller-left"}});
-                logEnd(run_, "caller-left");
-                co_return AttemptEnd::Answered;
-            }
+        std::string bytes = newEvents(part->bytes);
+        if (bytes.empty()) {
+            continue;
         }
-        if (whole) {
-            break;
+        const bool passed = co_await forwardEvents(start, std::move(bytes));
+        if (!passed) {
+            co_return endForCallerThatLeft();
         }
     }
+}
+
+asio::awaitable<AttemptEnd> BackendExchange::endStream(http::AnswerStart start, AnswerHead head,
+                                                       http::BodyEnd end)
+{
+    noteBodyEnd(end);
+    forward::AnswerEnding ending;
+    ending.end = end;
+    ending.eventStream = isEventStream(start.fields);
+    ending.insideEvent = cutter_.insideEvent();
+    ending.anyEvent = run_.reply.begun() || run_.lastEvent.has_value();
+    if (co_await judge(ending, head.leaving) == Completeness::BrokenOff) {
+        connection_->close();
+        co_return fail(Failure::Lost, "stream: it ended before it was complete", true);
+    }
+    const bool passed = co_await forwardEvents(start, cutter_.takeRest());
+    if (!passed) {
+        co_return endForCallerThatLeft();
+    }
     returnConnection(head.keptFor);
     run_.answeredWhole = true;
     run_.fleetView.servers().noteSuccess(server_.id, run_.context.now());
@@ -390,4 +419,27 @@
     co_return AttemptEnd::Answered;
 }
 
+AttemptEnd BackendExchange::endForCallerThatLeft()
+{
+    connection_->close();
+    run_.context.counters.add("results", {{"kind", "stream"}, {"code", "caller-left"}});
+    logEnd(run_, "caller-left");
+    return AttemptEnd::Answered;
+}
+
+// A server that is leaving may stop listening right after a complete answer.
+asio::awaitable<Completeness> BackendExchange::judge(forward::AnswerEnding ending,
+                                                     bool serverSaidLeaving)
+{
+    const auto listed = run_.fleetView.servers().find(server_.id);
+    const bool leaving = serverSaidLeaving || (listed && listed->leaving);
+    if (!leaving && needsServerState(ending)) {
+        auto &crashes = run_.context.kernel.find<services::CrashService>("crashes");
+        ending.serverGone = co_await crashes.hasCrashed(server_.hash(), server_.address);
+    }
+    const Completeness found = completenessOf(ending);
+    run_.context.counters.add("answers_judged", {{"as", text(found)}});
+    co_return found;
+}
+
 } // namespace limereel::gateway
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -8,6 +8,7 @@
  */
 #pragma once
 
+#include "forward/AnswerEnding.h"
 #include "forward/EventCutter.h"
 #include "gateway/ConnectionPool.h"
 #include "gateway/RunState.h"
@@ -44,6 +45,11 @@
                                                     forward::AnswerHead head);
     boost::asio::awaitable<AttemptEnd> forwardStream(http::AnswerStart start,
                                                      forward::AnswerHead head);
+    boost::asio::awaitable<AttemptEnd> endStream(http::AnswerStart start, forward::AnswerHead head,
+                                                 http::BodyEnd end);
+    AttemptEnd endForCallerThatLeft();
+    boost::asio::awaitable<forward::Completeness> judge(forward::AnswerEnding ending,
+                                                        bool serverSaidLeaving);
     boost::asio::awaitable<bool> forwardEvents(const http::AnswerStart &start, std::string bytes);
     std::string newEvents(std::string_view part);
     void noteAnswerTime();
--- a/src/http/ConnectionReply.cpp
+++ b/src/http/ConnectionReply.cpp
@@ -62,6 +62,9 @@
 
 asio::awaitable<bool> ConnectionReply::send(Answer answer)
 {
+    if (!answer.endMarked && !form_.headOnly) {
+        co_return co_await sendUnmarked(std::move(answer));
+    }
     begun_ = true;
     bhttp::response<bhttp::string_body> response(static_cast<bhttp::status>(answer.status),
                                                  form_.version);
@@ -78,6 +81,26 @@
     co_return whole_;
 }
 
+asio::awaitable<bool> ConnectionReply::sendUnmarked(Answer answer)
+{
+    begun_ = true;
+    bhttp::response<bhttp::empty_body> response(static_cast<bhttp::status>(answer.status),
+                                                form_.version);
+    copyFields(answer.fields, response);
+    response.keep_alive(false);
+    bhttp::response_serializer<bhttp::empty_body> serializer(response);
+    way_.limit.expireAfter(way_.limits.writeTimeout, Awaited::Room);
+    const auto [headError, headBytes] =
+            co_await bhttp::async_write_header(way_.socket, serializer, Quiet);
+    if (!headError) {
+        const auto [error, bytes] =
+                co_await asio::async_write(way_.socket, asio::buffer(answer.body), Quiet);
+        whole_ = !error;
+    }
+    way_.limit.never();
+    co_return whole_;
+}
+
 asio::awaitable<bool> ConnectionReply::begin(int status, Fields fields)
 {
     begun_ = true;
--- a/src/http/ConnectionReply.h
+++ b/src/http/ConnectionReply.h
@@ -58,6 +58,9 @@
     kernel::Duration toldRest() const { return toldRest_; }
 
 private:
+    /** Sends an answer whose end is that of the connection. */
+    boost::asio::awaitable<bool> sendUnmarked(Answer answer);
+
     /** Decides whether the connection stays open, and says so in the head of \a response. */
     template <typename Response>
     void keepOpen(Response &response);
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -111,6 +111,9 @@
     int status = 200;
     Fields fields;
     std::string body;
+    /** Whether the body is known to be complete. If not, it is sent without a length and its end is
+     * that of the connection, as it was when it was received. */
+    bool endMarked = true;
 };
 
 } // namespace limereel::http
--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -163,6 +163,18 @@
     co_return connected.error().timedOut ? ProbeResult::NoResponse : ProbeResult::Crashed;
 }
 
+asio::awaitable<bool> CrashService::hasCrashed(std::uint64_t server, kernel::Endpoint address)
+{
+    if (crashedServers_.contains(server)) {
+        co_return true;
+    }
+    const ProbeResult result = co_await probe(std::move(address));
+    if (result == ProbeResult::Crashed) {
+        crashedServers_[server] = context_.now();
+    }
+    co_return result == ProbeResult::Crashed;
+}
+
 asio::awaitable<void> CrashService::noteLost(LostAttempt lost)
 {
     ProbeResult result = ProbeResult::Crashed;
--- a/src/services/CrashService.h
+++ b/src/services/CrashService.h
@@ -93,6 +93,10 @@
      * run alone isn't handed back. */
     boost::asio::awaitable<void> noteLost(LostAttempt lost);
 
+    /** Whether a server is known to have crashed, or refuses a new connection now.
+     * \param server hash of the server and its incarnation. */
+    boost::asio::awaitable<bool> hasCrashed(std::uint64_t server, kernel::Endpoint address);
+
     /** Notes that this box ended an attempt before its answer was complete, because of its caller
      * or its deadline. Its server may still turn out to have crashed. */
     void noteInterrupted(LostAttempt lost);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1,6 +1,7 @@
 // The decisions of a gateway, compared with simple reference implementations: route table,
 // configuration freshness, retry budget, event splitting, part index and choice of backend servers.
 
+#include "forward/AnswerEnding.h"
 #include "forward/EventCutter.h"
 #include "forward/FleetRetryBudget.h"
 #include "forward/FleetSizeEstimate.h"
@@ -16,6 +17,7 @@
 
 using namespace limereel;
 using namespace limereel::forward;
+using http::BodyEnd;
 
 namespace {
 
@@ -336,6 +338,61 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(take_anyLineEndsSplitAtAnyByte_givesTheSameEventsAndBytes)
+{
+    const std::vector<std::string> lineEnds = {"\n", "\r\n", "\r"};
+    for (std::size_t mix = 0; mix < 27; ++mix) {
+        const std::string &first = lineEnds[mix % 3];
+        const std::string &second = lineEnds[mix / 3 % 3];
+        const std::string &third = lineEnds[mix / 9];
+        std::string text = "id: 1" + first + "data: a" + second + third;
+        // A CR and an LF of two line ends would be one.
+        text += (third == "\r" ? ": note\r\r" : ": note\n\n");
+        text += "data: b" + second + "id:30" + third + first + "id: 2";
+        for (std::size_t split = 0; split <= text.size(); ++split) {
+            EventCutter cutter;
+            std::string bytes;
+            std::vector<std::uint64_t> ids;
+            for (const std::string &part : {text.substr(0, split), text.substr(split)}) {
+                for (const RawEvent &event : cutter.take(part)) {
+                    bytes += event.bytes;
+                    if (event.id) {
+                        ids.push_back(*event.id);
+                    }
+                }
+            }
+            BOOST_TEST(cutter.insideEvent());
+            BOOST_TEST(bytes + cutter.takeRest() == text);
+            const bool oneLineEnd = second == "\r" && third == "\n";
+            const bool alsoOne = third == "\r" && first == "\n";
+            if (!oneLineEnd && !alsoOne) {
+                BOOST_TEST(ids == (std::vector<std::uint64_t>{1, 30}),
+                           boost::test_tools::per_element());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(insideEvent_streamEndsAfterAnyByte_onlyBetweenEventsItIsNot)
+{
+    const std::string text = "\xEF\xBB\xBFid: 1\ndata\n\n: note\n: more\nid: 2\r\n\r\n";
+    const std::size_t firstEnd = text.find("\n\n") + 2;
+    const std::size_t commentEnd = text.find(": more");
+    const std::set<std::size_t> between = {0,
+                                           firstEnd,
+                                           commentEnd,
+                                           text.find("id: 2"),
+                                           text.size() - 1, // The CR of its blank line is there.
+                                           text.size()};
+    for (std::size_t end = 0; end <= text.size(); ++end) {
+        EventCutter cutter;
+        cutter.take(text.substr(0, end));
+        BOOST_TEST(cutter.insideEvent() == !between.contains(end), "after " << end << " bytes");
+    }
+    EventCutter cutter;
+    BOOST_TEST(cutter.take(text).front().id.value_or(0) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(take_incompleteEvent_isKept)
 {
     EventCutter cutter;
@@ -345,6 +402,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AnswerEndingTest)
+
+BOOST_AUTO_TEST_CASE(completeness_anyEnding_isCompleteOnlyWhereTheEndIsMarked)
+{
+    for (const BodyEnd end :
+         {BodyEnd::NoBody, BodyEnd::LengthReached, BodyEnd::LastChunk, BodyEnd::ConnectionClosed}) {
+        for (unsigned bits = 0; bits < 16; ++bits) {
+            AnswerEnding ending;
+            ending.end = end;
+            ending.eventStream = (bits & 1U) != 0;
+            ending.insideEvent = (bits & 2U) != 0;
+            ending.anyEvent = (bits & 4U) != 0;
+            ending.serverGone = (bits & 8U) != 0;
+            const bool stopped = ending.eventStream && ending.insideEvent;
+            const bool marked = end != BodyEnd::ConnectionClosed;
+            const Completeness found = completenessOf(ending);
+            BOOST_TEST((found == Completeness::Complete) == (marked && !stopped));
+            BOOST_TEST((found == Completeness::Unmarked) == needsServerState(ending));
+            if (!marked && (stopped || ending.serverGone)) {
+                BOOST_TEST((found == Completeness::BrokenOff));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(completeness_streamClosedWithoutAnEvent_isBrokenOff)
+{
+    const AnswerEnding ending{.end = BodyEnd::ConnectionClosed, .eventStream = true};
+    BOOST_TEST((completenessOf(ending) == Completeness::BrokenOff));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(PartIndexTest)
 
 BOOST_AUTO_TEST_CASE(depth_promptsShareTheirFirstParts_countsThoseOnly)
