A box notices that it reaches none of a service's servers

Cause: the log of a box that was cut off shows each failed attempt but not what the box makes of them all, and no metric tells a cut box from one whose servers have crashed. Change: forward::ServiceReach counts different servers of a service that weren't reached, with none in between that was. FleetView logs service-lost and service-reached; services_lost and the status show it. Nothing acts on it.

--- a/src/forward/ServerTable.cpp
+++ b/src/forward/ServerTable.cpp
@@ -409,13 +409,18 @@
 std::size_t ServerTable::serversInSameService(std::uint64_t hash) const
 {
     const ServerRecord *record = index_.findHash(hash);
-    if (record == nullptr) {
+    return record == nullptr ? 0 : serversOf(record->server.service);
+}
+
+std::size_t ServerTable::serversOf(const std::string &service) const
+{
+    const ServiceServers *servers = index_.service(service);
+    if (servers == nullptr) {
         return 0;
     }
     std::size_t count = 0;
-    const auto &byHall = index_.service(record->server.service)->byHall;
-    for (std::size_t hall = 0; hall < byHall.size(); ++hall) {
-        count += drainedHalls_.contains(index_.halls()[hall]) ? 0 : byHall[hall].size();
+    for (std::size_t hall = 0; hall < servers->byHall.size(); ++hall) {
+        count += drainedHalls_.contains(index_.halls()[hall]) ? 0 : servers->byHall[hall].size();
     }
     return count;
 }
--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -157,6 +157,9 @@
     /** This box's requests that run at \a id. */
     std::uint32_t ownLoadAt(const std::string &id) const;
 
+    /** How many servers of \a service accept new requests. */
+    std::size_t serversOf(const std::string &service) const;
+
     /** How many servers of the service of the server with this hash accept new requests, itself
      * included. */
     std::size_t serversInSameService(std::uint64_t hash) const;
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -144,6 +144,10 @@
     if (reason == Interruption::None || reason == Interruption::Silent) {
         const Failure seen = reason == Interruption::Silent ? Failure::Silent : failure;
         run_.fleetView.servers().noteFailure(server_.id, seen, run_.context.now());
+        const bool answered = run_.headAt || seen == Failure::Full;
+        if (!answered) {
+            run_.fleetView.reach().noteUnreached(run_.service, server_.hash(), run_.context.now());
+        }
         if (seen == Failure::Full && run_.context.settings.gateway.admission) {
             run_.fleetView.shortServices().noteShort(run_.service, run_.context.now());
         }
@@ -259,6 +263,7 @@
     run_.headAt = now;
     AnswerHead head = run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
     run_.fleetView.servers().noteHeard(server_.id, now);
+    run_.fleetView.reach().noteReached(run_.service);
     if (head.loadUnreadable) {
         run_.context.counters.add("loads_unreadable");
     }
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -204,9 +204,39 @@
     context_.counters.set("short_services",
                           static_cast<double>(shortServices_.count(*caughtUpAt_)));
     noteFreshness();
+    noteLostServices();
     co_return kernel::Duration(SweepInterval);
 }
 
+bool FleetView::isLost(const std::string &service) const
+{
+    return reach_.isLost(service, servers_.serversOf(service), context_.now());
+}
+
+void FleetView::noteLostServices()
+{
+    std::set<std::string> lost;
+    for (const std::string &service : reach_.doubtful(context_.now())) {
+        if (isLost(service)) {
+            lost.insert(service);
+        }
+    }
+    const auto logChanges = [](const auto &these, const auto &others, const char *event,
+                               const char *message) {
+        for (const std::string &service : these) {
+            if (!others.contains(service)) {
+                log().event(event, {{"service", service}}, message);
+            }
+        }
+    };
+    logChanges(lost, lostServices_, "service-lost",
+               "This box reaches none of a service's backend servers.");
+    logChanges(lostServices_, lost, "service-reached",
+               "This box reaches backend servers of a service again, or hasn't tried lately.");
+    context_.counters.set("services_lost", static_cast<double>(lost.size()));
+    lostServices_ = std::move(lost);
+}
+
 void FleetView::applySettings()
 {
     const kernel::GatewaySettings &settings = context_.settings.gateway;
--- a/src/gateway/FleetView.h
+++ b/src/gateway/FleetView.h
@@ -10,6 +10,7 @@
 #include "forward/FleetRetryBudget.h"
 #include "forward/Freshness.h"
 #include "forward/ServerTable.h"
+#include "forward/ServiceReach.h"
 #include "forward/ShortServices.h"
 #include "gateway/ObjectFeed.h"
 
@@ -63,6 +64,7 @@
     forward::FleetRetryBudget &budget() { return budget_; }
     forward::ColdStarts &coldStarts() { return coldStarts_; }
     forward::ShortServices &shortServices() { return shortServices_; }
+    forward::ServiceReach &reach() { return reach_; }
     forward::AnswerTimes &answerTimes() { return answerTimes_; }
     forward::CallerTimeouts &callerTimeouts() { return callerTimeouts_; }
 
@@ -79,6 +81,9 @@
     /** Whether requests can be served: configuration and servers known, keys accepted. */
     bool ready() const;
 
+    /** Whether this box reaches none of the service's backend servers, as far as it knows. */
+    bool isLost(const std::string &service) const;
+
     /** Adds a callback for each new configuration. */
     void onConfiguration(std::function<void(const forward::Snapshot &)> called)
     {
@@ -109,6 +114,7 @@
     boost::asio::awaitable<kernel::Duration> sweep();
     void dropMissing();
     void noteFreshness();
+    void noteLostServices();
 
     services::Context &context_;
     Adapter adapter_;
@@ -118,6 +124,8 @@
     forward::FleetRetryBudget budget_;
     forward::ColdStarts coldStarts_;
     forward::ShortServices shortServices_;
+    forward::ServiceReach reach_;
+    std::set<std::string> lostServices_; ///< Those that were last logged.
     forward::AnswerTimes answerTimes_;
     forward::CallerTimeouts callerTimeouts_;
     std::set<std::string> drainedHalls_;
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -53,6 +53,17 @@
     return servers;
 }
 
+json lostServicesOf(FleetView &fleetView, kernel::Instant now)
+{
+    json lost = json::array();
+    for (const std::string &service : fleetView.reach().doubtful(now)) {
+        if (fleetView.isLost(service)) {
+            lost.push_back(service);
+        }
+    }
+    return lost;
+}
+
 std::string textOf(const json &value)
 {
     return value.is_string() ? value.get<std::string>() : value.dump();
@@ -95,6 +106,7 @@
             {"boxes", boxesOf(context)},
             {"servers", serversOf(fleetView, now)},
             {"short_services", fleetView.shortServices().count(now)},
+            {"lost_services", lostServicesOf(fleetView, now)},
             {"requests", requestsOf(context)}};
 }
 
