Tests: a box that is cut off from all servers refuses its callers (failing)

Callers of such boxes got 503 while the boxes beside them served nearly all. Cause, as the record and the test show it: a box knows no way to a server but its own. Of the other hypotheses, readiness is true and not the cause, and false records of crashes refuse nothing in the record. Change: CutBoxTest, with a fixture that cuts single boxes off: connections refused, reset, or hanging. GatewayFixture lends its configuration and reader.

--- /dev/null
+++ b/test/platform/CutBoxTest.cpp
@@ -0,0 +1,65 @@
+// Boxes that have lost their way to all backend servers and keep their callers: requests of these
+// go on through boxes that reach the servers.
+
+#include "platform/CutBoxFixture.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+using namespace limereel::support;
+
+namespace {
+
+using Cut = CutBoxFixture::Cut;
+
+const std::string FiveEvents = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                               "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+                               "id: 5\ndata: piece 5\n\n";
+const std::vector<std::string> Kinds = {"/once/", "/again/", "/stream/", "/resume/"};
+
+// A box that is cut off, beside one that isn't.
+class CutBox : public CutBoxFixture
+{
+public:
+    void checkServed(Cut how)
+    {
+        startBoxes(1, 1);
+        cut(0, how);
+        letNotice(0);
+        for (const std::string &kind : Kinds) {
+            const std::size_t before = runs();
+            const GatewayAnswer answer = call(0, fresh(kind));
+            BOOST_TEST(answer.status == 200, kind << " got " << answer.status);
+            BOOST_TEST(answer.marked);
+            BOOST_TEST(!answer.fields.get("X-Response-Stamp").empty());
+            BOOST_TEST((answer.body == FiveEvents || answer.body.starts_with("done by ")));
+            BOOST_TEST(runs() == before + 1);
+        }
+        cut(0, Cut::None);
+        until([this] { return !world(0).isLost("pool"); }, "the way back");
+        BOOST_TEST(call(0, fresh("/once/")).status == 200);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CutBoxTest, CutBox)
+
+// These guard against a box that refuses its callers while other boxes reach the backend servers.
+BOOST_AUTO_TEST_CASE(boxCutFromAllServers_connectionsRefused_servesThroughAnotherBox)
+{
+    checkServed(Cut::Refused);
+}
+
+BOOST_AUTO_TEST_CASE(boxCutFromAllServers_connectionsReset_servesThroughAnotherBox)
+{
+    checkServed(Cut::Reset);
+}
+
+BOOST_AUTO_TEST_CASE(boxCutFromAllServers_connectionsHang_servesThroughAnotherBox)
+{
+    checkServed(Cut::Hanging);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/GatewayFixture.cpp
+++ b/test/platform/GatewayFixture.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-json GatewayFixture::configuration(int version) const
+json GatewayFixture::configuration(int version)
 {
     json resume = route("/resume/", "streaming", 2);
     resume["can_resume"] = true;
@@ -175,24 +175,30 @@
         }
         pending->connection = *connected;
     }
-    const http::KeptConnection::Ptr connection = pending->connection;
+    co_await readAnswer(pending->connection, std::move(request), pending->answer);
+    pending->done = true;
+}
+
+asio::awaitable<void> GatewayFixture::readAnswer(http::KeptConnection::Ptr connection,
+                                                 http::Request request, GatewayAnswer &answer)
+{
     connection->send(std::move(request));
     auto head = co_await connection->readHead();
-    if (head) {
-        pending->answer.answered = true;
-        pending->answer.status = head->status;
-        pending->answer.fields = head->fields;
-        while (true) {
-            auto part = co_await connection->readPart();
-            if (!part || part->end) {
-                pending->answer.whole = part.has_value();
-                pending->answer.marked = part && isMarked(*part->end);
-                break;
-            }
-            pending->answer.body += part->bytes;
+    if (!head) {
+        co_return;
+    }
+    answer.answered = true;
+    answer.status = head->status;
+    answer.fields = head->fields;
+    while (true) {
+        auto part = co_await connection->readPart();
+        if (!part || part->end) {
+            answer.whole = part.has_value();
+            answer.marked = part && isMarked(*part->end);
+            co_return;
         }
+        answer.body += part->bytes;
     }
-    pending->done = true;
 }
 
 std::shared_ptr<PendingCall> GatewayFixture::begin(http::Request request,
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -46,7 +46,7 @@
     ~GatewayFixture();
 
     /** The configuration of most tests: routes /once/, /again/, /stream/, /resume/, /open/. */
-    nlohmann::json configuration(int version) const;
+    static nlohmann::json configuration(int version);
     void putConfiguration(const nlohmann::json &spec) { store_->put("config", "main", spec); }
 
     /** Lists a runner in the store. */
@@ -76,6 +76,10 @@
     /** Sends it on a connection of its own, or on \a kept. */
     std::shared_ptr<PendingCall> begin(http::Request request, http::KeptConnection::Ptr kept = {});
     GatewayAnswer call(http::Request request);
+
+    /** Sends it on \a connection and fills \a answer as it comes; that has to live so long. */
+    static boost::asio::awaitable<void> readAnswer(http::KeptConnection::Ptr connection,
+                                                   http::Request request, GatewayAnswer &answer);
     GatewayAnswer finish(const std::shared_ptr<PendingCall> &pending);
 
     /** Lines for the gateway's section of the settings; read by start(). */
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -25,18 +25,18 @@
     }
 }
 
-kernel::BoxSettings HallFixture::settings(std::size_t index, Store store, int linkMbps) const
+kernel::BoxSettings HallFixture::settings(std::size_t index, const kernel::Endpoint &store,
+                                          int linkMbps) const
 {
     const std::string own = "127.0.2." + std::to_string(index + 1);
     const auto listen = [&own](const char *name) {
         return std::string(name) + " = " + own + ":" + std::to_string(freeEndpoint().port) + "\n";
     };
-    const kernel::Endpoint reached = store == Store::Reached ? storeAt_ : freeEndpoint();
     std::ostringstream text;
     text << "[box]\nname = box-" << index + 1
          << "\nhall = hall-a\nregion = region-a\nseed = " << index + 1 << "\n[listen]\n"
          << listen("caller") << listen("ready") << listen("control") << "peer = " << own << ':'
-         << peerPort_ << "\n[platform]\naddress = " << kernel::text(reached)
+         << peerPort_ << "\n[platform]\naddress = " << kernel::text(store)
          << "\n[peers]\nheartbeat-period = 100ms\nkeys = " << std::string(64, 'a')
          << "\n[gateway]\napply-within = 4s\nlink-mbps = " << linkMbps
          << "\nseeds = 127.0.2.1:" << peerPort_ << " 127.0.2.2:" << peerPort_ << "\n"
@@ -45,6 +45,11 @@
 }
 
 std::size_t HallFixture::startBox(Store store, int linkMbps)
+{
+    return startBoxAt(store == Store::Reached ? storeAt_ : freeEndpoint(), linkMbps);
+}
+
+std::size_t HallFixture::startBoxAt(const kernel::Endpoint &store, int linkMbps)
 {
     const std::size_t index = boxes_.size();
     boxes_.push_back(std::make_unique<Box>(settings(index, store, linkMbps)));
@@ -55,7 +60,7 @@
 void HallFixture::restartBox(std::size_t index)
 {
     const std::uint64_t before = boxes_.at(index)->context.incarnation;
-    boxes_[index] = std::make_unique<Box>(settings(index, Store::Reached, 20));
+    boxes_[index] = std::make_unique<Box>(settings(index, storeAt_, 20));
     startServices(index, before + 1);
 }
 
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -34,6 +34,9 @@
     /** Starts one more box. \param linkMbps of its own link. */
     std::size_t startBox(Store store, int linkMbps = 20);
 
+    /** Starts one more box, which reads the store at \a store. */
+    std::size_t startBoxAt(const kernel::Endpoint &store, int linkMbps = 20);
+
     /** A box stands still from now on: its system takes connections, and nobody answers. */
     void freeze(std::size_t index) { boxes_.at(index)->frozen = true; }
 
@@ -103,7 +106,8 @@
         return boxes_.at(index)->context;
     }
     void startServices(std::size_t index, std::uint64_t incarnation);
-    kernel::BoxSettings settings(std::size_t index, Store store, int linkMbps) const;
+    kernel::BoxSettings settings(std::size_t index, const kernel::Endpoint &store,
+                                 int linkMbps) const;
 
     kernel::Endpoint storeAt_;
     std::uint16_t peerPort_;
