A box that reaches none of a service's servers serves through another box

What callers saw: at boxes that were cut off from all backend servers every request got 503, at once or after 0.9 s, while the others served nearly all. Cause: a box knew no way to a server but its own; nothing passed a request on. Change: while a service is lost (ServiceReach), DetourService picks a box that serves detours and hasn't lost it, by heartbeats; DetourAttempt sends it the caller's request over the authenticated peer port and forwards the answer as a server's. One hop; the other box admits the request anew; "not run" is passed on only where it is true. EventForwarder is taken out of BackendExchange, which shares it. Why this works: a cut takes a box's way to servers, not the servers' room and not the box's way to other boxes, so the service is there one hop away.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -3,7 +3,6 @@
 #include "gateway/RunLog.h"
 #include "http/EndToEnd.h"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio.hpp>
 
 namespace limereel::gateway {
@@ -45,14 +44,6 @@
     return std::max<kernel::Duration>(run.route.objective * 3 / 2, MinSilence);
 }
 
-bool isEventStream(const http::Fields &fields)
-{
-    constexpr std::string_view EventStream = "text/event-stream";
-    const std::string_view type = fields.get("Content-Type");
-    const std::string_view coding = fields.get("Content-Encoding");
-    return coding.empty() && (type.empty() || boost::algorithm::istarts_with(type, EventStream));
-}
-
 } // namespace
 
 BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool)
@@ -60,6 +51,7 @@
     , pool_(pool)
     , server_(run.choice.server)
     , silenceTimer_(run.context.io)
+    , events_(run)
 {
 }
 
@@ -342,35 +334,6 @@
     co_return AttemptEnd::Answered;
 }
 
-std::string BackendExchange::newEvents(std::string_view part)
-{
-    std::string bytes;
-    for (forward::RawEvent &event : cutter_.take(part)) {
-        // A resumed run may repeat events that the caller already has.
-        if (event.id && run_.lastEvent && *event.id <= *run_.lastEvent) {
-            continue;
-        }
-        if (event.id) {
-            run_.lastEvent = event.id;
-        }
-        bytes += event.bytes;
-    }
-    return bytes;
-}
-
-asio::awaitable<bool> BackendExchange::forwardEvents(const http::AnswerStart &start,
-                                                     std::string bytes)
-{
-    if (!run_.reply.begun()) {
-        http::Fields fields = http::endToEnd(start.fields);
-        const bool begun = co_await run_.reply.begin(start.status, std::move(fields));
-        if (!begun) {
-            co_return false;
-        }
-    }
-    co_return co_await run_.reply.write(bytes);
-}
-
 asio::awaitable<AttemptEnd> BackendExchange::forwardStream(http::AnswerStart start, AnswerHead head)
 {
     while (true) {
@@ -387,11 +350,7 @@
         if (part->end) {
             co_return co_await endStream(std::move(start), std::move(head), *part->end);
         }
-        std::string bytes = newEvents(part->bytes);
-        if (bytes.empty()) {
-            continue;
-        }
-        const bool passed = co_await forwardEvents(start, std::move(bytes));
+        const bool passed = co_await events_.forward(start, part->bytes);
         if (!passed) {
             co_return endForCallerThatLeft();
         }
@@ -405,13 +364,13 @@
     forward::AnswerEnding ending;
     ending.end = end;
     ending.eventStream = isEventStream(start.fields);
-    ending.insideEvent = cutter_.insideEvent();
-    ending.anyEvent = run_.reply.begun() || run_.lastEvent.has_value();
+    ending.insideEvent = events_.insideEvent();
+    ending.anyEvent = events_.anyEvent();
     if (co_await judge(ending, head.leaving) == Completeness::BrokenOff) {
         connection_->close();
         co_return fail(Failure::Lost, "stream: it ended before it was complete", true);
     }
-    const bool passed = co_await forwardEvents(start, cutter_.takeRest());
+    const bool passed = co_await events_.forwardRest(start);
     if (!passed) {
         co_return endForCallerThatLeft();
     }
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "forward/AnswerEnding.h"
-#include "forward/EventCutter.h"
 #include "gateway/ConnectionPool.h"
+#include "gateway/EventForwarder.h"
 #include "gateway/RunState.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -50,8 +50,6 @@
     AttemptEnd endForCallerThatLeft();
     boost::asio::awaitable<forward::Completeness> judge(forward::AnswerEnding ending,
                                                         bool serverSaidLeaving);
-    boost::asio::awaitable<bool> forwardEvents(const http::AnswerStart &start, std::string bytes);
-    std::string newEvents(std::string_view part);
     void noteAnswerTime();
     void noteBodyEnd(http::BodyEnd end);
     AttemptEnd fail(forward::Failure failure, const std::string &message, bool sent);
@@ -62,7 +60,7 @@
     std::optional<PooledConnection> pooled_; ///< Set if the connection was taken from the pool.
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
-    forward::EventCutter cutter_;
+    EventForwarder events_;
 };
 
 } // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/DetourAttempt.cpp
@@ -0,0 +1,201 @@
+#include "gateway/DetourAttempt.h"
+
+#include "gateway/RunLog.h"
+#include "http/EndToEnd.h"
+
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+// Boxes are a few round trips apart; one that doesn't answer by then is passed over.
+constexpr kernel::Duration ConnectTimeout = 50ms;
+
+bool isClientError(int status)
+{
+    return status / 100 == 4;
+}
+
+} // namespace
+
+DetourAttempt::DetourAttempt(RunState &run, DetourService &detours, DetourBox box)
+    : run_(run)
+    , detours_(detours)
+    , box_(std::move(box))
+    , events_(run)
+{
+    detours_.table().begin(box_.box);
+}
+
+DetourAttempt::~DetourAttempt()
+{
+    detours_.table().end(box_.box);
+}
+
+AttemptEnd DetourAttempt::fail(AttemptEnd end, const std::string &why)
+{
+    run_.lastMessage = "through another box: " + why;
+    if (!run_.stopped()) {
+        detours_.table().noteFailed(box_.box, run_.context.now());
+    }
+    const char *result = end == AttemptEnd::Unsent     ? "unsent"
+                         : end == AttemptEnd::Rejected ? "refused"
+                                                       : "lost";
+    run_.context.counters.add("detours", {{"result", result}});
+    logDetourFailure(run_, box_.name, result, why);
+    return end;
+}
+
+asio::awaitable<bool> DetourAttempt::connect()
+{
+    if (auto pooled = detours_.pool().take(box_.endpoint, !run_.repeatable())) {
+        connection_ = pooled->connection;
+        co_return true;
+    }
+    auto connected = co_await http::KeptConnection::connect(
+            run_.context.io, box_.endpoint.address,
+            std::min<kernel::Duration>(ConnectTimeout, run_.left()));
+    if (!connected) {
+        fail(AttemptEnd::Unsent, "connect: " + connected.error().message);
+        co_return false;
+    }
+    connection_ = *connected;
+    co_return true;
+}
+
+asio::awaitable<AttemptEnd> DetourAttempt::run()
+{
+    const bool connected = co_await connect();
+    if (!connected) {
+        co_return AttemptEnd::Unsent;
+    }
+    if (run_.stopped()) {
+        connection_->close();
+        co_return AttemptEnd::Unsent;
+    }
+    run_.interrupt->connection = connection_;
+    const AttemptEnd end = co_await exchange();
+    run_.interrupt->connection.reset();
+    co_return end;
+}
+
+asio::awaitable<AttemptEnd> DetourAttempt::exchange()
+{
+    peer::DetourRequest detour;
+    detour.from = run_.context.settings.box.text();
+    detour.leftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, run_.left() / 1ms));
+    detour.resumeAfter = run_.lastEvent;
+    detour.request = run_.request;
+    logDetour(run_, box_.name);
+    run_.through = box_.name;
+    run_.sentAt = run_.context.now();
+    connection_->send(detours_.seal(box_, detour));
+    auto start = co_await connection_->readHead();
+    if (!start) {
+        connection_->close();
+        const bool sent = start.error().point != outcome::FailurePoint::ConnectedUnsent;
+        co_return fail(sent ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent,
+                       "answer: " + start.error().message);
+    }
+    run_.headAt = run_.context.now();
+    const forward::AnswerHead head =
+            run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
+    if (!head.signedByBackend) {
+        co_return co_await takeRefusal(*start);
+    }
+    http::AnswerStart first = std::move(*start);
+    if (run_.route.stream && first.status / 100 == 2) {
+        co_return co_await forwardStream(std::move(first));
+    }
+    co_return co_await forwardWhole(std::move(first));
+}
+
+// The other box's view may differ from this box's, so what it refuses as wrong isn't passed on.
+asio::awaitable<AttemptEnd> DetourAttempt::takeRefusal(const http::AnswerStart &start)
+{
+    const auto body = co_await connection_->readAll(MaxAnswerBytes);
+    if (body) {
+        returnConnection(start);
+    } else {
+        connection_->close();
+    }
+    const bool notRun = promisesNotRun(start.status) || isClientError(start.status);
+    co_return fail(notRun ? AttemptEnd::Rejected : AttemptEnd::MayHaveRun,
+                   "refused with " + std::to_string(start.status));
+}
+
+void DetourAttempt::returnConnection(const http::AnswerStart &start)
+{
+    run_.interrupt->connection.reset();
+    const auto head = run_.fleetView.adapter().dialect.readHead(start.status, start.fields);
+    detours_.pool().returnUsed(box_.endpoint, connection_, head.keptFor, connection_->rested());
+}
+
+asio::awaitable<AttemptEnd> DetourAttempt::forwardWhole(http::AnswerStart start)
+{
+    auto body = co_await connection_->readAll(MaxAnswerBytes);
+    if (!body) {
+        connection_->close();
+        co_return fail(AttemptEnd::MayHaveRun, "body: " + body.error().message);
+    }
+    returnConnection(start);
+    detours_.table().noteServed(box_.box);
+    run_.context.counters.add("detours", {{"result", "served"}});
+    if (run_.reply.begun()) {
+        co_return AttemptEnd::MayHaveRun;
+    }
+    run_.answeredWhole = true;
+    run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
+    logEnd(run_, "ok");
+    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
+    answer.endMarked = isMarked(body->end);
+    co_await run_.reply.send(std::move(answer));
+    co_return AttemptEnd::Answered;
+}
+
+asio::awaitable<AttemptEnd> DetourAttempt::forwardStream(http::AnswerStart start)
+{
+    while (true) {
+        auto part = co_await connection_->readPart();
+        if (!part) {
+            connection_->close();
+            co_return fail(AttemptEnd::MayHaveRun, "stream: " + part.error().message);
+        }
+        run_.notePiece();
+        const bool ended = part->end.has_value();
+        // The other box marks the end of each complete stream.
+        if (ended && !isMarked(*part->end)) {
+            connection_->close();
+            co_return fail(AttemptEnd::MayHaveRun, "stream: it ended before it was complete");
+        }
+        bool passed = false;
+        if (ended) {
+            passed = co_await events_.forwardRest(start);
+        } else {
+            passed = co_await events_.forward(start, part->bytes);
+        }
+        if (!passed) {
+            connection_->close();
+            run_.context.counters.add("results", {{"kind", "stream"}, {"code", "caller-left"}});
+            logEnd(run_, "caller-left");
+            co_return AttemptEnd::Answered;
+        }
+        if (ended) {
+            break;
+        }
+    }
+    returnConnection(start);
+    detours_.table().noteServed(box_.box);
+    run_.answeredWhole = true;
+    run_.context.counters.add("detours", {{"result", "served"}});
+    run_.context.counters.add("results", {{"kind", "stream"}, {"code", "ok"}});
+    logEnd(run_, "ok");
+    co_await run_.reply.finish();
+    co_return AttemptEnd::Answered;
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/EventForwarder.cpp
@@ -0,0 +1,61 @@
+#include "gateway/EventForwarder.h"
+
+#include "http/EndToEnd.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+bool isEventStream(const http::Fields &fields)
+{
+    constexpr std::string_view EventStream = "text/event-stream";
+    const std::string_view type = fields.get("Content-Type");
+    const std::string_view coding = fields.get("Content-Encoding");
+    return coding.empty() && (type.empty() || boost::algorithm::istarts_with(type, EventStream));
+}
+
+std::string EventForwarder::newEvents(std::string_view part)
+{
+    std::string bytes;
+    for (forward::RawEvent &event : cutter_.take(part)) {
+        // A resumed run may repeat events that the caller already has.
+        if (event.id && run_.lastEvent && *event.id <= *run_.lastEvent) {
+            continue;
+        }
+        if (event.id) {
+            run_.lastEvent = event.id;
+        }
+        bytes += event.bytes;
+    }
+    return bytes;
+}
+
+asio::awaitable<bool> EventForwarder::forward(const http::AnswerStart &start, std::string_view part)
+{
+    std::string bytes = newEvents(part);
+    if (bytes.empty()) {
+        co_return true;
+    }
+    co_return co_await write(start, std::move(bytes));
+}
+
+asio::awaitable<bool> EventForwarder::forwardRest(const http::AnswerStart &start)
+{
+    co_return co_await write(start, cutter_.takeRest());
+}
+
+asio::awaitable<bool> EventForwarder::write(const http::AnswerStart &start, std::string bytes)
+{
+    if (!run_.reply.begun()) {
+        http::Fields fields = http::endToEnd(start.fields);
+        const bool begun = co_await run_.reply.begin(start.status, std::move(fields));
+        if (!begun) {
+            co_return false;
+        }
+    }
+    co_return co_await run_.reply.write(bytes);
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/EventForwarder.h
@@ -0,0 +1,48 @@
+/** \file
+ * Forwards the body of one attempt's answer to a stream's caller: complete events only, and only
+ * those that the caller doesn't have yet.
+ */
+#pragma once
+
+#include "forward/EventCutter.h"
+#include "gateway/RunState.h"
+
+#include <string>
+#include <string_view>
+
+namespace limereel::gateway {
+
+/** Whether the body of an answer with these fields is a stream of events. */
+bool isEventStream(const http::Fields &fields);
+
+/** The forwarder of one attempt. */
+class EventForwarder
+{
+public:
+    explicit EventForwarder(RunState &run)
+        : run_(run)
+    {
+    }
+
+    /** Forwards the events that \a part completes; before the first one the head of \a start.
+     * \return false if the caller has disconnected. */
+    boost::asio::awaitable<bool> forward(const http::AnswerStart &start, std::string_view part);
+
+    /** Forwards what belongs to no event, at the end of a complete answer. */
+    boost::asio::awaitable<bool> forwardRest(const http::AnswerStart &start);
+
+    /** Whether the answer has stopped inside an event. */
+    bool insideEvent() const { return cutter_.insideEvent(); }
+
+    /** Whether the caller has received a part of the stream, in this attempt or before it. */
+    bool anyEvent() const { return run_.reply.begun() || run_.lastEvent.has_value(); }
+
+private:
+    std::string newEvents(std::string_view part);
+    boost::asio::awaitable<bool> write(const http::AnswerStart &start, std::string bytes);
+
+    RunState &run_;
+    forward::EventCutter cutter_;
+};
+
+} // namespace limereel::gateway
--- a/src/gateway/FeedRelay.cpp
+++ b/src/gateway/FeedRelay.cpp
@@ -35,16 +35,8 @@
     std::size_t bytes_;
 };
 
-http::ServerLimits relayLimits(const kernel::GatewaySettings &settings)
-{
-    http::ServerLimits limits;
-    limits.headBytes = 4096;
-    limits.bodyBytes = 1024;
-    // Two for each box of a hall; callers' and servers' connections use the other descriptors.
-    limits.connections = settings.descriptors / 8;
-    limits.idleTimeout = 30s;
-    return limits;
-}
+// What the envelope adds to a request of a caller that is sent through this box.
+constexpr std::uint32_t DetourMarginBytes = 4096;
 
 } // namespace
 
@@ -58,10 +50,15 @@
 
 void FeedRelay::start()
 {
-    server_ = std::make_unique<http::Server>(context_.io, relayLimits(context_.settings.gateway),
+    server_ = std::make_unique<http::Server>(context_.io, limits(),
                                              [this](http::Request request, http::Reply &reply) {
                                                  return handle(std::move(request), reply);
                                              });
+    fleetView_.onConfiguration([this](const forward::Snapshot &) {
+        if (server_) {
+            server_->setLimits(limits());
+        }
+    });
     server_->listen(context_.settings.peer);
 }
 
@@ -70,6 +67,19 @@
     server_.reset();
 }
 
+http::ServerLimits FeedRelay::limits() const
+{
+    const forward::SnapshotPtr &snapshot = fleetView_.snapshot();
+    const forward::CallerLimits callers = snapshot ? snapshot->limits() : forward::CallerLimits();
+    http::ServerLimits limits;
+    limits.headBytes = 4096;
+    limits.bodyBytes = callers.headBytes + callers.bodyBytes + DetourMarginBytes;
+    // Two for each box of a hall; callers' and servers' connections use the other descriptors.
+    limits.connections = context_.settings.gateway.descriptors / 8;
+    limits.idleTimeout = 30s;
+    return limits;
+}
+
 std::optional<peer::FeedAsk> FeedRelay::read(const http::Request &request) const
 {
     const std::string &body = request.body;
@@ -105,12 +115,22 @@
 
 asio::awaitable<void> FeedRelay::handle(http::Request request, http::Reply &reply)
 {
-    const kernel::Instant question = context_.now();
-    if (request.path() != FeedPath) {
+    if (request.path() == FeedPath) {
+        co_await answerAsk(std::move(request), reply);
+        co_return;
+    }
+    const auto other = otherPaths_.find(std::string(request.path()));
+    if (other == otherPaths_.end()) {
         http::Answer unknown(UnknownPath);
         co_await reply.send(std::move(unknown));
         co_return;
     }
+    co_await other->second(std::move(request), reply);
+}
+
+asio::awaitable<void> FeedRelay::answerAsk(http::Request request, http::Reply &reply)
+{
+    const kernel::Instant question = context_.now();
     const auto ask = read(request);
     ObjectFeed *const feed = ask ? fleetView_.feed(ask->kind) : nullptr;
     if (feed == nullptr) {
--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-FrontService::FrontService(services::Context &context, FleetView &fleetView, PlaceService &places)
+FrontService::FrontService(services::Context &context, FleetView &fleetView, PlaceService &places,
+                           DetourService &detours)
     : context_(context)
     , fleetView_(fleetView)
     , places_(places)
+    , detours_(detours)
     , pool_(context)
 {
 }
@@ -56,6 +58,9 @@
             context_.kernel.find<services::CrashService>("crashes").onServerDelisted(server.id);
         }
     });
+    detours_.setHandler([this](peer::DetourRequest detour, http::Reply &reply) {
+        return handleDetour(std::move(detour), reply);
+    });
     server_->listen(context_.settings.caller);
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
@@ -82,7 +87,7 @@
 
 std::size_t FrontService::active() const
 {
-    return server_->active();
+    return server_->active() + detours_.serving();
 }
 
 http::ServerLimits FrontService::limits() const
@@ -121,4 +126,12 @@
     co_await run.serve();
 }
 
+asio::awaitable<void> FrontService::handleDetour(peer::DetourRequest detour, http::Reply &reply)
+{
+    const kernel::Duration left = std::chrono::milliseconds(detour.leftMs);
+    RequestRun run(context_, fleetView_, pool_, places_, std::move(detour.request), reply);
+    run.setDetour({left, detour.resumeAfter});
+    co_await run.serve();
+}
+
 } // namespace limereel::gateway
--- a/src/gateway/FrontService.h
+++ b/src/gateway/FrontService.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/ConnectionPool.h"
+#include "gateway/DetourService.h"
 #include "gateway/FleetView.h"
 #include "gateway/PlaceService.h"
 #include "http/Server.h"
@@ -17,7 +18,8 @@
 class FrontService : public kernel::Service
 {
 public:
-    FrontService(services::Context &context, FleetView &fleetView, PlaceService &places);
+    FrontService(services::Context &context, FleetView &fleetView, PlaceService &places,
+                 DetourService &detours);
 
     std::string_view name() const override { return "front"; }
     void start() override;
@@ -29,17 +31,19 @@
     /** Accepts no more connections and closes the idle ones. */
     void drain();
 
-    /** Number of requests being served. */
+    /** Number of requests being served, those of other boxes included. */
     std::size_t active() const;
 
 private:
     http::ServerLimits limits() const;
     http::Answer refusalOf(http::Refused why);
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
+    boost::asio::awaitable<void> handleDetour(peer::DetourRequest detour, http::Reply &reply);
 
     services::Context &context_;
     FleetView &fleetView_;
     PlaceService &places_;
+    DetourService &detours_;
     ConnectionPool pool_;
     std::unique_ptr<http::Server> server_;
     std::unique_ptr<services::PeriodicTask> sweep_;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "gateway/CrashStore.h"
+#include "gateway/DetourService.h"
 #include "gateway/FeedRelay.h"
 #include "gateway/GatewayServices.h"
 #include "kernel/HeldSignals.h"
@@ -78,10 +79,11 @@
     kernel.add(std::make_unique<services::MembershipService>(context, peerDiscoveryOf(context)));
     services::CrashService &crashes = kernel.add(std::make_unique<services::CrashService>(context));
     FleetView &fleetView = kernel.add(std::make_unique<FleetView>(context, std::move(adapter)));
-    kernel.add(std::make_unique<FeedRelay>(context, fleetView));
+    FeedRelay &relay = kernel.add(std::make_unique<FeedRelay>(context, fleetView));
     kernel.add(std::make_unique<CrashStore>(context, fleetView.adapter(), crashes));
     PlaceService &places = kernel.add(std::make_unique<PlaceService>(context, fleetView));
-    kernel.add(std::make_unique<FrontService>(context, fleetView, places));
+    DetourService &detours = kernel.add(std::make_unique<DetourService>(context, fleetView, relay));
+    kernel.add(std::make_unique<FrontService>(context, fleetView, places, detours));
     kernel.add(std::make_unique<ReadyService>(context, fleetView));
     kernel.add(std::make_unique<GatewayStop>(context, std::move(stopped)));
 }
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -1,5 +1,6 @@
 #include "gateway/RequestRun.h"
 
+#include "gateway/DetourAttempt.h"
 #include "gateway/RunLog.h"
 #include "services/Answers.h"
 
@@ -14,6 +15,7 @@
 
 constexpr std::uint32_t MaxRejections = 2;
 constexpr std::uint32_t MaxUnsent = 3;
+constexpr std::size_t MaxDetours = 3;         ///< Boxes that one request asks.
 constexpr kernel::Duration MinTimeLeft = 5ms; ///< A request with less time left isn't sent.
 constexpr kernel::Duration DefaultPatience = 60s;
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
@@ -29,6 +31,7 @@
     , pool_(pool)
     , places_(places)
     , selection_(run_, places)
+    , detours_(context.kernel.find<DetourService>("detours"))
     , deadlineTimer_(context.io, context.counters, "deadline")
 {
 }
@@ -47,6 +50,10 @@
         co_return;
     }
     run_.call = std::move(*call);
+    if (servedFor_) {
+        run_.call.callerTimeout = servedFor_->left;
+        run_.call.resumeAfter = servedFor_->resumeAfter;
+    }
     if (auto refusal = admit()) {
         co_await refuse(std::move(*refusal));
         co_return;
@@ -62,7 +69,9 @@
             interrupt->end(Interruption::CallerLeft);
         }
     });
-    run_.fleetView.budget().countRequest(run_.service, run_.began);
+    if (!servedFor_) {
+        run_.fleetView.budget().countRequest(run_.service, run_.began);
+    }
     co_await runAttempts();
     releasePlace(AttemptEnd::Unsent);
 }
@@ -89,7 +98,7 @@
     run_.deadline = run_.began
                     + (run_.route.timeout > 0s ? std::min(patience, run_.route.timeout) : patience);
     run_.priority = run_.route.priority;
-    if (run_.context.settings.gateway.admission) {
+    if (run_.context.settings.gateway.admission && !servedFor_) {
         forward::CallerTimeouts &timeouts = run_.fleetView.callerTimeouts();
         timeouts.note(run_.route.name, run_.call.callerTimeout);
         run_.sinceFirstTry = timeouts.sinceFirstTry(run_.route.name, run_.call.callerTimeout);
@@ -141,6 +150,20 @@
 asio::awaitable<void> RequestRun::runAttempts()
 {
     while (!run_.stopped()) {
+        if (chooseDetour()) {
+            const AttemptEnd end = co_await takeDetour();
+            if (end == AttemptEnd::Answered) {
+                co_return;
+            }
+            if (end != AttemptEnd::MayHaveRun) {
+                continue;
+            }
+            run_.counts.add(end);
+            if (run_.stopped() || !mayTryAgain(end)) {
+                break;
+            }
+            continue;
+        }
         if (auto refusal = co_await acquireSendPermission()) {
             run_.lastMessage = refusal->message;
             if (run_.counts.sends > 0) {
@@ -181,6 +204,26 @@
     co_await giveUp();
 }
 
+// One hop at most: a request of another box's caller is sent straight or not at all.
+bool RequestRun::chooseDetour()
+{
+    detour_.reset();
+    const bool may = run_.context.settings.gateway.detours && !servedFor_
+                     && triedDetours_.size() < MaxDetours && run_.left() >= MinTimeLeft;
+    if (may && run_.fleetView.isLost(run_.service)) {
+        detour_ = detours_.choose(run_.service, triedDetours_);
+    }
+    return detour_.has_value();
+}
+
+asio::awaitable<AttemptEnd> RequestRun::takeDetour()
+{
+    triedDetours_.push_back(detour_->box);
+    run_.beginAttempt();
+    DetourAttempt attempt(run_, detours_, std::move(*detour_));
+    co_return co_await attempt.run();
+}
+
 // A request during which servers have crashed may have to run alone, which means one send of it at
 // a time in the whole fleet, or may not run at all.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::acquireSendPermission()
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "gateway/BackendExchange.h"
+#include "gateway/DetourService.h"
 #include "gateway/ServerSelection.h"
 #include "http/AnswerTimer.h"
 #include "outcome/ResultCode.h"
@@ -18,12 +19,23 @@
 
 namespace limereel::gateway {
 
+/** What another box says of a request that it sends through this one. */
+struct DetourTerms
+{
+    kernel::Duration left{};                  ///< Until the caller's deadline.
+    std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has.
+};
+
 /** Serves one request. Must live until serve() has returned. */
 class RequestRun
 {
 public:
     RequestRun(services::Context &context, FleetView &fleetView, ConnectionPool &pool,
                PlaceService &places, http::Request request, http::Reply &reply);
+
+    /** Makes it the request of another box's caller. */
+    void setDetour(DetourTerms terms) { servedFor_ = terms; }
+
     ~RequestRun();
     RequestRun(const RequestRun &) = delete;
     RequestRun &operator=(const RequestRun &) = delete;
@@ -46,6 +58,8 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
+    bool chooseDetour();
+    boost::asio::awaitable<AttemptEnd> takeDetour();
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
     void releasePlace(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
@@ -58,6 +72,10 @@
     ConnectionPool &pool_;
     PlaceService &places_;
     ServerSelection selection_;
+    DetourService &detours_;
+    std::optional<DetourTerms> servedFor_;    ///< Set if the caller is another box's.
+    std::optional<DetourBox> detour_;         ///< Through which the next attempt is sent.
+    std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked.
     http::AnswerTimer deadlineTimer_;
 };
 
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -59,6 +59,31 @@
     log().event("sent", fields, "The request goes to a backend server.");
 }
 
+void logDetour(const RunState &run, const std::string &box)
+{
+    log().event("detour",
+                {{"request", run.call.id},
+                 {"route", run.route.name},
+                 {"service", run.service},
+                 {"through", box},
+                 {"attempt", run.counts.all() + 1},
+                 {"left_ms", run.left() / 1ms}},
+                "The request goes through another box: none of its servers is reached.");
+}
+
+void logDetourFailure(const RunState &run, const std::string &box, const std::string &result,
+                      const std::string &why)
+{
+    log().event("detour-failed",
+                {{"request", run.call.id},
+                 {"through", box},
+                 {"result", result},
+                 {"why", why},
+                 {"since_sent_ms", millisecondsSince(run.sentAt, run.context.now())},
+                 {"left_ms", run.left() / 1ms}},
+                "Another box didn't serve the request.");
+}
+
 void logFailure(RunState &run, forward::Failure failure, const std::string &message, bool sent)
 {
     log().event("attempt-failed",
@@ -152,6 +177,9 @@
             {"unsent", run.counts.unsent},
             {"took_ms", took / 1ms},
             {"budget_left", run.fleetView.budget().left(run.service, run.context.now())}};
+    if (!run.through.empty()) {
+        fields["through"] = run.through;
+    }
     if (run.bodyEnd) {
         fields["answer_end"] = text(*run.bodyEnd);
     }
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -15,6 +15,13 @@
 /** Logs that the request is sent to the chosen server. */
 void logSend(const RunState &run);
 
+/** Logs that the request is sent through another box. */
+void logDetour(const RunState &run, const std::string &box);
+
+/** Logs that another box didn't serve the request. */
+void logDetourFailure(const RunState &run, const std::string &box, const std::string &result,
+                      const std::string &why);
+
 /** Logs that an attempt failed. \param sent whether anything had been sent to the server. */
 void logFailure(RunState &run, forward::Failure failure, const std::string &message, bool sent);
 
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -41,6 +41,7 @@
     firstPiece.reset();
     failure.reset();
     bodyEnd.reset();
+    through.clear();
     answeredWhole = false;
 }
 
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -110,6 +110,10 @@
               "once, queue those that can still be served in time and refuse the others at once "
               "with a time to come back; set it for all boxes or none"},
              flag(field(&G::admission))},
+            {{"gateway", "detours", "true or false", "true",
+              "whether requests go through another box while this one reaches none of their "
+              "backend servers, and whether this box serves such requests of others"},
+             flag(field(&G::detours))},
             {{"gateway", "hall-regions", "HALL@REGION ...", "",
               "the region of each hall, for requests that may run only in some"},
              storeHallRegions},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -39,6 +39,7 @@
     double coldSlack = 0;          ///< and a second beyond that.
     Duration longestRest{};        ///< What is kept of a rest that a backend server asks for.
     bool admission = false;        ///< Whether owners limit and queue what backend servers get.
+    bool detours = true; ///< Whether requests go through other boxes whose servers aren't reached.
     std::map<std::string, std::string> hallRegions; ///< The region of each hall.
     std::vector<std::string> seeds;                 ///< Addresses of boxes that may know others.
 };
--- a/src/membership/BoxState.h
+++ b/src/membership/BoxState.h
@@ -54,6 +54,8 @@
     std::uint32_t address = 0; ///< Its IPv4 address for other boxes, as a number; 0: not published.
     ShortHash hall = 0;        ///< Of its hall's name; published with the address.
     std::uint32_t linkMbps = 0; ///< Of its own link; published with the address.
+    bool detours = false;       ///< It serves requests of boxes that reach none of their servers.
+    std::vector<ShortHash> lostServices; ///< Services of which it reaches no backend server.
 
     auto operator<=>(const BoxState &) const = default;
 
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -45,6 +45,12 @@
         array.push_back(state.address);
         array.push_back(state.hall);
         array.push_back(state.linkMbps);
+        if (state.detours) {
+            array.push_back(1);
+        }
+        if (state.detours && !state.lostServices.empty()) {
+            array.push_back(state.lostServices);
+        }
     }
     return array;
 }
@@ -59,7 +65,12 @@
                    .backends = {},
                    .address = array.size() > 6 ? array.at(6).get<std::uint32_t>() : 0,
                    .hall = array.size() > 8 ? array.at(7).get<std::uint32_t>() : 0,
-                   .linkMbps = array.size() > 8 ? array.at(8).get<std::uint32_t>() : 0};
+                   .linkMbps = array.size() > 8 ? array.at(8).get<std::uint32_t>() : 0,
+                   .detours = array.size() > 9 && array.at(9).get<int>() != 0,
+                   .lostServices = {}};
+    if (array.size() > 10) {
+        state.lostServices = array.at(10).get<std::vector<std::uint32_t>>();
+    }
     for (const json &backend : array.at(5)) {
         state.backends.push_back(backendState(backend));
     }
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -61,7 +61,12 @@
                        .version = 6,
                        .leaving = true,
                        .configRevision = 70,
-                       .backends = {engine, {}}};
+                       .backends = {engine, {}},
+                       .address = 0x7F000001,
+                       .hall = 77,
+                       .linkMbps = 1000,
+                       .detours = true,
+                       .lostServices = {5, 4000000000U}};
     return {Heartbeat{{box, {}}, {{5, 0}, {~0U, 127}}},
             AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9, ~0ULL}},
             PermitAnswer{9, PermitResult::Redirected, {{1, 2}, {3, 0}}, 1500, 8},
@@ -144,6 +149,25 @@
     BOOST_TEST(nlohmann::json::from_msgpack(encode(GiveBack{1, 2, Observed::Served})).size() == 4U);
 }
 
+// A box of an earlier version knows nine fields of a state; one that serves no detours sends those.
+BOOST_AUTO_TEST_CASE(encode_stateWithoutDetours_isTheEarlierForm)
+{
+    const auto fieldsOf = [](const BoxState &state) {
+        Heartbeat heartbeat;
+        heartbeat.states = {state};
+        return nlohmann::json::from_msgpack(encode(Message(heartbeat))).at(1).at(0);
+    };
+    BoxState state{.box = 1, .incarnation = 2, .version = 3};
+    state.address = 0x7F000001;
+    BOOST_TEST(fieldsOf(state).size() == 9U);
+    const nlohmann::json earlier = fieldsOf(state);
+    state.detours = true;
+    state.lostServices = {5};
+    const nlohmann::json later = fieldsOf(state);
+    BOOST_TEST(later.size() == 11U);
+    BOOST_TEST((nlohmann::json(later.begin(), later.begin() + 9) == earlier));
+}
+
 BOOST_AUTO_TEST_CASE(decode_unknownResult_isNothing)
 {
     auto array = nlohmann::json::from_msgpack(encode(newAnswer()));
