A box that is cut off from servers doesn't take them for crashed

Cause: an attempt that is lost counts as a crash of its server if a new connection is refused then. At a box that has lost its way to all servers of the service every connection is refused, so that shows nothing of the server. Evidence: the new case of CutBoxTest failed before: equal requests at three servers, one cut, and both boxes had a restricted record of them. Change: CrashService asks whether the way to the server's service is lost; a refused connection then leaves the attempt unresolved, as one that times out. Why this works: such an attempt is settled as before by later probes, once a server was reached again, or by the platform's list. One record for each request at the first server that fails is still made; one restricts nothing.

--- a/src/forward/ServerTable.cpp
+++ b/src/forward/ServerTable.cpp
@@ -412,6 +412,12 @@
     return record == nullptr ? 0 : serversOf(record->server.service);
 }
 
+std::string ServerTable::serviceOf(std::uint64_t hash) const
+{
+    const ServerRecord *record = index_.findHash(hash);
+    return record == nullptr ? std::string() : record->server.service;
+}
+
 std::size_t ServerTable::serversOf(const std::string &service) const
 {
     const ServiceServers *servers = index_.service(service);
--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -89,6 +89,9 @@
     /** The listed server \a id; nothing if there is none. */
     std::optional<ListedServer> find(const std::string &id) const;
 
+    /** The service of the listed server with this hash; empty if there is none. */
+    std::string serviceOf(std::uint64_t hash) const;
+
     /** Chooses a server that meets \a requirements; nothing if none may be used. */
     std::optional<Choice> choose(const ServerRequirements &requirements, kernel::Instant now,
                                  std::mt19937_64 &random) const;
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/FeedPaces.h"
 #include "kernel/Log.h"
+#include "services/CrashService.h"
 #include "store/RelayOrder.h"
 
 #include <boost/asio.hpp>
@@ -97,6 +98,8 @@
 
 void FleetView::start()
 {
+    context_.kernel.find<services::CrashService>("crashes").setWayLost(
+            [this](std::uint64_t server) { return isLost(servers_.serviceOf(server)); });
     const kernel::GatewaySettings &settings = context_.settings.gateway;
     sources_ = std::make_unique<FeedSources>(context_, minBoxesForRelaying(settings));
     FeedHooks configurationHooks;
--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -152,7 +152,8 @@
     }
 }
 
-asio::awaitable<CrashService::ProbeResult> CrashService::probe(kernel::Endpoint address)
+asio::awaitable<CrashService::ProbeResult> CrashService::probe(std::uint64_t server,
+                                                               kernel::Endpoint address)
 {
     const auto connected =
             co_await http::KeptConnection::connect(context_.io, address, ProbeTimeout);
@@ -160,7 +161,8 @@
         (*connected)->close();
         co_return ProbeResult::Listening;
     }
-    co_return connected.error().timedOut ? ProbeResult::NoResponse : ProbeResult::Crashed;
+    const bool unclear = connected.error().timedOut || wayLost_(server);
+    co_return unclear ? ProbeResult::NoResponse : ProbeResult::Crashed;
 }
 
 asio::awaitable<bool> CrashService::hasCrashed(std::uint64_t server, kernel::Endpoint address)
@@ -168,7 +170,7 @@
     if (crashedServers_.contains(server)) {
         co_return true;
     }
-    const ProbeResult result = co_await probe(std::move(address));
+    const ProbeResult result = co_await probe(server, std::move(address));
     if (result == ProbeResult::Crashed) {
         crashedServers_[server] = context_.now();
     }
@@ -179,7 +181,7 @@
 {
     ProbeResult result = ProbeResult::Crashed;
     if (!crashedServers_.contains(lost.server)) {
-        result = co_await probe(lost.address);
+        result = co_await probe(lost.server, lost.address);
     }
     context_.counters.add("crash_looks",
                           {{"ended", result == ProbeResult::Crashed ? "yes" : "no"}});
@@ -204,7 +206,7 @@
         if (!isUnresolved(server)) {
             break;
         }
-        const ProbeResult result = co_await probe(address);
+        const ProbeResult result = co_await probe(server, address);
         if (result == ProbeResult::Crashed) {
             context_.counters.add("crash_late_ends");
             crashedServers_[server] = context_.now();
--- a/src/services/CrashService.h
+++ b/src/services/CrashService.h
@@ -113,6 +113,11 @@
      * unresolved, it counts as crashed. */
     void onServerDelisted(const std::string &id);
 
+    /** Sets a function that tells whether this box has lost its way to the service of a server:
+     * then a refused connection doesn't show that the server has crashed. */
+    using WayLost = std::function<bool(std::uint64_t server)>;
+    void setWayLost(WayLost wayLost) { wayLost_ = std::move(wayLost); }
+
     /** Sets a function that fetches a record from outside this part of the fleet before a request
      * is sent alone. */
     using LookUp = std::function<boost::asio::awaitable<void>(forward::RequestIdentity)>;
@@ -157,7 +162,7 @@
 
     boost::asio::awaitable<SendPermission> askAlone(forward::RequestIdentity request,
                                                     kernel::Duration longest);
-    boost::asio::awaitable<ProbeResult> probe(kernel::Endpoint address);
+    boost::asio::awaitable<ProbeResult> probe(std::uint64_t server, kernel::Endpoint address);
     boost::asio::awaitable<void> probeAgain(std::uint64_t server, kernel::Endpoint address);
     bool isUnresolved(std::uint64_t server) const;
     void resolve(const std::function<bool(const LostAttempt &lost)> &hasCrashed);
@@ -189,6 +194,7 @@
             incarnations_;       ///< Incarnation of each box at the last sweep.
     std::size_t nextRecord_ = 0; ///< The record that sendToRandomBox() sends next.
     std::vector<Changed> changed_;
+    WayLost wayLost_ = [](std::uint64_t) { return false; };
     LookUp lookUp_; ///< If empty, no record is fetched.
     std::unique_ptr<PeriodicTask> sweep_;
 };
--- a/test/platform/CutBoxTest.cpp
+++ b/test/platform/CutBoxTest.cpp
@@ -3,7 +3,7 @@
 
 #include "platform/CutBoxFixture.h"
 
-#include <boost/test/data/test_case.hpp>
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace limereel;
@@ -16,6 +16,7 @@
 const std::string FiveEvents = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
                                "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
                                "id: 5\ndata: piece 5\n\n";
+constexpr std::size_t Servers = 3;
 const std::vector<std::string> Kinds = {"/once/", "/again/", "/stream/", "/resume/"};
 
 // A box that is cut off, beside one that isn't.
@@ -62,4 +63,24 @@
     checkServed(Cut::Hanging);
 }
 
+// Guards against a box that takes its own cut for crashes of servers, and has harmless requests
+// restricted everywhere.
+BOOST_AUTO_TEST_CASE(boxCutWhileEqualRequestsRun_noneOfThemIsTakenForACrashingOne)
+{
+    startBoxes(1, 1);
+    for (std::size_t index = 0; index < Servers; ++index) {
+        runner(index).faults.push_back(standin::RunnerFault::Silent);
+    }
+    std::vector<std::shared_ptr<PendingCall>> calls;
+    for (std::size_t count = 0; count < Servers; ++count) {
+        calls.push_back(begin(0, GatewayFixture::request("POST", "/once/same")));
+    }
+    until([this] { return runs() == Servers; }, "each server runs one");
+    cut(0, Cut::Refused);
+    until([&] { return std::ranges::all_of(calls, &PendingCall::done); }, "the answers");
+    BOOST_TEST(crashes(0).book().shared().empty());
+    BOOST_TEST(call(0, GatewayFixture::request("POST", "/once/same")).status == 200);
+    BOOST_TEST(crashes(1).book().shared().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
