Own interface: a service's answer without a length is passed on without one

ServiceHandler takes a plain service's answer that ends with its connection, which may have been broken off, and gives it a Content-Length of the router's own. Change: http::call says in the answer whether its end was marked, and ServiceHandler passes that on. Chats have an end marker and weren't hit.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -197,6 +197,7 @@
             co_return tl::unexpected(part.error());
         }
         if (part->end) {
+            answer.endMarked = isMarked(*part->end);
             break;
         }
         answer.body += part->bytes;
--- a/src/services/ServiceHandler.cpp
+++ b/src/services/ServiceHandler.cpp
@@ -288,6 +288,7 @@
         http::Answer out{answer.status, resultFields(id_, {code, outcome::Ran::Ran, false}),
                          std::move(answer.body)};
         out.fields.add("Content-Type", std::string(answer.fields.get("Content-Type")));
+        out.endMarked = answer.endMarked;
         count(code);
         co_await reply_.send(std::move(out));
     }
--- a/test/correctness/OutcomeTruthTest.cpp
+++ b/test/correctness/OutcomeTruthTest.cpp
@@ -226,6 +226,18 @@
     }
 }
 
+// Guards against an answer that may have been broken off reaching its caller with a length.
+BOOST_AUTO_TEST_CASE(service_answerHasNoLength_isPassedOnWithoutOne)
+{
+    onAllRunners([](auto &faults) { faults.unmarkedAnswer = 1; });
+    const auto unmarked = remind(0, "no length", "");
+    BOOST_TEST(unmarked.resultCode == "0");
+    BOOST_TEST(unmarked.body.find("no length") != std::string::npos);
+    BOOST_TEST(!unmarked.marked);
+    onAllRunners([](auto &faults) { faults = {}; });
+    BOOST_TEST(remind(0, "a length", "").marked);
+}
+
 BOOST_AUTO_TEST_CASE(service_sameKeyAtBothRoutersAtTheSameMoment_runsOnce)
 {
     // Few rounds: more would reach the router's share of the platform's write rate.
--- a/test/standin/ServiceStandin.cpp
+++ b/test/standin/ServiceStandin.cpp
@@ -75,6 +75,7 @@
     }
     http::Answer answer =
             plain(take(faults.failAnswer) ? 500 : 200, {{"service", name_}, {"did", request.body}});
+    answer.endMarked = !take(faults.unmarkedAnswer);
     answer.fields.add("X-Request-Id", take(faults.foreignAnswer) ? "someone-else" : id);
     co_await reply.send(std::move(answer));
 }
--- a/test/standin/ServiceStandin.h
+++ b/test/standin/ServiceStandin.h
@@ -15,13 +15,14 @@
 /** Faults, each as many times as its number says. */
 struct ServiceFaults
 {
-    int refuse = 0;        ///< 503, not started.
-    std::string restAsked; ///< The Retry-After of such a refusal; empty: none.
-    int dropBeforeRun = 0; ///< Reads the call, closes, doesn't run it.
-    int dropAfterRun = 0;  ///< Runs it, closes without an answer.
-    int cutAnswer = 0;     ///< Runs it, sends half of an answer.
-    int foreignAnswer = 0; ///< Runs it, answers with another call's id.
-    int failAnswer = 0;    ///< Runs it, answers 500.
+    int refuse = 0;         ///< 503, not started.
+    std::string restAsked;  ///< The Retry-After of such a refusal; empty: none.
+    int dropBeforeRun = 0;  ///< Reads the call, closes, doesn't run it.
+    int dropAfterRun = 0;   ///< Runs it, closes without an answer.
+    int cutAnswer = 0;      ///< Runs it, sends half of an answer.
+    int unmarkedAnswer = 0; ///< Runs it, answers without a length and closes.
+    int foreignAnswer = 0;  ///< Runs it, answers with another call's id.
+    int failAnswer = 0;     ///< Runs it, answers 500.
     bool leaving = false;
 };
 
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -318,6 +318,7 @@
             co_return answer;
         }
         if (part->end) {
+            answer.marked = isMarked(*part->end);
             break;
         }
         answer.body += part->bytes;
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -34,7 +34,8 @@
     std::string engine;
     std::string route;
     std::string chatToken;
-    bool whole = false; ///< An answer, not a refusal, that came to its proper end.
+    bool marked = false; ///< The end of its body was that of its length or of its chunks.
+    bool whole = false;  ///< An answer, not a refusal, that came to its proper end.
 
     /** The text of a chat's answer, streamed or not. */
     std::string text() const;
