Streams: one whose events have no ids isn't resumed

What callers would see: a stream that broke off goes on from its first event, so that pieces come twice in one answer. A resumable stream is taken up from the last event id; where events have none, nothing says from where, and the other server begins anew. Change: EventCutter tells events with data from comments; once one without an id has been passed on, the request isn't repeated, and its caller sees the cut. Result: the new case of BrokenAnswerTest failed before (the two events twice) and passes now, as do ForwardTest and CutBoxTest.

--- a/src/forward/EventCutter.cpp
+++ b/src/forward/EventCutter.cpp
@@ -37,25 +37,32 @@
     return line;
 }
 
-std::optional<std::uint64_t> idIn(std::string_view event)
+std::optional<std::uint64_t> numberIn(std::string_view value)
 {
-    constexpr std::string_view Field = "id:";
-    if (event.starts_with(ByteOrderMark)) {
-        event.remove_prefix(ByteOrderMark.size());
+    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+    std::uint64_t number = 0;
+    const auto [place, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+    return error == std::errc() ? std::optional(number) : std::nullopt;
+}
+
+RawEvent eventFrom(std::string bytes)
+{
+    constexpr std::string_view Id = "id:";
+    constexpr std::string_view Data = "data";
+    RawEvent event;
+    event.bytes = std::move(bytes);
+    std::string_view rest = event.bytes;
+    if (rest.starts_with(ByteOrderMark)) {
+        rest.remove_prefix(ByteOrderMark.size());
     }
-    std::optional<std::uint64_t> found;
-    while (!event.empty()) {
-        std::string_view line = takeLine(event);
-        if (!line.starts_with(Field)) {
-            continue;
+    while (!rest.empty()) {
+        const std::string_view line = takeLine(rest);
+        if (line.starts_with(Id)) {
+            event.id = numberIn(line.substr(Id.size()));
         }
-        line.remove_prefix(Field.size());
-        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-        std::uint64_t id = 0;
-        const auto [place, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        found = error == std::errc() ? std::optional(id) : std::nullopt;
+        event.hasData = event.hasData || line.substr(0, line.find(':')) == Data;
     }
-    return found;
+    return event;
 }
 
 } // namespace
@@ -74,9 +81,7 @@
         lineBegin_ = searchFrom_ = end->after;
         // An event that ends with a bare CR so far is passed on; an LF that follows it comes alone.
         if (blank) {
-            std::string bytes = pending_.substr(begin, end->after - begin);
-            const auto id = idIn(bytes);
-            events.push_back({std::move(bytes), id});
+            events.push_back(eventFrom(pending_.substr(begin, end->after - begin)));
             begin = end->after;
         }
     }
--- a/src/forward/EventCutter.h
+++ b/src/forward/EventCutter.h
@@ -20,6 +20,7 @@
 {
     std::string bytes;
     std::optional<std::uint64_t> id;
+    bool hasData = false; ///< Not just a comment, or fields that concern the connection.
 
     auto operator<=>(const RawEvent &) const = default;
 };
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -27,6 +27,7 @@
         if (event.id) {
             run_.lastEvent = event.id;
         }
+        run_.passedUnnumbered = run_.passedUnnumbered || (event.hasData && !event.id);
         bytes += event.bytes;
     }
     return bytes;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -94,10 +94,15 @@
     std::string lastMessage;
     std::optional<http::Answer> failedAnswer; ///< A complete error answer of a backend server.
     std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that the caller has.
+    bool passedUnnumbered =
+            false; ///< The caller has an event without an id, which would come again.
 
     kernel::Duration left() const { return deadline - context.now(); }
     bool stopped() const { return interrupt->reason != Interruption::None; }
-    bool repeatable() const { return route.repeatability != forward::Repeatability::Once; }
+    bool repeatable() const
+    {
+        return route.repeatability != forward::Repeatability::Once && !passedUnnumbered;
+    }
 
     /** Resets the state of the previous attempt. */
     void beginAttempt();
--- a/test/platform/BrokenAnswerTest.cpp
+++ b/test/platform/BrokenAnswerTest.cpp
@@ -162,6 +162,19 @@
     }
 }
 
+// Guards against a stream whose events have no ids being begun anew in the middle of its answer.
+BOOST_AUTO_TEST_CASE(resumableStreamWithoutIds_breaksOff_isShownAsCutAndNothingIsDoubled)
+{
+    CutFixture fixture;
+    fixture.runner(0).numbersEvents = fixture.runner(1).numbersEvents = false;
+    const std::string two = "data: piece 1\n\ndata: piece 2\n\n";
+    const CutAnswer cut{.framing = AnswerFraming::Length, .bytes = two.size() + 3};
+    const auto answer = fixture.callMeeting(cut, {"/resume/x", true, true});
+    BOOST_TEST(!answer.whole);
+    BOOST_TEST(answer.body == two);
+    BOOST_TEST(fixture.runs() == 1U);
+}
+
 // Guards against any other end of an answer that is taken for a different one.
 BOOST_AUTO_TEST_CASE(answer_endsAfterEachByteInEachWay_isCompleteForTheCallerOnlyWhereItIsKnownToBe)
 {
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -367,7 +367,8 @@
     std::vector<std::string> pieces;
     if (isStream(request)) {
         for (int event = firstEvent(request); event <= events; ++event) {
-            pieces.push_back(eventsFrom(event, event));
+            const std::string bytes = eventsFrom(event, event);
+            pieces.push_back(numbersEvents ? bytes : bytes.substr(bytes.find("data:")));
         }
     } else {
         pieces.push_back("done by " + name_);
@@ -414,7 +415,9 @@
         co_return false;
     }
     for (int event = first; event <= events; ++event) {
-        const std::string bytes = eventsFrom(event, event);
+        const std::string numbered = eventsFrom(event, event);
+        const std::string bytes =
+                numbersEvents ? numbered : numbered.substr(numbered.find("data:"));
         if (fault == RunnerFault::CutStream && event == first + 2) {
             const std::string part = chunk(bytes.substr(0, bytes.size() / 2));
             co_await write(socket, part);
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -89,6 +89,9 @@
     /** Says in each answer that it is about to end. */
     bool saysLeaving = false;
 
+    /** Whether its events have ids. */
+    bool numbersEvents = true;
+
     /** Between two events. */
     kernel::Duration pause = 0ms;
 
