Detours: a box marks refusals of its own

Cause: the box that sends a request through another one told refusals of that box from answers of servers by the server's signature, which other dialects don't have; an unsigned answer would have been dropped as lost. Change: the other box marks its refusals (X-Detour-Refused); an answer without the mark that repeats the request's id is the server's. Result: CutBoxTest passes with three more cases: all boxes cut off, a box that freezes with a once-only request, boxes that serve no detours.

--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -104,7 +104,8 @@
     run_.headAt = run_.context.now();
     const forward::AnswerHead head =
             run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
-    if (!head.signedByBackend) {
+    const bool ofServer = start->fields.get(DetourRefused).empty() && head.id == run_.call.id;
+    if (!ofServer) {
         co_return co_await takeRefusal(*start);
     }
     http::AnswerStart first = std::move(*start);
--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -124,7 +124,8 @@
     if (!detour || full || !context_.settings.gateway.detours || !handler_) {
         const char *result = !detour ? "unreadable" : "busy";
         context_.counters.add("detours_served", {{"result", result}});
-        http::Answer refusal(detour ? Busy : BadRequest);
+        http::Answer refusal(detour ? Busy : BadRequest,
+                             http::Fields().with(DetourRefused, result));
         co_await reply.send(std::move(refusal));
         co_return;
     }
--- a/src/gateway/DetourService.h
+++ b/src/gateway/DetourService.h
@@ -26,6 +26,9 @@
 /** HTTP path for detours. */
 inline constexpr const char *DetourPath = "/detour";
 
+/** Field by which a box marks an answer as a refusal of its own, not of a backend server. */
+inline constexpr const char *DetourRefused = "X-Detour-Refused";
+
 /** A box through which a request may be sent. */
 struct DetourBox
 {
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -377,6 +377,9 @@
                         run_.fleetView.adapter().dialect.refusalFields(run_.call.id, retryAfter),
                         services::refusalJson(run_.call.id, answered));
     answer.fields.add("Content-Type", "application/json");
+    if (servedFor_) {
+        answer.fields.add(DetourRefused, std::string(info.name));
+    }
     co_await run_.reply.send(std::move(answer));
 }
 
--- a/test/platform/CutBoxTest.cpp
+++ b/test/platform/CutBoxTest.cpp
@@ -63,6 +63,50 @@
     checkServed(Cut::Hanging);
 }
 
+BOOST_AUTO_TEST_CASE(allBoxesCut_request_isRefusedAsNotRunWithATimeToComeBack)
+{
+    startBoxes(2, 0);
+    cut(0, Cut::Refused);
+    cut(1, Cut::Refused);
+    letNotice(0);
+    const GatewayAnswer answer = call(0, fresh("/once/"));
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!answer.fields.get("Retry-After").empty());
+    BOOST_TEST(answer.fields.get("X-Detour-Refused").empty());
+    BOOST_TEST(runs() == 0U);
+}
+
+// Guards against a promise that a request hasn't run which another box had been sent.
+BOOST_AUTO_TEST_CASE(otherBoxFreezesWithTheRequest_onceOnly_isNotPromisedNotToHaveRunNorRunAgain)
+{
+    startBoxes(1, 1);
+    cut(0, Cut::Refused);
+    letNotice(0);
+    for (std::size_t index = 0; index < Servers; ++index) {
+        runner(index).faults.push_back(standin::RunnerFault::Silent);
+    }
+    http::Request request = GatewayFixture::request("POST", "/once/frozen",
+                                                    http::Fields().with("X-Deadline-Ms", "800"));
+    const auto pending = begin(0, std::move(request));
+    until([this] { return runs() == 1; }, "the run");
+    freeze(1);
+    until([&] { return pending->done; }, "the answer");
+    BOOST_TEST(pending->answer.status == 504);
+    BOOST_TEST(pending->answer.fields.get("Retry-After").empty());
+    BOOST_TEST(runs() == 1U);
+}
+
+// A box of an earlier version says nothing of detours in its heartbeats.
+BOOST_AUTO_TEST_CASE(otherBoxServesNoDetours_request_isRefusedAndNobodyAsked)
+{
+    moreSettings += "detours = false\n";
+    startBoxes(1, 1);
+    cut(0, Cut::Refused);
+    letNotice(0);
+    BOOST_TEST(call(0, fresh("/once/")).status == 503);
+    BOOST_TEST(runs() == 0U);
+}
+
 // Guards against a box that takes its own cut for crashes of servers, and has harmless requests
 // restricted everywhere.
 BOOST_AUTO_TEST_CASE(boxCutWhileEqualRequestsRun_noneOfThemIsTakenForACrashingOne)
