Runs say which software version a stream began at and goes on at

Change: the list's version is read into ListedServer (a hash and the beginning of its text); a run notes the server whose first bytes its caller got; 'sent' names version, began_at_version and resumes, 'server-listed' the version; streams_continued counts who continues a stream and whether its version fits. Nothing decides by it.

--- a/src/forward/Backend.h
+++ b/src/forward/Backend.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "forward/SoftwareVersion.h"
 #include "kernel/BoxSettings.h"
 #include "kernel/decisions/Time.h"
 
@@ -24,6 +25,7 @@
     bool leaving = false;
     /** Increases with each start of the same id; nothing: unknown. */
     std::optional<std::uint64_t> startNumber;
+    SoftwareVersion version; ///< Of its software, not of the weights that it has loaded.
 
     /** Identifies this incarnation to other boxes: what they know of an earlier one with the same
      * id doesn't apply to it. */
--- a/src/forward/Call.h
+++ b/src/forward/Call.h
@@ -41,6 +41,9 @@
     std::string key;                          ///< Secret: never logged, never passed on.
     kernel::Duration callerTimeout{};         ///< How long the caller waits; zero: not stated.
     std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has received.
+    /** The id of the caller's attempt that brought the first event of the stream that this one
+     * takes up; empty: none is named. */
+    std::string resumes;
     Prompt prompt;
 
     auto operator<=>(const Call &) const = default;
--- /dev/null
+++ b/src/forward/StreamOrigin.cpp
@@ -0,0 +1,25 @@
+#include "forward/StreamOrigin.h"
+
+#include "kernel/decisions/Name.h"
+
+namespace limereel::forward {
+
+StreamOrigin StreamOrigin::of(const ListedServer &server)
+{
+    return {kernel::hashOf(server.service), server.hash(), server.version};
+}
+
+bool StreamOrigin::mayContinueAt(const ListedServer &candidate) const
+{
+    const bool sameServer = server != 0 && server == candidate.hash();
+    const bool sameService = service == kernel::hashOf(candidate.service);
+    return sameServer || (sameService && version.sameAs(candidate.version));
+}
+
+bool StreamOrigin::agreesWith(const StreamOrigin &other) const
+{
+    const bool sameServer = server != 0 && server == other.server;
+    return sameServer || (service == other.service && version.sameAs(other.version));
+}
+
+} // namespace limereel::forward
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -44,6 +44,19 @@
     return std::max<kernel::Duration>(run.route.objective * 3 / 2, MinSilence);
 }
 
+// Counts a stream that goes on by who continues it and whether its server fits the one that began
+// it.
+void countContinuation(const RunState &run, const forward::ListedServer &server)
+{
+    const char *version = "unknown";
+    if (run.origin) {
+        version = run.origin->mayContinueAt(server) ? "same" : "other";
+    }
+    run.context.counters.add(
+            "streams_continued",
+            {{"by", run.counts.all() > 0 ? "retry" : "caller"}, {"version", version}});
+}
+
 } // namespace
 
 BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool)
@@ -51,7 +64,7 @@
     , pool_(pool)
     , server_(run.choice.server)
     , silenceTimer_(run.context.io)
-    , events_(run)
+    , events_(run, forward::StreamOrigin::of(server_))
 {
 }
 
@@ -239,6 +252,9 @@
         > kernel::Duration(0)) {
         run_.context.counters.add("sends_into_rest");
     }
+    if (run_.route.stream && run_.lastEvent) {
+        countContinuation(run_, server_);
+    }
     logSend(run_);
     const kernel::Instant sentAt = run_.context.now();
     connection_->send(std::move(passed));
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -26,7 +26,7 @@
     : run_(run)
     , detours_(detours)
     , box_(std::move(box))
-    , events_(run)
+    , events_(run, {})
 {
     detours_.table().begin(box_.box);
 }
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -49,6 +49,11 @@
 
 asio::awaitable<bool> EventForwarder::write(const http::AnswerStart &start, std::string bytes)
 {
+    // A head alone binds the stream to nobody: its caller has nothing that another server's events
+    // wouldn't fit.
+    if (!bytes.empty() && !run_.origin) {
+        run_.origin = writer_;
+    }
     if (!run_.reply.begun()) {
         http::Fields fields = http::endToEnd(start.fields);
         const bool begun = co_await run_.reply.begin(start.status, std::move(fields));
--- a/src/gateway/EventForwarder.h
+++ b/src/gateway/EventForwarder.h
@@ -19,8 +19,10 @@
 class EventForwarder
 {
 public:
-    explicit EventForwarder(RunState &run)
+    /** \param writer the server that writes the answer. */
+    EventForwarder(RunState &run, forward::StreamOrigin writer)
         : run_(run)
+        , writer_(std::move(writer))
     {
     }
 
@@ -42,6 +44,7 @@
     boost::asio::awaitable<bool> write(const http::AnswerStart &start, std::string bytes);
 
     RunState &run_;
+    forward::StreamOrigin writer_;
     forward::EventCutter cutter_;
 };
 
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -339,6 +339,7 @@
         log().event("server-listed",
                     {{"server", server.id},
                      {"service", server.service},
+                     {"version", server.version.text()},
                      {"address", kernel::text(server.address)},
                      {"cold_ms", entry.coldFor / 1ms},
                      {"leaving", server.leaving}},
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -30,6 +30,7 @@
             {"request", run.call.id},
             {"route", run.route.name},
             {"server", run.choice.server.id},
+            {"version", run.choice.server.version.text()},
             {"server_load", run.fleetView.servers().load(run.choice.server.id, now)},
             {"attempt", run.counts.all() + 1},
             {"left_ms", run.left() / 1ms},
@@ -55,6 +56,10 @@
     }
     if (run.lastEvent) {
         fields["after_event"] = *run.lastEvent;
+        fields["began_at_version"] = run.origin ? run.origin->version.text() : "unknown";
+    }
+    if (!run.call.resumes.empty()) {
+        fields["resumes"] = run.call.resumes;
     }
     log().event("sent", fields, "The request goes to a backend server.");
 }
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "forward/StreamOrigin.h"
 #include "gateway/FleetView.h"
 #include "gateway/PlaceService.h"
 #include "http/KeptConnection.h"
@@ -94,6 +95,8 @@
     std::string lastMessage;
     std::optional<http::Answer> failedAnswer; ///< A complete error answer of a backend server.
     std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that the caller has.
+    /** The server whose events the caller has; nothing: it has none, or none is known. */
+    std::optional<forward::StreamOrigin> origin;
     bool passedUnnumbered =
             false; ///< The caller has an event without an id, which would come again.
 
