Tests: streams that go on at another software version (failing)

Change: stand-in servers whose events name the version that wrote them, in five arrangements of versions; seven ways in which a stream goes on: inside its answer, through another box, after the box that served it for another ended, taken up by its caller at the same box, at another, after the first was killed, and with nobody who knows who began it.

--- a/test/platform/CutBoxFixture.cpp
+++ b/test/platform/CutBoxFixture.cpp
@@ -42,6 +42,7 @@
     for (std::size_t index = 0; index < runners_.size(); ++index) {
         nlohmann::json entry = GatewayFixture::entryOf(*runners_[index], "pool");
         entry["address"] = kernel::text(servers[index]);
+        entry["version"] = versions[index];
         store.put("servers", runners_[index]->name(), entry);
     }
 }
--- a/test/platform/CutBoxFixture.h
+++ b/test/platform/CutBoxFixture.h
@@ -24,6 +24,9 @@
      * \param cuttable how many of them have proxies; they come first. */
     void startBoxes(std::size_t cuttable, std::size_t others);
 
+    /** The version of each server's software; to be changed before startBoxes(). */
+    std::vector<std::string> versions = {"v1", "v1", "v1"};
+
     /** What becomes of a cut box's connections to backend servers. */
     enum class Cut : std::uint8_t { None, Refused, Reset, Hanging };
 
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -56,12 +56,13 @@
     return last.empty() ? 1 : std::stoi(last) + 1;
 }
 
-std::string eventsFrom(int first, int last)
+std::string eventsFrom(int first, int last, const std::string &version)
 {
+    const std::string writer = version.empty() ? "" : " by " + version;
     std::string text;
     for (int event = first; event <= last; ++event) {
         const std::string number = std::to_string(event);
-        text += "id: " + number + "\ndata: piece " + number + "\n\n";
+        text += "id: " + number + "\ndata: piece " + number + writer + "\n\n";
     }
     return text;
 }
@@ -332,7 +333,7 @@
         break;
     case RunnerFault::Unframed:
         text = head("200 OK", id, stamp, "Connection: close\r\n")
-               + (isStream(request) ? eventsFrom(firstEvent(request), events) : body);
+               + (isStream(request) ? eventsFrom(firstEvent(request), events, version) : body);
         co_await write(socket, text);
         co_return false;
     case RunnerFault::CutBody:
@@ -367,7 +368,7 @@
     std::vector<std::string> pieces;
     if (isStream(request)) {
         for (int event = firstEvent(request); event <= events; ++event) {
-            const std::string bytes = eventsFrom(event, event);
+            const std::string bytes = eventsFrom(event, event, version);
             pieces.push_back(numbersEvents ? bytes : bytes.substr(bytes.find("data:")));
         }
     } else {
@@ -415,7 +416,7 @@
         co_return false;
     }
     for (int event = first; event <= events; ++event) {
-        const std::string numbered = eventsFrom(event, event);
+        const std::string numbered = eventsFrom(event, event, version);
         const std::string bytes =
                 numbersEvents ? numbered : numbered.substr(numbered.find("data:"));
         if (fault == RunnerFault::CutStream && event == first + 2) {
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -89,6 +89,9 @@
     /** Says in each answer that it is about to end. */
     bool saysLeaving = false;
 
+    /** The version of its software, which each of its events names; empty: none does. */
+    std::string version;
+
     /** Whether its events have ids. */
     bool numbersEvents = true;
 
--- /dev/null
+++ b/test/platform/StreamVersionTest.cpp
@@ -0,0 +1,285 @@
+// Streams that go on, inside one answer, through another box or over their callers' tries, while
+// servers of several software versions serve side by side: no caller holds events of two versions.
+
+#include "platform/CutBoxFixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace limereel;
+using namespace limereel::support;
+
+namespace {
+
+using Cut = CutBoxFixture::Cut;
+using Versions = std::vector<std::string>;
+
+constexpr std::size_t Servers = 3;
+constexpr int Events = 40;
+constexpr std::size_t FewEvents = 3;
+constexpr kernel::Duration Pause = 10ms;
+
+/** The versions that wrote the events in \a text. */
+std::set<std::string> versionsIn(const std::string &text)
+{
+    const std::string by = " by ";
+    std::set<std::string> versions;
+    for (std::size_t at = text.find(by); at != std::string::npos; at = text.find(by, at + 1)) {
+        const std::size_t begin = at + by.size();
+        versions.insert(text.substr(begin, text.find('\n', begin) - begin));
+    }
+    return versions;
+}
+
+std::size_t eventsIn(const std::string &text)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find("\n\n"); at != std::string::npos;
+         at = text.find("\n\n", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+/** The ids of the events in \a text are 1, 2 and so on. */
+bool isGapless(const std::string &text)
+{
+    std::size_t expected = 0;
+    for (std::size_t at = text.find("id: "); at != std::string::npos;
+         at = text.find("id: ", at + 1)) {
+        if (std::stoul(text.substr(at + 4)) != ++expected) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** What the caller of a stream holds after all its tries. */
+struct Held
+{
+    std::string events;
+    int lastStatus = 0;
+    bool whole = false;
+};
+
+class StreamVersions : public CutBoxFixture
+{
+public:
+    void start(const Versions &of, std::size_t cuttable, std::size_t others)
+    {
+        versions = of;
+        for (std::size_t index = 0; index < Servers; ++index) {
+            runner(index).version = of[index];
+            runner(index).events = Events;
+            runner(index).pause = Pause;
+        }
+        startBoxes(cuttable, others);
+    }
+
+    static http::Request stream(const std::string &id, const http::Fields &more = {})
+    {
+        http::Fields fields = more;
+        fields.add("X-Attempt-Id", id);
+        return GatewayFixture::promptRequest("/resume/x", fields);
+    }
+
+    /** What a caller sends that holds \a events of the stream that its attempt \a first began. */
+    static http::Request takeUp(const std::string &id, const std::string &first,
+                                const std::string &events)
+    {
+        return stream(id, http::Fields()
+                                  .with("Last-Event-Id", std::to_string(eventsIn(events)))
+                                  .with("Resumes", first));
+    }
+
+    /** Begins a stream at \a box and waits for its first events. */
+    std::shared_ptr<PendingCall> beginStream(std::size_t box, const std::string &id)
+    {
+        const auto pending = begin(box, stream(id));
+        until([&] { return eventsIn(pending->answer.body) >= FewEvents; }, "the first events");
+        return pending;
+    }
+
+    /** The server that ran the first request. */
+    std::size_t beginner()
+    {
+        for (std::size_t index = 0; index < Servers; ++index) {
+            if (runner(index).runs() > 0) {
+                return index;
+            }
+        }
+        throw std::logic_error("no server has run anything");
+    }
+
+    /** How many other servers have the version of \a index. */
+    std::ptrdiff_t othersLike(std::size_t index) const
+    {
+        return std::ranges::count(versions, versions[index]) - 1;
+    }
+
+    void leave(const std::shared_ptr<PendingCall> &pending)
+    {
+        pending->connection->close();
+        until([&] { return pending->done; }, "the caller is gone");
+    }
+
+    /** What the caller holds after it took its stream up at \a box. */
+    Held takeUpAt(std::size_t box, const std::string &first, const std::string &events,
+                  const std::string &id = "second")
+    {
+        const GatewayAnswer answer = call(box, takeUp(id, first, events));
+        const bool serves = answer.status == 200;
+        return {events + (serves ? answer.body : ""), answer.status, serves && answer.whole};
+    }
+
+    static void check(const Held &held, bool goesOn, const std::string &what)
+    {
+        BOOST_TEST(versionsIn(held.events).size() == 1U, what << ": events of two versions");
+        BOOST_TEST(isGapless(held.events), what << ": events are missing or doubled");
+        BOOST_TEST(held.whole == goesOn, what << ": goes on, or not");
+        BOOST_TEST((!held.whole || eventsIn(held.events) == Events), what << ": not all events");
+    }
+};
+
+/** All ways to give the servers up to three versions, but for the versions' names. */
+const std::vector<Versions> Arrangements = {{"v1", "v1", "v1"},
+                                            {"v1", "v1", "v2"},
+                                            {"v1", "v2", "v1"},
+                                            {"v2", "v1", "v1"},
+                                            {"v1", "v2", "v3"}};
+
+std::string describe(const Versions &versions)
+{
+    return versions[0] + " " + versions[1] + " " + versions[2];
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StreamVersionTest)
+
+// Guards against a stream that goes on inside its answer at another software version.
+BOOST_AUTO_TEST_CASE(serverCrashes_streamGoesOnInItsAnswer_onlyAtTheVersionThatBeganIt)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 0, 1);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.runner(beginner).crash();
+        hall.until([&] { return pending->done; }, "the end of the answer");
+        const GatewayAnswer &answer = pending->answer;
+        StreamVersions::check({answer.body, answer.status, answer.whole},
+                              hall.othersLike(beginner) > 0, describe(versions));
+    }
+}
+
+// Guards against a stream that a box continues through another box, which doesn't know its version.
+BOOST_AUTO_TEST_CASE(boxIsCutOff_streamGoesOnThroughAnotherBox_onlyAtTheVersionThatBeganIt)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 1, 1);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.runner(beginner).crash();
+        hall.cut(0, Cut::Refused);
+        hall.until([&] { return pending->done; }, "the end of the answer");
+        const GatewayAnswer &answer = pending->answer;
+        StreamVersions::check({answer.body, answer.status, answer.whole},
+                              hall.othersLike(beginner) > 0, describe(versions));
+    }
+}
+
+// Guards against a stream that another box began for this one and that this box then continues
+// itself.
+BOOST_AUTO_TEST_CASE(boxThatServedTheDetourEnds_streamGoesOn_onlyAtTheVersionThatBeganIt)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 1, 1);
+        hall.cut(0, Cut::Refused);
+        hall.letNotice(0);
+        const auto pending = hall.begin(0, StreamVersions::stream("first"));
+        hall.until([&] { return eventsIn(pending->answer.body) >= FewEvents; }, "the first events");
+        const std::string writer = *versionsIn(pending->answer.body).begin();
+        hall.cut(0, Cut::None);
+        hall.until([&] { return !hall.world(0).isLost("pool"); }, "the way back");
+        for (std::size_t index = 0; index < Servers; ++index) {
+            if (hall.runner(index).records().size() > 0 && versions[index] == writer) {
+                hall.runner(index).crash();
+                break;
+            }
+        }
+        hall.killBox(1);
+        hall.restartBox(1);
+        hall.until([&] { return pending->done; }, "the end of the answer");
+        const GatewayAnswer &answer = pending->answer;
+        const bool another = std::ranges::count(versions, writer) > 1;
+        StreamVersions::check({answer.body, answer.status, answer.whole}, another,
+                              describe(versions));
+    }
+}
+
+// Guards against a stream that its caller takes up at the same box and gets from another software
+// version.
+BOOST_AUTO_TEST_CASE(callerTakesStreamUpAtTheSameBox_serverHasCrashed_onlyTheSameVersionGoesOn)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 0, 1);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.leave(pending);
+        hall.runner(beginner).crash();
+        const Held held = hall.takeUpAt(0, "first", pending->answer.body);
+        StreamVersions::check(held, hall.othersLike(beginner) > 0, describe(versions));
+    }
+}
+
+// Guards against the same at another box, which hasn't seen the stream.
+BOOST_AUTO_TEST_CASE(callerTakesStreamUpAtAnotherBox_serverHasCrashed_onlyTheSameVersionGoesOn)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 0, 3);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.leave(pending);
+        hall.runner(beginner).crash();
+        const Held held = hall.takeUpAt(2, "first", pending->answer.body);
+        StreamVersions::check(held, hall.othersLike(beginner) > 0, describe(versions));
+    }
+}
+
+// Guards against the same where the box that began the stream has been killed.
+BOOST_AUTO_TEST_CASE(firstBoxIsKilled_callerTakesStreamUpElsewhere_onlyTheSameVersionGoesOn)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 0, 3);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.killBox(0);
+        hall.leave(pending);
+        hall.runner(beginner).crash();
+        const Held held = hall.takeUpAt(1, "first", pending->answer.body);
+        StreamVersions::check(held, hall.othersLike(beginner) > 0, describe(versions));
+    }
+}
+
+// Guards against a stream that is taken up although nobody knows which version began it.
+BOOST_AUTO_TEST_CASE(nobodyKnowsWhoBeganTheStream_caller_isToldThatItHasNotRun)
+{
+    StreamVersions hall;
+    hall.start({"v1", "v2", "v3"}, 0, 2);
+    const std::string held = "id: 1\ndata: piece 1 by v1\n\n";
+    for (const std::string &named : {std::string("unknown"), std::string()}) {
+        const GatewayAnswer answer = hall.call(1, StreamVersions::takeUp("second", named, held));
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(!answer.fields.get("Retry-After").empty());
+    }
+    BOOST_TEST(hall.runs() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
