Streams go on inside their answer only at the version that began them

What a continued stream requires of its next server left out the version, so any server of the service was chosen. Change: a run's StreamOrigin (service, incarnation, version), known from the first bytes that its caller gets, is part of ServerRequirements; UsableServers keeps to it, and the send looks at the list once more. An unknown version fits the same incarnation only; one that the list names twice is unknown. With no server of the version left the stream is cut at once, logged and counted (stream-not-continued, streams_not_continued).

--- a/src/forward/ServerRequirements.h
+++ b/src/forward/ServerRequirements.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
-#include "forward/Backend.h"
 #include "forward/Call.h"
+#include "forward/StreamOrigin.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,7 +19,9 @@
     std::string service;
     const Prompt *prompt = nullptr; ///< Set if engines keep parts of prompts.
     bool takeParts = false;         ///< Whether servers may fetch parts of prompts from each other.
-    std::vector<std::string> tried; ///< Ids of servers that were tried already.
+    /** Set if it continues a stream: only servers that may do that are chosen. */
+    std::optional<StreamOrigin> origin;
+    std::vector<std::string> tried;   ///< Ids of servers that were tried already.
     std::vector<std::string> barred;  ///< Ids of servers that may get no more requests for now.
     std::vector<std::string> regions; ///< Regions where it may run; empty: anywhere.
     /** Ids of servers whose owners said that they are over the load bound. */
--- a/src/forward/ServerTable.cpp
+++ b/src/forward/ServerTable.cpp
@@ -23,10 +23,31 @@
 
 ListedServer ServerTable::known(ListedServer listed) const
 {
+    const ServerRecord *record = index_.find(listed.id);
+    const bool sameLife = record != nullptr && record->hash == listed.hash();
+    if (sameLife && record->server.version != listed.version) {
+        listed.version = {};
+    }
     listed.leaving = listed.leaving || leavingServers_.contains(listed.hash());
     return listed;
 }
 
+StreamOrigin ServerTable::corrected(StreamOrigin origin) const
+{
+    const ServerRecord *record = index_.findHash(origin.server);
+    if (record != nullptr && !record->server.version.sameAs(origin.version)) {
+        origin.version = {};
+    }
+    return origin;
+}
+
+bool ServerTable::anyContinues(const StreamOrigin &origin) const
+{
+    return std::ranges::any_of(index_.all(), [&](const auto &entry) {
+        return takesWork(entry.second) && origin.mayContinueAt(entry.second.server);
+    });
+}
+
 // Looked up by incarnation: the server may have been unlisted for a while, or have replaced another
 // one.
 void ServerTable::setBackoff(ServerRecord &record)
@@ -372,11 +393,14 @@
         if (!open[hall]) {
             continue;
         }
-        const auto &servers = service->byHall[hall];
-        any = any || !servers.empty();
-        if (!std::ranges::all_of(servers,
-                                 [now](const auto *record) { return record->inBackoff(now); })) {
-            return false;
+        for (const ServerRecord *record : service->byHall[hall]) {
+            if (requirements.origin && !requirements.origin->mayContinueAt(record->server)) {
+                continue;
+            }
+            any = true;
+            if (!record->inBackoff(now)) {
+                return false;
+            }
         }
     }
     return any;
--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -53,8 +53,8 @@
     {
     }
 
-    /** Returns \a listed with \c leaving also set if the server has announced its shutdown itself.
-     */
+    /** Returns \a listed with \c leaving also set if the server has announced its shutdown itself,
+     * and without the version if another one was listed for this incarnation. */
     ListedServer known(ListedServer listed) const;
 
     /** Adds or updates a listed server. \param since when it was first listed, if this box saw
@@ -80,6 +80,14 @@
     /** Whether a request may be sent to this incarnation now, regardless of load and health. */
     bool mayBeSent(const ListedServer &server, kernel::Instant now) const;
 
+    /** What is known of the server that began a stream: without the version if the list has named
+     * two for that server. */
+    StreamOrigin corrected(StreamOrigin origin) const;
+
+    /** Whether any listed server that gets new requests may continue a stream, regardless of load,
+     * backoff and health. */
+    bool anyContinues(const StreamOrigin &origin) const;
+
     /** Calls \a visit for each listed server. */
     void forEach(const std::function<void(const ListedServer &server)> &visit) const;
 
--- a/src/forward/StreamOrigin.cpp
+++ b/src/forward/StreamOrigin.cpp
@@ -11,9 +11,9 @@
 
 bool StreamOrigin::mayContinueAt(const ListedServer &candidate) const
 {
-    const bool sameServer = server != 0 && server == candidate.hash();
-    const bool sameService = service == kernel::hashOf(candidate.service);
-    return sameServer || (sameService && version.sameAs(candidate.version));
+    const bool sameVersion =
+            version.sameAs(candidate.version) && service == kernel::hashOf(candidate.service);
+    return sameVersion || (server != 0 && server == candidate.hash());
 }
 
 bool StreamOrigin::agreesWith(const StreamOrigin &other) const
--- a/src/forward/UsableServers.cpp
+++ b/src/forward/UsableServers.cpp
@@ -61,12 +61,13 @@
 
 const ServerRecord *UsableServers::pickUntrackedIn(HallNumber hall, std::mt19937_64 &random) const
 {
-    // Few servers are tracked or excluded, so this loop ends after a few steps.
+    // Few servers are tracked or excluded, so this loop ends after a few steps, unless the request
+    // continues a stream of a version that few servers have.
     const auto &servers = service_->byHall[hall];
     const std::size_t first = random() % servers.size();
     for (std::size_t step = 0; step < servers.size(); ++step) {
         const ServerRecord *record = servers[(first + step) % servers.size()];
-        if (!record->tracked && !excluded(*record)) {
+        if (!record->tracked && !excluded(*record) && fitsStream(*record)) {
             return record;
         }
     }
@@ -82,7 +83,22 @@
 bool UsableServers::isCandidate(const ServerRecord &record) const
 {
     return record.server.service == requirements_.service && !record.server.leaving
-           && in(view_.open, record.hall);
+           && in(view_.open, record.hall) && fitsStream(record);
+}
+
+bool UsableServers::fitsStream(const ServerRecord &record) const
+{
+    return !requirements_.origin || requirements_.origin->mayContinueAt(record.server);
+}
+
+std::size_t UsableServers::listedIn(HallNumber hall) const
+{
+    const auto &servers = service_->byHall[hall];
+    if (!requirements_.origin) {
+        return servers.size();
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(
+            servers, [this](const ServerRecord *record) { return fitsStream(*record); }));
 }
 
 bool UsableServers::excluded(const ServerRecord &record) const
@@ -114,7 +130,7 @@
 void UsableServers::countUntracked()
 {
     for (HallNumber hall = 0; hall < service_->byHall.size(); ++hall) {
-        perHall_.push_back(in(view_.open, hall) ? service_->byHall[hall].size() : 0);
+        perHall_.push_back(in(view_.open, hall) ? listedIn(hall) : 0);
     }
     for (const ServerRecord *record : excluded_) {
         if (isCandidate(*record) && !record->tracked) {
--- a/src/forward/UsableServers.h
+++ b/src/forward/UsableServers.h
@@ -66,6 +66,8 @@
     enum class Grade : std::uint8_t { Suspected, Fair, Good };
 
     bool isCandidate(const ServerRecord &record) const;
+    bool fitsStream(const ServerRecord &record) const;
+    std::size_t listedIn(HallNumber hall) const;
     bool mayTake(const ServerRecord &record) const;
     bool excluded(const ServerRecord &record) const;
     Grade gradeOf(const ServerRecord &record) const;
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -20,6 +20,8 @@
 constexpr kernel::Duration DefaultPatience = 60s;
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
+constexpr const char *NoServerOfVersion =
+        "no backend server of the software version that began the stream is left";
 constexpr const char *NoPlace =
         "no backend server that could run it has a place for it in time; come back then";
 
@@ -150,6 +152,9 @@
 asio::awaitable<void> RequestRun::runAttempts()
 {
     while (!run_.stopped()) {
+        if (!mayContinue()) {
+            break;
+        }
         if (chooseDetour()) {
             const AttemptEnd end = co_await takeDetour();
             if (end == AttemptEnd::Answered) {
@@ -204,6 +209,22 @@
     co_await giveUp();
 }
 
+// A stream whose caller has events of it goes on at the version that began it or not at all.
+bool RequestRun::mayContinue()
+{
+    if (!run_.origin) {
+        return true;
+    }
+    run_.origin = run_.fleetView.servers().corrected(*run_.origin);
+    if (run_.fleetView.servers().anyContinues(*run_.origin)) {
+        return true;
+    }
+    run_.lastMessage = NoServerOfVersion;
+    run_.context.counters.add("streams_not_continued", {{"why", "version-gone"}});
+    logNotContinued(run_, "version-gone");
+    return false;
+}
+
 // One hop at most: a request of another box's caller is sent straight or not at all.
 bool RequestRun::chooseDetour()
 {
@@ -312,7 +333,7 @@
     // Since it was chosen, the server may have begun to shut down or asked for backoff, or its hall
     // may have been drained.
     const bool accepts = run_.fleetView.servers().mayBeSent(run_.choice.server, run_.context.now());
-    const bool maySend = accepts && run_.guard.mayBeSent();
+    const bool maySend = accepts && run_.guard.mayBeSent() && fitsStream();
     if (!maySend || run_.left() < MinTimeLeft) {
         exchange.returnUnused();
         co_return AttemptEnd::Unsent;
@@ -321,6 +342,13 @@
     co_return end;
 }
 
+// The list may have named another version for the server since it was chosen.
+bool RequestRun::fitsStream() const
+{
+    const auto listed = run_.fleetView.servers().find(run_.choice.server.id);
+    return !run_.origin || (listed && run_.origin->mayContinueAt(*listed));
+}
+
 asio::awaitable<void> RequestRun::giveUp()
 {
     const Interruption reason = run_.interrupt->reason;
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -58,6 +58,8 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
+    bool mayContinue();
+    bool fitsStream() const;
     bool chooseDetour();
     boost::asio::awaitable<AttemptEnd> takeDetour();
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -64,6 +64,20 @@
     log().event("sent", fields, "The request goes to a backend server.");
 }
 
+void logNotContinued(const RunState &run, std::string_view why)
+{
+    nlohmann::json fields = {{"request", run.call.id},      {"route", run.route.name},
+                             {"service", run.service},      {"why", why},
+                             {"resumes", run.call.resumes}, {"left_ms", run.left() / 1ms}};
+    if (run.origin) {
+        fields["began_at_version"] = run.origin->version.text();
+    }
+    if (run.lastEvent) {
+        fields["after_event"] = *run.lastEvent;
+    }
+    log().event("stream-not-continued", fields, "A stream isn't continued.");
+}
+
 void logDetour(const RunState &run, const std::string &box)
 {
     log().event("detour",
--- a/src/gateway/RunLog.h
+++ b/src/gateway/RunLog.h
@@ -15,6 +15,9 @@
 /** Logs that the request is sent to the chosen server. */
 void logSend(const RunState &run);
 
+/** Logs that a stream isn't continued, and why. */
+void logNotContinued(const RunState &run, std::string_view why);
+
 /** Logs that the request is sent through another box. */
 void logDetour(const RunState &run, const std::string &box);
 
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -32,6 +32,7 @@
     forward::ServerRequirements requirements;
     requirements.service = run_.service;
     requirements.prompt = run_.prompt();
+    requirements.origin = run_.origin;
     requirements.tried = tried_;
     requirements.regions = run_.regions;
     requirements.takeParts = run_.movesParts;
