Detours tell which software version a stream goes on at, both ways

Callers of a box that is cut off could get one stream from two versions, or lose it. The other box was told the last event and not who wrote it, and the box that asked never learned who began a stream elsewhere. Change: the request between boxes names the stream's origin, the answer's head names it back (taken off before the caller); an answer of another version isn't joined. Boxes that know this say so in heartbeats (keepsStreams); one that doesn't isn't asked for a stream that goes on, and its own ask for one is refused as not run (216 stream-origin-unknown, 217 version-gone are new). A stream whose few servers this box doesn't reach asks one box, before the whole service is lost. In one of them the crashed server is taken off the list first: a proxy in the test accepts for it, and the second of two attempts went there. PeerTest: earlier boxes read the same eleven fields.

--- a/src/forward/RequestIdentity.cpp
+++ b/src/forward/RequestIdentity.cpp
@@ -1,9 +1,9 @@
 #include "forward/RequestIdentity.h"
 
+#include "kernel/decisions/HexWord.h"
 #include "kernel/decisions/Name.h"
 
 #include <array>
-#include <charconv>
 #include <cstring>
 #include <sodium.h>
 
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::size_t DigestBytes = 16;
-constexpr std::size_t WordDigits = 16;
-constexpr int Hexadecimal = 16;
 
 std::uint64_t wordAt(const std::array<unsigned char, DigestBytes> &digest, std::size_t index)
 {
@@ -32,25 +30,6 @@
                               part.size());
 }
 
-std::string digits(std::uint64_t word)
-{
-    std::string text(WordDigits, '0');
-    std::array<char, WordDigits> buffer{};
-    const auto [end, error] =
-            std::to_chars(buffer.data(), buffer.data() + buffer.size(), word, Hexadecimal);
-    const auto length = static_cast<std::size_t>(end - buffer.data());
-    return text.replace(WordDigits - length, length, buffer.data(), length);
-}
-
-std::optional<std::uint64_t> wordFrom(std::string_view text)
-{
-    std::uint64_t word = 0;
-    const auto [end, error] =
-            std::from_chars(text.data(), text.data() + text.size(), word, Hexadecimal);
-    const bool whole = error == std::errc() && end == text.data() + text.size();
-    return whole ? std::optional(word) : std::nullopt;
-}
-
 } // namespace
 
 std::uint64_t shapeOf(const IdentityParts &parts)
@@ -77,17 +56,19 @@
 
 std::string text(const RequestIdentity &identity)
 {
-    return digits(identity.shape) + digits(identity.high) + digits(identity.low);
+    return kernel::hexWord(identity.shape) + kernel::hexWord(identity.high)
+           + kernel::hexWord(identity.low);
 }
 
 std::optional<RequestIdentity> identityFrom(std::string_view text)
 {
-    if (text.size() != 3 * WordDigits) {
+    if (text.size() != 3 * kernel::HexWordDigits) {
         return std::nullopt;
     }
-    const auto shape = wordFrom(text.substr(0, WordDigits));
-    const auto high = wordFrom(text.substr(WordDigits, WordDigits));
-    const auto low = wordFrom(text.substr(2 * WordDigits));
+    const auto shape = kernel::wordFromHex(text.substr(0, kernel::HexWordDigits));
+    const auto high =
+            kernel::wordFromHex(text.substr(kernel::HexWordDigits, kernel::HexWordDigits));
+    const auto low = kernel::wordFromHex(text.substr(2 * kernel::HexWordDigits));
     if (!shape || !high || !low) {
         return std::nullopt;
     }
--- a/src/forward/StreamOrigin.h
+++ b/src/forward/StreamOrigin.h
@@ -8,6 +8,9 @@
 #include "forward/Backend.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace limereel::forward {
 
@@ -31,4 +34,10 @@
     auto operator<=>(const StreamOrigin &) const = default;
 };
 
+/** The form in which boxes tell each other of it: 48 hexadecimal digits. */
+std::string text(const StreamOrigin &origin);
+
+/** The origin that text() has written; nothing if \a text is none. */
+std::optional<StreamOrigin> streamOriginFrom(std::string_view text);
+
 } // namespace limereel::forward
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -89,6 +89,7 @@
     detour.from = run_.context.settings.box.text();
     detour.leftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, run_.left() / 1ms));
     detour.resumeAfter = run_.lastEvent;
+    detour.origin = run_.origin;
     detour.request = run_.request;
     logDetour(run_, box_.name);
     run_.through = box_.name;
@@ -109,7 +110,15 @@
         co_return co_await takeRefusal(*start);
     }
     http::AnswerStart first = std::move(*start);
+    const auto writer = forward::streamOriginFrom(first.fields.get(DetourOrigin));
+    first.fields = first.fields.without(DetourOrigin);
     if (run_.route.stream && first.status / 100 == 2) {
+        if (run_.origin && !(writer && writer->agreesWith(*run_.origin))) {
+            connection_->close();
+            co_return fail(AttemptEnd::MayHaveRun, "stream: another software version goes on");
+        }
+        // Unknown if the other box is of an earlier version: nobody may continue the stream then.
+        events_.setWriter(writer.value_or(forward::StreamOrigin()));
         co_return co_await forwardStream(std::move(first));
     }
     co_return co_await forwardWhole(std::move(first));
--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -65,6 +65,7 @@
 void DetourService::completeState(membership::BoxState &state) const
 {
     state.detours = context_.settings.gateway.detours;
+    state.keepsStreams = true;
     state.lostServices.clear();
     for (const std::string &service : lostServices_) {
         state.lostServices.push_back(membership::shortHash(kernel::hashOf(service)));
@@ -80,7 +81,8 @@
         const bool serves = state.detours && !state.leaving && state.box != members.self()
                             && members.liveness(state.box) == membership::Liveness::Live;
         if (serves) {
-            known_.push_back({{state.box, state.hall == hall}, state.lostServices});
+            known_.push_back(
+                    {{state.box, state.hall == hall}, state.lostServices, state.keepsStreams});
         }
     }
     table_.expire(context_.now());
@@ -88,12 +90,15 @@
 }
 
 std::optional<DetourBox> DetourService::choose(const std::string &service,
-                                               const std::vector<std::uint64_t> &tried)
+                                               const std::vector<std::uint64_t> &tried,
+                                               bool continuesStream)
 {
     const auto lost = membership::shortHash(kernel::hashOf(service));
     std::vector<forward::DetourCandidate> candidates;
     for (const KnownBox &known : known_) {
-        if (std::ranges::find(known.lostServices, lost) == known.lostServices.end()) {
+        const bool reaches =
+                std::ranges::find(known.lostServices, lost) == known.lostServices.end();
+        if (reaches && (known.keepsStreams || !continuesStream)) {
             candidates.push_back(known.candidate);
         }
     }
--- a/src/gateway/DetourService.h
+++ b/src/gateway/DetourService.h
@@ -29,6 +29,9 @@
 /** Field by which a box marks an answer as a refusal of its own, not of a backend server. */
 inline constexpr const char *DetourRefused = "X-Detour-Refused";
 
+/** Field by which a box tells another one which backend server began the stream that it sends. */
+inline constexpr const char *DetourOrigin = "X-Detour-Origin";
+
 /** A box through which a request may be sent. */
 struct DetourBox
 {
@@ -48,9 +51,11 @@
     void stop() override;
 
     /** Chooses a box through which a request for \a service may be sent; nothing if there is none.
-     * \param tried boxes that the request has asked already. */
+     * \param tried boxes that the request has asked already.
+     * \param continuesStream whether it continues a stream, which boxes of earlier versions would
+     * do at any software version. */
     std::optional<DetourBox> choose(const std::string &service,
-                                    const std::vector<std::uint64_t> &tried);
+                                    const std::vector<std::uint64_t> &tried, bool continuesStream);
 
     /** The sealed form of a request that is to be sent through another box. */
     http::Request seal(const DetourBox &box, const peer::DetourRequest &request) const;
@@ -71,6 +76,7 @@
     {
         forward::DetourCandidate candidate;
         std::vector<membership::ShortHash> lostServices;
+        bool keepsStreams = false;
     };
 
     void completeState(membership::BoxState &state) const;
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -1,5 +1,6 @@
 #include "gateway/EventForwarder.h"
 
+#include "gateway/DetourService.h"
 #include "http/EndToEnd.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -56,6 +57,12 @@
     }
     if (!run_.reply.begun()) {
         http::Fields fields = http::endToEnd(start.fields);
+        if (run_.forOtherBox) {
+            fields = fields.without(DetourOrigin);
+        }
+        if (run_.forOtherBox && run_.origin) {
+            fields.add(DetourOrigin, text(*run_.origin));
+        }
         const bool begun = co_await run_.reply.begin(start.status, std::move(fields));
         if (!begun) {
             co_return false;
--- a/src/gateway/EventForwarder.h
+++ b/src/gateway/EventForwarder.h
@@ -26,6 +26,8 @@
     {
     }
 
+    void setWriter(forward::StreamOrigin writer) { writer_ = std::move(writer); }
+
     /** Forwards the events that \a part completes; before the first one the head of \a start.
      * \return false if the caller has disconnected. */
     boost::asio::awaitable<bool> forward(const http::AnswerStart &start, std::string_view part);
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -22,6 +22,7 @@
                                 "and asked for rest";
 constexpr const char *NoServerOfVersion =
         "no backend server of the software version that began the stream is left";
+constexpr const char *OriginUnknown = "it isn't known which software version began the stream";
 constexpr const char *NoPlace =
         "no backend server that could run it has a place for it in time; come back then";
 
@@ -55,6 +56,8 @@
     if (servedFor_) {
         run_.call.callerTimeout = servedFor_->left;
         run_.call.resumeAfter = servedFor_->resumeAfter;
+        run_.origin = servedFor_->origin;
+        run_.forOtherBox = true;
     }
     if (auto refusal = admit()) {
         co_await refuse(std::move(*refusal));
@@ -65,6 +68,11 @@
                          .host = run_.call.host,
                          .target = run_.request.target,
                          .body = run_.request.body});
+    // A box of an earlier version doesn't tell the origin.
+    if (servedFor_ && run_.route.stream && run_.lastEvent && !run_.origin) {
+        co_await refuse(originUnknown("not-told"));
+        co_return;
+    }
     armTimers();
     run_.reply.watchClient([interrupt = run_.interrupt] {
         if (!interrupt->ended) {
@@ -78,6 +86,13 @@
     releasePlace(AttemptEnd::Unsent);
 }
 
+RequestRun::Refusal RequestRun::originUnknown(std::string_view why) const
+{
+    run_.context.counters.add("streams_not_continued", {{"why", std::string(why)}});
+    logNotContinued(run_, why);
+    return {ResultCode::StreamOriginUnknown, OriginUnknown, true};
+}
+
 std::optional<RequestRun::Refusal> RequestRun::admit()
 {
     const forward::SnapshotPtr snapshot = run_.fleetView.snapshot();
@@ -178,6 +193,10 @@
             co_return;
         }
         auto choice = co_await selection_.choose();
+        if (!choice && run_.origin && run_.counts.unsent > 0 && !noWayToVersion_) {
+            noWayToVersion_ = true;
+            continue;
+        }
         if (!choice) {
             run_.lastMessage =
                     run_.lastMessage.empty() ? "no backend server can be used" : run_.lastMessage;
@@ -225,14 +244,21 @@
     return false;
 }
 
+// A stream may have only few servers left that can continue it, so that they are lost for it before
+// the whole service is.
+bool RequestRun::wayIsLost() const
+{
+    return run_.fleetView.isLost(run_.service) || (noWayToVersion_ && triedDetours_.empty());
+}
+
 // One hop at most: a request of another box's caller is sent straight or not at all.
 bool RequestRun::chooseDetour()
 {
     detour_.reset();
     const bool may = run_.context.settings.gateway.detours && !servedFor_
                      && triedDetours_.size() < MaxDetours && run_.left() >= MinTimeLeft;
-    if (may && run_.fleetView.isLost(run_.service)) {
-        detour_ = detours_.choose(run_.service, triedDetours_);
+    if (may && wayIsLost()) {
+        detour_ = detours_.choose(run_.service, triedDetours_, run_.origin.has_value());
     }
     return detour_.has_value();
 }
@@ -374,9 +400,12 @@
         co_return;
     }
     Refusal refusal{ResultCode::NoEngine, run_.lastMessage, true};
+    const bool versionGone = run_.origin && !run_.fleetView.servers().anyContinues(*run_.origin);
     if (run_.counts.sends > 0) {
         const bool late = reason == Interruption::Deadline;
         refusal = {late ? ResultCode::AnswerLost : ResultCode::BackendFailed, run_.lastMessage};
+    } else if (versionGone) {
+        refusal = {ResultCode::VersionGone, NoServerOfVersion, true};
     } else if (selection_.noPlace()) {
         refusal = {ResultCode::ServersFull, NoPlace, true, selection_.retryDelay()};
     } else if (selection_.allInBackoff()) {
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -22,8 +22,9 @@
 /** What another box says of a request that it sends through this one. */
 struct DetourTerms
 {
-    kernel::Duration left{};                  ///< Until the caller's deadline.
-    std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has.
+    kernel::Duration left{};                     ///< Until the caller's deadline.
+    std::optional<std::uint64_t> resumeAfter;    ///< The last event that the caller has.
+    std::optional<forward::StreamOrigin> origin; ///< The server that began its stream.
 };
 
 /** Serves one request. Must live until serve() has returned. */
@@ -34,7 +35,7 @@
                PlaceService &places, http::Request request, http::Reply &reply);
 
     /** Makes it the request of another box's caller. */
-    void setDetour(DetourTerms terms) { servedFor_ = terms; }
+    void setDetour(DetourTerms terms) { servedFor_ = std::move(terms); }
 
     ~RequestRun();
     RequestRun(const RequestRun &) = delete;
@@ -54,12 +55,14 @@
 
     std::optional<Refusal> admit();
     std::optional<Refusal> checkKey();
+    Refusal originUnknown(std::string_view why) const;
     void armTimers();
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
     bool mayContinue();
     bool fitsStream() const;
+    bool wayIsLost() const;
     bool chooseDetour();
     boost::asio::awaitable<AttemptEnd> takeDetour();
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
@@ -78,6 +81,7 @@
     std::optional<DetourTerms> servedFor_;    ///< Set if the caller is another box's.
     std::optional<DetourBox> detour_;         ///< Through which the next attempt is sent.
     std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked.
+    bool noWayToVersion_ = false; ///< No server that may continue the stream was reached.
     http::AnswerTimer deadlineTimer_;
 };
 
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -89,6 +89,7 @@
     std::optional<http::BodyEnd> bodyEnd;      ///< How the body of its answer ended.
     bool answeredWhole = false; ///< The server of this attempt has sent a complete answer.
 
+    bool forOtherBox = false;   ///< The caller is another box's.
     std::string through;        ///< The box through which this attempt is sent; empty: straight.
     std::optional<Place> place; ///< The place at the server of this attempt.
     AttemptCounts counts;
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -33,6 +33,15 @@
         return std::move(*this);
     }
 
+    /** These fields but those named \a name, letter case aside. */
+    Fields without(std::string_view name) const
+    {
+        Fields others;
+        std::ranges::copy_if(fields_, std::back_inserter(others.fields_),
+                             [name](const auto &field) { return !sameName(field.first, name); });
+        return others;
+    }
+
     /** The value of the first field named \a name, letter case aside; empty if there is none. */
     std::string_view get(std::string_view name) const
     {
--- a/src/membership/BoxState.h
+++ b/src/membership/BoxState.h
@@ -57,6 +57,8 @@
     bool detours = false;       ///< It serves requests of boxes that reach none of their servers.
     std::vector<ShortHash> lostServices; ///< Services of which it reaches no backend server.
 
+    bool keepsStreams = false; ///< It knows which server began a stream, and heeds it.
+
     auto operator<=>(const BoxState &) const = default;
 
     /** Whether \a other is equal apart from the version. */
--- a/src/outcome/ResultCode.h
+++ b/src/outcome/ResultCode.h
@@ -43,6 +43,8 @@
     RunsAlone = 213,
     ServersRest = 214,
     ServersFull = 215,
+    StreamOriginUnknown = 216,
+    VersionGone = 217,
     BackendFailed = 300,
     StreamCut = 301,
     ForeignAnswer = 302,
--- a/src/peer/DetourMessages.cpp
+++ b/src/peer/DetourMessages.cpp
@@ -11,6 +11,9 @@
 // The first word keeps it from being taken for another message under the same key.
 constexpr const char *RequestWord = "detour-request";
 
+// Boxes of earlier versions leave it out, and pass over it.
+constexpr std::size_t OriginIndex = 8;
+
 http::Fields fieldsFrom(const json &array)
 {
     http::Fields fields;
@@ -29,9 +32,13 @@
         fields.push_back(json::array({name, value}));
     }
     const json resumeAfter = request.resumeAfter ? json(*request.resumeAfter) : json();
-    return json::to_msgpack(json::array({RequestWord, request.from, request.leftMs, resumeAfter,
-                                         request.request.method, request.request.target,
-                                         std::move(fields), request.request.body}));
+    json array = json::array({RequestWord, request.from, request.leftMs, resumeAfter,
+                              request.request.method, request.request.target, std::move(fields),
+                              request.request.body});
+    if (request.origin) {
+        array.push_back(text(*request.origin));
+    }
+    return json::to_msgpack(array);
 }
 
 std::optional<DetourRequest> decodeDetourRequest(std::span<const std::uint8_t> bytes)
@@ -51,6 +58,9 @@
         request.request.target = array.at(5).get<std::string>();
         request.request.fields = fieldsFrom(array.at(6));
         request.request.body = array.at(7).get<std::string>();
+        if (array.size() > OriginIndex) {
+            request.origin = forward::streamOriginFrom(array.at(OriginIndex).get<std::string>());
+        }
         return request;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/peer/DetourMessages.h
+++ b/src/peer/DetourMessages.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "forward/StreamOrigin.h"
 #include "http/Message.h"
 #include "peer/Messages.h"
 
@@ -21,7 +22,10 @@
     std::string from;                         ///< Name of the box that asks, for the log.
     std::uint32_t leftMs = 0;                 ///< Until the caller's deadline.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller has.
-    http::Request request;                    ///< As the caller sent it.
+    /** Which server began the stream whose events the caller has; nothing: it has none, or the box
+     * that asks is of an earlier version. */
+    std::optional<forward::StreamOrigin> origin;
+    http::Request request; ///< As the caller sent it.
 };
 
 /** The MessagePack form. */
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -45,11 +45,15 @@
         array.push_back(state.address);
         array.push_back(state.hall);
         array.push_back(state.linkMbps);
-        if (state.detours) {
-            array.push_back(1);
+        if (state.detours || state.keepsStreams) {
+            array.push_back(state.detours ? 1 : 0);
+        }
+        const bool lost = state.detours && !state.lostServices.empty();
+        if (lost || state.keepsStreams) {
+            array.push_back(lost ? state.lostServices : std::vector<membership::ShortHash>());
         }
-        if (state.detours && !state.lostServices.empty()) {
-            array.push_back(state.lostServices);
+        if (state.keepsStreams) {
+            array.push_back(1);
         }
     }
     return array;
@@ -67,7 +71,8 @@
                    .hall = array.size() > 8 ? array.at(7).get<std::uint32_t>() : 0,
                    .linkMbps = array.size() > 8 ? array.at(8).get<std::uint32_t>() : 0,
                    .detours = array.size() > 9 && array.at(9).get<int>() != 0,
-                   .lostServices = {}};
+                   .lostServices = {},
+                   .keepsStreams = array.size() > 11 && array.at(11).get<int>() != 0};
     if (array.size() > 10) {
         state.lostServices = array.at(10).get<std::vector<std::uint32_t>>();
     }
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -1,6 +1,7 @@
 // The messages between boxes: they come out as they went in, and nothing that is not ours is let
 // in.
 
+#include "peer/DetourMessages.h"
 #include "peer/Envelope.h"
 #include "peer/Messages.h"
 
@@ -66,7 +67,8 @@
                        .hall = 77,
                        .linkMbps = 1000,
                        .detours = true,
-                       .lostServices = {5, 4000000000U}};
+                       .lostServices = {5, 4000000000U},
+                       .keepsStreams = true};
     return {Heartbeat{{box, {}}, {{5, 0}, {~0U, 127}}},
             AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9, ~0ULL}},
             PermitAnswer{9, PermitResult::Redirected, {{1, 2}, {3, 0}}, 1500, 8},
@@ -168,6 +170,45 @@
     BOOST_TEST((nlohmann::json(later.begin(), later.begin() + 9) == earlier));
 }
 
+// A box of an earlier version reads eleven fields of a state, and takes a tenth that isn't 0 for an
+// offer of detours.
+BOOST_AUTO_TEST_CASE(encode_stateOfABoxThatKeepsStreams_saysTheSameToEarlierBoxes)
+{
+    const auto fieldsOf = [](const BoxState &state) {
+        Heartbeat heartbeat;
+        heartbeat.states = {state};
+        return nlohmann::json::from_msgpack(encode(Message(heartbeat))).at(1).at(0);
+    };
+    BoxState state{.box = 1, .incarnation = 2, .version = 3};
+    state.address = 0x7F000001;
+    state.keepsStreams = true;
+    BOOST_TEST(fieldsOf(state).at(9) == 0);
+    BOOST_TEST(fieldsOf(state).at(10).empty());
+    state.detours = true;
+    state.lostServices = {5};
+    const nlohmann::json later = fieldsOf(state);
+    state.keepsStreams = false;
+    const nlohmann::json earlier = fieldsOf(state);
+    BOOST_TEST((nlohmann::json(later.begin(), later.begin() + 11) == earlier));
+}
+
+BOOST_AUTO_TEST_CASE(decodeDetourRequest_ofABoxThatTellsNoOrigin_hasNone)
+{
+    DetourRequest request{
+            .from = "box-1", .leftMs = 5, .resumeAfter = 3, .origin = {}, .request = {}};
+    const auto without = decodeDetourRequest(encode(request));
+    BOOST_TEST(without.has_value());
+    BOOST_TEST(!without->origin.has_value());
+    request.origin =
+            limereel::forward::StreamOrigin{1, 2, limereel::forward::SoftwareVersion::withHash(3)};
+    const auto with = decodeDetourRequest(encode(request));
+    BOOST_TEST(with.has_value());
+    BOOST_TEST((with->origin == request.origin));
+    auto spoilt = nlohmann::json::from_msgpack(encode(request));
+    spoilt.back() = "not an origin";
+    BOOST_TEST(!decodeDetourRequest(nlohmann::json::to_msgpack(spoilt))->origin.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(decode_unknownResult_isNothing)
 {
     auto array = nlohmann::json::from_msgpack(encode(newAnswer()));
--- a/test/platform/CutBoxFixture.cpp
+++ b/test/platform/CutBoxFixture.cpp
@@ -79,6 +79,7 @@
         startBox(Store::Reached);
     }
     const std::size_t all = cuttable + others;
+    boxCount_ = all;
     until(
             [&] {
                 bool ready = true;
@@ -109,6 +110,24 @@
     }
 }
 
+void CutBoxFixture::unlist(std::size_t server)
+{
+    const std::string &name = runners_.at(server)->name();
+    store().remove("servers", name);
+    for (const Way &way : ways_) {
+        way.store->remove("servers", name);
+    }
+    until(
+            [&] {
+                bool known = true;
+                for (std::size_t box = 0; box < boxCount_; ++box) {
+                    known = known && !world(box).servers().find(name);
+                }
+                return known;
+            },
+            "all boxes know that a server is gone");
+}
+
 http::Request CutBoxFixture::fresh(const std::string &prefix)
 {
     const std::string number = std::to_string(++requests_);
--- a/test/platform/CutBoxFixture.h
+++ b/test/platform/CutBoxFixture.h
@@ -33,6 +33,9 @@
     /** Cuts a box off from all backend servers, or ends that. */
     void cut(std::size_t box, Cut how);
 
+    /** A server's entry goes from the list, and all boxes know it. */
+    void unlist(std::size_t server);
+
     /** Sends a request of the organisation "one" to a box and returns its answer. */
     GatewayAnswer call(std::size_t box, http::Request request);
 
@@ -74,6 +77,7 @@
 
     std::vector<std::unique_ptr<standin::RunnerStandin>> runners_;
     std::vector<Way> ways_;
+    std::size_t boxCount_ = 0;
     std::uint64_t requests_ = 0;
 };
 
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -208,6 +208,7 @@
         for (std::size_t index = 0; index < Servers; ++index) {
             if (hall.runner(index).records().size() > 0 && versions[index] == writer) {
                 hall.runner(index).crash();
+                hall.unlist(index);
                 break;
             }
         }
