Callers take streams up only at the version that began them

Callers whose connection broke could take a stream up (Last-Event-Id) and get the rest from another software version. Who began a stream was known to nobody but its box's run, and a take-up was served as a new request. Change: a box records each stream that may be resumed at three boxes by rendezvous hashing of organisation and attempt, one in another hall; a box at which a caller takes a stream up asks four of them within an eighth of the objective, 50 or 150 ms at most, and binds the run to what they agree on. Unknown, contradicting or unnamed: refused as not run (216). A planned stop hands its records on; boxes of earlier builds keep none. PeerService's names of messages are checked against their number at compile time. StreamTableTest, PeerTest, GatewayTest, CutBoxTest, DecoderFuzz pass.

--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -65,7 +65,6 @@
 void DetourService::completeState(membership::BoxState &state) const
 {
     state.detours = context_.settings.gateway.detours;
-    state.keepsStreams = true;
     state.lostServices.clear();
     for (const std::string &service : lostServices_) {
         state.lostServices.push_back(membership::shortHash(kernel::hashOf(service)));
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -52,8 +52,8 @@
 {
     // A head alone binds the stream to nobody: its caller has nothing that another server's events
     // wouldn't fit.
-    if (!bytes.empty() && !run_.origin) {
-        run_.origin = writer_;
+    if (!bytes.empty()) {
+        run_.noteBytes(writer_);
     }
     if (!run_.reply.begun()) {
         http::Fields fields = http::endToEnd(start.fields);
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewayServices.h"
 
 #include "gateway/GatewayStatus.h"
+#include "gateway/StreamService.h"
 #include "kernel/KeyHash.h"
 #include "kernel/Log.h"
 #include "services/CrashService.h"
@@ -122,6 +123,7 @@
     context_.kernel.find<FrontService>("front").beginLeaving();
     context_.kernel.find<services::MembershipService>("membership").leave();
     context_.kernel.find<PlaceService>("places").beginLeaving();
+    context_.kernel.find<StreamService>("streams").beginLeaving();
     asio::co_spawn(context_.io, run(), asio::detached);
 }
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t MaxDetours = 3;         ///< Boxes that one request asks.
 constexpr kernel::Duration MinTimeLeft = 5ms; ///< A request with less time left isn't sent.
 constexpr kernel::Duration DefaultPatience = 60s;
+constexpr kernel::Duration KeptAfterDeadline = 1s; ///< For what is on its way then.
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
 constexpr const char *NoServerOfVersion =
@@ -35,6 +36,7 @@
     , places_(places)
     , selection_(run_, places)
     , detours_(context.kernel.find<DetourService>("detours"))
+    , streams_(context.kernel.find<StreamService>("streams"))
     , deadlineTimer_(context.io, context.counters, "deadline")
 {
 }
@@ -79,8 +81,15 @@
             interrupt->end(Interruption::CallerLeft);
         }
     });
+    if (takesStreamUp()) {
+        if (auto refusal = co_await findOrigin()) {
+            co_await refuse(std::move(*refusal));
+            co_return;
+        }
+    }
     if (!servedFor_) {
         run_.fleetView.budget().countRequest(run_.service, run_.began);
+        run_.onFirstBytes = [this] { recordStream(); };
     }
     co_await runAttempts();
     releasePlace(AttemptEnd::Unsent);
@@ -106,9 +115,7 @@
     run_.route = *route;
     run_.regions = route->homes;
     run_.lastEvent = run_.call.resumeAfter;
-    run_.service = forward::chooseService(run_.route, kernel::hashOf(run_.call.id));
-    const forward::Service *service = snapshot->service(run_.service);
-    run_.movesParts = service != nullptr && service->movesParts;
+    setService(forward::chooseService(run_.route, kernel::hashOf(run_.call.id)));
     const kernel::Duration patience = run_.call.callerTimeout > 0s
                                               ? run_.call.callerTimeout
                                               : kernel::Duration(DefaultPatience);
@@ -123,6 +130,13 @@
     return checkKey();
 }
 
+void RequestRun::setService(const std::string &name)
+{
+    const forward::Service *service = run_.fleetView.snapshot()->service(name);
+    run_.service = name;
+    run_.movesParts = service != nullptr && service->movesParts;
+}
+
 // Also called right before each send, because the process may have stalled since the request
 // arrived.
 std::optional<RequestRun::Refusal> RequestRun::checkKey()
@@ -164,6 +178,58 @@
     deadlineTimer_.start(run_.left(), heard, onDeadline);
 }
 
+bool RequestRun::takesStreamUp() const
+{
+    const bool named = run_.call.resumeAfter || !run_.call.resumes.empty();
+    return run_.route.stream && named && !servedFor_;
+}
+
+// The caller holds events of an earlier try, which any box may have served.
+asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::findOrigin()
+{
+    if (run_.call.resumes.empty()) {
+        co_return originUnknown("not-named");
+    }
+    const forward::StreamKey key = forward::streamKeyOf(run_.organisation, run_.call.resumes);
+    StreamLookup found = co_await streams_.find(key, run_.route.objective);
+    if (!found.origin) {
+        co_return originUnknown(found.why);
+    }
+    if (!useServiceOf(*found.origin)) {
+        co_return originUnknown("other-service");
+    }
+    run_.origin = std::move(found.origin);
+    co_return std::nullopt;
+}
+
+// The weights of a route's services may choose another one for each try.
+bool RequestRun::useServiceOf(const forward::StreamOrigin &origin)
+{
+    for (const forward::WeightedService &part : run_.route.services) {
+        if (kernel::hashOf(part.service) == origin.service) {
+            setService(part.service);
+            return true;
+        }
+    }
+    return false;
+}
+
+// So that the caller can take the stream up at any box. Streams that may not be resumed are never
+// taken up.
+void RequestRun::recordStream()
+{
+    if (run_.route.repeatability != forward::Repeatability::Resumable || !run_.origin) {
+        return;
+    }
+    const std::string &first = run_.call.resumes.empty() ? run_.call.id : run_.call.resumes;
+    const kernel::Duration patience = run_.call.callerTimeout > 0s
+                                              ? run_.call.callerTimeout
+                                              : kernel::Duration(DefaultPatience);
+    const kernel::Duration left = run_.began + patience - run_.context.now();
+    streams_.note(forward::streamKeyOf(run_.organisation, first), *run_.origin,
+                  std::max<kernel::Duration>(left, 0s) + KeptAfterDeadline);
+}
+
 asio::awaitable<void> RequestRun::runAttempts()
 {
     while (!run_.stopped()) {
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -11,6 +11,7 @@
 #include "gateway/BackendExchange.h"
 #include "gateway/DetourService.h"
 #include "gateway/ServerSelection.h"
+#include "gateway/StreamService.h"
 #include "http/AnswerTimer.h"
 #include "outcome/ResultCode.h"
 
@@ -55,8 +56,13 @@
 
     std::optional<Refusal> admit();
     std::optional<Refusal> checkKey();
+    void setService(const std::string &name);
     Refusal originUnknown(std::string_view why) const;
     void armTimers();
+    bool takesStreamUp() const;
+    boost::asio::awaitable<std::optional<Refusal>> findOrigin();
+    bool useServiceOf(const forward::StreamOrigin &origin);
+    void recordStream();
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<std::optional<Refusal>> acquireSendPermission();
@@ -78,6 +84,7 @@
     PlaceService &places_;
     ServerSelection selection_;
     DetourService &detours_;
+    StreamService &streams_;
     std::optional<DetourTerms> servedFor_;    ///< Set if the caller is another box's.
     std::optional<DetourBox> detour_;         ///< Through which the next attempt is sent.
     std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked.
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -53,6 +53,17 @@
     guard.notePiece();
 }
 
+void RunState::noteBytes(const forward::StreamOrigin &writer)
+{
+    if (!origin) {
+        origin = writer;
+    }
+    if (!sentBytes) {
+        sentBytes = true;
+        onFirstBytes();
+    }
+}
+
 const forward::Prompt *RunState::prompt() const
 {
     return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -98,6 +98,9 @@
     std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that the caller has.
     /** The server whose events the caller has; nothing: it has none, or none is known. */
     std::optional<forward::StreamOrigin> origin;
+    /** Called when this run sends the first bytes of a stream to its caller. */
+    std::function<void()> onFirstBytes = [] {};
+    bool sentBytes = false; ///< Of a stream, in this run.
     bool passedUnnumbered =
             false; ///< The caller has an event without an id, which would come again.
 
@@ -114,6 +117,9 @@
     /** Records that bytes of the attempt's answer have arrived. */
     void notePiece();
 
+    /** Records that bytes of a stream that \a writer wrote are about to go to the caller. */
+    void noteBytes(const forward::StreamOrigin &writer);
+
     /** The prompt if its parts matter for the choice of a server; else nullptr. */
     const forward::Prompt *prompt() const;
 };
--- /dev/null
+++ b/src/gateway/StreamService.cpp
@@ -0,0 +1,280 @@
+#include "gateway/StreamService.h"
+
+#include "gateway/MessageUnits.h"
+#include "services/MembershipService.h"
+#include "services/PeerService.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace limereel::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t Copies = 3;
+// One more, as a box may have come since the stream was recorded.
+constexpr std::size_t Asked = Copies + 1;
+constexpr std::size_t NotesPerMessage = 16; ///< So many fit a datagram that isn't split.
+constexpr kernel::Duration SweepInterval = 1s;
+constexpr kernel::Duration KeepersAge = 200ms;
+constexpr int ObjectiveFraction = 8; ///< Of the objective, this part is spent on asking at most.
+constexpr kernel::Duration MaxTimeInHall = 50ms;
+constexpr kernel::Duration MaxTimeBetweenHalls = 150ms;
+
+} // namespace
+
+StreamService::StreamService(services::Context &context)
+    : context_(context)
+{
+}
+
+void StreamService::start()
+{
+    context_.kernel.find<services::PeerService>("peer").onMessage(
+            [this](const peer::Message &message, const kernel::Endpoint &from) {
+                receive(message, from);
+            });
+    context_.kernel.find<services::MembershipService>("membership")
+            .beforeHeartbeat([](membership::BoxState &state) { state.keepsStreams = true; });
+    sweep_ = std::make_unique<services::PeriodicTask>(
+            context_.io, [this]() -> asio::awaitable<kernel::Duration> {
+                table_.expire(context_.now());
+                context_.counters.set("streams_recorded", static_cast<double>(table_.size()));
+                co_return kernel::Duration(SweepInterval);
+            });
+}
+
+void StreamService::stop()
+{
+    sweep_.reset();
+}
+
+// The live boxes that keep records.
+const std::vector<forward::StreamKeeper> &StreamService::keepers()
+{
+    const kernel::Instant now = context_.now();
+    if (keepersAt_ && now - *keepersAt_ < KeepersAge) {
+        return keepers_;
+    }
+    const auto &members = context_.kernel.find<services::MembershipService>("membership");
+    keepers_.clear();
+    for (const membership::BoxState &state : members.states()) {
+        const bool self = state.box == members.self();
+        const bool live = self || members.liveness(state.box) == membership::Liveness::Live;
+        if (live && state.keepsStreams && !state.leaving && !(self && leaving_)) {
+            keepers_.push_back({state.box, state.hall});
+        }
+    }
+    keepersAt_ = now;
+    return keepers_;
+}
+
+void StreamService::send(std::uint64_t box, const peer::Message &message)
+{
+    const auto &members = context_.kernel.find<services::MembershipService>("membership");
+    if (const auto address = members.addressOf(box)) {
+        context_.kernel.find<services::PeerService>("peer").send(*address, message);
+    }
+}
+
+void StreamService::note(const forward::StreamKey &key, const forward::StreamOrigin &origin,
+                         kernel::Duration left)
+{
+    const peer::StreamNote note{key, origin, milliseconds(left)};
+    keep(note);
+    tell({.notes = {note}, .handedOver = leaving_});
+}
+
+void StreamService::keep(const peer::StreamNote &note)
+{
+    using Noted = forward::StreamTable::Noted;
+    const kernel::Instant until = context_.now() + std::chrono::milliseconds(note.leftMs);
+    switch (table_.note(note.key, note.origin, until)) {
+    case Noted::Added:
+        context_.counters.add("stream_records", {{"result", "kept"}});
+        break;
+    case Noted::Known:
+        break;
+    case Noted::Contradicted:
+        context_.counters.add("stream_records", {{"result", "contradicted"}});
+        break;
+    case Noted::Full:
+        context_.counters.add("stream_records", {{"result", "no-room"}});
+        break;
+    }
+}
+
+// Notes for the same box go together.
+void StreamService::tell(const peer::StreamNotes &notes)
+{
+    const std::uint64_t self =
+            context_.kernel.find<services::MembershipService>("membership").self();
+    std::map<std::uint64_t, peer::StreamNotes> byBox;
+    const auto flush = [this](std::uint64_t box, peer::StreamNotes &batch) {
+        send(box, batch);
+        batch.notes.clear();
+    };
+    for (const peer::StreamNote &note : notes.notes) {
+        for (const forward::StreamKeeper &keeper :
+             forward::keepersOf(note.key, keepers(), Copies)) {
+            if (keeper.box == self) {
+                continue;
+            }
+            peer::StreamNotes &batch = byBox[keeper.box];
+            batch.handedOver = notes.handedOver;
+            batch.notes.push_back(note);
+            if (batch.notes.size() == NotesPerMessage) {
+                flush(keeper.box, batch);
+            }
+        }
+    }
+    for (auto &[box, batch] : byBox) {
+        if (!batch.notes.empty()) {
+            flush(box, batch);
+        }
+    }
+}
+
+void StreamService::beginLeaving()
+{
+    leaving_ = true;
+    keepersAt_.reset();
+    const kernel::Instant now = context_.now();
+    peer::StreamNotes notes{.notes = {}, .handedOver = true};
+    table_.forEach([&](const forward::StreamKey &key, const forward::StreamRecord &record) {
+        const std::uint32_t leftMs = milliseconds(record.until - now);
+        notes.notes.push_back({key, record.origin, leftMs});
+        if (record.contradicted) {
+            // An unknown origin contradicts any, so that the other boxes know as much.
+            notes.notes.push_back({key, {}, leftMs});
+        }
+    });
+    tell(notes);
+}
+
+kernel::Duration StreamService::timeFor(const std::vector<forward::StreamKeeper> &asked,
+                                        kernel::Duration objective) const
+{
+    const auto hall = membership::shortHash(context_.settings.hall.hash());
+    const bool inHall = std::ranges::all_of(
+            asked, [hall](const forward::StreamKeeper &keeper) { return keeper.hall == hall; });
+    const kernel::Duration most = inHall ? MaxTimeInHall : MaxTimeBetweenHalls;
+    const kernel::Duration share = objective / ObjectiveFraction;
+    return share > 0s ? std::min(most, share) : most;
+}
+
+asio::awaitable<StreamLookup> StreamService::find(forward::StreamKey key,
+                                                  kernel::Duration objective)
+{
+    const std::uint64_t self =
+            context_.kernel.find<services::MembershipService>("membership").self();
+    const kernel::Instant began = context_.now();
+    std::vector<forward::StreamKeeper> asked = forward::keepersOf(key, keepers(), Asked);
+    std::erase_if(asked,
+                  [self](const forward::StreamKeeper &keeper) { return keeper.box == self; });
+    const auto pending =
+            std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), {}, {}});
+    pending->sources.add(table_.find(key, began));
+    for (const forward::StreamKeeper &keeper : asked) {
+        pending->unanswered.push_back(keeper.box);
+    }
+    const std::uint64_t number = context_.random();
+    pending_[number] = pending;
+    const kernel::Duration whole = timeFor(asked, objective);
+    // A lost message is made up for by the second question.
+    for (const kernel::Duration after : {whole / 3, whole}) {
+        if (pending->over()) {
+            break;
+        }
+        for (const std::uint64_t box : pending->unanswered) {
+            send(box, peer::StreamAsk{number, key});
+        }
+        co_await waitUntil(pending, began + after);
+    }
+    pending_.erase(number);
+    StreamLookup found{pending->sources.origin(), ""};
+    if (!found.origin) {
+        const bool silent = !pending->unanswered.empty();
+        found.why = pending->sources.contradicted() ? "contradicted"
+                    : silent                        ? "no-answer"
+                                                    : "not-recorded";
+    }
+    context_.counters.add("streams_looked_up",
+                          {{"result", found.origin ? std::string("known") : found.why}});
+    co_return found;
+}
+
+asio::awaitable<void> StreamService::waitUntil(PendingPtr pending, kernel::Instant until)
+{
+    const kernel::Duration left = until - context_.now();
+    if (pending->over() || left <= 0s) {
+        co_return;
+    }
+    pending->timer.expires_after(left);
+    co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!pending->over()) {
+        auto &peers = context_.kernel.find<services::PeerService>("peer");
+        co_await peers.readPending([pending] { return pending->over(); });
+    }
+}
+
+peer::StreamAnswer StreamService::answerTo(const peer::StreamAsk &ask) const
+{
+    peer::StreamAnswer answer;
+    answer.ask = ask.ask;
+    if (const forward::StreamRecord *record = table_.find(ask.key, context_.now())) {
+        answer.known =
+                record->contradicted ? peer::StreamKnown::Contradicted : peer::StreamKnown::Origin;
+        answer.origin = record->origin;
+    }
+    return answer;
+}
+
+void StreamService::receive(const peer::Message &message, const kernel::Endpoint &from)
+{
+    if (const auto *const notes = std::get_if<peer::StreamNotes>(&message)) {
+        receive(*notes);
+    } else if (const auto *const ask = std::get_if<peer::StreamAsk>(&message)) {
+        context_.kernel.find<services::PeerService>("peer").send(from, answerTo(*ask));
+    } else if (const auto *const answer = std::get_if<peer::StreamAnswer>(&message)) {
+        receive(*answer, from);
+    }
+}
+
+void StreamService::receive(const peer::StreamNotes &notes)
+{
+    for (const peer::StreamNote &note : notes.notes) {
+        keep(note);
+    }
+    if (leaving_ && !notes.handedOver) {
+        tell({.notes = notes.notes, .handedOver = true});
+    }
+}
+
+void StreamService::receive(const peer::StreamAnswer &answer, const kernel::Endpoint &from)
+{
+    const auto place = pending_.find(answer.ask);
+    if (place == pending_.end()) {
+        return;
+    }
+    Pending &pending = *place->second;
+    const auto &members = context_.kernel.find<services::MembershipService>("membership");
+    // An answer that came twice is heeded once.
+    const auto removed = std::erase_if(
+            pending.unanswered, [&](std::uint64_t box) { return members.addressOf(box) == from; });
+    if (removed == 0) {
+        return;
+    }
+    if (answer.known != peer::StreamKnown::Nothing) {
+        const bool contradicted = answer.known == peer::StreamKnown::Contradicted;
+        const forward::StreamRecord record{answer.origin, contradicted, {}};
+        pending.sources.add(&record);
+    }
+    if (pending.over()) {
+        pending.timer.cancel();
+    }
+}
+
+} // namespace limereel::gateway
--- /dev/null
+++ b/src/gateway/StreamService.h
@@ -0,0 +1,87 @@
+/** \file
+ * Tells other boxes which backend server began a stream, and finds that out for a caller that takes
+ * its stream up here, whichever box began it. docs/design/stream-origins.md says why it is done so.
+ *
+ * Messages may be lost, late or doubled: what isn't found out in time is unknown, and a stream of
+ * unknown origin isn't continued.
+ */
+#pragma once
+
+#include "forward/StreamKeepers.h"
+#include "peer/Messages.h"
+#include "services/Context.h"
+#include "services/PeriodicTask.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace limereel::gateway {
+
+/** The result of looking for the origin of a stream. */
+struct StreamLookup
+{
+    std::optional<forward::StreamOrigin> origin;
+    std::string why; ///< Without an origin: why none is known.
+};
+
+/** The records of streams of one box. */
+class StreamService : public kernel::Service
+{
+public:
+    explicit StreamService(services::Context &context);
+
+    std::string_view name() const override { return "streams"; }
+    void start() override;
+    void stop() override;
+
+    /** Records that \a origin began a stream, here and at the boxes that keep its record.
+     * \param left how long its caller may take it up. */
+    void note(const forward::StreamKey &key, const forward::StreamOrigin &origin,
+              kernel::Duration left);
+
+    /** Finds out who began a stream, by asking the boxes that should know.
+     * \param objective of the route; a fraction of it is spent at most. */
+    boost::asio::awaitable<StreamLookup> find(forward::StreamKey key, kernel::Duration objective);
+
+    /** Before a planned stop: hands the records over to the boxes that keep them without this one.
+     */
+    void beginLeaving();
+
+private:
+    /** A question that waits for answers. */
+    struct Pending
+    {
+        boost::asio::steady_timer timer;
+        forward::StreamSources sources;
+        std::vector<std::uint64_t> unanswered; ///< Boxes.
+        bool over() const { return sources.settled() || unanswered.empty(); }
+    };
+    using PendingPtr = std::shared_ptr<Pending>;
+
+    const std::vector<forward::StreamKeeper> &keepers();
+    kernel::Duration timeFor(const std::vector<forward::StreamKeeper> &asked,
+                             kernel::Duration objective) const;
+    void send(std::uint64_t box, const peer::Message &message);
+    void tell(const peer::StreamNotes &notes);
+    void keep(const peer::StreamNote &note);
+    void receive(const peer::Message &message, const kernel::Endpoint &from);
+    void receive(const peer::StreamNotes &notes);
+    void receive(const peer::StreamAnswer &answer, const kernel::Endpoint &from);
+    peer::StreamAnswer answerTo(const peer::StreamAsk &ask) const;
+    boost::asio::awaitable<void> waitUntil(PendingPtr pending, kernel::Instant until);
+
+    services::Context &context_;
+    forward::StreamTable table_;
+    std::vector<forward::StreamKeeper> keepers_;
+    std::optional<kernel::Instant> keepersAt_; ///< When they were determined.
+    std::map<std::uint64_t, PendingPtr> pending_;
+    bool leaving_ = false;
+    std::unique_ptr<services::PeriodicTask> sweep_;
+};
+
+} // namespace limereel::gateway
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -193,6 +193,46 @@
     return json::array({7, message.ask, message.granted, message.comeBackMs, std::move(records)});
 }
 
+// An origin and a key are spread over the array that holds them.
+void append(json &array, const forward::StreamKey &key)
+{
+    array.push_back(key.high);
+    array.push_back(key.low);
+}
+
+void append(json &array, const forward::StreamOrigin &origin)
+{
+    array.push_back(origin.service);
+    array.push_back(origin.server);
+    array.push_back(origin.version.hash());
+}
+
+json toJson(const StreamNotes &message)
+{
+    json notes = json::array();
+    for (const StreamNote &note : message.notes) {
+        json array = json::array({note.leftMs});
+        append(array, note.key);
+        append(array, note.origin);
+        notes.push_back(std::move(array));
+    }
+    return json::array({8, message.handedOver, std::move(notes)});
+}
+
+json toJson(const StreamAsk &message)
+{
+    json array = json::array({9, message.ask});
+    append(array, message.key);
+    return array;
+}
+
+json toJson(const StreamAnswer &message)
+{
+    json array = json::array({10, message.ask, static_cast<int>(message.known)});
+    append(array, message.origin);
+    return array;
+}
+
 template <typename Enum>
 Enum enumAt(const json &array, std::size_t index, Enum last)
 {
@@ -326,6 +366,33 @@
     return message;
 }
 
+forward::StreamOrigin originAt(const json &array, std::size_t index)
+{
+    return {wordAt(array, index), wordAt(array, index + 1),
+            forward::SoftwareVersion::withHash(wordAt(array, index + 2))};
+}
+
+StreamNotes streamNotes(const json &array)
+{
+    StreamNotes message{.notes = {}, .handedOver = array.at(1).get<bool>()};
+    for (const json &note : array.at(2)) {
+        message.notes.push_back({.key = {wordAt(note, 1), wordAt(note, 2)},
+                                 .origin = originAt(note, 3),
+                                 .leftMs = note.at(0).get<std::uint32_t>()});
+    }
+    return message;
+}
+
+StreamAsk streamAsk(const json &array)
+{
+    return {wordAt(array, 1), {wordAt(array, 2), wordAt(array, 3)}};
+}
+
+StreamAnswer streamAnswer(const json &array)
+{
+    return {wordAt(array, 1), enumAt(array, 2, StreamKnown::Contradicted), originAt(array, 3)};
+}
+
 std::optional<Message> read(const json &array)
 {
     switch (array.at(0).get<int>()) {
@@ -345,6 +412,12 @@
         return crashReport(array);
     case 7:
         return crashWord(array);
+    case 8:
+        return streamNotes(array);
+    case 9:
+        return streamAsk(array);
+    case 10:
+        return streamAnswer(array);
     default:
         return std::nullopt;
     }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "forward/CrashTable.h"
+#include "forward/StreamTable.h"
 #include "membership/BoxState.h"
 
 #include <compare>
@@ -187,9 +188,49 @@
     auto operator<=>(const CrashWord &) const = default;
 };
 
+/** Which backend server began a stream. */
+struct StreamNote
+{
+    forward::StreamKey key;
+    forward::StreamOrigin origin; ///< The version's text isn't sent.
+    std::uint32_t leftMs = 0;     ///< For so long its caller may take it up.
+
+    auto operator<=>(const StreamNote &) const = default;
+};
+
+/** Tells a box that keeps records of streams. Boxes of earlier versions drop it. */
+struct StreamNotes
+{
+    std::vector<StreamNote> notes;
+    bool handedOver = false; ///< By a box that leaves; goes no further.
+
+    auto operator<=>(const StreamNotes &) const = default;
+};
+
+/** Asks a box what it knows of a stream. Boxes of earlier versions drop it. */
+struct StreamAsk
+{
+    std::uint64_t ask = 0; ///< Unique.
+    forward::StreamKey key;
+
+    auto operator<=>(const StreamAsk &) const = default;
+};
+
+/** What a box knows of a stream. */
+enum class StreamKnown : std::uint8_t { Nothing, Origin, Contradicted };
+
+struct StreamAnswer
+{
+    std::uint64_t ask = 0;
+    StreamKnown known = StreamKnown::Nothing;
+    forward::StreamOrigin origin;
+
+    auto operator<=>(const StreamAnswer &) const = default;
+};
+
 /** Any message. */
 using Message = std::variant<Heartbeat, AskPermit, PermitAnswer, GiveBack, Renew, Placed,
-                             CrashReport, CrashWord>;
+                             CrashReport, CrashWord, StreamNotes, StreamAsk, StreamAnswer>;
 
 using Bytes = std::vector<std::uint8_t>;
 
--- a/src/services/PeerService.cpp
+++ b/src/services/PeerService.cpp
@@ -19,9 +19,10 @@
 
 const char *kindOf(const peer::Message &message)
 {
-    constexpr std::array<const char *, std::variant_size_v<peer::Message>> Kinds = {
-            "heartbeat", "ask",    "answer",       "give-back",
-            "renew",     "placed", "crash-report", "crash-word"};
+    constexpr auto Kinds = std::to_array<const char *>(
+            {"heartbeat", "ask", "answer", "give-back", "renew", "placed", "crash-report",
+             "crash-word", "stream-notes", "stream-ask", "stream-answer"});
+    static_assert(Kinds.size() == std::variant_size_v<peer::Message>);
     return Kinds.at(message.index());
 }
 
