Callers that don't name the stream that they take up are still served

Cause: a stream was known by its caller's attempt only. Change: a record has two names, attempt and request (RequestIdentity's hash); the request decides which boxes keep it. Without a named attempt the stream goes on where all recorded streams of equal requests agree, else it is refused. Result: StreamVersionTest has the case (three versions, equal requests that differ are refused; served before at any version on the base); StreamTableTest, PeerTest, GatewayTest, CutBoxTest, DecoderFuzz pass.

--- a/src/forward/StreamKeepers.cpp
+++ b/src/forward/StreamKeepers.cpp
@@ -6,7 +6,7 @@
 
 namespace limereel::forward {
 
-std::vector<StreamKeeper> keepersOf(const StreamKey &key, const std::vector<StreamKeeper> &boxes,
+std::vector<StreamKeeper> keepersOf(const Digest &request, const std::vector<StreamKeeper> &boxes,
                                     std::size_t count)
 {
     std::vector<std::uint64_t> hashes;
@@ -15,7 +15,8 @@
         hashes.push_back(keeper.box);
     }
     std::vector<StreamKeeper> order;
-    for (const std::size_t position : membership::rendezvousOrder(key.low, hashes, hashes.size())) {
+    for (const std::size_t position :
+         membership::rendezvousOrder(request.low, hashes, hashes.size())) {
         order.push_back(boxes[position]);
     }
     const auto elsewhere = std::ranges::find_if(order, [&order](const StreamKeeper &keeper) {
--- a/src/forward/StreamKeepers.h
+++ b/src/forward/StreamKeepers.h
@@ -1,6 +1,6 @@
 /** \file
  * Chooses the boxes that keep the record of a stream: the first ones by rendezvous hashing of its
- * key, of which one is in another hall than the first, so that a hall that is cut off or loses
+ * request, of which one is in another hall than the first, so that a hall that is cut off or loses
  * power doesn't take all copies with it. Any box computes the same ones.
  */
 #pragma once
@@ -21,8 +21,8 @@
     auto operator<=>(const StreamKeeper &) const = default;
 };
 
-/** The first \a count of \a boxes for \a key, best first. */
-std::vector<StreamKeeper> keepersOf(const StreamKey &key, const std::vector<StreamKeeper> &boxes,
+/** The first \a count of \a boxes for \a request, best first. */
+std::vector<StreamKeeper> keepersOf(const Digest &request, const std::vector<StreamKeeper> &boxes,
                                     std::size_t count);
 
 } // namespace limereel::forward
--- a/src/forward/StreamTable.cpp
+++ b/src/forward/StreamTable.cpp
@@ -4,45 +4,74 @@
 
 namespace limereel::forward {
 
-StreamKey streamKeyOf(std::string_view organisation, std::string_view id)
+namespace {
+
+void extend(StreamRecord &record, const StreamOrigin &origin, kernel::Instant until)
 {
-    return digestOf({organisation, id});
+    record.until = std::max(record.until, until);
+    record.contradicted = record.contradicted || !record.origin.agreesWith(origin);
 }
 
-StreamTable::Noted StreamTable::note(const StreamKey &key, const StreamOrigin &origin,
+const StreamRecord *ifKept(const StreamRecord &record, kernel::Instant now)
+{
+    return record.until <= now ? nullptr : &record;
+}
+
+} // namespace
+
+StreamId streamIdOf(const RequestIdentity &request, std::string_view organisation,
+                    std::string_view id)
+{
+    return {{request.high, request.low}, digestOf({organisation, id})};
+}
+
+StreamTable::Noted StreamTable::note(const StreamId &id, const StreamOrigin &origin,
                                      kernel::Instant until)
 {
-    const auto place = records_.find(key);
-    if (place == records_.end()) {
-        if (records_.size() >= MaxRecords) {
-            return Noted::Full;
-        }
-        records_.emplace(key, StreamRecord{origin, false, until});
-        return Noted::Added;
+    const StreamRecord added{origin, false, until};
+    const auto request = requests_.find(id.request);
+    if (request != requests_.end()) {
+        // Also if there is no room for the attempt: equal requests must not seem to agree.
+        extend(request->second, origin, until);
     }
-    StreamRecord &record = place->second;
-    record.until = std::max(record.until, until);
-    record.contradicted = record.contradicted || !record.origin.agreesWith(origin);
-    return record.contradicted ? Noted::Contradicted : Noted::Known;
+    const auto attempt = attempts_.find(id.attempt);
+    if (attempt != attempts_.end()) {
+        StreamRecord &record = attempt->second.record;
+        extend(record, origin, until);
+        return record.contradicted ? Noted::Contradicted : Noted::Known;
+    }
+    if (attempts_.size() >= MaxStreams) {
+        return Noted::Full;
+    }
+    attempts_.emplace(id.attempt, Attempt{id.request, added});
+    requests_.try_emplace(id.request, added);
+    return Noted::Added;
+}
+
+const StreamRecord *StreamTable::findAttempt(const Digest &attempt, kernel::Instant now) const
+{
+    const auto place = attempts_.find(attempt);
+    return place == attempts_.end() ? nullptr : ifKept(place->second.record, now);
 }
 
-const StreamRecord *StreamTable::find(const StreamKey &key, kernel::Instant now) const
+const StreamRecord *StreamTable::findRequest(const Digest &request, kernel::Instant now) const
 {
-    const auto place = records_.find(key);
-    return place == records_.end() || place->second.until <= now ? nullptr : &place->second;
+    const auto place = requests_.find(request);
+    return place == requests_.end() ? nullptr : ifKept(place->second, now);
 }
 
 void StreamTable::forEach(
-        const std::function<void(const StreamKey &, const StreamRecord &)> &visit) const
+        const std::function<void(const StreamId &, const StreamRecord &)> &visit) const
 {
-    for (const auto &[key, record] : records_) {
-        visit(key, record);
+    for (const auto &[key, attempt] : attempts_) {
+        visit({attempt.request, key}, attempt.record);
     }
 }
 
 void StreamTable::expire(kernel::Instant now)
 {
-    std::erase_if(records_, [now](const auto &entry) { return entry.second.until <= now; });
+    std::erase_if(attempts_, [now](const auto &entry) { return entry.second.record.until <= now; });
+    std::erase_if(requests_, [now](const auto &entry) { return entry.second.until <= now; });
 }
 
 void StreamSources::add(const StreamRecord *record)
--- a/src/forward/StreamTable.h
+++ b/src/forward/StreamTable.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "forward/PartsDigest.h"
+#include "forward/RequestIdentity.h"
 #include "forward/StreamOrigin.h"
 #include "kernel/decisions/Time.h"
 
@@ -16,45 +17,66 @@
 
 namespace limereel::forward {
 
-/** Identifies the attempt of a caller that brought a stream's first event. */
-using StreamKey = Digest;
+/** The ways in which a caller names the stream that it takes up. */
+struct StreamId
+{
+    Digest request; ///< What its request has in common with a repetition of it.
+    Digest attempt; ///< Of the attempt that brought its first event.
+
+    auto operator<=>(const StreamId &) const = default;
+};
 
-/** The key of the attempt \a id of a caller of \a organisation. */
-StreamKey streamKeyOf(std::string_view organisation, std::string_view id);
+/** The id of a stream that the attempt \a id of a caller of \a organisation began. */
+StreamId streamIdOf(const RequestIdentity &request, std::string_view organisation,
+                    std::string_view id);
 
 /** What is known of a stream. */
 struct StreamRecord
 {
     StreamOrigin origin;
-    bool contradicted = false; ///< Streams of two versions have this key.
+    bool contradicted = false; ///< Streams of two versions have the same name.
     kernel::Instant until;     ///< When it is forgotten.
 
     auto operator<=>(const StreamRecord &) const = default;
 };
 
-/** The streams known to one box. Deterministic: callers pass in the current time. */
+/** The streams known to one box, by attempt and by request. Deterministic: callers pass in the
+ * current time. */
 class StreamTable
 {
 public:
-    static constexpr std::size_t MaxRecords = 32768;
+    static constexpr std::size_t MaxStreams = 16384;
 
     enum class Noted : std::uint8_t { Added, Known, Contradicted, Full };
 
     /** Records that \a origin began the stream, to be kept until \a until at least. */
-    Noted note(const StreamKey &key, const StreamOrigin &origin, kernel::Instant until);
+    Noted note(const StreamId &id, const StreamOrigin &origin, kernel::Instant until);
+
+    /** The record of the stream that an attempt began; nullptr if there is none, or none any more.
+     */
+    const StreamRecord *findAttempt(const Digest &attempt, kernel::Instant now) const;
 
-    /** The record of a stream; nullptr if there is none, or none any more. */
-    const StreamRecord *find(const StreamKey &key, kernel::Instant now) const;
+    /** The record of all streams of equal requests; contradicted if not all of them may be
+     * continued by the same servers. */
+    const StreamRecord *findRequest(const Digest &request, kernel::Instant now) const;
 
-    void forEach(const std::function<void(const StreamKey &, const StreamRecord &)> &visit) const;
+    void forEach(const std::function<void(const StreamId &, const StreamRecord &)> &visit) const;
 
     /** Forgets what has expired. */
     void expire(kernel::Instant now);
 
-    std::size_t size() const { return records_.size(); }
+    /** How many streams it knows. */
+    std::size_t size() const { return attempts_.size(); }
 
 private:
-    std::map<StreamKey, StreamRecord> records_;
+    struct Attempt
+    {
+        Digest request;
+        StreamRecord record;
+    };
+
+    std::map<Digest, Attempt> attempts_;
+    std::map<Digest, StreamRecord> requests_;
 };
 
 /** What other boxes and this one know of a stream. */
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -184,16 +184,15 @@
     return run_.route.stream && named && !servedFor_;
 }
 
-// The caller holds events of an earlier try, which any box may have served.
+// The caller holds events of an earlier try, which any box may have served. A caller that doesn't
+// name that try may still be helped if all streams of equal requests have one version.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::findOrigin()
 {
-    if (run_.call.resumes.empty()) {
-        co_return originUnknown("not-named");
-    }
-    const forward::StreamKey key = forward::streamKeyOf(run_.organisation, run_.call.resumes);
-    StreamLookup found = co_await streams_.find(key, run_.route.objective);
+    const bool named = !run_.call.resumes.empty();
+    forward::StreamId id = streamId();
+    StreamLookup found = co_await streams_.find(id, named, run_.route.objective);
     if (!found.origin) {
-        co_return originUnknown(found.why);
+        co_return originUnknown(named ? found.why : "not-named");
     }
     if (!useServiceOf(*found.origin)) {
         co_return originUnknown("other-service");
@@ -202,6 +201,12 @@
     co_return std::nullopt;
 }
 
+forward::StreamId RequestRun::streamId()
+{
+    const std::string &first = run_.call.resumes.empty() ? run_.call.id : run_.call.resumes;
+    return forward::streamIdOf(run_.guard.identity(), run_.organisation, first);
+}
+
 // The weights of a route's services may choose another one for each try.
 bool RequestRun::useServiceOf(const forward::StreamOrigin &origin)
 {
@@ -221,12 +226,11 @@
     if (run_.route.repeatability != forward::Repeatability::Resumable || !run_.origin) {
         return;
     }
-    const std::string &first = run_.call.resumes.empty() ? run_.call.id : run_.call.resumes;
     const kernel::Duration patience = run_.call.callerTimeout > 0s
                                               ? run_.call.callerTimeout
                                               : kernel::Duration(DefaultPatience);
     const kernel::Duration left = run_.began + patience - run_.context.now();
-    streams_.note(forward::streamKeyOf(run_.organisation, first), *run_.origin,
+    streams_.note(streamId(), *run_.origin,
                   std::max<kernel::Duration>(left, 0s) + KeptAfterDeadline);
 }
 
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -61,6 +61,7 @@
     void armTimers();
     bool takesStreamUp() const;
     boost::asio::awaitable<std::optional<Refusal>> findOrigin();
+    forward::StreamId streamId();
     bool useServiceOf(const forward::StreamOrigin &origin);
     void recordStream();
 
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -79,10 +79,10 @@
     }
 }
 
-void StreamService::note(const forward::StreamKey &key, const forward::StreamOrigin &origin,
+void StreamService::note(const forward::StreamId &id, const forward::StreamOrigin &origin,
                          kernel::Duration left)
 {
-    const peer::StreamNote note{key, origin, milliseconds(left)};
+    const peer::StreamNote note{id, origin, milliseconds(left)};
     keep(note);
     tell({.notes = {note}, .handedOver = leaving_});
 }
@@ -91,7 +91,7 @@
 {
     using Noted = forward::StreamTable::Noted;
     const kernel::Instant until = context_.now() + std::chrono::milliseconds(note.leftMs);
-    switch (table_.note(note.key, note.origin, until)) {
+    switch (table_.note(note.id, note.origin, until)) {
     case Noted::Added:
         context_.counters.add("stream_records", {{"result", "kept"}});
         break;
@@ -118,7 +118,7 @@
     };
     for (const peer::StreamNote &note : notes.notes) {
         for (const forward::StreamKeeper &keeper :
-             forward::keepersOf(note.key, keepers(), Copies)) {
+             forward::keepersOf(note.id.request, keepers(), Copies)) {
             if (keeper.box == self) {
                 continue;
             }
@@ -143,12 +143,12 @@
     keepersAt_.reset();
     const kernel::Instant now = context_.now();
     peer::StreamNotes notes{.notes = {}, .handedOver = true};
-    table_.forEach([&](const forward::StreamKey &key, const forward::StreamRecord &record) {
+    table_.forEach([&](const forward::StreamId &id, const forward::StreamRecord &record) {
         const std::uint32_t leftMs = milliseconds(record.until - now);
-        notes.notes.push_back({key, record.origin, leftMs});
+        notes.notes.push_back({id, record.origin, leftMs});
         if (record.contradicted) {
             // An unknown origin contradicts any, so that the other boxes know as much.
-            notes.notes.push_back({key, {}, leftMs});
+            notes.notes.push_back({id, {}, leftMs});
         }
     });
     tell(notes);
@@ -165,23 +165,23 @@
     return share > 0s ? std::min(most, share) : most;
 }
 
-asio::awaitable<StreamLookup> StreamService::find(forward::StreamKey key,
+asio::awaitable<StreamLookup> StreamService::find(forward::StreamId id, bool byAttempt,
                                                   kernel::Duration objective)
 {
     const std::uint64_t self =
             context_.kernel.find<services::MembershipService>("membership").self();
     const kernel::Instant began = context_.now();
-    std::vector<forward::StreamKeeper> asked = forward::keepersOf(key, keepers(), Asked);
+    std::vector<forward::StreamKeeper> asked = forward::keepersOf(id.request, keepers(), Asked);
     std::erase_if(asked,
                   [self](const forward::StreamKeeper &keeper) { return keeper.box == self; });
     const auto pending =
             std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), {}, {}});
-    pending->sources.add(table_.find(key, began));
+    const peer::StreamAsk ask{context_.random(), byAttempt, byAttempt ? id.attempt : id.request};
+    pending->sources.add(known(ask));
     for (const forward::StreamKeeper &keeper : asked) {
         pending->unanswered.push_back(keeper.box);
     }
-    const std::uint64_t number = context_.random();
-    pending_[number] = pending;
+    pending_[ask.ask] = pending;
     const kernel::Duration whole = timeFor(asked, objective);
     // A lost message is made up for by the second question.
     for (const kernel::Duration after : {whole / 3, whole}) {
@@ -189,11 +189,11 @@
             break;
         }
         for (const std::uint64_t box : pending->unanswered) {
-            send(box, peer::StreamAsk{number, key});
+            send(box, ask);
         }
         co_await waitUntil(pending, began + after);
     }
-    pending_.erase(number);
+    pending_.erase(ask.ask);
     StreamLookup found{pending->sources.origin(), ""};
     if (!found.origin) {
         const bool silent = !pending->unanswered.empty();
@@ -220,11 +220,17 @@
     }
 }
 
+const forward::StreamRecord *StreamService::known(const peer::StreamAsk &ask) const
+{
+    const kernel::Instant now = context_.now();
+    return ask.byAttempt ? table_.findAttempt(ask.name, now) : table_.findRequest(ask.name, now);
+}
+
 peer::StreamAnswer StreamService::answerTo(const peer::StreamAsk &ask) const
 {
     peer::StreamAnswer answer;
     answer.ask = ask.ask;
-    if (const forward::StreamRecord *record = table_.find(ask.key, context_.now())) {
+    if (const forward::StreamRecord *record = known(ask)) {
         answer.known =
                 record->contradicted ? peer::StreamKnown::Contradicted : peer::StreamKnown::Origin;
         answer.origin = record->origin;
--- a/src/gateway/StreamService.h
+++ b/src/gateway/StreamService.h
@@ -41,12 +41,15 @@
 
     /** Records that \a origin began a stream, here and at the boxes that keep its record.
      * \param left how long its caller may take it up. */
-    void note(const forward::StreamKey &key, const forward::StreamOrigin &origin,
+    void note(const forward::StreamId &id, const forward::StreamOrigin &origin,
               kernel::Duration left);
 
     /** Finds out who began a stream, by asking the boxes that should know.
+     * \param byAttempt whether the caller has named the attempt; else all streams of equal requests
+     * have to agree.
      * \param objective of the route; a fraction of it is spent at most. */
-    boost::asio::awaitable<StreamLookup> find(forward::StreamKey key, kernel::Duration objective);
+    boost::asio::awaitable<StreamLookup> find(forward::StreamId id, bool byAttempt,
+                                              kernel::Duration objective);
 
     /** Before a planned stop: hands the records over to the boxes that keep them without this one.
      */
@@ -72,6 +75,7 @@
     void receive(const peer::Message &message, const kernel::Endpoint &from);
     void receive(const peer::StreamNotes &notes);
     void receive(const peer::StreamAnswer &answer, const kernel::Endpoint &from);
+    const forward::StreamRecord *known(const peer::StreamAsk &ask) const;
     peer::StreamAnswer answerTo(const peer::StreamAsk &ask) const;
     boost::asio::awaitable<void> waitUntil(PendingPtr pending, kernel::Instant until);
 
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -193,11 +193,11 @@
     return json::array({7, message.ask, message.granted, message.comeBackMs, std::move(records)});
 }
 
-// An origin and a key are spread over the array that holds them.
-void append(json &array, const forward::StreamKey &key)
+// An origin and a digest are spread over the array that holds them.
+void append(json &array, const forward::Digest &digest)
 {
-    array.push_back(key.high);
-    array.push_back(key.low);
+    array.push_back(digest.high);
+    array.push_back(digest.low);
 }
 
 void append(json &array, const forward::StreamOrigin &origin)
@@ -212,7 +212,8 @@
     json notes = json::array();
     for (const StreamNote &note : message.notes) {
         json array = json::array({note.leftMs});
-        append(array, note.key);
+        append(array, note.id.request);
+        append(array, note.id.attempt);
         append(array, note.origin);
         notes.push_back(std::move(array));
     }
@@ -221,8 +222,8 @@
 
 json toJson(const StreamAsk &message)
 {
-    json array = json::array({9, message.ask});
-    append(array, message.key);
+    json array = json::array({9, message.ask, message.byAttempt});
+    append(array, message.name);
     return array;
 }
 
@@ -366,6 +367,11 @@
     return message;
 }
 
+forward::Digest digestAt(const json &array, std::size_t index)
+{
+    return {wordAt(array, index), wordAt(array, index + 1)};
+}
+
 forward::StreamOrigin originAt(const json &array, std::size_t index)
 {
     return {wordAt(array, index), wordAt(array, index + 1),
@@ -376,8 +382,8 @@
 {
     StreamNotes message{.notes = {}, .handedOver = array.at(1).get<bool>()};
     for (const json &note : array.at(2)) {
-        message.notes.push_back({.key = {wordAt(note, 1), wordAt(note, 2)},
-                                 .origin = originAt(note, 3),
+        message.notes.push_back({.id = {digestAt(note, 1), digestAt(note, 3)},
+                                 .origin = originAt(note, 5),
                                  .leftMs = note.at(0).get<std::uint32_t>()});
     }
     return message;
@@ -385,7 +391,7 @@
 
 StreamAsk streamAsk(const json &array)
 {
-    return {wordAt(array, 1), {wordAt(array, 2), wordAt(array, 3)}};
+    return {wordAt(array, 1), array.at(2).get<bool>(), digestAt(array, 3)};
 }
 
 StreamAnswer streamAnswer(const json &array)
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -191,7 +191,7 @@
 /** Which backend server began a stream. */
 struct StreamNote
 {
-    forward::StreamKey key;
+    forward::StreamId id;
     forward::StreamOrigin origin; ///< The version's text isn't sent.
     std::uint32_t leftMs = 0;     ///< For so long its caller may take it up.
 
@@ -211,7 +211,8 @@
 struct StreamAsk
 {
     std::uint64_t ask = 0; ///< Unique.
-    forward::StreamKey key;
+    bool byAttempt = true; ///< Else by request: the caller hasn't named the attempt.
+    forward::Digest name;  ///< Of the attempt, or of the request.
 
     auto operator<=>(const StreamAsk &) const = default;
 };
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -85,8 +85,9 @@
             Placed{1, 2, 3, 4, true},
             CrashReport{9, CrashMatter::AskAlone, {{1, 2, ~0ULL}, 3, {4, ~0ULL}, 5}, 6000},
             CrashWord{0, true, 250, {{{1, 2, 3}, 0, {}, 0}, {{4, 5, 6}, 7, {8}, 9}}},
-            StreamNotes{{{{1, ~0ULL}, origin(4), 12000}, {{2, 3}, {}, 0}}, true},
-            StreamAsk{~0ULL, {1, 2}},
+            StreamNotes{{{{{1, ~0ULL}, {5, 6}}, origin(4), 12000}, {{{2, 3}, {4, 5}}, {}, 0}},
+                        true},
+            StreamAsk{~0ULL, true, {1, 2}},
             StreamAnswer{~0ULL, StreamKnown::Origin, origin(~0ULL)}};
 }
 
--- a/test/fuzz/DecoderFuzz.cpp
+++ b/test/fuzz/DecoderFuzz.cpp
@@ -87,8 +87,8 @@
             textOf(peer::encode(peer::Placed{1, 2, 3, 4, true})),
             textOf(peer::encode(peer::CrashReport{1, {}, {{1, 2, 3}, 4, {5, 6}, 7}, 8})),
             textOf(peer::encode(peer::CrashWord{1, true, 2, {{{1, 2, 3}, 4, {5, 6}, 7}}})),
-            textOf(peer::encode(peer::StreamNotes{{{{1, 2}, {3, 4, {}}, 5}}, false})),
-            textOf(peer::encode(peer::StreamAsk{1, {2, 3}})),
+            textOf(peer::encode(peer::StreamNotes{{{{{1, 2}, {6, 7}}, {3, 4, {}}, 5}}, false})),
+            textOf(peer::encode(peer::StreamAsk{1, false, {2, 3}})),
             textOf(peer::encode(
                     peer::StreamAnswer{1, peer::StreamKnown::Contradicted, {2, 3, {}}}))};
     for (int round = 0; round < Rounds; ++round) {
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -88,9 +88,12 @@
     static http::Request takeUp(const std::string &id, const std::string &first,
                                 const std::string &events)
     {
-        return stream(id, http::Fields()
-                                  .with("Last-Event-Id", std::to_string(eventsIn(events)))
-                                  .with("Resumes", first));
+        http::Fields fields;
+        fields.add("Last-Event-Id", std::to_string(eventsIn(events)));
+        if (!first.empty()) {
+            fields.add("Resumes", first);
+        }
+        return stream(id, fields);
     }
 
     /** Begins a stream at \a box and waits for its first events. */
@@ -269,6 +272,31 @@
     }
 }
 
+// Guards against a caller that doesn't say which of its tries began the stream being refused, or
+// given the version of an equal request's stream.
+BOOST_AUTO_TEST_CASE(callerDoesNotNameItsFirstTry_streamGoesOn_onlyWhereAllEqualRequestsAgree)
+{
+    for (const Versions &versions : Arrangements) {
+        StreamVersions hall;
+        hall.start(versions, 0, 3);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        hall.leave(pending);
+        hall.runner(beginner).crash();
+        const Held held = hall.takeUpAt(2, "", pending->answer.body);
+        StreamVersions::check(held, hall.othersLike(beginner) > 0, describe(versions));
+    }
+    StreamVersions hall;
+    hall.start({"v1", "v2", "v3"}, 0, 3);
+    const auto pending = hall.beginStream(0, "first");
+    hall.leave(pending);
+    const std::size_t beginner = hall.beginner();
+    hall.unlist(beginner);
+    hall.leave(hall.beginStream(1, "equal"));
+    BOOST_TEST(hall.takeUpAt(2, "", pending->answer.body).lastStatus == 503);
+    BOOST_TEST(hall.takeUpAt(2, "first", pending->answer.body, "third").lastStatus == 503);
+}
+
 // Guards against a stream that is taken up although nobody knows which version began it.
 BOOST_AUTO_TEST_CASE(nobodyKnowsWhoBeganTheStream_caller_isToldThatItHasNotRun)
 {
