A box survives keepers of a stream's record that don't answer

Callers lost their connections: a box ended with 'malloc(): unsorted double linked list corrupted' when it asked for a stream's origin and a box that keeps the record was dead. Cause: g++ 12 copies some temporaries of a co_await expression byte by byte (CONTRIBUTING): a lambda with a shared pointer was built inside one, and freed twice. Change: the function, the two rounds and a refusal are named locals.

--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -72,7 +72,8 @@
                          .body = run_.request.body});
     // A box of an earlier version doesn't tell the origin.
     if (servedFor_ && run_.route.stream && run_.lastEvent && !run_.origin) {
-        co_await refuse(originUnknown("not-told"));
+        Refusal refusal = originUnknown("not-told");
+        co_await refuse(std::move(refusal));
         co_return;
     }
     armTimers();
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -5,6 +5,7 @@
 #include "services/PeerService.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 
 namespace limereel::gateway {
@@ -184,7 +185,8 @@
     pending_[ask.ask] = pending;
     const kernel::Duration whole = timeFor(asked, objective);
     // A lost message is made up for by the second question.
-    for (const kernel::Duration after : {whole / 3, whole}) {
+    const std::array<kernel::Duration, 2> rounds = {whole / 3, whole};
+    for (const kernel::Duration after : rounds) {
         if (pending->over()) {
             break;
         }
@@ -216,7 +218,8 @@
     co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (!pending->over()) {
         auto &peers = context_.kernel.find<services::PeerService>("peer");
-        co_await peers.readPending([pending] { return pending->over(); });
+        std::function<bool()> enough = [pending] { return pending->over(); };
+        co_await peers.readPending(std::move(enough));
     }
 }
 
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -272,6 +272,27 @@
     }
 }
 
+// Guards against memory that is freed twice where a box that keeps a record doesn't answer.
+BOOST_AUTO_TEST_CASE(otherKeepersAreSilent_manyCallersTakeStreamsUp_allGoOn)
+{
+    StreamVersions hall;
+    hall.start({"v1", "v2", "v3"}, 0, 2);
+    const auto pending = hall.beginStream(0, "first");
+    hall.killBox(0);
+    hall.leave(pending);
+    std::vector<std::shared_ptr<PendingCall>> calls;
+    for (int count = 0; count < 20; ++count) {
+        const std::string id = "again" + std::to_string(count);
+        calls.push_back(hall.begin(1, StreamVersions::takeUp(id, "first", pending->answer.body)));
+    }
+    hall.until([&] { return std::ranges::all_of(calls, &PendingCall::done); }, "the answers");
+    for (const auto &call : calls) {
+        StreamVersions::check(
+                {pending->answer.body + call->answer.body, call->answer.status, call->answer.whole},
+                true, "a silent box");
+    }
+}
+
 // Guards against a caller that doesn't say which of its tries began the stream being refused, or
 // given the version of an equal request's stream.
 BOOST_AUTO_TEST_CASE(callerDoesNotNameItsFirstTry_streamGoesOn_onlyWhereAllEqualRequestsAgree)
