Soak: servers of several software versions, and callers that take streams up

Cause: the soak knew one version and callers that never took a stream up, so it could neither break nor keep the new promise. A short one runs in SoakTest, with the judge's own check.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -339,6 +339,30 @@
     }
 }
 
+// Servers of several software versions crash and are replaced beside all other faults, and callers
+// take streams up.
+BOOST_AUTO_TEST_CASE(shortSoak_severalVersions_keepsEveryPromise)
+{
+    for (const std::uint64_t seed : {7U, 8U}) {
+        SoakPlan plan;
+        plan.versions = true;
+        plan.servers = 6;
+        const SoakReport report = play(seed, 6s, plan);
+        BOOST_TEST(report.served > 0U);
+        BOOST_TEST(report.takenUp > 0U);
+        BOOST_TEST(!report.faults.empty());
+    }
+}
+
+// Guards against a judge that doesn't see two versions in one stream.
+BOOST_FIXTURE_TEST_CASE(stream_eventsOfTwoVersions_breaksThePromise, JudgeFixture)
+{
+    attempt("a", Kind::ResumableStream);
+    run("a");
+    answer("a", 200, "id: 1\ndata: piece 1 by v1\n\nid: 2\ndata: piece 2 by v2\n\n", false);
+    BOOST_TEST(broken() == "one software version a stream");
+}
+
 BOOST_AUTO_TEST_CASE(shortSoak_fixedSeeds_keepsEveryPromise)
 {
     for (const std::uint64_t seed : {1U, 2U}) {
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -23,6 +23,10 @@
         std::cout << "  " << report.rejections << " of " << report.sends
                   << " sends rejected by servers whose slots and queue were taken\n";
     }
+    if (report.takeUps > 0) {
+        std::cout << "  " << report.takenUp << " of " << report.takeUps
+                  << " streams that callers took up went on\n";
+    }
     for (const soak::Violation &violation : report.violations) {
         std::cout << "  broken: " << violation.promise << ": " << violation.what << '\n';
     }
@@ -60,6 +64,9 @@
     app.add_flag(
             "--scarce", plan.scarce,
             "servers have few slots and are slow at times, callers ask for more than they run");
+    app.add_flag("--versions", plan.versions,
+                 "servers of three software versions stand side by side, some crash, and callers "
+                 "take broken streams up");
     app.add_flag("--list", all, "list the faults of good seeds too");
     CLI11_PARSE(app, argc, argv);
     plan.faultsFor =
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -61,7 +61,8 @@
         : plan_(plan)
         , fleet_(plan.folder, plan.boxes, bounds_, plan.scarce)
         , judge_(judgeBounds(bounds_, plan))
-        , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing, scarceSlots(plan))
+        , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing, scarceSlots(plan),
+                 plan.versions)
         , faults_(fleet_, world_, judge_, plan.seed, plan.serverStates)
         , callers_{io_, fleet_, world_, judge_, std::mt19937_64(plan.seed + 1), plan.crashing}
     {
@@ -107,6 +108,8 @@
         report.served = judge_.served();
         report.refused = judge_.refused();
         report.cut = judge_.cut();
+        report.takeUps = callers_.takeUps;
+        report.takenUp = callers_.takenUp;
         report.ends = judge_.ends();
         report.endsJudged = judge_.endsJudged();
         for (const SoakServer &server : world_.servers()) {
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -36,6 +36,10 @@
     /** Servers have few slots and a short queue and are slow at times, callers ask for more than
      * they can run at times, and one organisation sends most of it. Gateways have admission. */
     bool scarce = false;
+
+    /** Servers of three software versions stand side by side and are replaced by others, some
+     * crash, and callers take broken streams up at any box. */
+    bool versions = false;
     std::filesystem::path folder; ///< For settings and logs.
 };
 
@@ -46,6 +50,8 @@
     std::size_t served = 0;
     std::size_t refused = 0;
     std::size_t cut = 0;
+    std::size_t takeUps = 0;         ///< Streams that callers asked to take up,
+    std::size_t takenUp = 0;         ///< so many of them went on.
     std::size_t ends = 0;            ///< Servers that requests have ended,
     std::size_t endsJudged = 0;      ///< so many of them by boxes that had the time to know.
     std::size_t sends = 0;           ///< Requests that reached a server,
--- a/test/platform/soak/SoakCaller.cpp
+++ b/test/platform/soak/SoakCaller.cpp
@@ -13,6 +13,8 @@
 constexpr kernel::Duration Patience = 3s; ///< Beyond the deadline: then the caller ends it.
 constexpr std::size_t LeavesOneIn = 20;
 constexpr std::size_t CrashesOneIn = 60;
+constexpr int MostTakeUps = 3; ///< Of one stream.
+constexpr int Good = 200;
 constexpr std::size_t LongestStayMs = 40;
 constexpr std::size_t LongestPauseMs = 40;
 constexpr std::size_t MostBodyBytes = 1 << 20;
@@ -30,6 +32,24 @@
     int process = 0;
 };
 
+/** A stream that its caller holds a part of. */
+struct HeldStream
+{
+    std::string first;  ///< The attempt that brought its first event; empty: it is a new one.
+    std::string key;    ///< With which it was asked for.
+    std::string events; ///< That the caller has.
+
+    std::size_t count() const
+    {
+        std::size_t found = 0;
+        for (std::size_t at = events.find("\n\n"); at != std::string::npos;
+             at = events.find("\n\n", at + 2)) {
+            ++found;
+        }
+        return found;
+    }
+};
+
 std::string pathOf(Kind kind, int version)
 {
     switch (kind) {
@@ -47,7 +67,7 @@
     return "/version-" + std::to_string(version) + "/x";
 }
 
-http::Request requestOf(const SoakAttempt &attempt)
+http::Request requestOf(const SoakAttempt &attempt, const HeldStream &held)
 {
     http::Fields fields;
     fields.add("Host", "calls.example");
@@ -56,6 +76,10 @@
     if (!attempt.key.empty()) {
         fields.add("X-Api-Key", attempt.key);
     }
+    if (!held.first.empty()) {
+        fields.add("Resumes", held.first);
+        fields.add("Last-Event-Id", std::to_string(held.count()));
+    }
     const bool stream = attempt.kind == Kind::OnceStream || attempt.kind == Kind::ResumableStream;
     if (stream) {
         fields.add("X-Model", "m");
@@ -116,11 +140,15 @@
     co_return answer;
 }
 
-// \\return the status; 0 if there was no whole answer or the caller left.
-asio::awaitable<int> exchange(CallerWorld &shared, Line line, Kind kind, bool leaves,
-                              bool ends = false)
+// \\return the status; 0 if there was no whole answer or the caller left. What it has of a stream
+// is added to \a held.
+asio::awaitable<int> exchange(CallerWorld &shared, Line line, Kind kind, bool leaves, bool ends,
+                              HeldStream &held)
 {
-    const SoakAttempt attempt = attemptOf(shared, line, kind, ends);
+    SoakAttempt attempt = attemptOf(shared, line, kind, ends);
+    if (!held.first.empty()) {
+        attempt.key = held.key;
+    }
     shared.judge.noteAttempt(attempt);
     asio::steady_timer timer(shared.io);
     const auto stay = 1ms * static_cast<std::int64_t>(shared.random() % LongestStayMs);
@@ -132,11 +160,17 @@
             connection->close();
         }
     });
-    http::Request request = requestOf(attempt);
+    http::Request request = requestOf(attempt, held);
     line.connection->send(std::move(request));
     SoakAnswer answer = co_await readAnswer(line.connection);
     timer.cancel();
     answer.at = now();
+    if (answer.status == Good && kind == Kind::ResumableStream) {
+        answer.body = held.events + answer.body;
+        held.first = held.first.empty() && held.events.empty() ? attempt.id : held.first;
+        held.key = attempt.key;
+        held.events = answer.body;
+    }
     if (ended && leaves) {
         co_return 0;
     }
@@ -159,6 +193,26 @@
     co_return line;
 }
 
+// Asks any boxes for the rest of a stream of which the caller holds some events.
+asio::awaitable<void> takeUp(CallerWorld &shared, HeldStream held)
+{
+    for (int tries = 0; tries < MostTakeUps; ++tries) {
+        Line line = co_await connectTo(shared, shared.random() % shared.fleet.boxes().size());
+        if (!line.connection) {
+            continue;
+        }
+        const std::size_t before = held.events.size();
+        ++shared.takeUps;
+        const int status =
+                co_await exchange(shared, line, Kind::ResumableStream, false, false, held);
+        const bool wentOn = status == Good || held.events.size() > before;
+        shared.takenUp += wentOn ? 1 : 0;
+        if (status == Good) {
+            co_return;
+        }
+    }
+}
+
 Kind anyKind(CallerWorld &shared)
 {
     return static_cast<Kind>(shared.random() % (static_cast<std::size_t>(Kind::VersionProbe) + 1));
@@ -196,10 +250,14 @@
         const bool ends = shared.crashing && shared.random() % CrashesOneIn == 0;
         const Kind kind = ends ? crashingKind(shared) : anyKind(shared);
         const bool leaves = shared.random() % LeavesOneIn == 0;
-        const int status = co_await exchange(shared, line, kind, leaves, ends);
+        HeldStream held;
+        const int status = co_await exchange(shared, line, kind, leaves, ends, held);
         if (status == 0) {
             line.connection.reset();
         }
+        if (status == 0 && shared.world.versions() && held.count() > 0) {
+            co_await takeUp(shared, std::move(held));
+        }
     }
     --shared.running;
 }
@@ -222,7 +280,8 @@
     if (!line.connection) {
         co_return 0;
     }
-    const int status = co_await exchange(shared, line, kind, false);
+    HeldStream none;
+    const int status = co_await exchange(shared, line, kind, false, false, none);
     co_return status;
 }
 
--- a/test/platform/soak/SoakCaller.h
+++ b/test/platform/soak/SoakCaller.h
@@ -24,6 +24,8 @@
     bool over = false;
     int running = 0; ///< Callers that haven't ended.
     std::uint64_t nextId = 0;
+    std::size_t takeUps = 0; ///< Streams that were asked to go on,
+    std::size_t takenUp = 0; ///< and that did.
 };
 
 /** Calls until it is over. */
--- a/test/platform/soak/SoakFaults.cpp
+++ b/test/platform/soak/SoakFaults.cpp
@@ -18,6 +18,7 @@
 constexpr kernel::Duration SurelyListens = 2s;     ///< To signals, after its start.
 constexpr kernel::Duration SurelyWatches = 2500ms; ///< What the store holds, after its start.
 constexpr kernel::Duration StoreKnownAgain = 2s;   ///< After its trouble, by each box.
+constexpr std::size_t FewestServers = 2;           ///< That are left when one is crashed.
 constexpr int StatusBusy = 503;
 constexpr int StatusMany = 429;
 
@@ -37,6 +38,11 @@
         kinds_.push_back({"drain-hall", true, [this] { return drainHall(); }});
         kinds_.push_back({"replace-server", true, [this] { return replaceServer(); }});
     }
+    if (world_.versions()) {
+        kinds_.push_back({"crash-server", false, [this] { return crashServer(); }});
+        kinds_.push_back({"replace-server", true, [this] { return replaceServer(); }});
+        kinds_.push_back({"kill", false, [this] { return killBox(); }});
+    }
     if (world_.scarce()) {
         kinds_.push_back({"rush", true, [this] { return rush(); }});
         kinds_.push_back({"slow-server", true, [this] { return slowServer(); }});
@@ -378,6 +384,18 @@
     return "begins";
 }
 
+// The world takes its entry away in time, and another server takes its place.
+std::string SoakFaults::crashServer()
+{
+    const std::vector<std::size_t> listed = world_.listedServers();
+    if (listed.size() <= FewestServers) {
+        return {};
+    }
+    SoakServer &server = world_.servers()[listed[pick(listed.size())]];
+    server.runner->crash();
+    return server.runner->name();
+}
+
 std::string SoakFaults::slowServer()
 {
     const auto listed = world_.listedServers();
--- a/test/platform/soak/SoakFaults.h
+++ b/test/platform/soak/SoakFaults.h
@@ -63,6 +63,7 @@
     std::string drainHall();
     std::string rush();
     std::string slowServer();
+    std::string crashServer();
     void noteCold(const SoakServer &server);
     void lookAtStore();
     void noteOutOfTouch();
--- a/test/platform/soak/SoakJudge.cpp
+++ b/test/platform/soak/SoakJudge.cpp
@@ -43,6 +43,20 @@
     return kind == Kind::OnceStream || kind == Kind::ResumableStream;
 }
 
+constexpr std::string_view WrittenBy = " by ";
+
+std::string withoutVersions(const std::string &body)
+{
+    std::string plain;
+    std::size_t begin = 0;
+    for (std::size_t at = body.find(WrittenBy); at != std::string::npos;
+         at = body.find(WrittenBy, begin)) {
+        plain += body.substr(begin, at - begin);
+        begin = std::min(body.find('\n', at), body.size());
+    }
+    return plain + body.substr(begin);
+}
+
 } // namespace
 
 std::string SoakJudge::wholeStream()
@@ -65,9 +79,35 @@
     attempts_[attempt.id] = attempt;
 }
 
+std::set<std::string> SoakJudge::versionsIn(const std::string &body)
+{
+    std::set<std::string> versions;
+    for (std::size_t at = body.find(WrittenBy); at != std::string::npos;
+         at = body.find(WrittenBy, at + 1)) {
+        const std::size_t begin = at + WrittenBy.size();
+        versions.insert(body.substr(begin, body.find('\n', begin) - begin));
+    }
+    return versions;
+}
+
 void SoakJudge::noteAnswer(const std::string &id, const SoakAnswer &answer)
 {
     const SoakAttempt &attempt = attempts_.at(id);
+    if (!isStream(attempt.kind) || answer.status != Ok) {
+        checkAnswer(attempt, answer);
+        return;
+    }
+    if (versionsIn(answer.body).size() > 1) {
+        breach("one software version a stream", id + " holds '" + answer.body + "'");
+    }
+    SoakAnswer plain = answer;
+    plain.body = withoutVersions(answer.body);
+    checkAnswer(attempt, plain);
+}
+
+void SoakJudge::checkAnswer(const SoakAttempt &attempt, const SoakAnswer &answer)
+{
+    const std::string &id = attempt.id;
     if (answer.status == Ok && answer.whole) {
         ++served_;
         checkSuccess(attempt, answer);
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -137,10 +137,14 @@
     std::size_t ends() const;
     std::size_t endsJudged() const;
 
+    /** The software versions that wrote the events in \a body. */
+    static std::set<std::string> versionsIn(const std::string &body);
+
     /** The events of a whole stream. */
     static std::string wholeStream();
 
 private:
+    void checkAnswer(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkSuccess(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkFailure(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkVersion(const SoakAttempt &attempt, const SoakAnswer &answer);
--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr kernel::Duration BetweenEvents = 5ms;
+constexpr kernel::Duration LongBetweenEvents = 20ms; ///< So that streams meet faults.
+constexpr std::size_t Versions = 3;
 constexpr kernel::Duration ScarceWork = 40ms;
 constexpr std::size_t PlentifulSlots = 8; ///< As listed; the servers themselves have no limit.
 constexpr kernel::Duration EntryLapsesIn = 1500ms; ///< Once its server has ended.
@@ -72,11 +74,12 @@
 } // namespace
 
 SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers,
-                     bool states, bool crashing, std::size_t scarceSlots)
+                     bool states, bool crashing, std::size_t scarceSlots, bool versions)
     : io_(io)
     , states_(states)
     , crashing_(crashing)
     , scarceSlots_(scarceSlots)
+    , versions_(versions)
 {
     const kernel::Endpoint storeAt = support::freeEndpoint();
     store_ = std::make_unique<standin::StoreStandin>(io, storeAt);
@@ -106,6 +109,10 @@
     server.runner = std::make_unique<standin::RunnerStandin>(
             io_, "i-" + std::to_string(servers_.size()), support::freeEndpoint());
     server.runner->pause = BetweenEvents;
+    if (versions_) {
+        server.runner->version = "v" + std::to_string(1 + servers_.size() % Versions);
+        server.runner->pause = LongBetweenEvents;
+    }
     server.runner->endedBy = crashing_ ? CrashingBody : "";
     server.runner->endsAfter = BetweenEvents;
     server.runner->slots = scarceSlots_;
@@ -137,7 +144,7 @@
                 {{"service", "pool"},
                  {"address", kernel::text(server.proxy->where())},
                  {"zone", server.hall},
-                 {"version", "v1"},
+                 {"version", versions_ ? server.runner->version : "v1"},
                  {"slots", listedSlots()},
                  {"state", state},
                  {"cold_left_ms", server.cold ? ColdFor / 1ms : 0},
--- a/test/platform/soak/SoakWorld.h
+++ b/test/platform/soak/SoakWorld.h
@@ -42,11 +42,14 @@
 public:
     /** \param states, crashing see SoakPlan. \param scarceSlots of each server; 0: no limit. */
     SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers, bool states,
-              bool crashing, std::size_t scarceSlots);
+              bool crashing, std::size_t scarceSlots, bool versions);
 
     /** See SoakPlan. */
     bool scarce() const { return scarceSlots_ > 0; }
 
+    /** See SoakPlan. */
+    bool versions() const { return versions_; }
+
     /** More callers than the servers can serve call now. */
     bool rush = false;
 
@@ -91,6 +94,7 @@
     bool states_;
     bool crashing_;
     std::size_t scarceSlots_;
+    bool versions_;
     bool started_ = false; ///< The first servers stand; those that come later are cold.
     int version_ = 0;
     std::string changingKey_;
