A box that continues another box's stream uses the service that began it

Callers at a box that is cut off could be refused: 9 of 10 take-ups of a route whose weights split it over two services. Cause: the other box chose the service by the id of the try anew, and found no server there that may continue the stream. Change: what another box tells of a stream is checked in one place, and sets the service too, as for a caller's own take-up.

--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -70,10 +70,8 @@
                          .host = run_.call.host,
                          .target = run_.request.target,
                          .body = run_.request.body});
-    // A box of an earlier version doesn't tell the origin.
-    if (servedFor_ && run_.route.stream && run_.lastEvent && !run_.origin) {
-        Refusal refusal = originUnknown("not-told");
-        co_await refuse(std::move(refusal));
+    if (auto refusal = checkToldOrigin()) {
+        co_await refuse(std::move(*refusal));
         co_return;
     }
     armTimers();
@@ -96,6 +94,22 @@
     releasePlace(AttemptEnd::Unsent);
 }
 
+// What another box has told of the stream that it wants continued. One of an earlier version tells
+// nothing.
+std::optional<RequestRun::Refusal> RequestRun::checkToldOrigin()
+{
+    if (!servedFor_ || !run_.route.stream) {
+        return std::nullopt;
+    }
+    if (run_.lastEvent && !run_.origin) {
+        return originUnknown("not-told");
+    }
+    if (run_.origin && !useServiceOf(*run_.origin)) {
+        return originUnknown("other-service");
+    }
+    return std::nullopt;
+}
+
 RequestRun::Refusal RequestRun::originUnknown(std::string_view why) const
 {
     run_.context.counters.add("streams_not_continued", {{"why", std::string(why)}});
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -57,6 +57,7 @@
     std::optional<Refusal> admit();
     std::optional<Refusal> checkKey();
     void setService(const std::string &name);
+    std::optional<Refusal> checkToldOrigin();
     Refusal originUnknown(std::string_view why) const;
     void armTimers();
     bool takesStreamUp() const;
--- a/test/platform/CutBoxFixture.cpp
+++ b/test/platform/CutBoxFixture.cpp
@@ -2,6 +2,8 @@
 
 #include "support/Ports.h"
 
+#include <set>
+
 namespace limereel::support {
 
 namespace asio = boost::asio;
@@ -37,10 +39,20 @@
     nlohmann::json configuration = GatewayFixture::configuration(1);
     for (nlohmann::json &route : configuration["routes"]) {
         route["goal_ms"] = ObjectiveMs;
+        for (const std::string &service : std::set(services.begin(), services.end())) {
+            route["split"].push_back({{"service", service}, {"weight", 1}});
+        }
+    }
+    nlohmann::json &listed = configuration["services"];
+    for (const std::string &service : std::set(services.begin(), services.end())) {
+        if (service != "pool") {
+            listed.push_back(listed.at(0));
+            listed.back()["name"] = service;
+        }
     }
     store.put("config", "main", configuration);
     for (std::size_t index = 0; index < runners_.size(); ++index) {
-        nlohmann::json entry = GatewayFixture::entryOf(*runners_[index], "pool");
+        nlohmann::json entry = GatewayFixture::entryOf(*runners_[index], services[index]);
         entry["address"] = kernel::text(servers[index]);
         entry["version"] = versions[index];
         store.put("servers", runners_[index]->name(), entry);
--- a/test/platform/CutBoxFixture.h
+++ b/test/platform/CutBoxFixture.h
@@ -27,6 +27,9 @@
     /** The version of each server's software; to be changed before startBoxes(). */
     std::vector<std::string> versions = {"v1", "v1", "v1"};
 
+    /** The service of each server; if there are several, each route is split over them evenly. */
+    std::vector<std::string> services = {"pool", "pool", "pool"};
+
     /** What becomes of a cut box's connections to backend servers. */
     enum class Cut : std::uint8_t { None, Refused, Reset, Hanging };
 
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -272,6 +272,38 @@
     }
 }
 
+// Guards against a stream that goes on at another service of its route, whichever of them the id of
+// the caller's next try is for.
+BOOST_AUTO_TEST_CASE(routeIsSplitOverServices_callerTakesStreamUp_theServiceThatBeganItGoesOn)
+{
+    StreamVersions hall;
+    hall.services = {"pool", "side", "side"};
+    hall.start({"v1", "v2", "v2"}, 0, 2);
+    const auto pending = hall.beginStream(0, "first");
+    hall.leave(pending);
+    for (int count = 0; count < 10; ++count) {
+        const Held held =
+                hall.takeUpAt(1, "first", pending->answer.body, "again" + std::to_string(count));
+        StreamVersions::check(held, true, "of two services");
+    }
+}
+
+// Guards against the same where another box continues the stream for this one.
+BOOST_AUTO_TEST_CASE(routeIsSplitOverServices_streamIsTakenUpThroughAnotherBox_itsServiceGoesOn)
+{
+    StreamVersions hall;
+    hall.services = {"pool", "side", "side"};
+    hall.start({"v1", "v2", "v2"}, 1, 1);
+    const auto pending = hall.beginStream(1, "first");
+    hall.leave(pending);
+    hall.cut(0, Cut::Refused);
+    for (int count = 0; count < 10; ++count) {
+        const Held held =
+                hall.takeUpAt(0, "first", pending->answer.body, "again" + std::to_string(count));
+        StreamVersions::check(held, true, "of two services, through another box");
+    }
+}
+
 // Guards against memory that is freed twice where a box that keeps a record doesn't answer.
 BOOST_AUTO_TEST_CASE(otherKeepersAreSilent_manyCallersTakeStreamsUp_allGoOn)
 {
