A box tells boxes that have come of its callers' streams

Cause: a record was sent once, to the boxes that were known as the stream began; a box that starts knows none for a moment. The same holds for a keeper that starts again with nothing. Change: when the boxes among which records are spread change, or one of them has a new incarnation, a box tells those that are new of the streams that its own callers received.

--- a/src/forward/StreamKeepers.h
+++ b/src/forward/StreamKeepers.h
@@ -17,6 +17,7 @@
 {
     std::uint64_t box = 0;
     membership::ShortHash hall = 0;
+    std::uint64_t incarnation = 0; ///< A box that has started again has lost its records.
 
     auto operator<=>(const StreamKeeper &) const = default;
 };
--- a/src/forward/StreamTable.cpp
+++ b/src/forward/StreamTable.cpp
@@ -26,9 +26,9 @@
 }
 
 StreamTable::Noted StreamTable::note(const StreamId &id, const StreamOrigin &origin,
-                                     kernel::Instant until)
+                                     kernel::Instant until, bool own)
 {
-    const StreamRecord added{origin, false, until};
+    const StreamRecord added{origin, false, own, until};
     const auto request = requests_.find(id.request);
     if (request != requests_.end()) {
         // Also if there is no room for the attempt: equal requests must not seem to agree.
@@ -38,6 +38,7 @@
     if (attempt != attempts_.end()) {
         StreamRecord &record = attempt->second.record;
         extend(record, origin, until);
+        record.own = record.own || own;
         return record.contradicted ? Noted::Contradicted : Noted::Known;
     }
     if (attempts_.size() >= MaxStreams) {
--- a/src/forward/StreamTable.h
+++ b/src/forward/StreamTable.h
@@ -35,6 +35,7 @@
 {
     StreamOrigin origin;
     bool contradicted = false; ///< Streams of two versions have the same name.
+    bool own = false;          ///< A caller of this box has received it.
     kernel::Instant until;     ///< When it is forgotten.
 
     auto operator<=>(const StreamRecord &) const = default;
@@ -49,8 +50,10 @@
 
     enum class Noted : std::uint8_t { Added, Known, Contradicted, Full };
 
-    /** Records that \a origin began the stream, to be kept until \a until at least. */
-    Noted note(const StreamId &id, const StreamOrigin &origin, kernel::Instant until);
+    /** Records that \a origin began the stream, to be kept until \a until at least.
+     * \param own whether a caller of this box receives it; else another box has told of it. */
+    Noted note(const StreamId &id, const StreamOrigin &origin, kernel::Instant until,
+               bool own = false);
 
     /** The record of the stream that an attempt began; nullptr if there is none, or none any more.
      */
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -37,11 +37,16 @@
             [this](const peer::Message &message, const kernel::Endpoint &from) {
                 receive(message, from);
             });
-    context_.kernel.find<services::MembershipService>("membership")
-            .beforeHeartbeat([](membership::BoxState &state) { state.keepsStreams = true; });
+    auto &members = context_.kernel.find<services::MembershipService>("membership");
+    members.beforeHeartbeat([](membership::BoxState &state) { state.keepsStreams = true; });
+    members.onNewStates([this] {
+        keepersAt_.reset();
+        tellNewKeepers();
+    });
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
                 table_.expire(context_.now());
+                tellNewKeepers();
                 context_.counters.set("streams_recorded", static_cast<double>(table_.size()));
                 co_return kernel::Duration(SweepInterval);
             });
@@ -65,7 +70,7 @@
         const bool self = state.box == members.self();
         const bool live = self || members.liveness(state.box) == membership::Liveness::Live;
         if (live && state.keepsStreams && !state.leaving && !(self && leaving_)) {
-            keepers_.push_back({state.box, state.hall});
+            keepers_.push_back({state.box, state.hall, state.incarnation});
         }
     }
     keepersAt_ = now;
@@ -84,15 +89,15 @@
                          kernel::Duration left)
 {
     const peer::StreamNote note{id, origin, milliseconds(left)};
-    keep(note);
+    keep(note, true);
     tell({.notes = {note}, .handedOver = leaving_});
 }
 
-void StreamService::keep(const peer::StreamNote &note)
+void StreamService::keep(const peer::StreamNote &note, bool own)
 {
     using Noted = forward::StreamTable::Noted;
     const kernel::Instant until = context_.now() + std::chrono::milliseconds(note.leftMs);
-    switch (table_.note(note.id, note.origin, until)) {
+    switch (table_.note(note.id, note.origin, until, own)) {
     case Noted::Added:
         context_.counters.add("stream_records", {{"result", "kept"}});
         break;
@@ -107,33 +112,73 @@
     }
 }
 
-// Notes for the same box go together.
 void StreamService::tell(const peer::StreamNotes &notes)
 {
     const std::uint64_t self =
             context_.kernel.find<services::MembershipService>("membership").self();
-    std::map<std::uint64_t, peer::StreamNotes> byBox;
-    const auto flush = [this](std::uint64_t box, peer::StreamNotes &batch) {
-        send(box, batch);
-        batch.notes.clear();
-    };
+    std::map<std::uint64_t, peer::StreamNotes> batches;
     for (const peer::StreamNote &note : notes.notes) {
         for (const forward::StreamKeeper &keeper :
              forward::keepersOf(note.id.request, keepers(), Copies)) {
-            if (keeper.box == self) {
-                continue;
-            }
-            peer::StreamNotes &batch = byBox[keeper.box];
-            batch.handedOver = notes.handedOver;
-            batch.notes.push_back(note);
-            if (batch.notes.size() == NotesPerMessage) {
-                flush(keeper.box, batch);
+            if (keeper.box != self) {
+                batches[keeper.box].handedOver = notes.handedOver;
+                add(note, keeper.box, batches);
             }
         }
     }
-    for (auto &[box, batch] : byBox) {
+    flush(batches);
+}
+
+// Notes for the same box go together.
+void StreamService::add(const peer::StreamNote &note, std::uint64_t box,
+                        std::map<std::uint64_t, peer::StreamNotes> &batches)
+{
+    peer::StreamNotes &batch = batches[box];
+    batch.notes.push_back(note);
+    if (batch.notes.size() == NotesPerMessage) {
+        send(box, batch);
+        batch.notes.clear();
+    }
+}
+
+void StreamService::flush(std::map<std::uint64_t, peer::StreamNotes> &batches)
+{
+    for (const auto &[box, batch] : batches) {
         if (!batch.notes.empty()) {
-            flush(box, batch);
+            send(box, batch);
+        }
+    }
+}
+
+// A box that has come, or one that takes the place of a box that has gone, knows nothing yet of the
+// streams of this box's callers. As its stream began, this box may also have known no other.
+void StreamService::tellNewKeepers()
+{
+    if (keepers() == toldKeepers_) {
+        return;
+    }
+    std::map<std::uint64_t, peer::StreamNotes> batches;
+    table_.forEach([&](const forward::StreamId &id, const forward::StreamRecord &record) {
+        if (record.own && !record.contradicted && record.until > context_.now()) {
+            tellNewKeepersOf(id, record, batches);
+        }
+    });
+    flush(batches);
+    toldKeepers_ = keepers();
+}
+
+void StreamService::tellNewKeepersOf(const forward::StreamId &id,
+                                     const forward::StreamRecord &record,
+                                     std::map<std::uint64_t, peer::StreamNotes> &batches)
+{
+    const std::uint64_t self =
+            context_.kernel.find<services::MembershipService>("membership").self();
+    const auto told = forward::keepersOf(id.request, toldKeepers_, Copies);
+    const peer::StreamNote note{id, record.origin, milliseconds(record.until - context_.now())};
+    for (const forward::StreamKeeper &keeper : forward::keepersOf(id.request, keepers(), Copies)) {
+        const bool isNew = std::ranges::find(told, keeper) == told.end();
+        if (isNew && keeper.box != self) {
+            add(note, keeper.box, batches);
         }
     }
 }
@@ -255,7 +300,7 @@
 void StreamService::receive(const peer::StreamNotes &notes)
 {
     for (const peer::StreamNote &note : notes.notes) {
-        keep(note);
+        keep(note, false);
     }
     if (leaving_ && !notes.handedOver) {
         tell({.notes = notes.notes, .handedOver = true});
@@ -278,7 +323,7 @@
     }
     if (answer.known != peer::StreamKnown::Nothing) {
         const bool contradicted = answer.known == peer::StreamKnown::Contradicted;
-        const forward::StreamRecord record{answer.origin, contradicted, {}};
+        const forward::StreamRecord record{answer.origin, contradicted, false, {}};
         pending.sources.add(&record);
     }
     if (pending.over()) {
--- a/src/gateway/StreamService.h
+++ b/src/gateway/StreamService.h
@@ -67,11 +67,17 @@
     using PendingPtr = std::shared_ptr<Pending>;
 
     const std::vector<forward::StreamKeeper> &keepers();
+    void tellNewKeepers();
     kernel::Duration timeFor(const std::vector<forward::StreamKeeper> &asked,
                              kernel::Duration objective) const;
     void send(std::uint64_t box, const peer::Message &message);
     void tell(const peer::StreamNotes &notes);
-    void keep(const peer::StreamNote &note);
+    void tellNewKeepersOf(const forward::StreamId &id, const forward::StreamRecord &record,
+                          std::map<std::uint64_t, peer::StreamNotes> &batches);
+    void add(const peer::StreamNote &note, std::uint64_t box,
+             std::map<std::uint64_t, peer::StreamNotes> &batches);
+    void flush(std::map<std::uint64_t, peer::StreamNotes> &batches);
+    void keep(const peer::StreamNote &note, bool own);
     void receive(const peer::Message &message, const kernel::Endpoint &from);
     void receive(const peer::StreamNotes &notes);
     void receive(const peer::StreamAnswer &answer, const kernel::Endpoint &from);
@@ -83,6 +89,8 @@
     forward::StreamTable table_;
     std::vector<forward::StreamKeeper> keepers_;
     std::optional<kernel::Instant> keepersAt_; ///< When they were determined.
+    /** Among which boxes the records were spread last. */
+    std::vector<forward::StreamKeeper> toldKeepers_;
     std::map<std::uint64_t, PendingPtr> pending_;
     bool leaving_ = false;
     std::unique_ptr<services::PeriodicTask> sweep_;
--- a/test/correctness/StreamTableTest.cpp
+++ b/test/correctness/StreamTableTest.cpp
@@ -130,11 +130,11 @@
 
 BOOST_AUTO_TEST_CASE(sources_eachCombination_areOneOriginOrNone)
 {
-    const StreamRecord one{origin(5, "v1"), false, Later};
-    const StreamRecord sameVersion{origin(6, "v1"), false, Later};
-    const StreamRecord otherVersion{origin(7, "v2"), false, Later};
-    const StreamRecord unknownVersion{origin(8, ""), false, Later};
-    const StreamRecord spoilt{origin(5, "v1"), true, Later};
+    const StreamRecord one{origin(5, "v1"), false, false, Later};
+    const StreamRecord sameVersion{origin(6, "v1"), false, false, Later};
+    const StreamRecord otherVersion{origin(7, "v2"), false, false, Later};
+    const StreamRecord unknownVersion{origin(8, ""), false, false, Later};
+    const StreamRecord spoilt{origin(5, "v1"), true, false, Later};
     struct Row
     {
         std::vector<const StreamRecord *> told;
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Adapter.h"
 #include "services/MembershipService.h"
+#include "services/PeerService.h"
 #include "support/Ports.h"
 
 #include <sstream>
@@ -153,6 +154,12 @@
     boxes_.at(index)->frozen = true;
 }
 
+void HallFixture::setReachesBoxes(std::size_t index, bool reaches)
+{
+    contextOf(index).kernel.find<services::PeerService>("peer").setFilter(
+            [reaches](const kernel::Endpoint &) { return reaches; });
+}
+
 std::uint64_t HallFixture::storeCalls(std::size_t index) const
 {
     return counter(index, "store_calls", {{"kind", "config"}})
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -71,6 +71,9 @@
     /** A box that was killed starts again, with nothing that it knew. */
     void restartBox(std::size_t index);
 
+    /** Whether a box's messages reach the other boxes, and theirs it. */
+    void setReachesBoxes(std::size_t index, bool reaches);
+
     /** Where a box listens for other boxes. */
     kernel::Endpoint boxAt(std::size_t index) const { return contextOf(index).settings.peer; }
     std::uint64_t storeCalls(std::size_t index) const;
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -272,6 +272,31 @@
     }
 }
 
+// Guards against a stream that is known to its box alone, because that knew no other box when the
+// stream began.
+BOOST_AUTO_TEST_CASE(boxKnowsNoOtherAsStreamBegins_callerTakesStreamUpElsewhereLater_goesOn)
+{
+    StreamVersions hall;
+    hall.start({"v1", "v2", "v3"}, 0, 3);
+    hall.killBox(1);
+    hall.restartBox(1);
+    hall.setReachesBoxes(1, false);
+    hall.until([&] { return hall.world(1).ready(); }, "the box is back");
+    const auto pending = hall.beginStream(1, "first");
+    hall.setReachesBoxes(1, true);
+    hall.until(
+            [&] {
+                const kernel::Labels kept = {{"result", "kept"}};
+                return hall.counter(0, "stream_records", kept)
+                               + hall.counter(2, "stream_records", kept)
+                       > 0;
+            },
+            "another box knows of the stream");
+    hall.leave(pending);
+    StreamVersions::check(hall.takeUpAt(0, "first", pending->answer.body), true,
+                          "a box that knew no other");
+}
+
 // Guards against a stream that goes on at another service of its route, whichever of them the id of
 // the caller's next try is for.
 BOOST_AUTO_TEST_CASE(routeIsSplitOverServices_callerTakesStreamUp_theServiceThatBeganItGoesOn)
