--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -99,7 +99,7 @@
     /** Begins a stream at \a box and waits for its first events. */
     std::shared_ptr<PendingCall> beginStream(std::size_t box, const std::string &id)
     {
-        const auto pending = begin(box, stream(id));
+        auto pending = begin(box, stream(id));
         until([&] { return eventsIn(pending->answer.body) >= FewEvents; }, "the first events");
         return pending;
     }
@@ -209,7 +209,7 @@
         hall.cut(0, Cut::None);
         hall.until([&] { return !hall.world(0).isLost("pool"); }, "the way back");
         for (std::size_t index = 0; index < Servers; ++index) {
-            if (hall.runner(index).records().size() > 0 && versions[index] == writer) {
+            if (!hall.runner(index).records().empty() && versions[index] == writer) {
                 hall.runner(index).crash();
                 hall.unlist(index);
                 break;
