Runs say which parts of prompts a failed attempt held

Cause: no line named the parts of a prompt, so that requests that end servers for a part in common couldn't be told from servers that end by themselves. Change: a prompt's part keeps its id as callers write it; attempt-failed lists the ids of all parts but the last one, eight at most.

--- a/src/forward/Call.h
+++ b/src/forward/Call.h
@@ -18,6 +18,7 @@
 {
     std::uint64_t part = 0; ///< Hash of its id.
     std::uint32_t tokens = 0;
+    std::string id = {}; ///< As the caller writes it.
 
     auto operator<=>(const PromptPart &) const = default;
 };
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -14,6 +14,17 @@
     return Log;
 }
 
+// The ids of the prompt's parts that other requests may share, which are all but the last.
+nlohmann::json sharedParts(const forward::Prompt &prompt)
+{
+    constexpr std::size_t MaxLogged = 8;
+    nlohmann::json ids = nlohmann::json::array();
+    for (std::size_t place = 0; place + 1 < prompt.parts.size() && place < MaxLogged; ++place) {
+        ids.push_back(prompt.parts[place].id);
+    }
+    return ids;
+}
+
 // Milliseconds since \a moment; -1 if it is empty.
 std::int64_t millisecondsSince(const std::optional<kernel::Instant> &moment, kernel::Instant now)
 {
@@ -109,6 +120,7 @@
                 {{"request", run.call.id},
                  {"identity", forward::text(run.guard.identity())},
                  {"organisation", run.organisation},
+                 {"parts", sharedParts(run.call.prompt)},
                  {"server", run.choice.server.id},
                  {"reason", text(failure)},
                  {"sent", sent},
