--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -111,6 +111,7 @@
         return;
     }
     ++state_->ends;
+    state_->endedAt = std::chrono::steady_clock::now();
     closeRoom();
     if (followedBy) {
         name_ = followedBy(name_);
@@ -196,6 +197,17 @@
     }
 }
 
+bool RunnerStandin::endsUnder(const http::Request &request) const
+{
+    const bool byBody = !endedBy.empty() && request.body == endedBy;
+    const std::string_view prompt = request.fields.get("X-Prompt-Prefix");
+    const std::string_view shared = prompt.substr(0, std::min(prompt.rfind(','), prompt.size()));
+    const auto holds = [list = "," + std::string(shared)](const std::string &part) {
+        return list.find("," + part + ":") != std::string::npos;
+    };
+    return byBody || (shared != prompt && std::ranges::any_of(endedByParts, holds));
+}
+
 bool RunnerStandin::accepts() const
 {
     return slots == 0 || room_->running < slots || room_->waiting.size() < queue;
@@ -295,7 +307,7 @@
 {
     const std::string id(request.fields.get("X-Attempt-Id"));
     const bool runs = fault != RunnerFault::Reject && fault != RunnerFault::ResetUnread;
-    if (runs && !endedBy.empty() && request.body == endedBy) {
+    if (runs && endsUnder(request)) {
         asio::steady_timer timer(io_, endsAfter);
         co_await timer.async_wait(Quiet);
         crash();
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -129,6 +130,9 @@
     std::string endedBy;
     kernel::Duration endsAfter = 0ms;
 
+    /** The same for each request whose prompt has one of these parts, except as its last one. */
+    std::set<std::string> endedByParts;
+
     /** Ends as a process does that is killed: all connections are reset, the port is dead. */
     void crash();
 
@@ -141,6 +145,9 @@
 
     /** How often the process has ended. */
     int ends() const { return state_->ends; }
+
+    /** When it ended last. */
+    std::chrono::steady_clock::time_point endedAt() const { return state_->endedAt; }
     bool crashed() const { return state_->crashed; }
 
 private:
@@ -153,6 +160,7 @@
         bool crashed = false;
         bool ending = false; ///< Only the port is left of it.
         int ends = 0;
+        std::chrono::steady_clock::time_point endedAt;
         std::size_t rejections = 0;
         std::size_t mostRunning = 0;
         std::set<boost::asio::ip::tcp::socket *> sockets; ///< Of open connections.
@@ -174,6 +182,7 @@
     };
 
     bool accepts() const;
+    bool endsUnder(const http::Request &request) const;
     boost::asio::awaitable<bool> takeSlot(std::shared_ptr<Room> room);
     void leaveSlot(Room &room);
     void closeRoom();
