Whether a server has crashed is found out in a class of its own

Change: CrashDetector has the probes, the attempts whose servers may still turn out to have crashed, and the platform's list. Behaviour is as it was.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -415,7 +415,7 @@
     const bool leaving = serverSaidLeaving || (listed && listed->leaving);
     if (!leaving && needsServerState(ending)) {
         auto &crashes = run_.context.kernel.find<services::CrashService>("crashes");
-        ending.serverGone = co_await crashes.hasCrashed(server_.hash(), server_.address);
+        ending.serverGone = co_await crashes.detector().hasCrashed(server_.hash(), server_.address);
     }
     const Completeness found = completenessOf(ending);
     run_.context.counters.add("answers_judged", {{"as", text(found)}});
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -98,7 +98,7 @@
 
 void FleetView::start()
 {
-    context_.kernel.find<services::CrashService>("crashes").setWayLost(
+    context_.kernel.find<services::CrashService>("crashes").detector().setWayLost(
             [this](std::uint64_t server) { return isLost(servers_.serviceOf(server)); });
     const kernel::GatewaySettings &settings = context_.settings.gateway;
     sources_ = std::make_unique<FeedSources>(context_, minBoxesForRelaying(settings));
--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -55,7 +55,8 @@
     fleetView_.onServerGone([this](const forward::ListedServer &server) {
         pool_.drop(server.id);
         if (!server.leaving) {
-            context_.kernel.find<services::CrashService>("crashes").onServerDelisted(server.id);
+            context_.kernel.find<services::CrashService>("crashes").detector().onServerDelisted(
+                    server.id);
         }
     });
     detours_.setHandler([this](peer::DetourRequest detour, http::Reply &reply) {
--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -1,6 +1,5 @@
 #include "services/CrashService.h"
 
-#include "http/KeptConnection.h"
 #include "kernel/Log.h"
 #include "membership/Ownership.h"
 #include "services/MembershipService.h"
@@ -23,15 +22,6 @@
 namespace {
 
 constexpr kernel::Duration SweepPeriod = 250ms;
-// A closed port refuses a connection within one round trip.
-constexpr kernel::Duration ProbeTimeout = 50ms;
-// A server that still accepts connections is probed again: the port of a crashing server may stay
-// open longer than its connections.
-constexpr kernel::Duration FirstReprobeDelay = 20ms; ///< The pause doubles with each probe.
-constexpr kernel::Duration LastReprobeDelay = 1280ms;
-// A server that crashed disappears from the platform's list within a few of its updates.
-constexpr kernel::Duration UnresolvedLifetime = 15s;
-constexpr std::size_t MaxUnresolved = 4096;
 // A record is sent to all boxes at once, and again after these delays.
 constexpr std::array<kernel::Duration, 2> ResendDelays = {300ms, 1200ms};
 // A request that crashes servers does so as it begins to run. If the report of a send alone is
@@ -67,6 +57,15 @@
 
 CrashService::CrashService(Context &context)
     : context_(context)
+    , detector_(context, {.onCrash =
+                                  [this](LostAttempt lost) {
+                                      asio::co_spawn(context_.io, reportCrash(std::move(lost)),
+                                                     asio::detached);
+                                  },
+                          .handBack =
+                                  [this](LostAttempt &lost) {
+                                      handBack(lost.request, std::exchange(lost.aloneGrant, 0));
+                                  }})
 {
 }
 
@@ -76,22 +75,17 @@
             [this](const peer::Message &message, const kernel::Endpoint &from) {
                 receive(message, from);
             });
-    sweep_ = std::make_unique<PeriodicTask>(
-            context_.io, [this]() -> asio::awaitable<kernel::Duration> {
-                const kernel::Instant now = context_.now();
-                book_.expire(now);
-                aloneLeases_.expire(now);
-                std::erase_if(unresolved_, [now](const UnresolvedAttempt &unresolved) {
-                    return now - unresolved.since > UnresolvedLifetime;
-                });
-                std::erase_if(crashedServers_, [now](const auto &entry) {
-                    return now - entry.second > UnresolvedLifetime;
-                });
-                sendDueResends();
-                sendToNewcomers();
-                sendToRandomBox();
-                co_return kernel::Duration(SweepPeriod);
-            });
+    sweep_ = std::make_unique<PeriodicTask>(context_.io,
+                                            [this]() -> asio::awaitable<kernel::Duration> {
+                                                const kernel::Instant now = context_.now();
+                                                book_.expire(now);
+                                                aloneLeases_.expire(now);
+                                                detector_.expire(now);
+                                                sendDueResends();
+                                                sendToNewcomers();
+                                                sendToRandomBox();
+                                                co_return kernel::Duration(SweepPeriod);
+                                            });
 }
 
 void CrashService::stop()
@@ -152,88 +146,10 @@
     }
 }
 
-asio::awaitable<CrashService::ProbeResult> CrashService::probe(std::uint64_t server,
-                                                               kernel::Endpoint address)
-{
-    const auto connected =
-            co_await http::KeptConnection::connect(context_.io, address, ProbeTimeout);
-    if (connected) {
-        (*connected)->close();
-        co_return ProbeResult::Listening;
-    }
-    const bool unclear = connected.error().timedOut || wayLost_(server);
-    co_return unclear ? ProbeResult::NoResponse : ProbeResult::Crashed;
-}
-
-asio::awaitable<bool> CrashService::hasCrashed(std::uint64_t server, kernel::Endpoint address)
-{
-    if (crashedServers_.contains(server)) {
-        co_return true;
-    }
-    const ProbeResult result = co_await probe(server, std::move(address));
-    if (result == ProbeResult::Crashed) {
-        crashedServers_[server] = context_.now();
-    }
-    co_return result == ProbeResult::Crashed;
-}
-
 asio::awaitable<void> CrashService::noteLost(LostAttempt lost)
 {
-    ProbeResult result = ProbeResult::Crashed;
-    if (!crashedServers_.contains(lost.server)) {
-        result = co_await probe(lost.server, lost.address);
-    }
-    context_.counters.add("crash_looks",
-                          {{"ended", result == ProbeResult::Crashed ? "yes" : "no"}});
-    if (result == ProbeResult::Crashed) {
-        crashedServers_[lost.server] = context_.now();
+    if (co_await detector_.findCrash(lost)) {
         co_await reportCrash(std::move(lost));
-        co_return;
-    }
-    const std::uint64_t server = lost.server;
-    const kernel::Endpoint address = lost.address;
-    keepUnresolved(std::move(lost));
-    if (probedServers_.insert(server).second) {
-        asio::co_spawn(context_.io, probeAgain(server, address), asio::detached);
-    }
-}
-
-asio::awaitable<void> CrashService::probeAgain(std::uint64_t server, kernel::Endpoint address)
-{
-    for (kernel::Duration pause = FirstReprobeDelay; pause <= LastReprobeDelay; pause *= 2) {
-        asio::steady_timer timer(context_.io, pause);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (!isUnresolved(server)) {
-            break;
-        }
-        const ProbeResult result = co_await probe(server, address);
-        if (result == ProbeResult::Crashed) {
-            context_.counters.add("crash_late_ends");
-            crashedServers_[server] = context_.now();
-            resolve([server](const LostAttempt &lost) { return lost.server == server; });
-        }
-    }
-    probedServers_.erase(server);
-    for (UnresolvedAttempt &unresolved : unresolved_) {
-        if (unresolved.lost.server == server) {
-            handBack(unresolved.lost.request, std::exchange(unresolved.lost.aloneGrant, 0));
-        }
-    }
-}
-
-bool CrashService::isUnresolved(std::uint64_t server) const
-{
-    return std::ranges::any_of(unresolved_, [server](const UnresolvedAttempt &unresolved) {
-        return unresolved.lost.server == server;
-    });
-}
-
-void CrashService::keepUnresolved(LostAttempt lost)
-{
-    if (unresolved_.size() < MaxUnresolved) {
-        unresolved_.push_back({std::move(lost), context_.now()});
-    } else {
-        handBack(lost.request, lost.aloneGrant);
     }
 }
 
@@ -243,7 +159,7 @@
 {
     handBack(lost.request, std::exchange(lost.aloneGrant, 0));
     lost.ranAlone = false;
-    keepUnresolved(std::move(lost));
+    detector_.keep(std::move(lost));
 }
 
 asio::awaitable<void> CrashService::reportCrash(LostAttempt lost)
@@ -287,26 +203,6 @@
     return true;
 }
 
-void CrashService::onServerDelisted(const std::string &id)
-{
-    resolve([&id](const LostAttempt &lost) { return lost.serverId == id; });
-}
-
-void CrashService::resolve(const std::function<bool(const LostAttempt &lost)> &hasCrashed)
-{
-    std::vector<LostAttempt> resolved;
-    std::erase_if(unresolved_, [&](UnresolvedAttempt &unresolved) {
-        const bool crashed = hasCrashed(unresolved.lost);
-        if (crashed) {
-            resolved.push_back(std::move(unresolved.lost));
-        }
-        return crashed;
-    });
-    for (LostAttempt &lost : resolved) {
-        asio::co_spawn(context_.io, reportCrash(std::move(lost)), asio::detached);
-    }
-}
-
 peer::CrashReport CrashService::reportOf(const RequestIdentity &request, peer::CrashMatter matter)
 {
     peer::CrashReport report;
--- a/src/services/CrashService.h
+++ b/src/services/CrashService.h
@@ -15,6 +15,7 @@
 #include "outcome/ResultCode.h"
 #include "peer/Messages.h"
 #include "services/Context.h"
+#include "services/CrashDetector.h"
 #include "services/PeriodicTask.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -23,7 +24,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,18 +48,6 @@
 /** Why \a permission was denied, as a message for the caller. */
 std::string denialMessage(const SendPermission &permission);
 
-/** An attempt whose connection ended before its answer was complete. */
-struct LostAttempt
-{
-    forward::RequestIdentity request;
-    std::string serverId;
-    std::uint64_t server = 0; ///< Hash of the server and its incarnation.
-    kernel::Endpoint address;
-    std::uint64_t aloneGrant =
-            0;             ///< The grant that it was sent with; 0: none, or handed back already.
-    bool ranAlone = false; ///< It was sent with a grant to run alone.
-};
-
 /** Records crashes of backend servers by request and decides with the owners whether a request may
  * be sent. */
 class CrashService : public kernel::Service
@@ -87,16 +75,11 @@
     /** Notes that a send alone has ended without a crash, and returns its grant. */
     void handBack(const forward::RequestIdentity &request, std::uint64_t aloneGrant);
 
-    /** Notes that an attempt was lost. Probes whether its server has crashed; if so, reports that
-     * to the request's owner and waits for the answer. If not, probes the server some more times,
-     * as a crashing server's port may stay open longer than its connections; until then a grant to
-     * run alone isn't handed back. */
+    /** Notes that an attempt was lost. If its server has crashed, reports that to the request's
+     * owner and waits for the answer. If that isn't clear yet, a grant to run alone isn't handed
+     * back until it is. */
     boost::asio::awaitable<void> noteLost(LostAttempt lost);
 
-    /** Whether a server is known to have crashed, or refuses a new connection now.
-     * \param server hash of the server and its incarnation. */
-    boost::asio::awaitable<bool> hasCrashed(std::uint64_t server, kernel::Endpoint address);
-
     /** Notes that this box ended an attempt before its answer was complete, because of its caller
      * or its deadline. Its server may still turn out to have crashed. */
     void noteInterrupted(LostAttempt lost);
@@ -109,14 +92,7 @@
      * was a record of it. */
     bool lift(const forward::RequestIdentity &request);
 
-    /** Notes that the platform no longer lists a backend server: if lost attempts on it are still
-     * unresolved, it counts as crashed. */
-    void onServerDelisted(const std::string &id);
-
-    /** Sets a function that tells whether this box has lost its way to the service of a server:
-     * then a refused connection doesn't show that the server has crashed. */
-    using WayLost = std::function<bool(std::uint64_t server)>;
-    void setWayLost(WayLost wayLost) { wayLost_ = std::move(wayLost); }
+    CrashDetector &detector() { return detector_; }
 
     /** Sets a function that fetches a record from outside this part of the fleet before a request
      * is sent alone. */
@@ -143,13 +119,6 @@
         std::optional<peer::CrashWord> answer;
     };
 
-    /** An attempt whose server may still turn out to have crashed. */
-    struct UnresolvedAttempt
-    {
-        LostAttempt lost;
-        kernel::Instant since;
-    };
-
     /** A record that is sent to all boxes once more, as a datagram may be lost. */
     struct Resend
     {
@@ -157,16 +126,8 @@
         kernel::Instant due;
     };
 
-    /** What a probe of a server's port shows. */
-    enum class ProbeResult : std::uint8_t { Crashed, Listening, NoResponse };
-
     boost::asio::awaitable<SendPermission> askAlone(forward::RequestIdentity request,
                                                     kernel::Duration longest);
-    boost::asio::awaitable<ProbeResult> probe(std::uint64_t server, kernel::Endpoint address);
-    boost::asio::awaitable<void> probeAgain(std::uint64_t server, kernel::Endpoint address);
-    bool isUnresolved(std::uint64_t server) const;
-    void resolve(const std::function<bool(const LostAttempt &lost)> &hasCrashed);
-    void keepUnresolved(LostAttempt lost);
     boost::asio::awaitable<void> reportCrash(LostAttempt lost);
     boost::asio::awaitable<std::optional<peer::CrashWord>> askOwner(peer::CrashReport report);
     peer::CrashReport reportOf(const forward::RequestIdentity &request, peer::CrashMatter matter);
@@ -185,16 +146,12 @@
     forward::CrashTable book_;
     forward::SingleSendLeases aloneLeases_;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_; ///< By ask.
-    std::vector<UnresolvedAttempt> unresolved_;
-    std::set<std::uint64_t> probedServers_; ///< Server incarnations that are being probed again.
-    std::map<std::uint64_t, kernel::Instant>
-            crashedServers_; ///< When a crash was seen, by server incarnation.
+    CrashDetector detector_;
     std::deque<Resend> resends_;
     std::map<std::uint64_t, std::uint64_t>
             incarnations_;       ///< Incarnation of each box at the last sweep.
     std::size_t nextRecord_ = 0; ///< The record that sendToRandomBox() sends next.
     std::vector<Changed> changed_;
-    WayLost wayLost_ = [](std::uint64_t) { return false; };
     LookUp lookUp_; ///< If empty, no record is fetched.
     std::unique_ptr<PeriodicTask> sweep_;
 };
