--- a/src/command/OperatorCommands.cpp
+++ b/src/command/OperatorCommands.cpp
@@ -26,6 +26,7 @@
     std::string key;
     std::string value;
     std::string name;
+    bool isPart = false; ///< The name is that of a part of prompts.
     std::uint64_t base = 0;
 };
 
@@ -200,12 +201,13 @@
 
 int lift()
 {
-    const auto answer = callBox(words.target, "POST",
-                                std::string(gateway::LiftPath) + "?identity=" + words.name);
+    const char *kind = words.isPart ? "?part=" : "?identity=";
+    const auto answer =
+            callBox(words.target, "POST", std::string(gateway::LiftPath) + kind + words.name);
     if (!answer) {
         return fail(answer.error());
     }
-    std::cout << "the request may run again, at all boxes within seconds\n";
+    std::cout << "requests with it may run again, at all boxes within seconds\n";
     return Success;
 }
 
@@ -326,10 +328,12 @@
     addNodes(app, exitCode, "pool", "pool:");
     addNodes(app, exitCode, "service", "service:");
     add(app, "status", "Shows what a box knows", exitCode, status);
-    add(app, "lift", "Lets a request run again that was stopped; --key-file holds a [peers] key",
-        exitCode, lift)
-            ->add_option("identity", words.name, "As 'limereel status' shows it")
-            ->required();
+    auto *const command =
+            add(app, "lift",
+                "Lets requests run again that were stopped; --key-file holds a [peers] key",
+                exitCode, lift);
+    command->add_option("identity", words.name, "As 'limereel status' shows it")->required();
+    command->add_flag("--part", words.isPart, "It is the id of a part of prompts instead");
     add(app, "leave", "Stops a box without cutting a request", exitCode, leave);
 }
 
--- a/src/forward/CrashTable.cpp
+++ b/src/forward/CrashTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 
 namespace limereel::forward {
@@ -66,37 +67,143 @@
     return std::min(held, policy_.remembered);
 }
 
-SendRestriction CrashTable::restriction(const Entry &entry, kernel::Instant now) const
+bool CrashTable::restricts(const CrashRecord &record) const
+{
+    return record.servers.size() >= policy_.crashesBeforeAlone || netFailedTrials(record) > 0;
+}
+
+// The crashes for which a request with \a features is to blame, as no feature of other requests
+// that was there explains about as many. One that caused them may still be behind in its count, as
+// it began to crash servers later, so after a single failed trial half as many are enough.
+std::size_t CrashTable::unexplainedCrashes(const CrashRecord &record,
+                                           std::span<const CrashFeature> features) const
+{
+    const std::size_t crashes = record.servers.size();
+    const std::size_t enough = netFailedTrials(record) > 1 ? crashes : crashes / 2 + 1;
+    const auto explains = [&](const RequestIdentity &other) {
+        const bool own =
+                std::ranges::find(features, other, &CrashFeature::identity) != features.end();
+        return !own && entries_.at(other).record.servers.size() >= enough;
+    };
+    return static_cast<std::size_t>(
+            std::ranges::count_if(record.servers, [&](std::uint64_t server) {
+                return std::ranges::none_of(byServer_.at(server), explains);
+            }));
+}
+
+SendVerdict CrashTable::verdict(const Entry &entry, std::span<const CrashFeature> features,
+                                kernel::Instant now) const
 {
     const CrashRecord &record = entry.record;
-    if (const std::uint32_t times = netFailedTrials(record); times > 0) {
-        const bool held = times >= policy_.maxFailedTrials || now - entry.stoppedAt < hold(times);
-        return held ? SendRestriction::Stopped : SendRestriction::Alone;
+    SendVerdict found;
+    found.crashes = record.servers.size();
+    if (!restricts(record)) {
+        return found;
+    }
+    found.restriction = SendRestriction::Alone;
+    const std::uint32_t times = netFailedTrials(record);
+    if (times == 0 || unexplainedCrashes(record, features) < policy_.crashesBeforeStop) {
+        return found;
+    }
+    const bool forGood = times >= policy_.maxFailedTrials;
+    const kernel::Duration since = now - entry.stoppedAt;
+    if (forGood || since < hold(times)) {
+        found.restriction = SendRestriction::Stopped;
+        found.stoppedFor = std::max<kernel::Duration>(hold(times) - since, 1s);
+    }
+    return found;
+}
+
+SendVerdict CrashTable::verdict(std::span<const CrashFeature> features, kernel::Instant now)
+{
+    SendVerdict worst;
+    for (const CrashFeature &feature : features) {
+        const auto it = entries_.find(feature.identity);
+        if (it == entries_.end() || isCleared(it->second.record)) {
+            continue;
+        }
+        it->second.changed = now;
+        SendVerdict found = verdict(it->second, features, now);
+        found.place = feature.place;
+        if (std::tie(found.restriction, found.stoppedFor, found.crashes)
+            > std::tie(worst.restriction, worst.stoppedFor, worst.crashes)) {
+            worst = found;
+        }
+    }
+    if (worst.restriction == SendRestriction::Alone) {
+        worst.waits = waitForFewer(features, now);
+    }
+    return worst;
+}
+
+kernel::Duration CrashTable::waitForFewer(std::span<const CrashFeature> features,
+                                          kernel::Instant now) const
+{
+    std::set<std::size_t> places;
+    kernel::Instant last{};
+    for (const CrashFeature &feature : features) {
+        if (needsLease(feature.identity)) {
+            places.insert(feature.place);
+            last = std::max(last, entries_.at(feature.identity).crashedAt);
+        }
     }
-    return record.servers.size() >= policy_.crashesBeforeAlone ? SendRestriction::Alone
-                                                               : SendRestriction::Free;
+    const kernel::Duration wait = last + policy_.fewestFirst - now;
+    return places.size() > 1 ? std::max<kernel::Duration>(wait, 0s) : kernel::Duration::zero();
 }
 
 SendRestriction CrashTable::restriction(const RequestIdentity &request, kernel::Instant now)
 {
-    const auto it = entries_.find(request);
-    if (it == entries_.end()) {
-        return SendRestriction::Free;
+    const CrashFeature feature{request};
+    return verdict({&feature, 1}, now).restriction;
+}
+
+kernel::Duration CrashTable::stoppedFor(const RequestIdentity &request, kernel::Instant now)
+{
+    const CrashFeature feature{request};
+    return verdict({&feature, 1}, now).stoppedFor;
+}
+
+std::vector<CrashFeature> CrashTable::sameCrashes(const RequestIdentity &request) const
+{
+    std::vector<CrashFeature> same = {{request}};
+    const std::vector<std::uint64_t> servers = record(request).servers;
+    const auto there = byServer_.find(servers.empty() ? 0 : servers.front());
+    if (there != byServer_.end()) {
+        for (const RequestIdentity &other : there->second) {
+            if (other != request && record(other).servers == servers) {
+                same.push_back({other});
+            }
+        }
     }
-    if (!isCleared(it->second.record)) {
-        it->second.changed = now;
+    return same;
+}
+
+std::vector<RequestIdentity> CrashTable::explainedBy(const RequestIdentity &request) const
+{
+    std::vector<RequestIdentity> explained;
+    const std::vector<std::uint64_t> servers = record(request).servers;
+    for (const std::uint64_t server : servers) {
+        for (const RequestIdentity &other : byServer_.at(server)) {
+            const bool known = std::ranges::find(explained, other) != explained.end();
+            if (!known && other != request
+                && std::ranges::includes(servers, record(other).servers)) {
+                explained.push_back(other);
+            }
+        }
     }
-    return restriction(it->second, now);
+    return explained;
 }
 
-kernel::Duration CrashTable::stoppedFor(const RequestIdentity &request, kernel::Instant now) const
+bool CrashTable::hasFailedTrials(const RequestIdentity &request) const
 {
     const auto it = entries_.find(request);
-    if (it == entries_.end() || restriction(it->second, now) != SendRestriction::Stopped) {
-        return kernel::Duration::zero();
-    }
-    const kernel::Instant until = it->second.stoppedAt + hold(netFailedTrials(it->second.record));
-    return std::max<kernel::Duration>(until - now, 1s);
+    return it != entries_.end() && netFailedTrials(it->second.record) > 0;
+}
+
+bool CrashTable::needsLease(const RequestIdentity &request) const
+{
+    const auto it = entries_.find(request);
+    return it != entries_.end() && restricts(it->second.record);
 }
 
 CrashTable::Entry &CrashTable::entry(const RequestIdentity &request)
@@ -135,9 +242,25 @@
     if (--shape->second == 0) {
         shapes_.erase(shape);
     }
+    setRecord(entries_.at(request), {.request = request});
     entries_.erase(request);
 }
 
+void CrashTable::setRecord(Entry &entry, const CrashRecord &record)
+{
+    for (const std::uint64_t server : entry.record.servers) {
+        const auto known = byServer_.find(server);
+        std::erase(known->second, record.request);
+        if (known->second.empty()) {
+            byServer_.erase(known);
+        }
+    }
+    for (const std::uint64_t server : record.servers) {
+        byServer_[server].push_back(record.request);
+    }
+    entry.record = record;
+}
+
 bool CrashTable::change(const CrashRecord &record, kernel::Instant now)
 {
     if (this->record(record.request) == record) {
@@ -147,9 +270,12 @@
     if (record.failedTrials > known.record.failedTrials || record.round > known.record.round) {
         known.stoppedAt = now;
     }
-    known.record = record;
+    if (record.servers.size() > known.record.servers.size()) {
+        known.crashedAt = now;
+    }
+    setRecord(known, record);
     known.changed = now;
-    known.shared = known.shared || restriction(known, now) != SendRestriction::Free;
+    known.shared = known.shared || restricts(record);
     return true;
 }
 
--- a/src/forward/Snapshot.h
+++ b/src/forward/Snapshot.h
@@ -127,6 +127,8 @@
     /** The organisation that holds \a key; nullptr if none does. */
     const Organisation *organisation(const std::string &key) const;
 
+    const std::vector<Organisation> &organisations() const { return content_.organisations; }
+
     /** Whether there are organisations, so that requests carry keys. */
     bool hasOrganisations() const { return !content_.organisations.empty(); }
 
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -326,6 +326,7 @@
     http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
     answer.endMarked = isMarked(body->end);
     run_.answeredWhole = true;
+    run_.answeredFailure = head.status / 100 != 2;
     if (head.status >= ServerFailure) {
         fail(Failure::Error, "failed with " + std::to_string(head.status), true);
         run_.failedAnswer = std::move(answer);
--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -22,6 +22,8 @@
 constexpr AnswerWait AnswerTimeouts = {2s, 2s, 5s};
 constexpr kernel::Duration LookUpTimeout = 300ms;
 constexpr kernel::Duration CheckInterval = 2s;
+// Many requests may run alone one after the other, as when servers crash by themselves.
+constexpr kernel::Duration LookUpInterval = 10s;
 constexpr kernel::Duration FirstPause = 500ms;
 constexpr kernel::Duration MaxPause = 8s;
 // Spreads the first calls of boxes that start together.
@@ -155,6 +157,12 @@
 // knows.
 asio::awaitable<void> CrashStore::lookUp(RequestIdentity request)
 {
+    const kernel::Instant now = context_.now();
+    std::erase_if(lookedUp_,
+                  [now](const auto &item) { return now - item.second >= LookUpInterval; });
+    if (!lookedUp_.try_emplace(request, now).second) {
+        co_return;
+    }
     const std::string name = forward::text(request);
     http::Request question("GET", adapter_.store.objectTarget(adapter_.crashKind, name));
     question.fields.add("Host", kernel::text(context_.settings.platform));
--- a/src/gateway/CrashStore.h
+++ b/src/gateway/CrashStore.h
@@ -53,6 +53,7 @@
     std::string lastName_; ///< Name of the last object that was read.
     std::map<forward::RequestIdentity, forward::CrashRecord> saved_; ///< Records in the store.
     std::set<forward::RequestIdentity> toRemove_;
+    std::map<forward::RequestIdentity, kernel::Instant> lookedUp_; ///< When, lately.
     std::unique_ptr<services::PeriodicTask> loop_;
 };
 
--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -102,14 +102,33 @@
     if (std::ranges::none_of(context_.settings.peerKeys, isOperator)) {
         return refusal(401, "this isn't one of the box's [peers] keys");
     }
+    const std::string part(request.query("part"));
     const auto identity = forward::identityFrom(request.query("identity"));
-    if (!identity) {
+    if (part.empty() && !identity) {
         return refusal(400, "the identity isn't 48 hexadecimal digits");
     }
-    if (!context_.kernel.find<services::CrashService>("crashes").lift(*identity)) {
-        return refusal(404, "nothing is known of a request with this identity");
+    const bool lifted =
+            part.empty() ? context_.kernel.find<services::CrashService>("crashes").lift(*identity)
+                         : liftPart(part);
+    if (!lifted) {
+        return refusal(404, "nothing is known of requests with it");
     }
-    return refusal(200, "the request may run again");
+    return refusal(200, "requests with it may run again");
+}
+
+// Lifts a part of prompts for all organisations.
+bool ReadyService::liftPart(const std::string &id)
+{
+    auto &crashes = context_.kernel.find<services::CrashService>("crashes");
+    bool lifted = crashes.lift(forward::partIdentityOf("", id));
+    const forward::SnapshotPtr snapshot = fleetView_.snapshot();
+    if (snapshot) {
+        for (const forward::Organisation &organisation : snapshot->organisations()) {
+            const bool known = crashes.lift(forward::partIdentityOf(organisation.name, id));
+            lifted = lifted || known;
+        }
+    }
+    return lifted;
 }
 
 void GatewayStop::begin()
--- a/src/gateway/GatewayServices.h
+++ b/src/gateway/GatewayServices.h
@@ -31,6 +31,7 @@
     std::unique_ptr<http::Server> serve(const kernel::Endpoint &where);
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
     http::Answer lift(const http::Request &request);
+    bool liftPart(const std::string &id);
 
     services::Context &context_;
     FleetView &fleetView_;
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -82,7 +82,7 @@
     auto &crashes = context.kernel.find<services::CrashService>("crashes");
     json requests = json::array();
     for (const forward::CrashRecord &record : crashes.book().shared()) {
-        const forward::SendRestriction restriction = crashes.restriction(record.request);
+        const forward::SendRestriction restriction = crashes.standing(record.request);
         if (restriction != forward::SendRestriction::Free) {
             requests.push_back({{"identity", forward::text(record.request)},
                                 {"standing", text(restriction)},
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -19,6 +19,10 @@
 constexpr kernel::Duration MinTimeLeft = 5ms; ///< A request with less time left isn't sent.
 constexpr kernel::Duration DefaultPatience = 60s;
 constexpr kernel::Duration KeptAfterDeadline = 1s; ///< For what is on its way then.
+// While a part of a prompt is only suspected, requests that share it are answered within moments,
+// and then it is free again.
+constexpr kernel::Duration LongestClearing = 150ms;
+constexpr kernel::Duration ClearingPoll = 25ms;
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
 constexpr const char *NoServerOfVersion =
@@ -69,7 +73,8 @@
                          .method = run_.request.method,
                          .host = run_.call.host,
                          .target = run_.request.target,
-                         .body = run_.request.body});
+                         .body = run_.request.body},
+                        &run_.call.prompt);
     if (auto refusal = checkToldOrigin()) {
         co_await refuse(std::move(*refusal));
         co_return;
@@ -356,12 +361,20 @@
     co_return co_await attempt.run();
 }
 
-// A request during which servers have crashed may have to run alone, which means one send of it at
-// a time in the whole fleet, or may not run at all.
+// A request during which servers have crashed may have to run alone, which means one send at a time
+// in the whole fleet, or may not run at all.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::acquireSendPermission()
 {
-    const services::SendPermission permission =
-            co_await run_.guard.acquireSendPermission(run_.left());
+    const kernel::Duration longest =
+            std::min<kernel::Duration>(LongestClearing, run_.route.objective / 8);
+    const kernel::Instant until = run_.context.now() + longest;
+    services::SendPermission permission = co_await run_.guard.acquireSendPermission(run_.left());
+    while (!permission.granted() && permission.mayClear() && run_.context.now() < until
+           && !run_.stopped()) {
+        asio::steady_timer timer(run_.context.io, ClearingPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        permission = co_await run_.guard.acquireSendPermission(run_.left());
+    }
     if (permission.granted()) {
         co_return std::nullopt;
     }
@@ -375,7 +388,7 @@
     using services::AttemptOutcome;
     AttemptOutcome sight = AttemptOutcome::Nothing;
     if (run_.answeredWhole) {
-        sight = AttemptOutcome::Whole;
+        sight = run_.answeredFailure ? AttemptOutcome::Failed : AttemptOutcome::Whole;
     } else if (end == AttemptEnd::MayHaveRun) {
         const bool lost = run_.failure == forward::Failure::Lost && !run_.stopped();
         sight = lost ? AttemptOutcome::Lost : AttemptOutcome::Interrupted;
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -163,13 +163,17 @@
 
 void logSendDenied(RunState &run, const services::SendPermission &permission)
 {
-    log().event("no-leave",
-                {{"request", run.call.id},
-                 {"identity", forward::text(run.guard.identity())},
-                 {"organisation", run.organisation},
-                 {"standing", text(permission.restriction)},
-                 {"come_back_ms", permission.notBefore / 1ms},
-                 {"sends", run.counts.sends}},
+    nlohmann::json fields = {{"request", run.call.id},
+                             {"identity", forward::text(run.guard.identity())},
+                             {"organisation", run.organisation},
+                             {"standing", text(permission.restriction)},
+                             {"come_back_ms", permission.notBefore / 1ms},
+                             {"sends", run.counts.sends}};
+    if (permission.place != 0) {
+        fields["part"] = run.call.prompt.parts.at(permission.place - 1).id;
+        fields["place"] = permission.place;
+    }
+    log().event("no-leave", fields,
                 "The request isn't sent, as backend servers have ended under it.");
 }
 
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -43,6 +43,7 @@
     bodyEnd.reset();
     through.clear();
     answeredWhole = false;
+    answeredFailure = false;
 }
 
 void RunState::notePiece()
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -87,7 +87,8 @@
     std::optional<kernel::Instant> firstPiece; ///< When this attempt's answer began to arrive.
     std::optional<forward::Failure> failure;   ///< How this attempt failed.
     std::optional<http::BodyEnd> bodyEnd;      ///< How the body of its answer ended.
-    bool answeredWhole = false; ///< The server of this attempt has sent a complete answer.
+    bool answeredWhole = false;   ///< The server of this attempt has sent a complete answer.
+    bool answeredFailure = false; ///< That answer has no status of success.
 
     bool forOtherBox = false;   ///< The caller is another box's.
     std::string through;        ///< The box through which this attempt is sent; empty: straight.
--- a/src/outcome/ResultCode.cpp
+++ b/src/outcome/ResultCode.cpp
@@ -53,6 +53,9 @@
          "nobody knows which software version began the stream; begin it anew"},
         {VersionGone, "version-gone", Ran::NotRun, 503, false,
          "no backend server of the software version that began the stream is left; begin it anew"},
+        {PartEndsServers, "part-ends-servers", Ran::NotRun, 503, false,
+         "leave the part of the prompt out that the message names; ask the operator, who can lift "
+         "it"},
         {BackendFailed, "backend-failed", Ran::Ran, 502, false,
          "the backend server answered with a failure; see the message"},
         {StreamCut, "stream-cut", Ran::Ran, 502, false,
--- a/src/outcome/ResultCode.h
+++ b/src/outcome/ResultCode.h
@@ -45,6 +45,7 @@
     ServersFull = 215,
     StreamOriginUnknown = 216,
     VersionGone = 217,
+    PartEndsServers = 218,
     BackendFailed = 300,
     StreamCut = 301,
     ForeignAnswer = 302,
--- a/src/services/CrashDetector.h
+++ b/src/services/CrashDetector.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/RequestIdentity.h"
+#include "forward/CrashFeatures.h"
 #include "kernel/BoxSettings.h"
 #include "services/Context.h"
 
@@ -19,16 +19,22 @@
 
 namespace limereel::services {
 
+/** A feature of a request whose attempt was lost. */
+struct LostFeature
+{
+    forward::RequestIdentity identity;
+    std::uint64_t aloneGrant =
+            0;             ///< The grant that it was sent with; 0: none, or handed back already.
+    bool ranAlone = false; ///< It was sent with a grant to run alone.
+};
+
 /** An attempt whose connection ended before its answer was complete. */
 struct LostAttempt
 {
-    forward::RequestIdentity request;
+    std::vector<LostFeature> features; ///< The whole request first.
     std::string serverId;
     std::uint64_t server = 0; ///< Hash of the server and its incarnation.
     kernel::Endpoint address;
-    std::uint64_t aloneGrant =
-            0;             ///< The grant that it was sent with; 0: none, or handed back already.
-    bool ranAlone = false; ///< It was sent with a grant to run alone.
 };
 
 /** The attempts that were lost at servers that may have crashed. */
--- a/src/services/CrashGuard.cpp
+++ b/src/services/CrashGuard.cpp
@@ -1,5 +1,6 @@
 #include "services/CrashGuard.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace limereel::services {
@@ -22,7 +23,7 @@
     case FailurePoint::AnswerBegun:
         return AttemptOutcome::Lost;
     case FailurePoint::AnsweredFailure:
-        return AttemptOutcome::Whole;
+        return AttemptOutcome::Failed;
     default:
         return AttemptOutcome::Nothing;
     }
@@ -39,59 +40,56 @@
     handBack();
 }
 
-void CrashGuard::setParts(forward::IdentityParts parts)
+void CrashGuard::setParts(forward::IdentityParts parts, const forward::Prompt *prompt)
 {
-    organisation_ = parts.organisation;
-    parts_ = parts;
-    parts_.organisation = organisation_;
-    shape_ = forward::shapeOf(parts_);
+    features_ = forward::RequestFeatures(parts, prompt);
 }
 
-const forward::RequestIdentity &CrashGuard::identity()
+bool CrashGuard::mayBeSent()
 {
-    if (!identity_) {
-        identity_ = forward::identityOf(parts_);
-    }
-    return *identity_;
-}
-
-bool CrashGuard::hasRecords() const
-{
-    return crashes_.concerns(shape_);
+    const forward::SendVerdict now = crashes_.verdict(crashes_.recordedOf(features_));
+    return now.restriction == forward::SendRestriction::Free
+           || (now.restriction == forward::SendRestriction::Alone && isAlone());
 }
 
-bool CrashGuard::needsPermission()
+void CrashGuard::handBack()
 {
-    return hasRecords() && crashes_.restriction(identity()) != forward::SendRestriction::Free;
+    for (const AloneGrant &grant : std::exchange(grants_, {})) {
+        crashes_.handBack(grant);
+    }
 }
 
-void CrashGuard::handBack()
+std::uint64_t CrashGuard::takeGrant(const forward::RequestIdentity &feature)
 {
-    if (aloneGrant_ != 0) {
-        crashes_.handBack(identity(), std::exchange(aloneGrant_, 0));
-    }
+    const auto grant = std::ranges::find(grants_, feature, &AloneGrant::feature);
+    return grant == grants_.end() ? 0 : std::exchange(grant->ask, 0);
 }
 
 asio::awaitable<SendPermission> CrashGuard::acquireSendPermission(kernel::Duration longest)
 {
-    // The previous attempt didn't use its grant.
+    // The previous attempt didn't use its grants.
     handBack();
     firstPiece_.reset();
     pastStart_ = false;
     SendPermission permission;
-    if (needsPermission()) {
-        forward::RequestIdentity request = identity();
-        permission = co_await crashes_.requestSendPermission(request, longest);
-        aloneGrant_ = permission.aloneGrant;
+    std::vector<forward::CrashFeature> recorded = crashes_.recordedOf(features_);
+    if (crashes_.verdict(recorded).restriction != forward::SendRestriction::Free) {
+        permission = co_await crashes_.requestSendPermission(std::move(recorded), longest);
+        grants_ = permission.grants;
     }
     co_return permission;
 }
 
-void CrashGuard::noteHealthy()
+// An answer that reports a failure clears the request itself, but not the parts of its prompt: the
+// server need not have begun to answer on them.
+void CrashGuard::noteHealthy(AttemptOutcome result)
 {
-    if (aloneGrant_ != 0 || hasRecords()) {
-        crashes_.noteAnswered(identity(), std::exchange(aloneGrant_, 0));
+    for (const forward::CrashFeature &feature : crashes_.recordedOf(features_)) {
+        if (result == AttemptOutcome::Whole || feature.place == 0) {
+            crashes_.noteAnswered(feature.identity, takeGrant(feature.identity));
+        }
     }
+    handBack();
 }
 
 void CrashGuard::notePiece()
@@ -102,27 +100,37 @@
     }
     if (!pastStart_ && now - *firstPiece_ >= StartPhase) {
         pastStart_ = true;
-        noteHealthy();
+        noteHealthy(AttemptOutcome::Whole);
     }
 }
 
+LostAttempt CrashGuard::lostAt(AttemptServer server)
+{
+    LostAttempt lost{{}, std::move(server.id), server.incarnationKey, std::move(server.address)};
+    for (const forward::CrashFeature &feature : features_.all()) {
+        const std::uint64_t grant = takeGrant(feature.identity);
+        lost.features.push_back({feature.identity, grant, grant != 0});
+    }
+    handBack();
+    return lost;
+}
+
 asio::awaitable<void> CrashGuard::noteEnd(AttemptOutcome result, AttemptServer server)
 {
     const bool ended = result == AttemptOutcome::Lost || result == AttemptOutcome::Interrupted;
     const bool starting = !firstPiece_ || context_.now() - *firstPiece_ < StartPhase;
-    if (result == AttemptOutcome::Whole) {
-        noteHealthy();
+    if (result == AttemptOutcome::Whole || result == AttemptOutcome::Failed) {
+        noteHealthy(result);
     }
     if (!ended || !starting) {
         co_return;
     }
-    const bool wasAlone = aloneGrant_ != 0;
-    LostAttempt lost{identity(),     std::move(server.id),          server.incarnationKey,
-                     server.address, std::exchange(aloneGrant_, 0), wasAlone};
+    const bool wasAlone = isAlone();
     if (result == AttemptOutcome::Lost) {
+        LostAttempt lost = lostAt(std::move(server));
         co_await crashes_.noteLost(std::move(lost));
     } else if (wasAlone) {
-        crashes_.noteInterrupted(std::move(lost));
+        crashes_.noteInterrupted(lostAt(std::move(server)));
     }
 }
 
--- a/src/services/CrashGuard.h
+++ b/src/services/CrashGuard.h
@@ -9,13 +9,15 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
+#include <vector>
 
 namespace limereel::services {
 
 /** How an attempt ended, as far as that shows whether its server crashed. */
 enum class AttemptOutcome : std::uint8_t {
     Nothing,    ///< Nothing was sent, or the server rejected it.
-    Whole,      ///< A whole answer came, which may be a failure that the server reported.
+    Whole,      ///< A whole answer came.
+    Failed,     ///< A whole answer came; it says that the request failed.
     Lost,       ///< The connection ended before the answer was complete.
     Interrupted ///< This box ended it because of its caller or its deadline.
 };
@@ -40,20 +42,20 @@
     CrashGuard(const CrashGuard &) = delete;
     CrashGuard &operator=(const CrashGuard &) = delete;
 
-    /** Sets the parts that identify the request. The texts that its views refer to, except the
-     * organisation, have to outlive the guard. */
-    void setParts(forward::IdentityParts parts);
-    const forward::RequestIdentity &identity();
+    /** Sets what identifies the request. The texts that \a parts refers to, except the
+     * organisation, and \a prompt have to outlive the guard. \param prompt nullptr: none. */
+    void setParts(forward::IdentityParts parts, const forward::Prompt *prompt = nullptr);
+    const forward::RequestIdentity &identity() { return features_.whole(); }
 
     /** Asks for permission before an attempt. \param longest how long a send alone may take. */
     boost::asio::awaitable<SendPermission> acquireSendPermission(kernel::Duration longest);
 
     /** Whether the attempt has a grant to run alone. */
-    bool isAlone() const { return aloneGrant_ != 0; }
+    bool isAlone() const { return !grants_.empty(); }
 
     /** Whether the permission still holds: more crashes may have become known since it was given.
      */
-    bool mayBeSent() { return aloneGrant_ != 0 || !needsPermission(); }
+    bool mayBeSent();
 
     /** Notes that a part of the attempt's answer has arrived. */
     void notePiece();
@@ -62,19 +64,16 @@
     boost::asio::awaitable<void> noteEnd(AttemptOutcome result, AttemptServer server);
 
 private:
-    bool hasRecords() const;
-    bool needsPermission();
-    void noteHealthy();
+    std::uint64_t takeGrant(const forward::RequestIdentity &feature);
+    void noteHealthy(AttemptOutcome result);
     void handBack();
+    LostAttempt lostAt(AttemptServer server);
 
     Context &context_;
     CrashService &crashes_;
-    std::string organisation_;
-    forward::IdentityParts parts_;
-    std::uint64_t shape_ = 0;
-    std::optional<forward::RequestIdentity> identity_; ///< Computed when first needed.
-    std::uint64_t aloneGrant_ = 0;                     ///< The grant to send it alone; 0: none.
-    std::optional<kernel::Instant> firstPiece_;        ///< Arrival of this attempt's first part.
+    forward::RequestFeatures features_;
+    std::vector<AloneGrant> grants_;            ///< To send it alone; empty: there are none.
+    std::optional<kernel::Instant> firstPiece_; ///< Arrival of this attempt's first part.
     bool pastStart_ =
             false; ///< The attempt has run on past the time in which it would crash a server.
 };
--- a/src/services/CrashService.cpp
+++ b/src/services/CrashService.cpp
@@ -44,28 +44,38 @@
 
 outcome::ResultCode codeOf(const SendPermission &permission)
 {
-    return permission.restriction == SendRestriction::Stopped ? outcome::ResultCode::EndsServers
-                                                              : outcome::ResultCode::RunsAlone;
+    if (permission.restriction != SendRestriction::Stopped) {
+        return outcome::ResultCode::RunsAlone;
+    }
+    return permission.place == 0 ? outcome::ResultCode::EndsServers
+                                 : outcome::ResultCode::PartEndsServers;
 }
 
 std::string denialMessage(const SendPermission &permission)
 {
+    const std::string subject =
+            permission.place == 0
+                    ? "this request"
+                    : "requests with part " + std::to_string(permission.place) + " of its prompt";
     return permission.restriction == SendRestriction::Stopped
-                   ? "each backend server that began to run this request has ended"
-                   : "backend servers have ended under this request; it is tried by itself now";
+                   ? "each backend server that began to run " + subject + " has ended"
+                   : "backend servers have ended under " + subject + "; one is tried by itself now";
 }
 
 CrashService::CrashService(Context &context)
     : context_(context)
-    , detector_(context, {.onCrash =
-                                  [this](LostAttempt lost) {
-                                      asio::co_spawn(context_.io, reportCrash(std::move(lost)),
-                                                     asio::detached);
-                                  },
-                          .handBack =
-                                  [this](LostAttempt &lost) {
-                                      handBack(lost.request, std::exchange(lost.aloneGrant, 0));
-                                  }})
+    , detector_(context,
+                {.onCrash =
+                         [this](LostAttempt lost) {
+                             asio::co_spawn(context_.io, reportCrash(std::move(lost)),
+                                            asio::detached);
+                         },
+                 .handBack =
+                         [this](LostAttempt &lost) {
+                             for (LostFeature &feature : lost.features) {
+                                 handBack({feature.identity, std::exchange(feature.aloneGrant, 0)});
+                             }
+                         }})
 {
 }
 
@@ -93,62 +103,111 @@
     sweep_.reset();
 }
 
-asio::awaitable<SendPermission> CrashService::requestSendPermission(RequestIdentity request,
-                                                                    kernel::Duration longest)
+std::vector<forward::CrashFeature>
+CrashService::recordedOf(forward::RequestFeatures &features) const
+{
+    if (book_.size() == 0) {
+        return {};
+    }
+    return features.where([this](std::uint64_t shape) { return book_.concerns(shape); });
+}
+
+asio::awaitable<SendPermission>
+CrashService::requestSendPermission(std::vector<forward::CrashFeature> recorded,
+                                    kernel::Duration longest)
 {
     SendPermission permission;
-    permission.restriction = restriction(request);
-    if (permission.restriction == SendRestriction::Alone) {
-        permission = co_await askAlone(request, longest);
+    bool granted = true;
+    const forward::SendVerdict first = verdict(recorded);
+    if (first.waits > 0s) {
+        granted = false;
+        permission.notBefore = first.waits;
+    } else if (first.restriction == SendRestriction::Alone) {
+        const std::vector<RequestIdentity> leases = leasesFor(recorded);
+        for (const RequestIdentity &lease : leases) {
+            granted = co_await askAlone(lease, longest, permission);
+            if (!granted) {
+                break;
+            }
+        }
     }
-    if (permission.restriction == SendRestriction::Stopped) {
-        permission.notBefore = book_.stoppedFor(request, context_.now());
+    // More may have become known meanwhile.
+    const forward::SendVerdict now = verdict(recorded);
+    permission.restriction = now.restriction;
+    permission.place = now.place;
+    if (!granted || now.restriction != SendRestriction::Alone) {
+        handBackAll(permission);
     }
-    if (permission.restriction != SendRestriction::Free) {
-        context_.counters.add("crash_leaves", {{"standing", text(permission.restriction)},
+    if (now.restriction == SendRestriction::Stopped) {
+        permission.notBefore = now.stoppedFor;
+    }
+    if (now.restriction != SendRestriction::Free) {
+        context_.counters.add("crash_leaves", {{"standing", text(now.restriction)},
+                                               {"of", now.place == 0 ? "request" : "part"},
                                                {"granted", permission.granted() ? "yes" : "no"}});
     }
     co_return permission;
 }
 
-asio::awaitable<SendPermission> CrashService::askAlone(RequestIdentity request,
-                                                       kernel::Duration longest)
+// The leases that a request with these features needs to run alone.
+std::vector<RequestIdentity>
+CrashService::leasesFor(const std::vector<forward::CrashFeature> &recorded) const
 {
-    peer::CrashReport report = reportOf(request, peer::CrashMatter::AskAlone);
+    std::vector<RequestIdentity> leases;
+    bool failedBefore = false;
+    for (const forward::CrashFeature &feature : recorded) {
+        if (book_.needsLease(feature.identity)) {
+            leases.push_back(feature.identity);
+        }
+        failedBefore = failedBefore || book_.hasFailedTrials(feature.identity);
+    }
+    if (failedBefore) {
+        leases.push_back(forward::anyFailedTrial());
+    }
+    return leases;
+}
+
+asio::awaitable<bool> CrashService::askAlone(RequestIdentity feature, kernel::Duration longest,
+                                             SendPermission &permission)
+{
+    peer::CrashReport report = reportOf(feature, peer::CrashMatter::AskAlone);
     report.forMs = static_cast<std::uint32_t>(
             std::clamp<kernel::Duration>(longest, 0s, MaxAloneDuration) / 1ms);
     const std::uint64_t ask = report.ask;
-    const auto reply = co_await askOwner(std::move(report));
-    const bool granted = reply && reply->granted;
-    if (!reply) {
-        // The owner may have granted it, and only its answer was lost.
-        handBack(request, ask);
+    const std::optional<peer::CrashWord> reply = co_await askOwner(std::move(report));
+    if (!reply || !reply->granted) {
+        // If there is no reply, the owner may have granted it, and only its answer was lost.
+        handBack({feature, reply ? 0 : ask});
+        permission.notBefore = reply ? 1ms * reply->comeBackMs : MaxRetryDelay;
+        co_return false;
     }
-    if (granted && lookUp_) {
+    permission.grants.push_back({feature, ask});
+    if (lookUp_ && feature != forward::anyFailedTrial()) {
         // A part of the fleet that this box can't reach may have stopped the request.
-        co_await lookUp_(request);
+        co_await lookUp_(feature);
     }
-    SendPermission permission;
-    permission.restriction = restriction(request);
-    if (permission.restriction == SendRestriction::Alone) {
-        permission.aloneGrant = granted ? ask : 0;
-        permission.notBefore = reply ? 1ms * reply->comeBackMs : MaxRetryDelay;
-    } else if (granted) {
-        handBack(request, ask);
+    co_return true;
+}
+
+void CrashService::handBackAll(SendPermission &permission)
+{
+    for (const AloneGrant &grant : permission.grants) {
+        handBack(grant);
     }
-    co_return permission;
+    permission.grants.clear();
 }
 
-void CrashService::handBack(const RequestIdentity &request, std::uint64_t aloneGrant)
+void CrashService::handBack(const AloneGrant &grant)
 {
-    if (aloneGrant != 0) {
-        notifyOwner(request, peer::CrashMatter::AloneOver, aloneGrant);
+    if (grant.ask != 0) {
+        notifyOwner(grant.feature, peer::CrashMatter::AloneOver, grant.ask);
     }
 }
 
 asio::awaitable<void> CrashService::noteLost(LostAttempt lost)
 {
-    if (co_await detector_.findCrash(lost)) {
+    const bool crashed = co_await detector_.findCrash(lost);
+    if (crashed) {
         co_await reportCrash(std::move(lost));
     }
 }
@@ -157,49 +216,73 @@
 // send alone.
 void CrashService::noteInterrupted(LostAttempt lost)
 {
-    handBack(lost.request, std::exchange(lost.aloneGrant, 0));
-    lost.ranAlone = false;
+    for (LostFeature &feature : lost.features) {
+        handBack({feature.identity, std::exchange(feature.aloneGrant, 0)});
+        feature.ranAlone = false;
+    }
     detector_.keep(std::move(lost));
 }
 
+// Waits only for what the owner of the whole request says; what those of the other features say
+// arrives at about the same time.
 asio::awaitable<void> CrashService::reportCrash(LostAttempt lost)
 {
-    const CrashRecord before = book_.record(lost.request);
-    if (!book_.noteCrash(lost.request, lost.server, lost.ranAlone, context_.now())) {
-        // The same request ran twice on this server, and the crash was counted already.
-        handBack(lost.request, lost.aloneGrant);
+    for (std::size_t index = 1; index < lost.features.size(); ++index) {
+        asio::co_spawn(context_.io, reportFeature(lost.features[index], lost.server),
+                       asio::detached);
+    }
+    if (!lost.features.empty()) {
+        LostFeature whole = lost.features.front();
+        co_await reportFeature(std::move(whole), lost.server);
+    }
+}
+
+asio::awaitable<void> CrashService::reportFeature(LostFeature lost, std::uint64_t server)
+{
+    const CrashRecord before = book_.record(lost.identity);
+    if (!book_.noteCrash(lost.identity, server, lost.ranAlone, context_.now())) {
+        // Another request with this feature ran on this server, and the crash was counted already.
+        handBack({lost.identity, lost.aloneGrant});
         co_return;
     }
     context_.counters.add("crash_ends", {{"alone", lost.ranAlone ? "yes" : "no"}});
     noteChange(before);
-    peer::CrashReport report = reportOf(lost.request, peer::CrashMatter::Ended);
+    peer::CrashReport report = reportOf(lost.identity, peer::CrashMatter::Ended);
     report.ask = lost.aloneGrant != 0 ? lost.aloneGrant : report.ask;
     const auto reply = co_await askOwner(std::move(report));
-    if (!reply && restriction(lost.request) != SendRestriction::Free) {
-        sendToAll(lost.request);
+    if (!reply && book_.needsLease(lost.identity)) {
+        sendToAll(lost.identity);
     }
 }
 
-void CrashService::noteAnswered(const RequestIdentity &request, std::uint64_t aloneGrant)
+void CrashService::noteAnswered(const RequestIdentity &feature, std::uint64_t aloneGrant)
 {
-    const CrashRecord before = book_.record(request);
-    if (book_.forget(request, context_.now())) {
+    const CrashRecord before = book_.record(feature);
+    if (book_.forget(feature, context_.now())) {
         noteChange(before);
-        notifyOwner(request, peer::CrashMatter::Answered, aloneGrant);
+        notifyOwner(feature, peer::CrashMatter::Answered, aloneGrant);
+    } else {
+        // Another request with this feature was answered first.
+        handBack({feature, aloneGrant});
     }
 }
 
-bool CrashService::lift(const RequestIdentity &request)
+// What only ran beside it would be to blame next.
+bool CrashService::lift(const RequestIdentity &feature)
 {
-    const CrashRecord before = book_.record(request);
-    if (!book_.forget(request, context_.now())) {
-        return false;
+    std::vector<RequestIdentity> lifted = book_.explainedBy(feature);
+    lifted.push_back(feature);
+    for (const RequestIdentity &one : lifted) {
+        const CrashRecord before = book_.record(one);
+        if (!book_.forget(one, context_.now())) {
+            return false;
+        }
+        context_.counters.add("crash_lifts");
+        log().event("lifted", {{"identity", forward::text(one)}},
+                    "An operator lets requests run again.");
+        noteChange(before);
+        notifyOwner(one, peer::CrashMatter::Answered, 0);
     }
-    context_.counters.add("crash_lifts");
-    log().event("lifted", {{"identity", forward::text(request)}},
-                "An operator lets a request run again.");
-    noteChange(before);
-    notifyOwner(request, peer::CrashMatter::Answered, 0);
     return true;
 }
 
@@ -270,8 +353,9 @@
     }
     peer::CrashWord reply;
     reply.ask = report.ask;
-    if (report.matter == peer::CrashMatter::AskAlone
-        && restriction(request) == SendRestriction::Alone) {
+    const bool leasable =
+            request == forward::anyFailedTrial() || restriction(request) == SendRestriction::Alone;
+    if (report.matter == peer::CrashMatter::AskAlone && leasable) {
         const auto wait =
                 aloneLeases_.tryAcquire(request, report.ask, now + 1ms * report.forMs, now);
         reply.granted = wait == kernel::Duration::zero();
--- a/src/services/CrashService.h
+++ b/src/services/CrashService.h
@@ -1,12 +1,12 @@
 /** \file
  * Keeps requests that crash backend servers from crashing one server of the fleet after another:
- * records which requests servers crashed under, exchanges these records with the owner of each such
- * request, and sends all boxes the records of requests that are restricted. forward/CrashTable.h
- * makes the decisions.
+ * records which features of requests (forward/CrashFeatures.h) servers crashed under, exchanges
+ * these records with the owner of each such feature, and sends all boxes the records of those that
+ * restrict requests. forward/CrashTable.h makes the decisions.
  *
- * The owner of a request is found by rendezvous hashing over the live boxes, so that one box counts
+ * The owner of a feature is found by rendezvous hashing over the live boxes, so that one box counts
  * the crashes that different boxes see. A request that has to run alone isn't sent without the
- * owner's permission.
+ * permission of the owners of all features that demand it.
  */
 #pragma once
 
@@ -29,17 +29,28 @@
 
 namespace limereel::services {
 
+/** A grant of the owner of a feature to send one request with it. */
+struct AloneGrant
+{
+    forward::RequestIdentity feature;
+    std::uint64_t ask = 0; ///< Identifies the grant.
+};
+
 /** Whether a request may be sent now. */
 struct SendPermission
 {
     forward::SendRestriction restriction = forward::SendRestriction::Free;
-    std::uint64_t aloneGrant = 0; ///< The grant to send it alone, to be handed back; 0: none.
+    std::size_t place = 0; ///< Of the prompt's part that restricts it; 0: the whole request does.
+    std::vector<AloneGrant> grants; ///< To send it alone; to be handed back.
     kernel::Duration notBefore{}; ///< If it may not be sent: how long to wait before the next try.
 
     bool granted() const
     {
-        return restriction == forward::SendRestriction::Free || aloneGrant != 0;
+        return restriction == forward::SendRestriction::Free || !grants.empty();
     }
+
+    /** Whether the answer to another request may lift the restriction any moment. */
+    bool mayClear() const { return restriction == forward::SendRestriction::Alone && place != 0; }
 };
 
 /** The result code for a request that \a permission denies. */
@@ -59,21 +70,33 @@
     void start() override;
     void stop() override;
 
-    /** Whether any request of this shape has a record, so that its restriction has to be checked
-     * before it is sent. */
-    bool concerns(std::uint64_t shape) const { return book_.concerns(shape); }
+    /** The features of a request that have records. */
+    std::vector<forward::CrashFeature> recordedOf(forward::RequestFeatures &features) const;
 
-    forward::SendRestriction restriction(const forward::RequestIdentity &request)
+    /** How a request with these recorded features may be sent. */
+    forward::SendVerdict verdict(const std::vector<forward::CrashFeature> &recorded)
     {
-        return book_.restriction(request, context_.now());
+        return book_.verdict(recorded, context_.now());
     }
 
-    /** Asks whether \a request may be sent. \param longest how long a send alone may take. */
-    boost::asio::awaitable<SendPermission> requestSendPermission(forward::RequestIdentity request,
-                                                                 kernel::Duration longest);
+    forward::SendRestriction restriction(const forward::RequestIdentity &feature)
+    {
+        return book_.restriction(feature, context_.now());
+    }
+
+    /** How requests with this feature and all others that can't be told from it may be sent. */
+    forward::SendRestriction standing(const forward::RequestIdentity &feature)
+    {
+        return book_.verdict(book_.sameCrashes(feature), context_.now()).restriction;
+    }
+
+    /** Asks whether a request with these recorded features may be sent. \param longest how long a
+     * send alone may take. */
+    boost::asio::awaitable<SendPermission>
+    requestSendPermission(std::vector<forward::CrashFeature> recorded, kernel::Duration longest);
 
     /** Notes that a send alone has ended without a crash, and returns its grant. */
-    void handBack(const forward::RequestIdentity &request, std::uint64_t aloneGrant);
+    void handBack(const AloneGrant &grant);
 
     /** Notes that an attempt was lost. If its server has crashed, reports that to the request's
      * owner and waits for the answer. If that isn't clear yet, a grant to run alone isn't handed
@@ -84,13 +107,14 @@
      * or its deadline. Its server may still turn out to have crashed. */
     void noteInterrupted(LostAttempt lost);
 
-    /** Notes that a request got its whole answer, or is still running after the time in which it
-     * would have crashed its server. \param aloneGrant the grant that it was sent with; 0: none. */
-    void noteAnswered(const forward::RequestIdentity &request, std::uint64_t aloneGrant);
+    /** Notes that a request with this feature got its whole answer, or is still running after the
+     * time in which it would have crashed its server. \param aloneGrant the grant that it was sent
+     * with; 0: none. */
+    void noteAnswered(const forward::RequestIdentity &feature, std::uint64_t aloneGrant);
 
-    /** Forgets the crashes of a request, as an operator lets it run again. \return whether there
-     * was a record of it. */
-    bool lift(const forward::RequestIdentity &request);
+    /** Forgets the crashes of a feature, as an operator lets requests with it run again. \return
+     * whether there was a record of it. */
+    bool lift(const forward::RequestIdentity &feature);
 
     CrashDetector &detector() { return detector_; }
 
@@ -126,9 +150,15 @@
         kernel::Instant due;
     };
 
-    boost::asio::awaitable<SendPermission> askAlone(forward::RequestIdentity request,
-                                                    kernel::Duration longest);
+    std::vector<forward::RequestIdentity>
+    leasesFor(const std::vector<forward::CrashFeature> &recorded) const;
+
+    /** Asks the owner of a feature for a grant; adds it to \a permission, or how long to wait. */
+    boost::asio::awaitable<bool> askAlone(forward::RequestIdentity feature,
+                                          kernel::Duration longest, SendPermission &permission);
+    void handBackAll(SendPermission &permission);
     boost::asio::awaitable<void> reportCrash(LostAttempt lost);
+    boost::asio::awaitable<void> reportFeature(LostFeature lost, std::uint64_t server);
     boost::asio::awaitable<std::optional<peer::CrashWord>> askOwner(peer::CrashReport report);
     peer::CrashReport reportOf(const forward::RequestIdentity &request, peer::CrashMatter matter);
     peer::CrashWord decide(const peer::CrashReport &report);
--- a/test/correctness/CrashFleetTest.cpp
+++ b/test/correctness/CrashFleetTest.cpp
@@ -21,6 +21,16 @@
 /** The settings of one simulation. */
 struct Plan
 {
+    using Features = std::vector<CrashFeature>;
+
+    /** The features of one more request of kind \a number; \a order counts all requests. */
+    std::function<Features(std::size_t number, std::uint64_t order)> featuresOf =
+            [](std::size_t number, std::uint64_t) {
+                return Features{{RequestIdentity{number, number, number}}};
+            };
+    kernel::Duration crashingEvery = 800ms; ///< Longest pause between two crashing requests.
+    kernel::Duration popularEvery = 80ms;   ///< The same of a kind that crashes no server.
+
     std::size_t boxes = 6;
     std::size_t servers = 9;
     std::size_t crashing = 2;      ///< Requests that crash every server that runs them.
@@ -34,7 +44,9 @@
 /** The result for one request. */
 struct Outcome
 {
+    std::size_t asks = 0;
     std::size_t sends = 0;
+    std::size_t answers = 0;
     std::size_t crashes = 0;    ///< Crashes of servers that ran it.
     std::size_t sendsAfter = 0; ///< Sends later than Contact after the third crash.
     std::size_t stops = 0;      ///< Refusals because it is stopped.
@@ -102,17 +114,22 @@
     struct Send
     {
         std::size_t number = 0;
+        Plan::Features features;
         std::size_t box = 0;
         std::size_t server = 0;
         std::uint64_t incarnation = 0;
-        std::uint64_t alone = 0;
+        /** The leases to send it alone, by feature; 0: none. */
+        std::vector<std::uint64_t> leases;
         bool over = false;
+
+        bool alone() const
+        {
+            return std::ranges::any_of(leases, [](std::uint64_t lease) { return lease != 0; });
+        }
     };
 
     static constexpr kernel::Instant Begin{1000s};
 
-    static RequestIdentity identity(std::size_t number) { return {number, number, number}; }
-
     void after(kernel::Duration wait, std::function<void()> run)
     {
         events_.push({now_ + wait, ++lastEvent_, std::move(run)});
@@ -123,43 +140,83 @@
         return kernel::Duration(static_cast<std::int64_t>(random_() % most.count()));
     }
 
-    std::size_t ownerOf(std::size_t number) const
+    std::size_t ownerOf(const CrashFeature &feature) const
     {
-        return *membership::ownerOf(identity(number).high, names_);
+        return *membership::ownerOf(feature.identity.high, names_);
     }
 
     // Callers ignore the time to wait that a refusal states. A frequent request is sent ten times
     // as often.
     void scheduleRepeat(std::size_t number)
     {
-        after(upTo(crashesServers(number) ? 800ms : 80ms), [this, number] {
-            ask(number, random_() % plan_.boxes);
-            scheduleRepeat(number);
-        });
+        after(upTo(crashesServers(number) ? plan_.crashingEvery : plan_.popularEvery),
+              [this, number] {
+                  const std::size_t box = random_() % plan_.boxes;
+                  ask({.number = number,
+                       .features = plan_.featuresOf(number, ++lastRequest_),
+                       .box = box});
+                  scheduleRepeat(number);
+              });
+    }
+
+    void ask(Send request)
+    {
+        const SendVerdict verdict = boxes_[request.box].table.verdict(request.features, now_);
+        Outcome &outcome = outcomes_[request.number];
+        ++outcome.asks;
+        outcome.stops += verdict.restriction == SendRestriction::Stopped ? 1 : 0;
+        if (verdict.restriction == SendRestriction::Free) {
+            send(std::move(request));
+        } else if (verdict.waits == 0s && verdict.restriction == SendRestriction::Alone
+                   && arrives()) {
+            after(1ms, [this, request = std::move(request)] { grant(request); });
+        }
     }
 
-    void ask(std::size_t number, std::size_t box)
+    void grant(Send request)
     {
-        const SendRestriction restriction = boxes_[box].table.restriction(identity(number), now_);
-        outcomes_[number].stops += restriction == SendRestriction::Stopped ? 1 : 0;
-        if (restriction == SendRestriction::Free) {
-            send({.number = number, .box = box});
-        } else if (restriction == SendRestriction::Alone && arrives()) {
-            after(1ms, [this, number, box] { grant(number, box); });
+        const CrashTable &table = boxes_[request.box].table;
+        bool granted = true;
+        bool failedBefore = false;
+        for (const CrashFeature &feature : request.features) {
+            const bool needed = table.needsLease(feature.identity);
+            request.leases.push_back(needed && granted ? lease(request.box, feature) : 0);
+            granted = granted && (!needed || request.leases.back() != 0);
+            failedBefore = failedBefore || table.hasFailedTrials(feature.identity);
+        }
+        if (granted && failedBefore) {
+            request.features.push_back({anyFailedTrial()});
+            request.leases.push_back(lease(request.box, request.features.back()));
+            granted = request.leases.back() != 0;
+        }
+        // More may have become known.
+        const SendVerdict verdict = boxes_[request.box].table.verdict(request.features, now_);
+        granted = granted && verdict.restriction != SendRestriction::Stopped;
+        if (granted && arrives()) {
+            after(1ms, [this, request = std::move(request)] { send(request); });
+        } else if (!granted) {
+            releaseLeases(request);
         }
     }
 
-    void grant(std::size_t number, std::size_t box)
+    // A lease of the feature's owner; 0: it has granted one to another request.
+    std::uint64_t lease(std::size_t box, const CrashFeature &feature)
     {
-        Box &owner = boxes_[ownerOf(number)];
-        sendRecord(box, ownerOf(number), number);
+        Box &owner = boxes_[ownerOf(feature)];
+        sendRecord(box, ownerOf(feature), feature);
         const std::uint64_t ask = ++lastAsk_;
         const bool granted =
-                owner.table.restriction(identity(number), now_) == SendRestriction::Alone
-                && owner.leases.tryAcquire(identity(number), ask, now_ + LongestAlone, now_) == 0s;
-        if (granted && arrives()) {
-            after(1ms,
-                  [this, number, box, ask] { send({.number = number, .box = box, .alone = ask}); });
+                (feature.identity == anyFailedTrial()
+                 || owner.table.restriction(feature.identity, now_) == SendRestriction::Alone)
+                && owner.leases.tryAcquire(feature.identity, ask, now_ + LongestAlone, now_) == 0s;
+        return granted ? ask : 0;
+    }
+
+    void releaseLeases(const Send &send)
+    {
+        for (std::size_t index = 0; index < send.leases.size(); ++index) {
+            const CrashFeature &feature = send.features[index];
+            boxes_[ownerOf(feature)].leases.releaseLease(feature.identity, send.leases[index]);
         }
     }
 
@@ -182,11 +239,11 @@
 
     void send(Send begun)
     {
-        begun.server = begun.alone != 0 ? leastLoaded() : random_() % plan_.servers;
+        begun.server = begun.alone() ? leastLoaded() : random_() % plan_.servers;
         begun.incarnation = incarnations_[begun.server];
         if (begun.incarnation == 0) {
             // Nothing listens there: the request isn't sent, and the lease is released.
-            boxes_[ownerOf(begun.number)].leases.releaseLease(identity(begun.number), begun.alone);
+            releaseLeases(begun);
             return;
         }
         Outcome &outcome = outcomes_[begun.number];
@@ -209,11 +266,13 @@
             return;
         }
         send.over = true;
-        const RequestIdentity request = identity(send.number);
-        if (boxes_[send.box].table.forget(request, now_)) {
-            sendRecordToOwner(send.box, send.number);
+        ++outcomes_[send.number].answers;
+        for (const CrashFeature &feature : send.features) {
+            if (boxes_[send.box].table.forget(feature.identity, now_)) {
+                sendRecordToOwner(send.box, feature);
+            }
         }
-        boxes_[ownerOf(send.number)].leases.releaseLease(request, send.alone);
+        releaseLeases(send);
     }
 
     void crashServer(std::size_t server, std::uint64_t incarnation)
@@ -237,10 +296,18 @@
         if (++outcome.crashes == 3) {
             outcome.third = now_;
         }
-        boxes_[send.box].table.noteCrash(identity(send.number), send.incarnation, send.alone != 0,
-                                         now_);
-        boxes_[ownerOf(send.number)].leases.releaseLease(identity(send.number), send.alone);
-        sendRecordToOwner(send.box, send.number);
+        for (std::size_t index = 0; index < send.features.size(); ++index) {
+            if (send.features[index].identity == anyFailedTrial()) {
+                continue;
+            }
+            const bool alone = index < send.leases.size() && send.leases[index] != 0;
+            boxes_[send.box].table.noteCrash(send.features[index].identity, send.incarnation, alone,
+                                             now_);
+        }
+        releaseLeases(send);
+        for (const CrashFeature &feature : send.features) {
+            sendRecordToOwner(send.box, feature);
+        }
     }
 
     void crashWave()
@@ -254,35 +321,35 @@
 
     bool arrives() { return std::uniform_real_distribution<>(0, 1)(random_) >= plan_.lost; }
 
-    void sendRecord(std::size_t from, std::size_t to, std::size_t number)
+    void sendRecord(std::size_t from, std::size_t to, const CrashFeature &feature)
     {
-        const CrashRecord record = boxes_[from].table.record(identity(number));
-        if (boxes_[to].table.merge(record, now_) && to == ownerOf(number)) {
-            broadcastRecord(number);
+        const CrashRecord record = boxes_[from].table.record(feature.identity);
+        if (boxes_[to].table.merge(record, now_) && to == ownerOf(feature)) {
+            broadcastRecord(feature);
         }
     }
 
-    void sendRecordToOwner(std::size_t box, std::size_t number)
+    void sendRecordToOwner(std::size_t box, const CrashFeature &feature)
     {
-        const std::size_t owner = ownerOf(number);
+        const std::size_t owner = ownerOf(feature);
         if (box == owner) {
-            broadcastRecord(number);
+            broadcastRecord(feature);
         } else if (arrives()) {
-            after(1ms, [this, box, owner, number] { sendRecord(box, owner, number); });
+            after(1ms, [this, box, owner, feature] { sendRecord(box, owner, feature); });
         }
     }
 
-    void broadcastRecord(std::size_t number)
+    void broadcastRecord(const CrashFeature &feature)
     {
-        const std::size_t owner = ownerOf(number);
-        if (!boxes_[owner].table.isShared(identity(number))) {
+        const std::size_t owner = ownerOf(feature);
+        if (!boxes_[owner].table.isShared(feature.identity)) {
             return;
         }
         for (const kernel::Duration wait :
              {kernel::Duration(1ms), kernel::Duration(300ms), kernel::Duration(1200ms)}) {
             for (std::size_t box = 0; box < plan_.boxes; ++box) {
                 if (box != owner && arrives()) {
-                    after(wait, [this, owner, box, number] { sendRecord(owner, box, number); });
+                    after(wait, [this, owner, box, feature] { sendRecord(owner, box, feature); });
                 }
             }
         }
@@ -301,6 +368,7 @@
     std::uint64_t lastIncarnation_ = 0;
     std::uint64_t lastEvent_ = 0;
     std::uint64_t lastAsk_ = 0;
+    std::uint64_t lastRequest_ = 0;
 };
 
 /** The results of many simulations. */
@@ -311,6 +379,9 @@
     /** Crashing requests that were sent too often after their third crash. */
     std::size_t tooManyAfter = 0;
     std::size_t mostCrashes = 0; ///< Most crashes by one crashing request.
+    double harmlessAsked = 0;
+    double harmlessRefused = 0;  ///< As stopped.
+    double harmlessAnswered = 0; ///< At the first try.
 };
 
 Totals playMany(const Plan &plan, std::uint64_t seeds)
@@ -327,6 +398,9 @@
                 sum.mostCrashes = std::max(sum.mostCrashes, outcome.crashes);
             } else {
                 harmed = harmed || outcome.stops > 0;
+                sum.harmlessRefused += static_cast<double>(outcome.stops);
+                sum.harmlessAsked += static_cast<double>(outcome.asks);
+                sum.harmlessAnswered += static_cast<double>(outcome.answers);
             }
         }
         sum.harmlessStopped += harmed ? 1 : 0;
@@ -335,13 +409,55 @@
     return sum;
 }
 
+// A part of prompts that is \a number; \a organisation 0: of all.
+CrashFeature partFeature(std::uint64_t number, std::uint64_t organisation, std::size_t place)
+{
+    constexpr std::uint64_t FirstPart = 1'000'000;
+    const std::uint64_t name = FirstPart * (organisation + 1) + number;
+    return {{name, name, name}, place};
+}
+
+// No two requests are alike. All share a part, each crashing kind has one of its own, and the
+// others have one of forty.
+Plan::Features requestWithParts(std::size_t number, std::uint64_t order, std::size_t crashing)
+{
+    constexpr std::uint64_t Shared = 1;
+    constexpr std::uint64_t FirstCrashing = 100;
+    constexpr std::uint64_t FirstRare = 1000;
+    constexpr std::uint64_t Rare = 40;
+    constexpr std::uint64_t Organisations = 3;
+    const std::uint64_t organisation = 1 + number % Organisations;
+    const std::uint64_t own = number < crashing ? FirstCrashing + number : FirstRare + order % Rare;
+    Plan::Features features = {{RequestIdentity{order, order, order}}};
+    std::size_t place = 0;
+    for (const std::uint64_t part : {Shared, own}) {
+        ++place;
+        features.push_back(partFeature(part, 0, place));
+        features.push_back(partFeature(part, organisation, place));
+    }
+    return features;
+}
+
+Plan planWithParts(std::size_t crashing)
+{
+    Plan plan{.crashing = crashing};
+    plan.featuresOf = [crashing](std::size_t number, std::uint64_t order) {
+        return requestWithParts(number, order, crashing);
+    };
+    plan.crashingEvery = 200ms;
+    return plan;
+}
+
 void check(const Plan &plan, std::uint64_t seeds)
 {
     const Totals sum = playMany(plan, seeds);
     BOOST_TEST(sum.harmlessStopped == 0U);
     BOOST_TEST(sum.tooManyAfter == 0U);
     BOOST_TEST_MESSAGE("most crashes by one request: "
-                       << sum.mostCrashes
+                       << sum.mostCrashes << ", share of harmless ones answered: "
+                       << sum.harmlessAnswered / static_cast<double>(sum.harmlessAsked)
+                       << ", refused as stopped: " << sum.harmlessRefused / sum.harmlessAsked
+                       << ", histories with one stopped: " << sum.harmlessStopped
                        << ", last seed with a harmless request stopped: " << sum.lastHarmedSeed);
 }
 
@@ -380,4 +496,41 @@
           20);
 }
 
+BOOST_AUTO_TEST_CASE(parts_oneCrashesServers_onlyRequestsWithItAreStopped)
+{
+    check(planWithParts(1), 300);
+}
+
+BOOST_AUTO_TEST_CASE(parts_threeCrashServersAndMessagesAreLost_onlyRequestsWithThemAreStopped)
+{
+    Plan plan = planWithParts(3);
+    plan.lost = 0.03;
+    check(plan, 300);
+}
+
+BOOST_AUTO_TEST_CASE(parts_stormsBesideACrashingOne_onlyRequestsWithItAreStopped)
+{
+    Plan plan = planWithParts(1);
+    plan.lost = 0.03;
+    plan.crashWavesAt = {4, 9};
+    check(plan, 300);
+}
+
+BOOST_AUTO_TEST_CASE(parts_allServersCrashAndNoPartIsToBlame_nothingIsStopped)
+{
+    Plan plan = planWithParts(0);
+    plan.crashWavesAt = {4, 9};
+    plan.crashWaveShare = 1;
+    check(plan, 100);
+}
+
+BOOST_AUTO_TEST_CASE(parts_eightyThreeBoxes_onlyRequestsWithThemAreStopped)
+{
+    Plan plan = planWithParts(2);
+    plan.boxes = 83;
+    plan.servers = 60;
+    plan.lost = 0.03;
+    check(plan, 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/CrashFixture.h
+++ b/test/platform/CrashFixture.h
@@ -32,7 +32,7 @@
 {
     std::string prefix = "/stream/"; ///< Of its path.
     std::string body = "harmless";
-    std::string prompt = "aa:100,bb:100,cc:100"; ///< Only sent on "/stream/".
+    std::string prompt = "cc:300"; ///< Only sent on "/stream/".
     std::string key = "key-one";
 };
 
--- a/test/platform/CrashingPartTest.cpp
+++ b/test/platform/CrashingPartTest.cpp
@@ -131,7 +131,14 @@
         until(done, "all answers");
     }
 
-    /** Waits until each box has a record in the state Stopped of the part "bad". */
+    /** Lets boxes and engines go on for a while. */
+    void pause(kernel::Duration lasts)
+    {
+        const Clock::time_point end = Clock::now() + lasts;
+        until([end] { return Clock::now() >= end; }, "a pause");
+    }
+
+    /** Waits until a part's record lies in the store. */
     void untilPartIsStopped()
     {
         until([this] { return !store().objects("stopped-requests").empty(); }, "its object");
@@ -228,6 +235,23 @@
     BOOST_TEST(ends() == ended);
 }
 
+// Guards against harm to parts of a request that ends servers for its body, not for its parts.
+BOOST_AUTO_TEST_CASE(requestEndsItsServersByItsBody_othersWithItsPartsAreServed)
+{
+    startAll();
+    const Ask crashing{.body = Crashing, .prompt = "dd:60,ee:60,ff:40"};
+    for (std::size_t turn = 0; turn < 15; ++turn) {
+        call(turn % Boxes, crashing);
+        bringBack();
+        pause(100ms);
+    }
+    BOOST_TEST(ended() <= 3U);
+    for (std::size_t box = 0; box < Boxes; ++box) {
+        BOOST_TEST(call(box, {.prompt = "dd:60,ee:60,cc:40"}).status == 200);
+    }
+    BOOST_TEST(call(0, crashing).status == 503);
+}
+
 // Guards against an organisation that gets another one's part stopped.
 BOOST_AUTO_TEST_CASE(organisationEndsServersUnderAnothersPart_theOtherIsServed)
 {
@@ -240,6 +264,35 @@
     BOOST_TEST(ends() <= MostEnds);
 }
 
+BOOST_AUTO_TEST_CASE(stoppedPart_operatorLiftsIt_runsAgainAtEachBox)
+{
+    startAll();
+    Flow crashing(Places[1], 100ms);
+    play(2s, {&crashing});
+    untilPartIsStopped();
+    for (std::size_t index = 0; index < engines_.size(); ++index) {
+        engines_[index]->endedByParts.clear();
+    }
+    crashingParts.clear();
+    bringBack();
+    const Ask with{.prompt = "aa:100,bad:70,cc:40"};
+    const Got refused = call(1, with);
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(counter(1, "results", {{"kind", "refused"}, {"code", "part-ends-servers"}}) > 0U);
+    BOOST_TEST(lift(2, "part=none", std::string(64, 'a')) == 404);
+    BOOST_TEST(lift(2, "part=bad", std::string(64, 'a')) == 200);
+    until([&] { return store().objects("stopped-requests").empty(); }, "the objects' end");
+    const auto isFree = [&](std::size_t box) {
+        const auto records = crashes(box).book().shared();
+        return std::ranges::all_of(records,
+                                   [](const auto &record) { return record.servers.empty(); });
+    };
+    for (std::size_t box = 0; box < Boxes; ++box) {
+        until([&] { return isFree(box); }, "the part's end at each box");
+        BOOST_TEST(call(box, with).status == 200);
+    }
+}
+
 // Guards against harmless requests that are stopped where servers end by themselves.
 BOOST_AUTO_TEST_CASE(serversEndByThemselves_nothingIsStopped)
 {
