Soak: requests with one part of a prompt end servers

Cause: no soak had servers that end by what different requests have in common. The judge's own case breaks the promise on purpose.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -135,6 +135,23 @@
     BOOST_TEST(broken() == "a request that ends its servers is stopped");
 }
 
+BOOST_AUTO_TEST_CASE(partEndsItsServers_requestsWithItReachMoreThanTheyMay_isSeen)
+{
+    const auto crash = [this](const std::string &id, kernel::Duration sent) {
+        judge.noteAttempt({id, Kind::OnceStream, "key-one", 0, 1, 0, at(sent), false, true});
+        judge.noteArrival({id, "i-" + id, "one", true, at(sent)});
+    };
+    for (const char *id : {"a1", "a2", "a3", "a4", "a5"}) {
+        crash(id, 0s);
+    }
+    for (const char *id : {"a6", "a7", "a8"}) {
+        crash(id, 10s);
+    }
+    BOOST_TEST(broken() == "");
+    crash("a9", 20s);
+    BOOST_TEST(broken() == "a request that ends its servers is stopped");
+}
+
 BOOST_AUTO_TEST_CASE(answer_ofAnotherRequestOrNotWhole_isSeen)
 {
     attempt("a1", Kind::Repeatable);
@@ -339,6 +356,20 @@
     }
 }
 
+// A part of prompts ends servers beside all other faults.
+BOOST_AUTO_TEST_CASE(shortSoak_crashingParts_keepsEveryPromise)
+{
+    for (const std::uint64_t seed : {9U, 10U}) {
+        SoakPlan plan;
+        plan.crashingParts = true;
+        plan.servers = 6;
+        const SoakReport report = play(seed, 6s, plan);
+        BOOST_TEST(report.served > 0U);
+        BOOST_TEST(report.ends > 0U);
+        BOOST_TEST(!report.faults.empty());
+    }
+}
+
 // Servers of several software versions crash and are replaced beside all other faults, and callers
 // take streams up.
 BOOST_AUTO_TEST_CASE(shortSoak_severalVersions_keepsEveryPromise)
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -61,6 +61,8 @@
                  "halls of servers are drained, and servers are cold after a start");
     app.add_flag("--crashing", plan.crashing,
                  "some requests end each server that begins to run them");
+    app.add_flag("--crashing-parts", plan.crashingParts,
+                 "requests with one part of a prompt, no two alike, end such servers");
     app.add_flag(
             "--scarce", plan.scarce,
             "servers have few slots and are slow at times, callers ask for more than they run");
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -64,7 +64,13 @@
         , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing, scarceSlots(plan),
                  plan.versions)
         , faults_(fleet_, world_, judge_, plan.seed, plan.serverStates)
-        , callers_{io_, fleet_, world_, judge_, std::mt19937_64(plan.seed + 1), plan.crashing}
+        , callers_{io_,
+                   fleet_,
+                   world_,
+                   judge_,
+                   std::mt19937_64(plan.seed + 1),
+                   plan.crashing,
+                   plan.crashingParts}
     {
     }
 
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -33,6 +33,9 @@
     /** Some requests end each server that begins to run them. */
     bool crashing = false;
 
+    /** The same of requests with one part of a prompt, no two of which are alike. */
+    bool crashingParts = false;
+
     /** Servers have few slots and a short queue and are slow at times, callers ask for more than
      * they can run at times, and one organisation sends most of it. Gateways have admission. */
     bool scarce = false;
--- a/test/platform/soak/SoakCaller.cpp
+++ b/test/platform/soak/SoakCaller.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** By what a request ends the servers that begin to run it. */
+enum class Crashes : std::uint8_t { Not, ByBody, ByPart };
+
 constexpr kernel::Duration LongestConnect = 500ms;
 constexpr kernel::Duration Deadline = 2s;
 constexpr kernel::Duration Patience = 3s; ///< Beyond the deadline: then the caller ends it.
@@ -67,6 +70,15 @@
     return "/version-" + std::to_string(version) + "/x";
 }
 
+std::string bodyOf(const SoakAttempt &attempt, bool posted)
+{
+    if (attempt.ends) {
+        return CrashingBody;
+    }
+    const std::string body = attempt.endsByPart ? "the body of " + attempt.id : "the body";
+    return posted ? body : "";
+}
+
 http::Request requestOf(const SoakAttempt &attempt, const HeldStream &held)
 {
     http::Fields fields;
@@ -84,17 +96,22 @@
     if (stream) {
         fields.add("X-Model", "m");
         fields.add("X-Token-Count", "300,20");
-        fields.add("X-Prompt-Prefix", "aa:100,bb:100,cc:100");
+        // The last part is the request's own, so that no two with the crashing part are alike.
+        const std::string part = CrashingPart;
+        fields.add("X-Prompt-Prefix", attempt.endsByPart
+                                              ? "aa:100," + part + ":100," + attempt.id + ":100"
+                                              : "aa:100,bb:100,cc:100");
     }
     const bool posted = stream || attempt.kind == Kind::Once;
     return {posted ? "POST" : "GET", pathOf(attempt.kind, attempt.version), fields,
-            attempt.ends ? CrashingBody : (posted ? "the body" : "")};
+            bodyOf(attempt, posted)};
 }
 
-SoakAttempt attemptOf(CallerWorld &shared, const Line &line, Kind kind, bool ends)
+SoakAttempt attemptOf(CallerWorld &shared, const Line &line, Kind kind, Crashes crashes)
 {
     SoakAttempt attempt;
-    attempt.ends = ends;
+    attempt.ends = crashes == Crashes::ByBody;
+    attempt.endsByPart = crashes == Crashes::ByPart;
     attempt.id = "a" + std::to_string(++shared.nextId);
     attempt.kind = kind;
     attempt.box = line.box;
@@ -142,10 +159,10 @@
 
 // \\return the status; 0 if there was no whole answer or the caller left. What it has of a stream
 // is added to \a held.
-asio::awaitable<int> exchange(CallerWorld &shared, Line line, Kind kind, bool leaves, bool ends,
-                              HeldStream &held)
+asio::awaitable<int> exchange(CallerWorld &shared, Line line, Kind kind, bool leaves,
+                              Crashes crashes, HeldStream &held)
 {
-    SoakAttempt attempt = attemptOf(shared, line, kind, ends);
+    SoakAttempt attempt = attemptOf(shared, line, kind, crashes);
     if (!held.first.empty()) {
         attempt.key = held.key;
     }
@@ -204,7 +221,7 @@
         const std::size_t before = held.events.size();
         ++shared.takeUps;
         const int status =
-                co_await exchange(shared, line, Kind::ResumableStream, false, false, held);
+                co_await exchange(shared, line, Kind::ResumableStream, false, Crashes::Not, held);
         const bool wentOn = status == Good || held.events.size() > before;
         shared.takenUp += wentOn ? 1 : 0;
         if (status == Good) {
@@ -218,6 +235,15 @@
     return static_cast<Kind>(shared.random() % (static_cast<std::size_t>(Kind::VersionProbe) + 1));
 }
 
+Crashes drawCrashes(CallerWorld &shared)
+{
+    if (shared.crashing && shared.random() % CrashesOneIn == 0) {
+        return Crashes::ByBody;
+    }
+    const bool byPart = shared.crashingParts && shared.random() % CrashesOneIn == 0;
+    return byPart ? Crashes::ByPart : Crashes::Not;
+}
+
 Kind crashingKind(CallerWorld &shared)
 {
     return shared.random() % 2 == 0 ? Kind::OnceStream : Kind::ResumableStream;
@@ -247,11 +273,11 @@
         if (!line.connection) {
             continue;
         }
-        const bool ends = shared.crashing && shared.random() % CrashesOneIn == 0;
-        const Kind kind = ends ? crashingKind(shared) : anyKind(shared);
+        const Crashes crashes = drawCrashes(shared);
+        const Kind kind = crashes == Crashes::Not ? anyKind(shared) : crashingKind(shared);
         const bool leaves = shared.random() % LeavesOneIn == 0;
         HeldStream held;
-        const int status = co_await exchange(shared, line, kind, leaves, ends, held);
+        const int status = co_await exchange(shared, line, kind, leaves, crashes, held);
         if (status == 0) {
             line.connection.reset();
         }
@@ -281,7 +307,7 @@
         co_return 0;
     }
     HeldStream none;
-    const int status = co_await exchange(shared, line, kind, false, false, none);
+    const int status = co_await exchange(shared, line, kind, false, Crashes::Not, none);
     co_return status;
 }
 
--- a/test/platform/soak/SoakJudge.cpp
+++ b/test/platform/soak/SoakJudge.cpp
@@ -263,17 +263,24 @@
     }
 }
 
-// Three servers may end under a request; once boxes have had the time to know, three more sends are
-// allowed, all boxes together.
+// Three servers may end under a request, and five under a part of prompts; once boxes have had the
+// time to know, three more sends are allowed, all boxes together.
 void SoakJudge::checkCrashing(const SoakAttempt &attempt, const SoakArrival &arrival)
 {
-    if (!attempt.ends) {
-        return;
+    constexpr int MostEndsOfRequest = 3;
+    constexpr int MostEndsOfPart = 5;
+    if (attempt.ends) {
+        noteEnd(crashing_[attempt.kind], MostEndsOfRequest, attempt, arrival);
+    } else if (attempt.endsByPart) {
+        noteEnd(crashingPart_, MostEndsOfPart, attempt, arrival);
     }
-    constexpr int MostEnds = 3;
+}
+
+void SoakJudge::noteEnd(Crashing &crashing, int mostEnds, const SoakAttempt &attempt,
+                        const SoakArrival &arrival)
+{
     constexpr int MostAfter = 3;
-    Crashing &crashing = crashing_[attempt.kind];
-    const bool known = crashing.ends >= MostEnds && attempt.sent > crashing.third + bounds_.contact
+    const bool known = crashing.ends >= mostEnds && attempt.sent > crashing.known + bounds_.contact
                        && attempt.sent > outOfTouch_[attempt.box] + bounds_.contact;
     crashing.after += known ? 1 : 0;
     if (known && crashing.after > MostAfter) {
@@ -281,14 +288,14 @@
                arrival.id + " reached " + arrival.server + " after " + std::to_string(crashing.ends)
                        + " had ended");
     }
-    if (++crashing.ends == MostEnds) {
-        crashing.third = arrival.at;
+    if (++crashing.ends == mostEnds) {
+        crashing.known = arrival.at;
     }
 }
 
 std::size_t SoakJudge::ends() const
 {
-    std::size_t sum = 0;
+    auto sum = static_cast<std::size_t>(crashingPart_.ends);
     for (const auto &[kind, crashing] : crashing_) {
         sum += static_cast<std::size_t>(crashing.ends);
     }
@@ -297,7 +304,7 @@
 
 std::size_t SoakJudge::endsJudged() const
 {
-    std::size_t sum = 0;
+    auto sum = static_cast<std::size_t>(crashingPart_.after);
     for (const auto &[kind, crashing] : crashing_) {
         sum += static_cast<std::size_t>(crashing.after);
     }
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -28,7 +28,8 @@
     int process = 0; ///< Which process of the box took it.
     int version = 0; ///< Of a VersionProbe: the configuration that alone allows it.
     kernel::Instant sent;
-    bool ends = false; ///< It ends each server that begins to run it.
+    bool ends = false;       ///< It ends each server that begins to run it.
+    bool endsByPart = false; ///< A part of its prompt does so, whatever else it holds.
 };
 
 /** What the caller got. */
@@ -164,17 +165,21 @@
     kernel::Instant serverEnded_;
     kernel::Instant shortage_;
 
-    /** Of one request that ends its servers. */
+    /** Of one request, or of all with one part of a prompt, that end their servers. */
     struct Crashing
     {
         int ends = 0;
-        kernel::Instant third; ///< Of these ends.
+        kernel::Instant known; ///< The end that all boxes must know of soon after.
         int after = 0;         ///< Later sends, by boxes that had the time to know.
     };
 
+    void noteEnd(Crashing &crashing, int mostEnds, const SoakAttempt &attempt,
+                 const SoakArrival &arrival);
+
     std::map<std::size_t, kernel::Instant> outOfTouch_; ///< By box, the last time.
     std::map<std::size_t, kernel::Instant> absent_;     ///< By box, the last time.
     std::map<Kind, Crashing> crashing_;                 ///< All of one kind are one request.
+    Crashing crashingPart_;
     std::map<std::string, kernel::Instant> leaving_;
     std::map<std::string, kernel::Instant> drained_; ///< By hall.
     std::map<std::string, kernel::Instant> cold_;    ///< By server.
--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -114,6 +114,8 @@
         server.runner->pause = LongBetweenEvents;
     }
     server.runner->endedBy = crashing_ ? CrashingBody : "";
+    // Callers use it only in a soak with such parts.
+    server.runner->endedByParts = {CrashingPart};
     server.runner->endsAfter = BetweenEvents;
     server.runner->slots = scarceSlots_;
     server.runner->queue = scarceSlots_;
--- a/test/platform/soak/SoakWorld.h
+++ b/test/platform/soak/SoakWorld.h
@@ -36,6 +36,9 @@
 /** The body of a request that ends each server that begins to run it. */
 inline constexpr const char *CrashingBody = "the body that ends servers";
 
+/** The id of a part of prompts that does the same. */
+inline constexpr const char *CrashingPart = "dead";
+
 /** The surroundings. */
 class SoakWorld
 {
