--- a/test/correctness/CrashTableTest.cpp
+++ b/test/correctness/CrashTableTest.cpp
@@ -116,6 +116,63 @@
     BOOST_TEST((table.restriction(Suspect, at(3s)) == SendRestriction::Stopped));
 }
 
+// Two features that always come together can't be told apart; what comes with one of them can.
+BOOST_AUTO_TEST_CASE(verdict_twoFeaturesAlwaysTogether_requestsWithOneOfThemMayBeTried)
+{
+    const std::vector<CrashFeature> both = {{request(1), 1}, {request(2), 2}};
+    for (const std::uint64_t server : {1U, 2U, 3U}) {
+        for (const CrashFeature &feature : both) {
+            table.noteCrash(feature.identity, server, server == 3, at(0s));
+        }
+    }
+    BOOST_TEST((table.verdict(both, at(1s)).restriction == SendRestriction::Stopped));
+    for (const CrashFeature &one : both) {
+        BOOST_TEST((table.verdict({&one, 1}, at(1s)).restriction == SendRestriction::Alone));
+    }
+    table.forget(request(1), at(2s));
+    BOOST_TEST((table.verdict({&both[1], 1}, at(2s)).restriction == SendRestriction::Stopped));
+    BOOST_TEST((table.verdict({both.data(), 1}, at(2s)).restriction == SendRestriction::Free));
+}
+
+// The harmless one ran alone at a server that the other one ended.
+BOOST_AUTO_TEST_CASE(verdict_crashIsExplainedByAnotherFeature_doesNotCount)
+{
+    for (const std::uint64_t server : {1U, 2U}) {
+        crash(server);
+    }
+    for (const std::uint64_t server : {5U, 6U, 7U, 8U}) {
+        table.noteCrash(request(2), server, server != 5, at(0s));
+    }
+    crash(7, true);
+    const CrashFeature harmless{Suspect};
+    const CrashFeature crashing{request(2)};
+    BOOST_TEST((table.verdict({&harmless, 1}, at(0s)).restriction == SendRestriction::Alone));
+    BOOST_TEST((table.verdict({&crashing, 1}, at(0s)).restriction == SendRestriction::Stopped));
+}
+
+BOOST_AUTO_TEST_CASE(verdict_severalSuspectedParts_waitsAMomentForFewer)
+{
+    const std::vector<CrashFeature> both = {{request(1), 1}, {request(2), 2}};
+    for (const CrashFeature &feature : both) {
+        table.noteCrash(feature.identity, 1, false, at(0s));
+        table.noteCrash(feature.identity, 2, false, at(0s));
+    }
+    BOOST_TEST((table.verdict(both, at(0s)).waits == 300ms));
+    BOOST_TEST((table.verdict(both, at(300ms)).waits == 0s));
+    BOOST_TEST((table.verdict({both.data(), 1}, at(0s)).waits == 0s));
+}
+
+BOOST_AUTO_TEST_CASE(explainedBy_featureHasNoOtherCrashes_isNamed)
+{
+    for (const std::uint64_t server : {1U, 2U, 3U}) {
+        crash(server);
+    }
+    table.noteCrash(request(2), 2, false, at(0s));
+    table.noteCrash(request(3), 3, false, at(0s));
+    table.noteCrash(request(3), 4, false, at(0s));
+    BOOST_TEST((table.explainedBy(Suspect) == std::vector<RequestIdentity>{request(2)}));
+}
+
 BOOST_AUTO_TEST_CASE(merge_clearedElsewhere_olderRoundsAreVoid)
 {
     crash(1);
--- a/test/platform/CrashFixture.cpp
+++ b/test/platform/CrashFixture.cpp
@@ -13,7 +13,7 @@
 
 void CrashFixture::startAll()
 {
-    moreSettings = "drain-within = 500ms\n";
+    moreSettings += "drain-within = 500ms\n";
     putConfiguration();
     for (std::size_t index = 0; index < engineCount; ++index) {
         startEngine(freeEndpoint());
@@ -248,6 +248,9 @@
     engine->endsAfter = endsAfter;
     engine->portEndsAfter = portEndsAfter;
     engine->pause = betweenEvents;
+    engine->slots = engineSlots;
+    engine->queue = engineQueue;
+    engine->work = engineWork;
     putEntry(engine->name(), where);
     engines_.push_back(std::move(engine));
 }
@@ -259,7 +262,7 @@
                  {"address", kernel::text(where)},
                  {"zone", "hall-a"},
                  {"version", "v1"},
-                 {"slots", 8},
+                 {"slots", engineSlots == 0 ? 8 : engineSlots},
                  {"state", "ready"},
                  {"cold_left_ms", 0},
                  {"models", json::array()},
@@ -289,13 +292,16 @@
     for (const std::string name : {"one", "two"}) {
         organisations.push_back({{"name", name}, {"api_keys", json::array({"key-" + name})}});
     }
-    store().put("config", "main",
-                {{"version", 1},
-                 {"routes", routes},
-                 {"services", json::array({{{"name", "pool"},
-                                            {"max_conns", 100},
-                                            {"engine", {{"slots", 8}, {"moves", true}}}}})},
-                 {"tenants", organisations}});
+    store().put(
+            "config", "main",
+            {{"version", 1},
+             {"routes", routes},
+             {"services",
+              json::array({{{"name", "pool"},
+                            {"max_conns", 100},
+                            {"engine",
+                             {{"slots", engineSlots == 0 ? 8 : engineSlots}, {"moves", true}}}}})},
+             {"tenants", organisations}});
 }
 
 asio::awaitable<void> CrashFixture::exchange(kernel::Endpoint where, http::Request request,
--- a/test/platform/CrashFixture.h
+++ b/test/platform/CrashFixture.h
@@ -89,9 +89,12 @@
     void letProcessesFollowEachOther();
 
     std::vector<std::unique_ptr<standin::RunnerStandin>> engines_;
-    std::size_t engineCount = 6;          ///< Read by startAll().
-    std::set<std::string> crashingParts;  ///< Read as an engine starts.
-    kernel::Duration endsAfter = 5ms;     ///< Read as an engine starts.
+    std::size_t engineSlots = 0;         ///< 0: as many as are asked for. Read as an engine starts.
+    std::size_t engineQueue = 0;         ///< Beyond its slots. Read as an engine starts.
+    kernel::Duration engineWork = 0ms;   ///< Before an answer. Read as an engine starts.
+    std::size_t engineCount = 6;         ///< Read by startAll().
+    std::set<std::string> crashingParts; ///< Read as an engine starts.
+    kernel::Duration endsAfter = 5ms;    ///< Read as an engine starts.
     kernel::Duration portEndsAfter = 0ms; ///< Read as an engine starts.
     kernel::Duration betweenEvents = 0ms; ///< Read as an engine starts.
 
