A part of prompts that is stopped is tried again after ten seconds

Cause: two requests that end servers and a part that does so all held another part, which alone explained four ends; it was stopped for two minutes, as a whole request is, and requests with more suspects used its trials. Change: a part is tried again after 10 and 80 s; each suspected part beyond the first waits 200 ms after an end, so that requests with fewer go first.

--- a/src/forward/CrashTable.cpp
+++ b/src/forward/CrashTable.cpp
@@ -55,12 +55,12 @@
     return both;
 }
 
-kernel::Duration CrashTable::hold(std::uint32_t times) const
+kernel::Duration CrashTable::hold(const CrashFeature &feature, std::uint32_t times) const
 {
     if (times >= policy_.maxFailedTrials) {
         return policy_.remembered;
     }
-    kernel::Duration held = policy_.firstBlock;
+    kernel::Duration held = feature.place == 0 ? policy_.firstBlock : policy_.firstPartBlock;
     for (std::uint32_t time = 1; time < times; ++time) {
         held *= policy_.blockGrowth;
     }
@@ -91,8 +91,8 @@
             }));
 }
 
-SendVerdict CrashTable::verdict(const Entry &entry, std::span<const CrashFeature> features,
-                                kernel::Instant now) const
+SendVerdict CrashTable::verdict(const CrashFeature &feature, const Entry &entry,
+                                std::span<const CrashFeature> features, kernel::Instant now) const
 {
     const CrashRecord &record = entry.record;
     SendVerdict found;
@@ -107,9 +107,10 @@
     }
     const bool forGood = times >= policy_.maxFailedTrials;
     const kernel::Duration since = now - entry.stoppedAt;
-    if (forGood || since < hold(times)) {
+    const kernel::Duration held = hold(feature, times);
+    if (forGood || since < held) {
         found.restriction = SendRestriction::Stopped;
-        found.stoppedFor = std::max<kernel::Duration>(hold(times) - since, 1s);
+        found.stoppedFor = std::max<kernel::Duration>(held - since, 1s);
     }
     return found;
 }
@@ -123,7 +124,7 @@
             continue;
         }
         it->second.changed = now;
-        SendVerdict found = verdict(it->second, features, now);
+        SendVerdict found = verdict(feature, it->second, features, now);
         found.place = feature.place;
         if (std::tie(found.restriction, found.stoppedFor, found.crashes)
             > std::tie(worst.restriction, worst.stoppedFor, worst.crashes)) {
@@ -147,8 +148,11 @@
             last = std::max(last, entries_.at(feature.identity).crashedAt);
         }
     }
-    const kernel::Duration wait = last + policy_.fewestFirst - now;
-    return places.size() > 1 ? std::max<kernel::Duration>(wait, 0s) : kernel::Duration::zero();
+    if (places.size() < 2) {
+        return kernel::Duration::zero();
+    }
+    const auto more = static_cast<kernel::Duration::rep>(places.size() - 1);
+    return std::max<kernel::Duration>(last + more * policy_.fewestFirst - now, 0s);
 }
 
 SendRestriction CrashTable::restriction(const RequestIdentity &request, kernel::Instant now)
--- a/src/forward/CrashTable.h
+++ b/src/forward/CrashTable.h
@@ -85,10 +85,12 @@
     std::size_t crashesBeforeAlone = 2; ///< Crashes after which the request runs only alone.
     /** Crashes, with that of a send alone among them, after which the request is stopped. */
     std::size_t crashesBeforeStop = 3;
-    /** For so long after a crash, requests with one suspected feature are tried first: their answer
-     * may show which of several is to blame. */
-    kernel::Duration fewestFirst = 300ms;
+    /** For so long after a crash, for each suspected part beyond the first, requests with fewer of
+     * them are tried first: their answer may show which of several is to blame. */
+    kernel::Duration fewestFirst = 200ms;
     kernel::Duration firstBlock = 2min; ///< How long a request is stopped the first time.
+    /** The same of requests with a part: many that differ in all else are stopped with it. */
+    kernel::Duration firstPartBlock = 10s;
     int blockGrowth = 8; ///< Each further time it is stopped this many times as long.
     /** Crashes during sends alone after which the request stays stopped. */
     std::uint32_t maxFailedTrials = 3;
@@ -171,15 +173,15 @@
         kernel::Instant stoppedAt; ///< When this box learned of the last crash during a send alone.
     };
 
-    SendVerdict verdict(const Entry &entry, std::span<const CrashFeature> features,
-                        kernel::Instant now) const;
+    SendVerdict verdict(const CrashFeature &feature, const Entry &entry,
+                        std::span<const CrashFeature> features, kernel::Instant now) const;
     std::size_t unexplainedCrashes(const CrashRecord &record,
                                    std::span<const CrashFeature> features) const;
     bool restricts(const CrashRecord &record) const;
     kernel::Duration waitForFewer(std::span<const CrashFeature> features,
                                   kernel::Instant now) const;
     void setRecord(Entry &entry, const CrashRecord &record);
-    kernel::Duration hold(std::uint32_t times) const;
+    kernel::Duration hold(const CrashFeature &feature, std::uint32_t times) const;
     Entry &entry(const RequestIdentity &request);
     void evictLeastRelevant();
     void drop(const RequestIdentity &request);
--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -370,6 +370,22 @@
     }
 }
 
+// Guards against a harmless part that is stopped for minutes where several requests end servers and
+// all hold it.
+BOOST_AUTO_TEST_CASE(shortSoak_requestsAndPartsEndServers_allServeAgain)
+{
+    for (const std::uint64_t seed : {11207U, 11218U}) {
+        SoakPlan plan;
+        plan.crashing = true;
+        plan.crashingParts = true;
+        plan.boxes = 5;
+        plan.servers = 8;
+        plan.callers = 14;
+        const SoakReport report = play(seed, 7s, plan);
+        BOOST_TEST(report.ends > 0U);
+    }
+}
+
 // Servers of several software versions crash and are replaced beside all other faults, and callers
 // take streams up.
 BOOST_AUTO_TEST_CASE(shortSoak_severalVersions_keepsEveryPromise)
