--- a/src/forward/CrashTable.cpp
+++ b/src/forward/CrashTable.cpp
@@ -67,6 +67,13 @@
     return std::min(held, policy_.remembered);
 }
 
+// Of sends alone with different parts two may fail at the same moment; that stops a part once.
+std::uint32_t CrashTable::timesStopped(const CrashFeature &feature, const CrashRecord &record)
+{
+    const std::uint32_t trials = netFailedTrials(record);
+    return feature.place == 0 || trials < 2 ? trials : trials - 1;
+}
+
 bool CrashTable::restricts(const CrashRecord &record) const
 {
     return record.servers.size() >= policy_.crashesBeforeAlone || netFailedTrials(record) > 0;
@@ -101,7 +108,7 @@
         return found;
     }
     found.restriction = SendRestriction::Alone;
-    const std::uint32_t times = netFailedTrials(record);
+    const std::uint32_t times = timesStopped(feature, record);
     if (times == 0 || unexplainedCrashes(record, features) < policy_.crashesBeforeStop) {
         return found;
     }
--- a/src/forward/CrashTable.h
+++ b/src/forward/CrashTable.h
@@ -178,6 +178,7 @@
     std::size_t unexplainedCrashes(const CrashRecord &record,
                                    std::span<const CrashFeature> features) const;
     bool restricts(const CrashRecord &record) const;
+    static std::uint32_t timesStopped(const CrashFeature &feature, const CrashRecord &record);
     kernel::Duration waitForFewer(std::span<const CrashFeature> features,
                                   kernel::Instant now) const;
     void setRecord(Entry &entry, const CrashRecord &record);
