--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -560,7 +560,10 @@
 
 void Gateway::signal(int number) const
 {
-    ::kill(process_, number);
+    // Never the other meanings of kill(): 0 and below stand for groups, and for all processes.
+    if (process_ > 0) {
+        ::kill(process_, number);
+    }
 }
 
 bool Gateway::running()
