--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,10 +3,10 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x target/limereel ] && [ -x target/review/ForgedFields ] || exit 2
+[ -x target/limereel ] && [ -x target/review/PlannedStop ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 100 target/review/ForgedFields "$folder" "$here/record.txt"
+timeout -k 2 100 target/review/PlannedStop "$folder" "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -300,6 +300,13 @@
         || ::listen(socket_, 128) != 0) {
         throw std::runtime_error("can't listen at " + address);
     }
+    // A high number: as a process is killed, Linux closes its port before its connections, so that
+    // who sees a connection end finds the port closed.
+    constexpr int HighNumber = 500;
+    if (const int high = ::fcntl(socket_, F_DUPFD_CLOEXEC, HighNumber); high >= 0) {
+        ::close(socket_);
+        socket_ = high;
+    }
     ::getsockname(socket_, reinterpret_cast<sockaddr *>(&where), &size);
     address_ = address.substr(0, address.rfind(':') + 1) + std::to_string(ntohs(where.sin_port));
     thread_ = std::thread([this] { accept(); });
@@ -461,15 +468,7 @@
     , listener_(std::make_unique<Listener>(
               address, [this](const ConnectionPtr &connection) { serve(connection); }))
 {
-    store.put("servers", id_,
-              {{"service", service},
-               {"address", listener_->address()},
-               {"zone", hall},
-               {"version", "v1"},
-               {"slots", 6},
-               {"state", "ready"},
-               {"cold_left_ms", 0},
-               {"call_seq", 0}});
+    store.put("servers", id_, entryOf(service, listener_->address(), hall));
 }
 
 void Runner::serve(const ConnectionPtr &connection)
@@ -491,6 +490,69 @@
     }
 }
 
+json entryOf(const std::string &service, const std::string &address, const std::string &hall)
+{
+    return {{"service", service}, {"address", address}, {"zone", hall},      {"version", "v1"},
+            {"slots", 6},         {"state", "ready"},   {"cold_left_ms", 0}, {"call_seq", 0}};
+}
+
+RunnerProcess::RunnerProcess(
+        const std::string &address,
+        std::function<void(const ConnectionPtr &, const std::function<void(std::string)> &)> serve)
+    : address_(address)
+{
+    int pipe[2] = {-1, -1};
+    if (::pipe2(pipe, O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    told_ = pipe[0];
+    process_ = ::fork();
+    if (process_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const auto tell = [out = pipe[1]](const std::string &text) {
+            const std::string line = text + "\n";
+            if (::write(out, line.data(), line.size()) < 0) {
+                ::_exit(1);
+            }
+        };
+        const Listener listener(address,
+                                [&](const ConnectionPtr &connection) { serve(connection, tell); });
+        while (true) {
+            ::pause();
+        }
+    }
+    ::close(pipe[1]);
+}
+
+RunnerProcess::~RunnerProcess()
+{
+    kill();
+}
+
+void RunnerProcess::tellTo(Record &record)
+{
+    std::thread([&record, told = told_] {
+        std::string line;
+        for (char letter = 0; ::read(told, &letter, 1) == 1;) {
+            if (letter == '\n') {
+                record.line(line);
+                line.clear();
+            } else {
+                line += letter;
+            }
+        }
+    }).detach();
+}
+
+void RunnerProcess::kill()
+{
+    if (process_ > 0) {
+        ::kill(process_, SIGKILL);
+        ::waitpid(process_, nullptr, 0);
+    }
+    process_ = -1;
+}
+
 Gateway::Gateway(const std::string &name, std::string ip, const std::string &hall,
                  const std::string &storeAddress, const std::string &folder)
     : ip_(std::move(ip))
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -162,6 +162,34 @@
     std::unique_ptr<Listener> listener_;
 };
 
+/** A backend server that runs as a process of its own, so that it can be killed. */
+class RunnerProcess
+{
+public:
+    /** To be made before any thread is started. \param serve serves one connection there; what it
+     * tells arrives in \a record. */
+    RunnerProcess(
+            const std::string &address,
+            std::function<void(const ConnectionPtr &, const std::function<void(std::string)> &)>
+                    serve);
+    ~RunnerProcess();
+    RunnerProcess(const RunnerProcess &) = delete;
+    RunnerProcess &operator=(const RunnerProcess &) = delete;
+
+    /** Writes what the process tells into \a record, from now on. */
+    void tellTo(Record &record);
+    const std::string &address() const { return address_; }
+    void kill();
+
+private:
+    std::string address_;
+    int told_ = -1;
+    pid_t process_ = -1;
+};
+
+/** The entry of a backend server in the store. */
+json entryOf(const std::string &service, const std::string &address, const std::string &hall);
+
 /** A gateway that runs as a process of its own. */
 class Gateway
 {
