A planned stop logs its times, and sends say how they lie to them

The log could not tell whether such a request had come late, had come early and waited, or was cut too soon.

Change: PlannedStop holds the times of the stop for both kinds of process. The gateway logs stop-begins, stop-drains and stop-ends with the number of requests; each send during a stop says how long after the drain its request came and how long the process still runs. No decision has changed.

--- a/src/gateway/GatewayServices.cpp
+++ b/src/gateway/GatewayServices.cpp
@@ -133,11 +133,19 @@
 
 void GatewayStop::begin()
 {
-    if (leaving_) {
+    if (times()) {
         return;
     }
-    leaving_ = true;
-    log().info("A planned stop begins.");
+    const kernel::Instant began = context_.now();
+    const kernel::Duration whole = context_.settings.gateway.stopWithin;
+    const kernel::Duration untilDrain = std::min(BalancerLag, whole / 3);
+    const kernel::Duration untilEnd = whole - StopMargin;
+    setTimes({began + untilDrain, began + untilEnd});
+    log().event("stop-begins",
+                {{"requests", context_.kernel.find<FrontService>("front").active()},
+                 {"until_drain_ms", untilDrain / 1ms},
+                 {"until_end_ms", untilEnd / 1ms}},
+                "A planned stop begins.");
     context_.kernel.find<ReadyService>("ready").beginLeaving();
     context_.kernel.find<FrontService>("front").beginLeaving();
     context_.kernel.find<services::MembershipService>("membership").leave();
@@ -149,22 +157,19 @@
 asio::awaitable<void> GatewayStop::run()
 {
     auto &front = context_.kernel.find<FrontService>("front");
-    const kernel::Instant began = context_.now();
-    const kernel::Duration whole = context_.settings.gateway.stopWithin;
     asio::steady_timer timer(context_.io);
-    const kernel::Duration first = std::min(BalancerLag, whole / 3);
-    timer.expires_after(first);
+    timer.expires_after(times()->drainsAt - context_.now());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     front.drain();
-    services::StopDeadline end(
-            {began + first, began + whole - StopMargin, PollInterval, StopMargin});
+    log().event("stop-drains", {{"requests", front.active()}},
+                "No more connections are taken; the running requests are finished.");
+    services::StopDeadline end({times()->drainsAt, times()->endsAt, PollInterval, StopMargin});
     // Waits once first: an accepted connection may not have been read yet.
     do {
         timer.expires_after(PollInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     } while (front.active() > 0 && !end.expired(context_.now()));
-    log().info("The planned stop is done, " + std::to_string(front.active())
-               + " requests are cut off.");
+    log().event("stop-ends", {{"requests_cut", front.active()}}, "The planned stop is done.");
     done_();
 }
 
--- a/src/gateway/GatewayServices.h
+++ b/src/gateway/GatewayServices.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/FrontService.h"
+#include "services/PlannedStop.h"
 
 #include <functional>
 #include <memory>
@@ -41,7 +42,7 @@
 
 /** The planned stop: reports not ready at once, closes connections between requests, and lets
  * running requests finish. */
-class GatewayStop : public kernel::Service
+class GatewayStop : public services::PlannedStop
 {
 public:
     GatewayStop(services::Context &context, std::function<void()> done)
@@ -50,10 +51,6 @@
     {
     }
 
-    std::string_view name() const override { return "stop"; }
-    void start() override {}
-    void stop() override {}
-
     /** Begins the stop; a second call changes nothing. */
     void begin();
 
@@ -62,7 +59,6 @@
 
     services::Context &context_;
     std::function<void()> done_;
-    bool leaving_ = false;
 };
 
 } // namespace limereel::gateway
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -1,6 +1,7 @@
 #include "gateway/RunLog.h"
 
 #include "kernel/Log.h"
+#include "services/PlannedStop.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,6 +32,16 @@
     return moment ? (now - *moment) / 1ms : -1;
 }
 
+// During a planned stop: when the request came, from the drain on, and how long the process runs.
+void addStop(const RunState &run, nlohmann::json &fields)
+{
+    const auto &stop = run.context.kernel.find<services::PlannedStop>("stop").times();
+    if (stop) {
+        fields["came_after_drain_ms"] = (run.began - stop->drainsAt) / 1ms;
+        fields["stop_left_ms"] = (stop->endsAt - run.context.now()) / 1ms;
+    }
+}
+
 } // namespace
 
 void logSend(const RunState &run)
@@ -72,6 +83,7 @@
     if (!run.call.resumes.empty()) {
         fields["resumes"] = run.call.resumes;
     }
+    addStop(run, fields);
     log().event("sent", fields, "The request goes to a backend server.");
 }
 
--- a/src/services/StopService.cpp
+++ b/src/services/StopService.cpp
@@ -36,10 +36,13 @@
 
 void StopService::leave()
 {
-    if (leaving_) {
+    if (times()) {
         return;
     }
-    leaving_ = true;
+    const kernel::Instant startedAt = context_.now();
+    const kernel::Duration announcement = context_.settings.heartbeatPeriod * LeaveHeartbeats;
+    const kernel::Duration servingPeriod = std::max(context_.settings.balancerLag, announcement);
+    setTimes({startedAt + servingPeriod, startedAt + context_.settings.stopDeadline});
     log().info("A planned stop begins.");
     context_.kernel.find<CallerService>("caller").beginLeaving();
     context_.kernel.find<MembershipService>("membership").leave();
@@ -49,15 +52,12 @@
 asio::awaitable<void> StopService::run()
 {
     auto &caller = context_.kernel.find<CallerService>("caller");
-    const kernel::Instant startedAt = context_.now();
-    const kernel::Duration announcement = context_.settings.heartbeatPeriod * LeaveHeartbeats;
     asio::steady_timer timer(context_.io);
-    const kernel::Duration servingPeriod = std::max(context_.settings.balancerLag, announcement);
-    timer.expires_after(servingPeriod);
+    timer.expires_after(times()->drainsAt - context_.now());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     caller.drain();
-    StopDeadline deadline({startedAt + servingPeriod, startedAt + context_.settings.stopDeadline,
-                           PollInterval, DeadlineExtension});
+    StopDeadline deadline(
+            {times()->drainsAt, times()->endsAt, PollInterval, DeadlineExtension});
     // Waits once before the first check: an accepted connection may not have started its first
     // read.
     do {
--- a/src/services/StopService.h
+++ b/src/services/StopService.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "services/Context.h"
+#include "services/PlannedStop.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -16,26 +17,20 @@
 namespace limereel::services {
 
 /** The planned stop. */
-class StopService : public kernel::Service
+class StopService : public PlannedStop
 {
 public:
     /** \param done called once the stop is complete. */
     StopService(Context &context, std::function<void()> done);
 
-    std::string_view name() const override { return "stop"; }
-    void start() override {}
-    void stop() override {}
-
     /** Begins the stop; further calls have no effect. */
     void leave();
-    bool leaving() const { return leaving_; }
 
 private:
     boost::asio::awaitable<void> run();
 
     Context &context_;
     std::function<void()> done_;
-    bool leaving_ = false;
 };
 
 } // namespace limereel::services
