What can't be over before a stop's end isn't begun after the drain

Cause: a drain keeps such a connection for a quarter of a second so that the close doesn't cross the next request, and that request was run like any other. Nothing compared its deadline with the end of the process.

Before the drain nothing changes.

--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -3,6 +3,7 @@
 #include "gateway/DetourAttempt.h"
 #include "gateway/RunLog.h"
 #include "services/Answers.h"
+#include "services/PlannedStop.h"
 
 #include <boost/asio.hpp>
 
@@ -23,11 +24,14 @@
 // and then it is free again.
 constexpr kernel::Duration LongestClearing = 150ms;
 constexpr kernel::Duration ClearingPoll = 25ms;
+// For callers of a box that stops: other boxes take them at once.
+constexpr kernel::Duration ReturnElsewhere = 50ms;
 constexpr const char *AllRest = "all backend servers that could run it have turned requests away "
                                 "and asked for rest";
 constexpr const char *NoServerOfVersion =
         "no backend server of the software version that began the stream is left";
 constexpr const char *OriginUnknown = "it isn't known which software version began the stream";
+constexpr const char *Stopping = "the box stops before the request's deadline";
 constexpr const char *NoPlace =
         "no backend server that could run it has a place for it in time; come back then";
 
@@ -69,6 +73,10 @@
         co_await refuse(std::move(*refusal));
         co_return;
     }
+    if (auto refusal = checkStop()) {
+        co_await refuse(std::move(*refusal));
+        co_return;
+    }
     run_.guard.setParts({.organisation = run_.organisation,
                          .method = run_.request.method,
                          .host = run_.call.host,
@@ -186,6 +194,17 @@
     return std::nullopt;
 }
 
+// What is begun during a planned stop has to be over when the process ends.
+std::optional<RequestRun::Refusal> RequestRun::checkStop()
+{
+    const auto &stop = run_.context.kernel.find<services::PlannedStop>("stop").times();
+    if (!stop || stop->mayBegin(run_.began, run_.deadline)) {
+        return std::nullopt;
+    }
+    run_.reply.closeAfter();
+    return Refusal{ResultCode::Stopping, Stopping, true, ReturnElsewhere};
+}
+
 void RequestRun::armTimers()
 {
     // An answer that arrived while the process stalled is delivered even after the deadline.
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -56,6 +56,7 @@
 
     std::optional<Refusal> admit();
     std::optional<Refusal> checkKey();
+    std::optional<Refusal> checkStop();
     void setService(const std::string &name);
     std::optional<Refusal> checkToldOrigin();
     Refusal originUnknown(std::string_view why) const;
--- a/src/services/PlannedStop.h
+++ b/src/services/PlannedStop.h
@@ -1,24 +1,15 @@
 /** \file
- * The times of a planned stop, for the services that have to know how long the process still runs.
+ * The service that stops a process as planned, as far as other services have to know of it.
  */
 #pragma once
 
 #include "kernel/Kernel.h"
-#include "kernel/decisions/Time.h"
+#include "services/StopTimes.h"
 
 #include <optional>
 
 namespace limereel::services {
 
-/** The times of one planned stop. */
-struct StopTimes
-{
-    kernel::Instant drainsAt; ///< Until then the balancer may still send new connections.
-    kernel::Instant endsAt;   ///< Requests that still run are aborted then.
-
-    auto operator<=>(const StopTimes &) const = default;
-};
-
 /** A service that carries out the planned stop of its process; each kind of process has one. */
 class PlannedStop : public kernel::Service
 {
--- a/src/services/StopService.cpp
+++ b/src/services/StopService.cpp
@@ -56,8 +56,7 @@
     timer.expires_after(times()->drainsAt - context_.now());
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     caller.drain();
-    StopDeadline deadline(
-            {times()->drainsAt, times()->endsAt, PollInterval, DeadlineExtension});
+    StopDeadline deadline({times()->drainsAt, times()->endsAt, PollInterval, DeadlineExtension});
     // Waits once before the first check: an accepted connection may not have started its first
     // read.
     do {
