The own interface begins no chat or call after the drain of a stop

A chat whose stream outlasts the drain keeps its connection, and the chat or call that follows on it was begun although the box would end whatever runs at [stop] deadline.

Chats and calls have no deadline.

Change: CallerService refuses what comes after the drain with 503, result 201 (stopping, not run); the connection is closed, as every one is by then.

--- a/src/services/CallerService.cpp
+++ b/src/services/CallerService.cpp
@@ -6,6 +6,7 @@
 #include "services/ConfigService.h"
 #include "services/ConnectionLog.h"
 #include "services/DirectoryService.h"
+#include "services/PlannedStop.h"
 
 #include <sstream>
 
@@ -18,6 +19,7 @@
 
 constexpr double RetryBudgetCap = 20;
 constexpr kernel::Duration RetryDelayWithoutSettings = 2s;
+constexpr kernel::Duration RetryDelayElsewhere = 50ms; ///< Other boxes take requests at once.
 
 const kernel::Log &log()
 {
@@ -131,6 +133,9 @@
     } else if (!context_.kernel.find<ConfigService>("config").ready()) {
         refusal = refusalOf(ResultCode::NoConfiguration, "the box has no settings yet",
                             RetryDelayWithoutSettings);
+    } else if (stopsTooSoon()) {
+        refusal = refusalOf(ResultCode::Stopping, "the box stops and begins no more requests",
+                            RetryDelayElsewhere);
     }
     if (refusal) {
         context_.counters.add("results",
@@ -165,6 +170,13 @@
     }
 }
 
+// Chats and calls have no deadline, so none that comes after the drain is sure to end in time.
+bool CallerService::stopsTooSoon() const
+{
+    const auto &stop = context_.kernel.find<PlannedStop>("stop").times();
+    return stop && !stop->mayBegin(context_.now(), kernel::Instant::max());
+}
+
 std::string CallerService::newRequestId()
 {
     std::ostringstream text;
--- a/src/services/CallerService.h
+++ b/src/services/CallerService.h
@@ -43,6 +43,7 @@
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
     boost::asio::awaitable<void> handleKeyed(http::Request request, http::Reply &reply,
                                              std::string requestId);
+    bool stopsTooSoon() const;
     std::string newRequestId();
 
     Context &context_;
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -275,7 +275,7 @@
     return answer;
 }
 
-asio::awaitable<CallerAnswer> Fleet::chatAsync(std::size_t router, Turn turn)
+http::Request Fleet::chatRequest(const Turn &turn)
 {
     const json body = {{"model", turn.model},
                        {"stream", turn.stream},
@@ -293,6 +293,12 @@
     if (!turn.token.empty()) {
         request.fields.add("X-Chat-Token", turn.token);
     }
+    return request;
+}
+
+asio::awaitable<CallerAnswer> Fleet::chatAsync(std::size_t router, Turn turn)
+{
+    http::Request request = chatRequest(turn);
     co_return co_await callAsync(router, std::move(request));
 }
 
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -87,6 +87,9 @@
     CallerAnswer chat(std::size_t router, const Turn &turn);
     CallerAnswer call(std::size_t router, http::Request request);
 
+    /** The request that asks for \a turn. */
+    static http::Request chatRequest(const Turn &turn);
+
     /** The same as a coroutine, for many at once. */
     boost::asio::awaitable<CallerAnswer> chatAsync(std::size_t router, Turn turn);
     boost::asio::awaitable<CallerAnswer> callAsync(std::size_t router, http::Request request);
