An attempt is given up for silence only if another one is sure to follow

What callers saw: streams at a sound server that sent nothing for a second were cut.

Cause: the attempt was ended first, and only then was it asked whether the retry budget, the key and another server allow a next one.

Change: BackendExchange asks RequestRun::reserveRepeat before it gives up: key valid, another unsuspected server usable, a repeat granted by the budget and kept for the next attempt. Otherwise the attempt goes on until its deadline, counted by limereel_silent_attempts_kept. halfAHead_* of GatewayStallTest lists a second server, as a silent one alone is waited for.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -59,9 +59,11 @@
 
 } // namespace
 
-BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool)
+BackendExchange::BackendExchange(RunState &run, ConnectionPool &pool,
+                                 std::function<bool()> reserveRepeat)
     : run_(run)
     , pool_(pool)
+    , reserveRepeat_(std::move(reserveRepeat))
     , server_(run.choice.server)
     , silenceTimer_(run.context.io)
     , events_(run, forward::StreamOrigin::of(server_))
@@ -135,12 +137,24 @@
         if (connection->taken() != taken || connection->answerWaits()) {
             run_.context.counters.add("late_looks", {{"wait", "silence"}});
             armSilenceTimer(std::min(after, SilenceCheckInterval));
+        } else if (!reserveRepeat_()) {
+            waitInSilence();
+            armSilenceTimer(std::min(after, SilenceCheckInterval));
         } else {
             interrupt->end(Interruption::Silent);
         }
     });
 }
 
+// The server may only be slow: its answer is worth more than a failure, until the deadline.
+void BackendExchange::waitInSilence()
+{
+    if (!waitsInSilence_) {
+        waitsInSilence_ = true;
+        run_.context.counters.add("silent_attempts_kept");
+    }
+}
+
 AttemptEnd BackendExchange::fail(Failure failure, const std::string &message, bool sent)
 {
     run_.lastMessage = message;
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -14,6 +14,7 @@
 #include "gateway/RunState.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -23,7 +24,9 @@
 class BackendExchange
 {
 public:
-    BackendExchange(RunState &run, ConnectionPool &pool);
+    /** \param reserveRepeat asked before the attempt is given up because its server is silent;
+     * returns whether another attempt is sure to follow. */
+    BackendExchange(RunState &run, ConnectionPool &pool, std::function<bool()> reserveRepeat);
 
     /** Takes an idle connection from the pool or opens a new one. \return false if that fails. */
     boost::asio::awaitable<bool> connect();
@@ -38,6 +41,7 @@
     void returnConnection(std::optional<kernel::Duration> keptFor);
     void armSilenceTimer(kernel::Duration after);
     void interruptAfterLoopTurn(kernel::Duration after);
+    void waitInSilence();
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> readOwnHead();
     void noteServerReports(const forward::AnswerHead &head);
@@ -56,11 +60,13 @@
 
     RunState &run_;
     ConnectionPool &pool_;
+    std::function<bool()> reserveRepeat_;
     const forward::ListedServer server_;
     std::optional<PooledConnection> pooled_; ///< Set if the connection was taken from the pool.
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
     EventForwarder events_;
+    bool waitsInSilence_ = false; ///< The server is silent, and no other attempt is sure to follow.
 };
 
 } // namespace limereel::gateway
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -444,16 +444,29 @@
     if (ranOut || (run_.counts.sends > 0 && !run_.repeatable())) {
         return false;
     }
-    const bool granted = run_.fleetView.budget().take(run_.service, run_.context.now());
+    const bool granted = std::exchange(repeatReserved_, false)
+                         || run_.fleetView.budget().take(run_.service, run_.context.now());
     run_.context.counters.add("repeats",
                               {{"granted", granted ? "yes" : "no"},
                                {"reason", end == AttemptEnd::Rejected ? "rejected" : "failed"}});
     return granted;
 }
 
+// Whether another attempt is sure to follow if this one is given up, as far as this box knows.
+bool RequestRun::reserveRepeat()
+{
+    if (checkKey() || !selection_.anotherIsUsable()) {
+        return false;
+    }
+    if (!repeatReserved_) {
+        repeatReserved_ = run_.fleetView.budget().take(run_.service, run_.context.now());
+    }
+    return repeatReserved_;
+}
+
 asio::awaitable<AttemptEnd> RequestRun::attempt()
 {
-    BackendExchange exchange(run_, pool_);
+    BackendExchange exchange(run_, pool_, [this] { return reserveRepeat(); });
     // Called before connecting, because a pooled connection should be used as soon as it is
     // checked, and again after it, because the process may stall while a connection is opened.
     co_await run_.fleetView.catchUp();
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -78,6 +78,7 @@
     void releasePlace(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
     bool mayTryAgain(AttemptEnd end);
+    bool reserveRepeat();
 
     boost::asio::awaitable<void> giveUp();
     boost::asio::awaitable<void> refuse(Refusal refusal);
@@ -92,6 +93,7 @@
     std::optional<DetourBox> detour_;         ///< Through which the next attempt is sent.
     std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked.
     bool noWayToVersion_ = false; ///< No server that may continue the stream was reached.
+    bool repeatReserved_ = false; ///< The retry budget has granted the next attempt already.
     http::AnswerTimer deadlineTimer_;
 };
 
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -29,14 +29,7 @@
 // A cold server is never used without permission, because too many requests would overload it.
 asio::awaitable<std::optional<forward::Choice>> ServerSelection::choose()
 {
-    forward::ServerRequirements requirements;
-    requirements.service = run_.service;
-    requirements.prompt = run_.prompt();
-    requirements.origin = run_.origin;
-    requirements.tried = tried_;
-    requirements.regions = run_.regions;
-    requirements.takeParts = run_.movesParts;
-    requirements.alone = run_.guard.isAlone();
+    forward::ServerRequirements requirements = this->requirements();
     begin(requirements);
     while (true) {
         auto choice = run_.fleetView.servers().choose(requirements, run_.context.now(),
@@ -67,6 +60,30 @@
     }
 }
 
+forward::ServerRequirements ServerSelection::requirements() const
+{
+    forward::ServerRequirements requirements;
+    requirements.service = run_.service;
+    requirements.prompt = run_.prompt();
+    requirements.origin = run_.origin;
+    requirements.tried = tried_;
+    requirements.regions = run_.regions;
+    requirements.takeParts = run_.movesParts;
+    requirements.alone = run_.guard.isAlone();
+    return requirements;
+}
+
+// A suspected server is none to change to: it may be as silent as this one.
+bool ServerSelection::anotherIsUsable()
+{
+    forward::ServerTable &servers = run_.fleetView.servers();
+    const kernel::Instant now = run_.context.now();
+    forward::ServerRequirements others = requirements();
+    others.tried.push_back(run_.choice.server.id);
+    const auto other = servers.choose(others, now, run_.context.random);
+    return other && !other->trial && (!admits() || servers.hasFreeSlot(other->server.id, now));
+}
+
 bool ServerSelection::isShort() const
 {
     return admits() && run_.fleetView.shortServices().isShort(run_.service, run_.context.now());
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -32,6 +32,9 @@
      * if no server can be used. */
     boost::asio::awaitable<std::optional<forward::Choice>> choose();
 
+    /** Whether another server than that of the present attempt could run the request now. */
+    bool anotherIsUsable();
+
     /** Records that \a id was tried; it isn't chosen again. */
     void noteTried(const std::string &id) { tried_.push_back(id); }
 
@@ -60,6 +63,7 @@
         bool silent = false; ///< Its owner didn't answer the ask, or didn't end the wait.
     };
 
+    forward::ServerRequirements requirements() const;
     bool admits() const { return run_.context.settings.gateway.admission; }
     bool isShort() const;
     void begin(forward::ServerRequirements &requirements);
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -85,6 +85,9 @@
     /** Lines for the gateway's section of the settings; read by start(). */
     std::string moreSettings;
 
+    /** Repeats beyond the ratio in a window; read by start(). */
+    int retrySlack = 1000;
+
     bool ready();
 
     const kernel::Endpoint &callerEndpoint() const { return caller_; }
--- a/test/platform/GatewayStallTest.cpp
+++ b/test/platform/GatewayStallTest.cpp
@@ -391,6 +391,10 @@
 {
     startHeld(100);
     const auto pending = beginHeld(patient("GET", "/again/x", "5000"));
+    // Without another server the silent one would be waited for.
+    list(runner(0), "pool");
+    const auto &servers = context().kernel.find<gateway::FleetView>("world").servers();
+    until([&] { return servers.ids().size() == 2; }, "the other server");
     server.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n");
     passAwake(1s);
     until([&] { return pending->done; }, "the end of the request");
