A caller's Connection field takes no field of the platform away

Cause: the fields of the caller's connection were taken off after the system had added its own, by the names that the caller lists.

Change: RequestRun drops the caller's connection fields as soon as it has read the request. The dialect names the fields of the platform; endToEnd() passes these on whatever a Connection field lists, in requests and in answers.

--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -13,7 +13,9 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 
 namespace limereel::forward {
@@ -44,6 +46,10 @@
     std::function<http::Fields(const std::string &requestId, kernel::Duration retryDelay)>
             refusalFields;
 
+    /** Fields of requests and answers that the platform gives a meaning: a peer that lists one of
+     * them in its Connection field doesn't take it away. */
+    std::span<const std::string_view> ownFields;
+
     /** The path at which a load balancer asks whether the box is ready. */
     std::string readyPath;
 };
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -1,7 +1,6 @@
 #include "gateway/BackendExchange.h"
 
 #include "gateway/RunLog.h"
-#include "http/EndToEnd.h"
 
 #include <boost/asio.hpp>
 
@@ -261,7 +260,6 @@
     order.takeFrom = run_.choice.takeFrom;
     order.resumeAfter = run_.lastEvent;
     http::Request passed = run_.fleetView.adapter().dialect.writeRequest(run_.request, order);
-    passed.fields = http::endToEnd(passed.fields);
     if (run_.fleetView.servers().backoffLeft(server_.id, run_.context.now())
         > kernel::Duration(0)) {
         run_.context.counters.add("sends_into_rest");
@@ -337,7 +335,7 @@
         co_return AttemptEnd::Rejected;
     }
     noteBodyEnd(body->end);
-    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
+    http::Answer answer(start.status, ownEndToEnd(run_, start.fields), std::move(body->bytes));
     answer.endMarked = isMarked(body->end);
     run_.answeredWhole = true;
     run_.answeredFailure = head.status / 100 != 2;
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -1,7 +1,6 @@
 #include "gateway/DetourAttempt.h"
 
 #include "gateway/RunLog.h"
-#include "http/EndToEnd.h"
 
 #include <boost/asio.hpp>
 
@@ -161,7 +160,7 @@
     run_.answeredWhole = true;
     run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
     logEnd(run_, "ok");
-    http::Answer answer(start.status, http::endToEnd(start.fields), std::move(body->bytes));
+    http::Answer answer(start.status, ownEndToEnd(run_, start.fields), std::move(body->bytes));
     answer.endMarked = isMarked(body->end);
     co_await run_.reply.send(std::move(answer));
     co_return AttemptEnd::Answered;
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -1,7 +1,6 @@
 #include "gateway/EventForwarder.h"
 
 #include "gateway/DetourService.h"
-#include "http/EndToEnd.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -56,7 +55,7 @@
         run_.noteBytes(writer_);
     }
     if (!run_.reply.begun()) {
-        http::Fields fields = http::endToEnd(start.fields);
+        http::Fields fields = ownEndToEnd(run_, start.fields);
         if (run_.forOtherBox) {
             fields = fields.without(DetourOrigin);
         }
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -63,6 +63,9 @@
         co_return;
     }
     run_.call = std::move(*call);
+    // Before any field of the system is added, as the caller's Connection field must not take it
+    // away.
+    run_.request.fields = ownEndToEnd(run_, run_.request.fields);
     if (servedFor_) {
         run_.call.callerTimeout = servedFor_->left;
         run_.call.resumeAfter = servedFor_->resumeAfter;
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -1,5 +1,7 @@
 #include "gateway/RunState.h"
 
+#include "http/EndToEnd.h"
+
 namespace limereel::gateway {
 
 void Interrupt::end(Interruption why)
@@ -70,6 +72,11 @@
     return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
 }
 
+http::Fields ownEndToEnd(const RunState &run, const http::Fields &fields)
+{
+    return http::endToEnd(fields, run.fleetView.adapter().dialect.ownFields);
+}
+
 bool promisesNotRun(int status)
 {
     constexpr int RequestTimeout = 408;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -125,6 +125,9 @@
     const forward::Prompt *prompt() const;
 };
 
+/** The fields of a request or answer that are passed on; those of the platform always are. */
+http::Fields ownEndToEnd(const RunState &run, const http::Fields &fields);
+
 /** Whether the HTTP status \a status tells the caller that its request did not run. */
 bool promisesNotRun(int status);
 
--- a/src/http/EndToEnd.cpp
+++ b/src/http/EndToEnd.cpp
@@ -45,9 +45,12 @@
 
 } // namespace
 
-Fields endToEnd(const Fields &fields)
+Fields endToEnd(const Fields &fields, std::span<const std::string_view> known)
 {
-    const std::vector<std::string> listed = listedNames(fields);
+    std::vector<std::string> listed = listedNames(fields);
+    for (const std::string_view name : known) {
+        std::erase(listed, lower(name));
+    }
     Fields passed;
     for (const auto &[name, value] : fields) {
         const std::string key = lower(name);
--- a/src/http/EndToEnd.h
+++ b/src/http/EndToEnd.h
@@ -6,9 +6,14 @@
 
 #include "http/Message.h"
 
+#include <span>
+#include <string_view>
+
 namespace limereel::http {
 
-/** The fields of \a fields that are passed on. */
-Fields endToEnd(const Fields &fields);
+/** The fields of \a fields that are passed on.
+ * \param known names of fields that never concern one connection: they are passed on also if a
+ * Connection field lists them, as nobody on the way may take them away. */
+Fields endToEnd(const Fields &fields, std::span<const std::string_view> known = {});
 
 } // namespace limereel::http
