Fields that any Connection field lists are dropped, tabs or not

What peers saw: a field of one connection travelled on with a request or an answer where a second Connection field listed it, or a tab stood beside its name in the list.

Cause: only the first Connection field was read, and only spaces were taken off the names.

Change: listedNames() reads all Connection fields and trims both blanks.

Measured: ForgedFieldsTest/endToEnd_severalConnectionFieldsAndTabs_*: 3 checks fail without the change, none with it.

--- a/src/http/EndToEnd.cpp
+++ b/src/http/EndToEnd.cpp
@@ -27,18 +27,24 @@
     return result;
 }
 
-// The names that a Connection field lists, in lower case.
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view Blanks = " \t";
+    const std::size_t begin = std::min(text.find_first_not_of(Blanks), text.size());
+    const std::size_t end = text.find_last_not_of(Blanks) + 1;
+    return text.substr(begin, std::max(begin, end) - begin);
+}
+
+// The names that the Connection fields list, in lower case.
 std::vector<std::string> listedNames(const Fields &fields)
 {
     std::vector<std::string> names;
-    std::string list = lower(fields.get("Connection"));
-    std::size_t begin = 0;
-    while (begin < list.size()) {
-        const std::size_t end = std::min(list.find(',', begin), list.size());
-        std::string name = list.substr(begin, end - begin);
-        std::erase(name, ' ');
-        names.push_back(std::move(name));
-        begin = end + 1;
+    for (std::string_view list : fields.all("Connection")) {
+        while (!list.empty()) {
+            const std::size_t end = std::min(list.find(','), list.size());
+            names.push_back(lower(trimmed(list.substr(0, end))));
+            list.remove_prefix(std::min(end + 1, list.size()));
+        }
     }
     return names;
 }
--- a/test/platform/ForgedFieldsTest.cpp
+++ b/test/platform/ForgedFieldsTest.cpp
@@ -127,4 +127,22 @@
     BOOST_TEST(passed.get("X-Private").empty());
 }
 
+// Failure: a field of one connection travelled on where a second Connection field listed it, or a
+// tab stood beside its name.
+BOOST_AUTO_TEST_CASE(endToEnd_severalConnectionFieldsAndTabs_listedFieldsAreDropped)
+{
+    const auto privateOf = [](const std::string &connection, const std::string &another) {
+        http::Fields fields;
+        fields.add("Connection", connection);
+        fields.add("Connection", another);
+        fields.add("X-Private", "private");
+        return http::endToEnd(fields).all("X-Private").size();
+    };
+    BOOST_TEST(privateOf("X-Private", "close") == 0U);
+    BOOST_TEST(privateOf("close", "X-Private") == 0U);
+    BOOST_TEST(privateOf("close,\tx-private\t", "") == 0U);
+    BOOST_TEST(privateOf(", ,close", "keep-alive,,X-PRIVATE") == 0U);
+    BOOST_TEST(privateOf("close", "X-Private-2") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
