Soak: streams nearly as long as a stop, and what comes during one is judged

The judge holds "a planned stop cuts nothing" against every request that was passed on, in all modes, but for what came in the first three eighths of the stop and still ran in its last sixth, the rule's own excuse. SoakPlan has a header of its own; world and faults take the plan in place of six flags.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -230,6 +230,30 @@
     BOOST_TEST(broken() == "a planned stop cuts nothing");
 }
 
+// Guards against a judge that looks away from what comes during a stop.
+BOOST_AUTO_TEST_CASE(plannedStop_cutsWhatItTookLate_isSeen)
+{
+    judge = SoakJudge({.calm = 4s, .stop = 8s});
+    judge.noteDisturbance(at(-100s));
+    judge.noteStop(0, 1, at(0s));
+    attempt("refused", Kind::OnceStream, 5s);
+    answer("refused", 503, "", true, 5s);
+    attempt("unread", Kind::OnceStream, 5s);
+    answer("unread", 0, "", false, 5s);
+    attempt("early", Kind::OnceStream, 3s);
+    run("early");
+    answer("early", 200, "id: 1\n", false, 7s);
+    BOOST_TEST(broken() == "");
+    attempt("late", Kind::OnceStream, 4s);
+    run("late");
+    answer("late", 200, "id: 1\n", false, 7800ms);
+    attempt("cutEarly", Kind::Once, 1s);
+    run("cutEarly");
+    answer("cutEarly", 0, "", false, 4s);
+    BOOST_TEST(broken() == "a planned stop cuts nothing");
+    BOOST_TEST(judge.violations().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(drainedHall_getsNewWork_isSeenAfterItsBoundUntilItIsTakenBack)
 {
     judge.noteHallDrained("hall-1", at(0s));
@@ -410,6 +434,18 @@
     BOOST_TEST(broken() == "one software version a stream");
 }
 
+// Guards against requests that are begun late in a planned stop and cut at its end: streams nearly
+// as long as the stop, and the next request on each of their connections.
+BOOST_AUTO_TEST_CASE(shortSoak_longStreams_plannedStopsCutNothing)
+{
+    SoakPlan plan;
+    plan.longStreams = true;
+    plan.callers = 40;
+    const SoakReport report = play(12U, 12s, plan);
+    BOOST_TEST(report.served > 0U);
+    BOOST_TEST(!report.faults.empty());
+}
+
 BOOST_AUTO_TEST_CASE(shortSoak_fixedSeeds_keepsEveryPromise)
 {
     for (const std::uint64_t seed : {1U, 2U}) {
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -69,6 +69,8 @@
     app.add_flag("--versions", plan.versions,
                  "servers of three software versions stand side by side, some crash, and callers "
                  "take broken streams up");
+    app.add_flag("--long-streams", plan.longStreams,
+                 "streams last nearly as long as a stop, and boxes are stopped and reloaded only");
     app.add_flag("--list", all, "list the faults of good seeds too");
     CLI11_PARSE(app, argc, argv);
     plan.faultsFor =
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -35,6 +35,7 @@
     judged.revoke = bounds.revokeWithin;
     judged.drain = bounds.drainWithin + DrainSlack;
     judged.calm = Calm;
+    judged.stop = bounds.stopWithin;
     judged.hallDrain = bounds.hallDrainWithin + DrainSlack;
     if (plan.scarce) {
         judged.served = ServedAgain;
@@ -47,12 +48,6 @@
     return judged;
 }
 
-// With one slot more than its part of the callers, a server is short of slots in rushes only.
-std::size_t scarceSlots(const SoakPlan &plan)
-{
-    return plan.scarce ? 1 + (plan.callers + plan.servers - 1) / plan.servers : 0;
-}
-
 /** Everything of one soak. */
 class Play
 {
@@ -61,16 +56,9 @@
         : plan_(plan)
         , fleet_(plan.folder, plan.boxes, bounds_, plan.scarce)
         , judge_(judgeBounds(bounds_, plan))
-        , world_(io_, fleet_, plan.servers, plan.serverStates, plan.crashing, scarceSlots(plan),
-                 plan.versions)
-        , faults_(fleet_, world_, judge_, plan.seed, plan.serverStates)
-        , callers_{io_,
-                   fleet_,
-                   world_,
-                   judge_,
-                   std::mt19937_64(plan.seed + 1),
-                   plan.crashing,
-                   plan.crashingParts}
+        , world_(io_, fleet_, plan)
+        , faults_(fleet_, world_, judge_, plan)
+        , callers_{io_, fleet_, world_, judge_, std::mt19937_64(plan.seed + 1)}
     {
     }
 
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -9,43 +9,14 @@
 #pragma once
 
 #include "platform/soak/SoakJudge.h"
+#include "platform/soak/SoakPlan.h"
 
 #include <cstdint>
-#include <filesystem>
 #include <string>
 #include <vector>
 
 namespace limereel::soak {
 
-/** What to play. */
-struct SoakPlan
-{
-    std::uint64_t seed = 1;
-    kernel::Duration faultsFor = 20s;
-    std::size_t boxes = 3;
-    std::size_t servers = 4;
-    std::size_t callers = 8;
-
-    /** Servers stand in two halls, which are drained now and then, and are cold after a start. Off
-     * for the seeds that were found without. */
-    bool serverStates = false;
-
-    /** Some requests end each server that begins to run them. */
-    bool crashing = false;
-
-    /** The same of requests with one part of a prompt, no two of which are alike. */
-    bool crashingParts = false;
-
-    /** Servers have few slots and a short queue and are slow at times, callers ask for more than
-     * they can run at times, and one organisation sends most of it. Gateways have admission. */
-    bool scarce = false;
-
-    /** Servers of three software versions stand side by side and are replaced by others, some
-     * crash, and callers take broken streams up at any box. */
-    bool versions = false;
-    std::filesystem::path folder; ///< For settings and logs.
-};
-
 /** What came of it. */
 struct SoakReport
 {
--- a/test/platform/soak/SoakCaller.cpp
+++ b/test/platform/soak/SoakCaller.cpp
@@ -12,7 +12,8 @@
 enum class Crashes : std::uint8_t { Not, ByBody, ByPart };
 
 constexpr kernel::Duration LongestConnect = 500ms;
-constexpr kernel::Duration Deadline = 2s;
+constexpr kernel::Duration UsualDeadline = 2s;
+constexpr kernel::Duration LongStreamDeadline = 6s;
 constexpr kernel::Duration Patience = 3s; ///< Beyond the deadline: then the caller ends it.
 constexpr std::size_t LeavesOneIn = 20;
 constexpr std::size_t CrashesOneIn = 60;
@@ -84,7 +85,7 @@
     http::Fields fields;
     fields.add("Host", "calls.example");
     fields.add("X-Attempt-Id", attempt.id);
-    fields.add("X-Deadline-Ms", std::to_string(Deadline / 1ms));
+    fields.add("X-Deadline-Ms", std::to_string(attempt.deadline / 1ms));
     if (!attempt.key.empty()) {
         fields.add("X-Api-Key", attempt.key);
     }
@@ -92,7 +93,7 @@
         fields.add("Resumes", held.first);
         fields.add("Last-Event-Id", std::to_string(held.count()));
     }
-    const bool stream = attempt.kind == Kind::OnceStream || attempt.kind == Kind::ResumableStream;
+    const bool stream = isStream(attempt.kind);
     if (stream) {
         fields.add("X-Model", "m");
         fields.add("X-Token-Count", "300,20");
@@ -113,6 +114,8 @@
     attempt.ends = crashes == Crashes::ByBody;
     attempt.endsByPart = crashes == Crashes::ByPart;
     attempt.id = "a" + std::to_string(++shared.nextId);
+    const bool isLong = shared.world.plan().longStreams && isStream(kind);
+    attempt.deadline = isLong ? LongStreamDeadline : UsualDeadline;
     attempt.kind = kind;
     attempt.box = line.box;
     attempt.process = line.process;
@@ -125,7 +128,7 @@
     }
     // A rush is of the first organisation: it sends about eleven times as much as the second then.
     const std::size_t twoOneIn = shared.world.rush ? 12 : 2;
-    const bool ofTwo = shared.world.scarce() && shared.random() % twoOneIn == 0;
+    const bool ofTwo = shared.world.plan().scarce && shared.random() % twoOneIn == 0;
     if (ofTwo && !attempt.key.empty()) {
         attempt.key = KeyTwo;
     }
@@ -169,7 +172,7 @@
     shared.judge.noteAttempt(attempt);
     asio::steady_timer timer(shared.io);
     const auto stay = 1ms * static_cast<std::int64_t>(shared.random() % LongestStayMs);
-    timer.expires_after(leaves ? kernel::Duration(stay) : Patience + Deadline);
+    timer.expires_after(leaves ? kernel::Duration(stay) : Patience + attempt.deadline);
     bool ended = false;
     timer.async_wait([connection = line.connection, &ended](boost::system::error_code stopped) {
         if (!stopped) {
@@ -237,10 +240,10 @@
 
 Crashes drawCrashes(CallerWorld &shared)
 {
-    if (shared.crashing && shared.random() % CrashesOneIn == 0) {
+    if (shared.world.plan().crashing && shared.random() % CrashesOneIn == 0) {
         return Crashes::ByBody;
     }
-    const bool byPart = shared.crashingParts && shared.random() % CrashesOneIn == 0;
+    const bool byPart = shared.world.plan().crashingParts && shared.random() % CrashesOneIn == 0;
     return byPart ? Crashes::ByPart : Crashes::Not;
 }
 
@@ -281,7 +284,7 @@
         if (status == 0) {
             line.connection.reset();
         }
-        if (status == 0 && shared.world.versions() && held.count() > 0) {
+        if (status == 0 && shared.world.plan().versions && held.count() > 0) {
             co_await takeUp(shared, std::move(held));
         }
     }
--- a/test/platform/soak/SoakCaller.h
+++ b/test/platform/soak/SoakCaller.h
@@ -20,8 +20,6 @@
     SoakWorld &world;
     SoakJudge &judge;
     std::mt19937_64 random;
-    bool crashing = false;      ///< Some requests end their servers.
-    bool crashingParts = false; ///< Some end them by a part of their prompts.
     bool over = false;
     int running = 0; ///< Callers that haven't ended.
     std::uint64_t nextId = 0;
--- a/test/platform/soak/SoakFaults.cpp
+++ b/test/platform/soak/SoakFaults.cpp
@@ -24,26 +24,34 @@
 
 } // namespace
 
-SoakFaults::SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, std::uint64_t seed,
-                       bool states)
+SoakFaults::SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, const SoakPlan &plan)
     : fleet_(fleet)
     , world_(world)
     , judge_(judge)
-    , random_(seed)
+    , random_(plan.seed)
 {
+    if (plan.longStreams) {
+        kinds_ = plannedKinds();
+        return;
+    }
     kinds_ = allKinds();
     std::ranges::shuffle(kinds_, random_);
     kinds_.resize(FewestKinds + pick(MostKinds));
-    if (states) {
+    addKindsOf(plan);
+}
+
+void SoakFaults::addKindsOf(const SoakPlan &plan)
+{
+    if (plan.serverStates) {
         kinds_.push_back({"drain-hall", true, [this] { return drainHall(); }});
         kinds_.push_back({"replace-server", true, [this] { return replaceServer(); }});
     }
-    if (world_.versions()) {
+    if (plan.versions) {
         kinds_.push_back({"crash-server", false, [this] { return crashServer(); }});
         kinds_.push_back({"replace-server", true, [this] { return replaceServer(); }});
         kinds_.push_back({"kill", false, [this] { return killBox(); }});
     }
-    if (world_.scarce()) {
+    if (plan.scarce) {
         kinds_.push_back({"rush", true, [this] { return rush(); }});
         kinds_.push_back({"slow-server", true, [this] { return slowServer(); }});
     }
@@ -64,6 +72,14 @@
             {"replace-server", true, [this] { return replaceServer(); }}};
 }
 
+// Servers aren't replaced among them: one that leaves breaks off what lasts longer than its leave.
+std::vector<SoakFaults::Kind> SoakFaults::plannedKinds()
+{
+    return {{"stop", true, [this] { return stopBox(); }},
+            {"reload", true, [this] { return reloadListeningBox(); }},
+            {"configuration", true, [this] { return changeConfiguration(); }}};
+}
+
 kernel::Duration SoakFaults::span()
 {
     return 200ms + 1ms * static_cast<std::int64_t>(pick(4000));
@@ -202,7 +218,11 @@
 
 std::string SoakFaults::reloadBox()
 {
-    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    return reload(fleet_.boxes()[pick(fleet_.boxes().size())]);
+}
+
+std::string SoakFaults::reload(SoakBox &box)
+{
     if (!box.process.running()) {
         return {};
     }
@@ -211,6 +231,13 @@
     return box.name;
 }
 
+// A signal that comes before a process has reached its main function ends it.
+std::string SoakFaults::reloadListeningBox()
+{
+    SoakBox &box = fleet_.boxes()[pick(fleet_.boxes().size())];
+    return now_ - box.started < SurelyListens ? std::string() : reload(box);
+}
+
 std::string SoakFaults::killAll()
 {
     // Rare: a soak in which nothing ever runs shows nothing.
--- a/test/platform/soak/SoakFaults.h
+++ b/test/platform/soak/SoakFaults.h
@@ -18,9 +18,7 @@
 class SoakFaults
 {
 public:
-    /** \param states see SoakPlan::serverStates. */
-    SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, std::uint64_t seed,
-               bool states);
+    SoakFaults(SoakFleet &fleet, SoakWorld &world, SoakJudge &judge, const SoakPlan &plan);
 
     /** Begins and lifts what is due; starts processes that have ended. */
     void tick(kernel::Instant now);
@@ -49,10 +47,14 @@
     };
 
     std::vector<Kind> allKinds();
+    std::vector<Kind> plannedKinds();
+    void addKindsOf(const SoakPlan &plan);
     std::string pauseBox();
     std::string killBox();
     std::string stopBox();
     std::string reloadBox();
+    std::string reloadListeningBox();
+    std::string reload(SoakBox &box);
     std::string killAll();
     std::string harmStoreLink();
     std::string harmStore();
--- a/test/platform/soak/SoakJudge.cpp
+++ b/test/platform/soak/SoakJudge.cpp
@@ -38,11 +38,6 @@
     return key == KeyTwo ? "two" : "one";
 }
 
-bool isStream(Kind kind)
-{
-    return kind == Kind::OnceStream || kind == Kind::ResumableStream;
-}
-
 constexpr std::string_view WrittenBy = " by ";
 
 std::string withoutVersions(const std::string &body)
@@ -204,19 +199,30 @@
     seen.push_back({attempt.version, answer.at});
 }
 
-// A process that was told to stop finishes what it has read.
+// A process that was told to stop finishes what it has read, and what it passes on after that.
 void SoakJudge::checkCut(const SoakAttempt &attempt, const SoakAnswer &answer)
 {
     const auto stop = stops_.find({attempt.box, attempt.process});
     const bool serverEnded = serverEnded_ > attempt.sent;
-    if (stop != stops_.end() && attempt.sent < stop->second && calmSince(attempt.sent)
-        && !serverEnded) {
+    if (stop == stops_.end() || !calmSince(attempt.sent) || serverEnded) {
+        return;
+    }
+    const bool cameBefore = attempt.sent < stop->second;
+    const bool passedOn = runs_[attempt.id] > 0;
+    if (cameBefore || (passedOn && !runsUntilTheEnd(attempt, answer, stop->second))) {
         breach("a planned stop cuts nothing", attempt.id + " at box " + std::to_string(attempt.box)
                                                       + ", status "
                                                       + std::to_string(answer.status));
     }
 }
 
+// What came in the first three eighths of a stop may be cut if it still runs in the last sixth.
+bool SoakJudge::runsUntilTheEnd(const SoakAttempt &attempt, const SoakAnswer &answer,
+                                kernel::Instant stop) const
+{
+    return attempt.sent <= stop + bounds_.stop * 3 / 8 && answer.at >= stop + bounds_.stop * 5 / 6;
+}
+
 void SoakJudge::checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival)
 {
     const auto place = leaving_.find(arrival.server);
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -18,6 +18,12 @@
 /** Whether a request may run more than once. */
 enum class Kind : std::uint8_t { Once, Repeatable, OnceStream, ResumableStream, VersionProbe };
 
+/** Whether requests of \a kind are answered with a stream. */
+inline bool isStream(Kind kind)
+{
+    return kind == Kind::OnceStream || kind == Kind::ResumableStream;
+}
+
 /** One attempt of a caller. */
 struct SoakAttempt
 {
@@ -30,6 +36,7 @@
     kernel::Instant sent;
     bool ends = false;       ///< It ends each server that begins to run it.
     bool endsByPart = false; ///< A part of its prompt does so, whatever else it holds.
+    kernel::Duration deadline = 2s;
 };
 
 /** What the caller got. */
@@ -78,6 +85,7 @@
     /** How long after a shortage all requests are served again; zero: there are no shortages, and
      * the checks that concern them aren't made. */
     kernel::Duration served{};
+    kernel::Duration stop{};          ///< How long a planned stop may take.
     kernel::Duration absence = 200ms; ///< Longest time between two looks at a box that is absent.
     kernel::Duration contact = 3s;    ///< In touch for so long, a box knows what the others know.
 };
@@ -152,6 +160,8 @@
     void checkRefusal(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkOverdue(const SoakAttempt &attempt, const SoakAnswer &answer);
     void checkCut(const SoakAttempt &attempt, const SoakAnswer &answer);
+    bool runsUntilTheEnd(const SoakAttempt &attempt, const SoakAnswer &answer,
+                         kernel::Instant stop) const;
     void checkLeaving(const SoakAttempt &attempt, const SoakArrival &arrival);
     void checkHall(const SoakAttempt &attempt, const SoakArrival &arrival);
     void checkCold(const SoakArrival &arrival);
--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -11,10 +11,19 @@
 constexpr kernel::Duration BetweenEvents = 5ms;
 constexpr kernel::Duration LongBetweenEvents = 20ms; ///< So that streams meet faults.
 constexpr std::size_t Versions = 3;
+constexpr kernel::Duration BetweenLongStreamEvents = 600ms; ///< Five take three seconds.
+constexpr int LongStreamTimeoutMs = 6000;
+constexpr int LongStreamObjectiveMs = 2000; ///< Well above the pause between two events.
 constexpr kernel::Duration ScarceWork = 40ms;
 constexpr std::size_t PlentifulSlots = 8; ///< As listed; the servers themselves have no limit.
 constexpr kernel::Duration EntryLapsesIn = 1500ms; ///< Once its server has ended.
 
+// With one slot more than its part of the callers, a server is short of slots in rushes only.
+std::size_t scarceSlots(const SoakPlan &plan)
+{
+    return plan.scarce ? 1 + (plan.callers + plan.servers - 1) / plan.servers : 0;
+}
+
 json route(const std::string &prefix, const std::string &kind, int attempts)
 {
     return {{"name", "r" + prefix},
@@ -45,7 +54,8 @@
     return pool;
 }
 
-json configurationOf(int version, const std::string &changingKey, const json &pool, bool scarce)
+json configurationOf(int version, const std::string &changingKey, const json &pool,
+                     const SoakPlan &plan)
 {
     json resume = route("/resume/", "streaming", 2);
     resume["can_resume"] = true;
@@ -54,14 +64,20 @@
     json organisations = json::array({{{"name", "one"},
                                        {"api_keys", json::array({"key-one", changingKey})},
                                        {"priority", 3}}});
-    if (scarce) {
+    if (plan.scarce) {
         organisations.push_back(
                 {{"name", "two"}, {"api_keys", json::array({KeyTwo})}, {"priority", 3}});
     }
+    json stream = route("/stream/", "streaming", 1);
+    for (json *const route : {&stream, &resume}) {
+        if (plan.longStreams) {
+            (*route)["timeout_ms"] = LongStreamTimeoutMs;
+            (*route)["goal_ms"] = LongStreamObjectiveMs;
+        }
+    }
     return {{"version", version},
-            {"routes",
-             json::array({route("/once/", "non_idempotent", 1), route("/again/", "idempotent", 2),
-                          route("/stream/", "streaming", 1), resume, probe})},
+            {"routes", json::array({route("/once/", "non_idempotent", 1),
+                                    route("/again/", "idempotent", 2), stream, resume, probe})},
             {"services", json::array({pool})},
             {"limits",
              {{"max_header_bytes", 8192},
@@ -73,13 +89,10 @@
 
 } // namespace
 
-SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers,
-                     bool states, bool crashing, std::size_t scarceSlots, bool versions)
+SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, const SoakPlan &plan)
     : io_(io)
-    , states_(states)
-    , crashing_(crashing)
-    , scarceSlots_(scarceSlots)
-    , versions_(versions)
+    , plan_(plan)
+    , scarceSlots_(scarceSlots(plan))
 {
     const kernel::Endpoint storeAt = support::freeEndpoint();
     store_ = std::make_unique<standin::StoreStandin>(io, storeAt);
@@ -87,7 +100,7 @@
         storeProxies_.push_back(std::make_unique<LoopbackProxy>(io, box.store, storeAt));
     }
     nextConfiguration();
-    for (std::size_t count = 0; count < servers; ++count) {
+    for (std::size_t count = 0; count < plan.servers; ++count) {
         addServer();
     }
     started_ = true;
@@ -99,7 +112,8 @@
     ++version_;
     changingKey_ = "key-changing-" + std::to_string(version_);
     store_->put("config", "main",
-                configurationOf(version_, changingKey_, poolOf(states_, listedSlots()), scarce()));
+                configurationOf(version_, changingKey_, poolOf(plan_.serverStates, listedSlots()),
+                                plan_));
     return taken;
 }
 
@@ -108,12 +122,12 @@
     SoakServer server;
     server.runner = std::make_unique<standin::RunnerStandin>(
             io_, "i-" + std::to_string(servers_.size()), support::freeEndpoint());
-    server.runner->pause = BetweenEvents;
-    if (versions_) {
+    server.runner->pause = plan_.longStreams ? BetweenLongStreamEvents : BetweenEvents;
+    if (plan_.versions) {
         server.runner->version = "v" + std::to_string(1 + servers_.size() % Versions);
         server.runner->pause = LongBetweenEvents;
     }
-    server.runner->endedBy = crashing_ ? CrashingBody : "";
+    server.runner->endedBy = plan_.crashing ? CrashingBody : "";
     // Callers use it only in a soak with such parts.
     server.runner->endedByParts = {CrashingPart};
     server.runner->endsAfter = BetweenEvents;
@@ -122,16 +136,17 @@
     server.runner->work = ScarceWork;
     server.proxy =
             std::make_unique<LoopbackProxy>(io_, support::freeEndpoint(), server.runner->where());
-    server.hall = states_ ? ServerHalls.at(servers_.size() % ServerHalls.size()) : "hall-0";
+    server.hall =
+            plan_.serverStates ? ServerHalls.at(servers_.size() % ServerHalls.size()) : "hall-0";
     servers_.push_back(std::move(server));
     servers_.back().listed = true;
-    servers_.back().cold = states_ && started_;
+    servers_.back().cold = plan_.serverStates && started_;
     list(servers_.back(), "ready");
 }
 
 std::size_t SoakWorld::listedSlots() const
 {
-    return scarce() ? scarceSlots_ : PlentifulSlots;
+    return plan_.scarce ? scarceSlots_ : PlentifulSlots;
 }
 
 void SoakWorld::setSlowness(SoakServer &server, int factor)
@@ -146,7 +161,7 @@
                 {{"service", "pool"},
                  {"address", kernel::text(server.proxy->where())},
                  {"zone", server.hall},
-                 {"version", versions_ ? server.runner->version : "v1"},
+                 {"version", plan_.versions ? server.runner->version : "v1"},
                  {"slots", listedSlots()},
                  {"state", state},
                  {"cold_left_ms", server.cold ? ColdFor / 1ms : 0},
--- a/test/platform/soak/SoakWorld.h
+++ b/test/platform/soak/SoakWorld.h
@@ -9,6 +9,7 @@
 #include "platform/soak/LoopbackProxy.h"
 #include "platform/soak/SoakFleet.h"
 #include "platform/soak/SoakJudge.h"
+#include "platform/soak/SoakPlan.h"
 
 #include <array>
 #include <memory>
@@ -43,15 +44,9 @@
 class SoakWorld
 {
 public:
-    /** \param states, crashing see SoakPlan. \param scarceSlots of each server; 0: no limit. */
-    SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, std::size_t servers, bool states,
-              bool crashing, std::size_t scarceSlots, bool versions);
+    SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, const SoakPlan &plan);
 
-    /** See SoakPlan. */
-    bool scarce() const { return scarceSlots_ > 0; }
-
-    /** See SoakPlan. */
-    bool versions() const { return versions_; }
+    const SoakPlan &plan() const { return plan_; }
 
     /** More callers than the servers can serve call now. */
     bool rush = false;
@@ -94,11 +89,9 @@
     std::unique_ptr<standin::StoreStandin> store_;
     std::vector<std::unique_ptr<LoopbackProxy>> storeProxies_;
     std::vector<SoakServer> servers_;
-    bool states_;
-    bool crashing_;
-    std::size_t scarceSlots_;
-    bool versions_;
-    bool started_ = false; ///< The first servers stand; those that come later are cold.
+    const SoakPlan plan_;
+    const std::size_t scarceSlots_; ///< Of each server; 0: no limit.
+    bool started_ = false;          ///< The first servers stand; those that come later are cold.
     int version_ = 0;
     std::string changingKey_;
 };
