A request whose framing is unclear is refused, and its body is no request

Cause: the parser takes a transfer coding that it doesn't know for no body and goes on with the next request where the body begins.

Change: the server refuses what isn't framed by one length, or by "chunked" alone, with 400 and closes the connection; for both kinds of process.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -107,6 +107,19 @@
     return request;
 }
 
+// Whether all on the way agree where the body ends: by one length, or by chunks and nothing else.
+// The parser takes any other transfer coding for no body, and what follows for the next request.
+bool framingIsClear(const bhttp::request<bhttp::string_body> &message)
+{
+    const auto codings = message.count(bhttp::field::transfer_encoding);
+    const auto lengths = message.count(bhttp::field::content_length);
+    if (codings == 0) {
+        return lengths <= 1;
+    }
+    return codings == 1 && lengths == 0
+           && beast::iequals(message[bhttp::field::transfer_encoding], "chunked");
+}
+
 Refused refusedFor(const beast::error_code &error)
 {
     if (error == bhttp::error::body_limit) {
@@ -267,7 +280,7 @@
             co_return co_await endUnread(error);
         }
         auto message = parser.release();
-        if (message.version() < 11) {
+        if (message.version() < 11 || !framingIsClear(message)) {
             co_await refuse(Refused::Malformed);
             co_return endsFor(EndReason::Refused);
         }
--- a/test/correctness/FrontTest.cpp
+++ b/test/correctness/FrontTest.cpp
@@ -113,6 +113,37 @@
     }
 }
 
+// Failure: a body in a transfer coding that the box doesn't know ran as a second request.
+BOOST_AUTO_TEST_CASE(request_framingIsUnclear_isRefusedAndItsBodyIsNoRequest)
+{
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string length = "Content-Length: " + std::to_string(smuggled.size()) + "\r\n";
+    const std::string framings[] = {
+            "Transfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding: gzip\r\nTransfer-Encoding: identity\r\n",
+            "Transfer-Encoding: gzip\r\n" + length,
+            "Transfer-Encoding: chunked\r\n" + length,
+            length + "Content-Length: 0\r\n",
+            "Content-Length: +5\r\n",
+            "Content-Length: 5 5\r\n",
+            "Content-Length: -1\r\n",
+    };
+    for (const std::string &framing : framings) {
+        BOOST_TEST_CONTEXT(framing)
+        {
+            const std::string answers =
+                    raw("POST /nope HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n" + smuggled);
+            BOOST_TEST(answers.find("X-Result-Code: 100") != std::string::npos);
+            BOOST_TEST(answers.rfind("HTTP/1.1 ") == 0U, "more than one answer");
+        }
+    }
+    const std::string clear = raw("POST /nope HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                  "transfer-encoding: Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    BOOST_TEST(clear.find("X-Result-Code: 107") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(client_sendsHalfARequest_isDroppedAfterTheHeadTimeout)
 {
     BOOST_TEST(
