A comment in plain words

Cause: the comment on waiting in silence weighed an answer against a failure. Change: it says what may happen. Measured: nothing to measure; the code is as it was.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -145,7 +145,7 @@
     });
 }
 
-// The server may only be slow: its answer is worth more than a failure, until the deadline.
+// The server may only be slow, and its answer may still come before the deadline.
 void BackendExchange::waitInSilence()
 {
     if (!waitsInSilence_) {
