Late looks: time in which the process stood still doesn't use them up

What callers would have seen: a stream that is cut, or a 504 in place of an answer, although the rest of the answer lay unread in the box's socket.

Cause: after the end of a wait, looks go on for 200 ms while the connection brings bytes. The 200 ms were counted by the clock from the first look. A box that stood still a second time within them woke with no time left and ended the wait, before it had read what had come meanwhile.

Change: the time between two looks counts for two of the usual spacings, 40 ms, at most. A peer that always has a byte waiting still ends after 200 ms where the process runs, and after five standstills where it doesn't; a box with an eighth of a core, which stands still for 90 ms of each 100 ms, ends it after some 500 ms instead of 200 ms, within the half second of a final answer (by calculation, not played).

--- a/src/http/AnswerTimer.cpp
+++ b/src/http/AnswerTimer.cpp
@@ -12,10 +12,10 @@
 
 // Some passes of the event loop, on a box with a part of a core too.
 constexpr kernel::Duration BetweenLooks = 20ms;
-// A few standstills of a box with an eighth of a core, each of up to 90 ms of the scheduler's
-// period of 100 ms. A caller's final answer may come half a second after its time, which leaves the
-// rest to the standstill before the first look.
+// A box with an eighth of a core stands still for up to 90 ms of each 100 ms: five looks, within
+// the half second after its time that a caller's final answer may take.
 constexpr kernel::Duration LongestLooks = 200ms;
+constexpr kernel::Duration MostBetweenLooks = 2 * BetweenLooks;
 // The loop's timers stand still while the machine is suspended.
 constexpr kernel::Duration LongestSleep = 500ms;
 
@@ -38,7 +38,7 @@
     std::string name;
     std::function<Heard()> heard;
     std::function<void()> over;
-    LateLooks looks{LongestLooks};
+    LateLooks looks{LongestLooks, MostBetweenLooks};
     bool late = false;
     bool turnGiven = false;
     bool stopped = false;
--- a/src/http/LateLooks.h
+++ b/src/http/LateLooks.h
@@ -26,10 +26,15 @@
 class LateLooks
 {
 public:
-    /** \param longest from the first look to the last one, so that a peer that always brings
-     * something can't hold the wait open. */
-    explicit LateLooks(kernel::Duration longest)
+    /**
+     * \param longest time between the first look and the last one, so that a peer that always
+     * brings something can't hold the wait open.
+     * \param mostBetween what the time between two looks counts at most: the process stood still
+     * for the rest of it.
+     */
+    LateLooks(kernel::Duration longest, kernel::Duration mostBetween)
         : longest_(longest)
+        , mostBetween_(mostBetween)
     {
     }
 
@@ -38,8 +43,10 @@
 
 private:
     kernel::Duration longest_;
-    std::optional<kernel::Instant> first_;
-    std::uint64_t read_ = 0; ///< At the last look.
+    kernel::Duration mostBetween_;
+    kernel::Duration used_{};             ///< Of the longest time.
+    std::optional<kernel::Instant> last_; ///< The last look.
+    std::uint64_t read_ = 0;              ///< At the last look.
 };
 
 } // namespace limereel::http
--- a/test/correctness/AnswerTimerTest.cpp
+++ b/test/correctness/AnswerTimerTest.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr kernel::Duration Wait = 20ms;
+constexpr kernel::Duration LongStandstill = 300ms; // More than all late looks may take.
 
 struct AnswerTimerFixture
 {
@@ -79,6 +80,54 @@
     BOOST_TEST(!over);
 }
 
+// A second standstill within the late looks used up their time, and the wait ended with the rest of
+// the answer unread.
+BOOST_AUTO_TEST_CASE(wait_loopStandsStillAgainWhileTheAnswerIsRead_goesOn)
+{
+    bool handled = false;
+    standStill([&] {
+        heard.waiting = http::Arrived::Bytes;
+        const auto until = Clock::now() + LongStandstill;
+        // The first look comes before this, the second one right behind it.
+        asio::post(io, [&, until] {
+            asio::post(io, [&, until] {
+                heard.read = 1;
+                while (Clock::now() <= until) {
+                }
+                asio::post(io, [&] {
+                    asio::post(io, [&] {
+                        asio::post(io, [&] {
+                            handled = true;
+                            timer.stop();
+                        });
+                    });
+                });
+            });
+        });
+    });
+    io.run();
+    BOOST_TEST(handled);
+    BOOST_TEST(!over);
+}
+
+// A peer that always has a byte waiting gets a bounded number of looks, and time in which the loop
+// stands still makes them no more.
+BOOST_AUTO_TEST_CASE(wait_bytesAlwaysWait_ends)
+{
+    constexpr int MostLooks = 16;
+    int looks = 0;
+    timer.start(
+            Wait,
+            [&] {
+                ++looks;
+                return http::Heard{static_cast<std::uint64_t>(looks), http::Arrived::Bytes};
+            },
+            [&] { over = true; });
+    io.run();
+    BOOST_TEST(over);
+    BOOST_TEST(looks <= MostLooks);
+}
+
 BOOST_AUTO_TEST_CASE(wait_nothingCame_ends)
 {
     standStill([] {});
