Bounds on what is held of one answer: its framing and its events

What callers saw: nothing wrong by itself, but one server in trouble held 48 MB a connection, all that it wrote, at a box, until the deadline (504). Cause: Beast's parser waits for the whole size and extension of a chunk, and for all trailers, without a limit, and the read buffer had none; the store's answers, other boxes' and calls of their own connection are read in the same way. An event that isn't complete was held without a bound. Change: BoundedSource stands between the socket and the parser and gives each step an allowance: 64 KiB for a head, 16 KiB for the framing before the next piece of a body. One event has at most 1 MiB; a stream's body that isn't of events 16 MiB, as a plain one. Past a bound the connection is closed, the attempt counts as the server's failure ("lost"), `attempt-failed` names bound and server, and answers_too_long{bound} counts. The own interface's client now takes heads of 64 KiB (8 KiB by the parser's default). Result: EndlessAnswerTest before: of the first 25 fast cases 13 (a chunk's size, extension, a trailer, trailers) took 50,331,739 to 50,333,278 bytes and ended with 504, not as the server's failure; the run was ended there by its time of 200 s, so the other 31 of them were not run before. The store's answers: 4 of 7 failed, calls of their own connection: 4 of 14, both streams whose second event has no end (50,331,745 bytes). Heads, bytes one by one and interim heads were within bounds before; of the heads only the name of the bound is new. After: no errors, twice, 19 s. BrokenAnswerTest, OutcomeTruthTest and GatewayTest: no errors. No existing test was touched.

--- a/src/forward/EventCutter.h
+++ b/src/forward/EventCutter.h
@@ -35,6 +35,9 @@
     /** Whether the stream has stopped inside an event, or inside a line. */
     bool insideEvent() const;
 
+    /** How many bytes belong to no complete event. */
+    std::size_t pendingBytes() const { return pending_.size(); }
+
     /** Removes and returns the bytes that belong to no complete event. */
     std::string takeRest();
 
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 constexpr int MaxForeignAnswers = 3;
 // A connection is established within a few round trips or not in time, so connecting may take this
 // fraction of the route's objective.
@@ -175,6 +174,13 @@
     return sent ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent;
 }
 
+AttemptEnd BackendExchange::failReading(const char *what, const http::CallFailure &failure,
+                                        bool sent)
+{
+    run_.noteTooLong(failure.passed);
+    return fail(Failure::Lost, what + failure.message, sent);
+}
+
 asio::awaitable<bool> BackendExchange::connect()
 {
     run_.fleetView.servers().noteAttempt(server_.id, run_.context.now());
@@ -221,7 +227,7 @@
             co_return tl::unexpected(http::CallFailure{outcome::FailurePoint::AnswerForeign, false,
                                                        "answers of other requests came"});
         }
-        auto body = co_await connection_->readAll(MaxAnswerBytes);
+        auto body = co_await connection_->readAll(http::MaxBodyBytes);
         if (!body) {
             co_return tl::unexpected(body.error());
         }
@@ -277,7 +283,7 @@
         if (pooled_ && sent && run_.interrupt->reason != Interruption::CallerLeft) {
             pool_.closeIdleBefore(server_.id, sentAt);
         }
-        co_return fail(Failure::Lost, "answer: " + start.error().message, sent);
+        co_return failReading("answer: ", start.error(), sent);
     }
     const kernel::Instant now = run_.context.now();
     run_.headAt = now;
@@ -319,9 +325,10 @@
 
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
-    auto body = co_await connection_->readAll(MaxAnswerBytes);
+    auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (!body) {
         connection_->close();
+        run_.noteTooLong(body.error().passed);
         if (head.notRun && !run_.stopped()) {
             fail(Failure::Full, "rejected, then cut", true);
             co_return AttemptEnd::Rejected;
@@ -369,7 +376,7 @@
         auto part = co_await connection_->readPart();
         if (!part) {
             connection_->close();
-            co_return fail(Failure::Lost, "stream: " + part.error().message, true);
+            co_return failReading("stream: ", part.error(), true);
         }
         run_.fleetView.servers().noteHeard(server_.id, run_.context.now());
         if (!run_.firstPiece) {
@@ -383,6 +390,10 @@
         if (!passed) {
             co_return endForCallerThatLeft();
         }
+        if (const auto tooLong = events_.tooLong(start)) {
+            connection_->close();
+            co_return failReading("stream: ", *tooLong, true);
+        }
     }
 }
 
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 // Boxes are a few round trips apart; one that doesn't answer by then is passed over.
 constexpr kernel::Duration ConnectTimeout = 50ms;
 
@@ -97,6 +96,7 @@
     auto start = co_await connection_->readHead();
     if (!start) {
         connection_->close();
+        run_.noteTooLong(start.error().passed);
         const bool sent = start.error().point != outcome::FailurePoint::ConnectedUnsent;
         co_return fail(sent ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent,
                        "answer: " + start.error().message);
@@ -126,7 +126,7 @@
 // The other box's view may differ from this box's, so what it refuses as wrong isn't passed on.
 asio::awaitable<AttemptEnd> DetourAttempt::takeRefusal(const http::AnswerStart &start)
 {
-    const auto body = co_await connection_->readAll(MaxAnswerBytes);
+    const auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (body) {
         returnConnection(start);
     } else {
@@ -146,9 +146,10 @@
 
 asio::awaitable<AttemptEnd> DetourAttempt::forwardWhole(http::AnswerStart start)
 {
-    auto body = co_await connection_->readAll(MaxAnswerBytes);
+    auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (!body) {
         connection_->close();
+        run_.noteTooLong(body.error().passed);
         co_return fail(AttemptEnd::MayHaveRun, "body: " + body.error().message);
     }
     returnConnection(start);
@@ -172,6 +173,7 @@
         auto part = co_await connection_->readPart();
         if (!part) {
             connection_->close();
+            run_.noteTooLong(part.error().passed);
             co_return fail(AttemptEnd::MayHaveRun, "stream: " + part.error().message);
         }
         run_.notePiece();
@@ -196,6 +198,11 @@
         if (ended) {
             break;
         }
+        if (const auto tooLong = events_.tooLong(start)) {
+            connection_->close();
+            run_.noteTooLong(tooLong->passed);
+            co_return fail(AttemptEnd::MayHaveRun, "stream: " + tooLong->message);
+        }
     }
     returnConnection(start);
     detours_.table().noteServed(box_.box);
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -56,6 +56,13 @@
     guard.notePiece();
 }
 
+void RunState::noteTooLong(std::optional<http::AnswerBound> bound) const
+{
+    if (bound) {
+        context.counters.add("answers_too_long", {{"bound", std::string(text(*bound))}});
+    }
+}
+
 void RunState::noteBytes(const forward::StreamOrigin &writer)
 {
     if (!origin) {
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -121,6 +121,9 @@
     /** Records that bytes of a stream that \a writer wrote are about to go to the caller. */
     void noteBytes(const forward::StreamOrigin &writer);
 
+    /** Counts an answer that was given up as it passed \a bound, if it did. */
+    void noteTooLong(std::optional<http::AnswerBound> bound) const;
+
     /** The prompt if its parts matter for the choice of a server; else nullptr. */
     const forward::Prompt *prompt() const;
 };
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,5 +1,6 @@
 #include "http/Client.h"
 
+#include "http/BoundedSource.h"
 #include "http/ResponseEnd.h"
 #include "http/TimeLimit.h"
 
@@ -42,8 +43,10 @@
 {
     explicit Connection(asio::io_context &io)
         : socket(io)
+        , source(socket)
         , limit(socket)
     {
+        parser.header_limit(MaxHeadBytes);
         parser.body_limit(boost::none);
     }
 
@@ -54,10 +57,12 @@
         if (timedOut) {
             error = beast::error::timeout;
         }
-        return {point, timedOut, error.message()};
+        const auto passed = passedBy(error, !parser.is_header_done());
+        return {point, timedOut, passed ? tooLong(*passed) : error.message(), passed};
     }
 
     tcp::socket socket;
+    BoundedSource source;
     TimeLimit limit;
     beast::flat_buffer buffer;
     bhttp::response_parser<bhttp::buffer_body> parser;
@@ -108,8 +113,9 @@
         co_return tl::unexpected(connection->failure(point, writeError));
     }
     limit.nowAwait(Awaited::Bytes);
+    connection->source.allow(MaxHeadBytes);
     const auto [headError, headBytes] = co_await bhttp::async_read_header(
-            socket, connection->buffer, connection->parser, Quiet);
+            connection->source, connection->buffer, connection->parser, Quiet);
     limit.never();
     connection->bytes.received = headBytes;
     if (headError) {
@@ -150,8 +156,9 @@
         body.size = part.size();
         body.more = true;
         connection.limit.expireAfter(connection.timeouts.part);
+        connection.source.allow(MaxFramingBytes);
         const auto [error, bytes] = co_await bhttp::async_read_some(
-                connection.socket, connection.buffer, connection.parser, Quiet);
+                connection.source, connection.buffer, connection.parser, Quiet);
         connection.limit.never();
         connection.bytes.received += bytes;
         part.resize(PartBytes - body.size);
@@ -202,8 +209,9 @@
         }
         answer.body += part->bytes;
         if (answer.body.size() > mostBytes) {
-            co_return tl::unexpected(
-                    CallFailure{FailurePoint::AnswerBegun, false, "the answer is too long"});
+            co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false,
+                                                 tooLong(AnswerBound::Body, mostBytes),
+                                                 AnswerBound::Body});
         }
     }
     co_return answer;
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "http/AnswerBound.h"
 #include "http/BodyEnd.h"
 #include "http/Message.h"
 #include "kernel/BoxSettings.h"
@@ -15,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -26,6 +28,7 @@
     outcome::FailurePoint point = outcome::FailurePoint::BeforeConnect;
     bool timedOut = false;
     std::string message;
+    std::optional<AnswerBound> passed; ///< Set if a part of the answer was too long.
 };
 
 /** Longest waits of a call. */
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/KeptConnection.h"
 
+#include "http/BoundedSource.h"
 #include "http/ResponseEnd.h"
 #include "http/SocketState.h"
 
@@ -21,7 +22,6 @@
 
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t PartBytes = 8192;
-constexpr std::uint32_t MostHeadBytes = 65536;
 // A peer without power acknowledges nothing; the kernel then gives the connection up.
 constexpr int UnacknowledgedMilliseconds = 2000;
 
@@ -48,6 +48,7 @@
 {
     explicit State(asio::io_context &io)
         : socket(io)
+        , source(socket)
     {
     }
 
@@ -55,6 +56,7 @@
     void endConnecting();
 
     tcp::socket socket;
+    BoundedSource source;
     beast::flat_buffer buffer;
     std::optional<Message> message;
     std::optional<Parser> parser;
@@ -87,12 +89,14 @@
 CallFailure KeptConnection::failure(const boost::system::error_code &error) const
 {
     FailurePoint point = FailurePoint::AllSent;
-    if (state_->parser && state_->parser->is_header_done()) {
+    const bool headDone = state_->parser && state_->parser->is_header_done();
+    if (headDone) {
         point = FailurePoint::AnswerBegun;
     } else if (!state_->sending && !state_->anySent) {
         point = FailurePoint::ConnectedUnsent;
     }
-    return {point, false, error.message()};
+    const auto passed = passedBy(error, !headDone);
+    return {point, false, passed ? tooLong(*passed) : error.message(), passed};
 }
 
 asio::awaitable<tl::expected<KeptConnection::Ptr, CallFailure>>
@@ -155,11 +159,12 @@
     const std::shared_ptr<State> state = state_;
     state->parser.emplace();
     state->parser->body_limit(boost::none);
-    state->parser->header_limit(MostHeadBytes);
+    state->parser->header_limit(MaxHeadBytes);
     state->parser->skip(state->headRequest);
     state->reading = true;
+    state->source.allow(MaxHeadBytes);
     const auto [error, bytes] =
-            co_await bhttp::async_read_header(state->socket, state->buffer, *state->parser, Quiet);
+            co_await bhttp::async_read_header(state->source, state->buffer, *state->parser, Quiet);
     state->reading = false;
     state->read += bytes;
     if (error) {
@@ -186,7 +191,8 @@
         body.size = part.size();
         body.more = true;
         state->reading = true;
-        const auto [error, bytes] = co_await bhttp::async_read_some(state->socket, state->buffer,
+        state->source.allow(MaxFramingBytes);
+        const auto [error, bytes] = co_await bhttp::async_read_some(state->source, state->buffer,
                                                                     *state->parser, Quiet);
         state->reading = false;
         state->read += bytes;
@@ -221,8 +227,9 @@
         all.bytes += part->bytes;
         if (all.bytes.size() > mostBytes) {
             state_->failed = true;
-            co_return tl::unexpected(
-                    CallFailure{FailurePoint::AnswerBegun, false, "the answer is too long"});
+            co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false,
+                                                 tooLong(AnswerBound::Body, mostBytes),
+                                                 AnswerBound::Body});
         }
     }
 }
