A detour that servers rejected is paid for before the next send

A box that reaches none of its servers sends a request through another box. A refusal "not run" of that box was followed by the next detour or an own send without a charge to the retry budget, although servers there may have been sent the request and rejected it. With the budget used up, the other box doesn't repeat and refuses at once, and so each box that is asked adds an arrival that no budget counts. Callers saw no difference: a 503 either way; the servers of an overloaded service saw more arrivals than the bound allows.

A detour says how many sends were made before (a tenth element of the request, left out by earlier versions and passed over by them; where no origin is told, its place holds an empty text, which they read as none). If that is told, a refusal says how often servers there were sent the request, and whether a granted repeat is left over (X-Detour-Sends: runs, rejections, unused repeats). The box that asked counts these into its own, stops after as many rejections as without a detour, and pays for the next send unless a granted repeat is left over. A refusal that says nothing, of an earlier version, is paid for as though one server had rejected it there.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -92,6 +92,7 @@
 {
     run_.interrupt->connection = connection_;
     run_.sentAt = run_.context.now();
+    run_.repeatUnused = false;
     run_.fleetView.servers().begin(server_.id, run_.prompt(), run_.context.now());
     if (run_.repeatable() && run_.route.maxAttempts > run_.counts.sends + 1) {
         armSilenceTimer(firstSilenceCheck(run_, server_));
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -90,6 +90,7 @@
     detour.resumeAfter = run_.lastEvent;
     detour.origin = run_.origin;
     detour.request = run_.request;
+    detour.made = peer::SendsMade{run_.counts.sends, run_.counts.rejected};
     logDetour(run_, box_.name);
     run_.through = box_.name;
     run_.sentAt = run_.context.now();
@@ -102,6 +103,7 @@
                        "answer: " + start.error().message);
     }
     run_.headAt = run_.context.now();
+    run_.sendsThere = peer::sendsMadeFrom(start->fields.get(DetourSends));
     const forward::AnswerHead head =
             run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
     const bool ofServer = start->fields.get(DetourRefused).empty() && head.id == run_.call.id;
@@ -110,7 +112,7 @@
     }
     http::AnswerStart first = std::move(*start);
     const auto writer = forward::streamOriginFrom(first.fields.get(DetourOrigin));
-    first.fields = first.fields.without(DetourOrigin);
+    first.fields = first.fields.without(DetourOrigin).without(DetourSends);
     if (run_.route.stream && first.status / 100 == 2) {
         if (run_.origin && !(writer && writer->agreesWith(*run_.origin))) {
             connection_->close();
--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -130,6 +130,7 @@
         context_.counters.add("detours_served", {{"result", result}});
         http::Answer refusal(detour ? Busy : BadRequest,
                              http::Fields().with(DetourRefused, result));
+        refusal.fields.add(DetourSends, text(peer::SendsMade()));
         co_await reply.send(std::move(refusal));
         co_return;
     }
--- a/src/gateway/DetourService.h
+++ b/src/gateway/DetourService.h
@@ -32,6 +32,9 @@
 /** Field by which a box tells another one which backend server began the stream that it sends. */
 inline constexpr const char *DetourOrigin = "X-Detour-Origin";
 
+/** Field by which a box tells the one that asked how often servers were sent the request. */
+inline constexpr const char *DetourSends = "X-Detour-Sends";
+
 /** A box through which a request may be sent. */
 struct DetourBox
 {
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -71,6 +71,7 @@
         run_.call.resumeAfter = servedFor_->resumeAfter;
         run_.origin = servedFor_->origin;
         run_.forOtherBox = true;
+        run_.madeBefore = servedFor_->made;
     }
     if (auto refusal = admit()) {
         co_await refuse(std::move(*refusal));
@@ -287,11 +288,7 @@
             if (end == AttemptEnd::Answered) {
                 co_return;
             }
-            if (end != AttemptEnd::MayHaveRun) {
-                continue;
-            }
-            run_.counts.add(end);
-            if (run_.stopped() || !mayTryAgain(end)) {
+            if (!mayTryAgainAfterDetour(end)) {
                 break;
             }
             continue;
@@ -383,6 +380,28 @@
     co_return co_await attempt.run();
 }
 
+// Arrivals at servers there count like those that this box has sent. A box of an earlier version
+// tells nothing, and may have sent it.
+bool RequestRun::mayTryAgainAfterDetour(AttemptEnd end)
+{
+    if (end == AttemptEnd::Unsent) {
+        return true;
+    }
+    const bool mayHaveRun = end == AttemptEnd::MayHaveRun;
+    const peer::SendsMade untold{mayHaveRun ? 1U : 0U, mayHaveRun ? 0U : 1U, 0};
+    const peer::SendsMade there = run_.sendsThere.value_or(untold);
+    if (!mayHaveRun && there.rejections == 0) {
+        return true;
+    }
+    run_.counts.sends += mayHaveRun ? 1 : 0;
+    run_.counts.rejected += there.rejections;
+    run_.repeatUnused = there.unusedRepeats > 0;
+    if (run_.stopped() || ranOut()) {
+        return false;
+    }
+    return run_.repeatUnused || mayTryAgain(end);
+}
+
 // A request during which servers have crashed may have to run alone, which means one send at a time
 // in the whole fleet, or may not run at all.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::acquireSendPermission()
@@ -442,9 +461,7 @@
     if (end == AttemptEnd::Unsent) {
         return run_.counts.unsent < MaxUnsent;
     }
-    const bool ranOut =
-            run_.counts.sends >= run_.route.maxAttempts || run_.counts.rejected > MaxRejections;
-    if (ranOut || (run_.counts.sends > 0 && !run_.repeatable())) {
+    if (ranOut()) {
         return false;
     }
     const bool granted = std::exchange(repeatReserved_, false)
@@ -452,9 +469,18 @@
     run_.context.counters.add("repeats",
                               {{"granted", granted ? "yes" : "no"},
                                {"reason", end == AttemptEnd::Rejected ? "rejected" : "failed"}});
+    run_.repeatUnused = granted;
     return granted;
 }
 
+bool RequestRun::ranOut() const
+{
+    const std::uint32_t rejected =
+            run_.counts.rejected + run_.madeBefore.value_or(peer::SendsMade()).rejections;
+    return run_.counts.sends >= run_.route.maxAttempts || rejected > MaxRejections
+           || (run_.counts.sends > 0 && !run_.repeatable());
+}
+
 // Whether another attempt is sure to follow if this one is given up, as far as this box knows.
 bool RequestRun::reserveRepeat()
 {
@@ -569,6 +595,7 @@
     answer.fields.add("Content-Type", "application/json");
     if (servedFor_) {
         answer.fields.add(DetourRefused, std::string(info.name));
+        answer.fields = withSends(run_, std::move(answer.fields), 0);
     }
     co_await run_.reply.send(std::move(answer));
 }
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -26,6 +26,7 @@
     kernel::Duration left{};                     ///< Until the caller's deadline.
     std::optional<std::uint64_t> resumeAfter;    ///< The last event that the caller has.
     std::optional<forward::StreamOrigin> origin; ///< The server that began its stream.
+    std::optional<peer::SendsMade> made;         ///< Sends of the request before this one.
 };
 
 /** Serves one request. Must live until serve() has returned. */
@@ -74,10 +75,12 @@
     bool wayIsLost() const;
     bool chooseDetour();
     boost::asio::awaitable<AttemptEnd> takeDetour();
+    bool mayTryAgainAfterDetour(AttemptEnd end);
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
     void releasePlace(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
     bool mayTryAgain(AttemptEnd end);
+    bool ranOut() const;
     bool reserveRepeat();
 
     boost::asio::awaitable<void> giveUp();
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -1,5 +1,6 @@
 #include "gateway/RunState.h"
 
+#include "gateway/DetourService.h"
 #include "http/EndToEnd.h"
 
 namespace limereel::gateway {
@@ -44,6 +45,7 @@
     failure.reset();
     bodyEnd.reset();
     through.clear();
+    sendsThere.reset();
     answeredWhole = false;
     answeredFailure = false;
 }
@@ -77,6 +79,16 @@
     return http::endToEnd(fields, run.fleetView.adapter().dialect.ownFields);
 }
 
+http::Fields withSends(const RunState &run, http::Fields fields, std::uint32_t underWay)
+{
+    if (!run.madeBefore) {
+        return fields;
+    }
+    const peer::SendsMade made{run.counts.sends + underWay, run.counts.rejected,
+                               run.repeatUnused ? 1U : 0U};
+    return fields.without(DetourSends).with(DetourSends, text(made));
+}
+
 bool promisesNotRun(int status)
 {
     constexpr int RequestTimeout = 408;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -9,6 +9,7 @@
 #include "gateway/PlaceService.h"
 #include "http/KeptConnection.h"
 #include "http/Server.h"
+#include "peer/SendsMade.h"
 #include "services/CrashGuard.h"
 
 #include <functional>
@@ -90,10 +91,15 @@
     bool answeredWhole = false;   ///< The server of this attempt has sent a complete answer.
     bool answeredFailure = false; ///< That answer has no status of success.
 
-    bool forOtherBox = false;   ///< The caller is another box's.
+    bool forOtherBox = false; ///< The caller is another box's.
+    /** What the other box has told of earlier sends; nothing: it is of an earlier version. */
+    std::optional<peer::SendsMade> madeBefore;
     std::string through;        ///< The box through which this attempt is sent; empty: straight.
     std::optional<Place> place; ///< The place at the server of this attempt.
+    /** Sends of this attempt by the box through which it went, as that tells. */
+    std::optional<peer::SendsMade> sendsThere;
     AttemptCounts counts;
+    bool repeatUnused = false; ///< The retry budget granted a repeat that hasn't been sent yet.
     std::string lastMessage;
     std::optional<http::Answer> failedAnswer; ///< A complete error answer of a backend server.
     std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that the caller has.
@@ -128,6 +134,10 @@
 /** The fields of a request or answer that are passed on; those of the platform always are. */
 http::Fields ownEndToEnd(const RunState &run, const http::Fields &fields);
 
+/** The fields of an answer; one to another box that asks for it says how often servers were sent
+ * the request. \param underWay sends that aren't counted yet. */
+http::Fields withSends(const RunState &run, http::Fields fields, std::uint32_t underWay);
+
 /** Whether the HTTP status \a status tells the caller that its request did not run. */
 bool promisesNotRun(int status);
 
--- a/src/peer/DetourMessages.cpp
+++ b/src/peer/DetourMessages.cpp
@@ -11,8 +11,9 @@
 // The first word keeps it from being taken for another message under the same key.
 constexpr const char *RequestWord = "detour-request";
 
-// Boxes of earlier versions leave it out, and pass over it.
+// Boxes of earlier versions leave them out, and pass over them.
 constexpr std::size_t OriginIndex = 8;
+constexpr std::size_t MadeIndex = 9;
 
 http::Fields fieldsFrom(const json &array)
 {
@@ -35,8 +36,11 @@
     json array = json::array({RequestWord, request.from, request.leftMs, resumeAfter,
                               request.request.method, request.request.target, std::move(fields),
                               request.request.body});
-    if (request.origin) {
-        array.push_back(text(*request.origin));
+    if (request.origin || request.made) {
+        array.push_back(request.origin ? text(*request.origin) : std::string());
+    }
+    if (request.made) {
+        array.push_back(text(*request.made));
     }
     return json::to_msgpack(array);
 }
@@ -61,6 +65,9 @@
         if (array.size() > OriginIndex) {
             request.origin = forward::streamOriginFrom(array.at(OriginIndex).get<std::string>());
         }
+        if (array.size() > MadeIndex) {
+            request.made = sendsMadeFrom(array.at(MadeIndex).get<std::string>());
+        }
         return request;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/peer/DetourMessages.h
+++ b/src/peer/DetourMessages.h
@@ -8,6 +8,7 @@
 #include "forward/StreamOrigin.h"
 #include "http/Message.h"
 #include "peer/Messages.h"
+#include "peer/SendsMade.h"
 
 #include <compare>
 #include <optional>
@@ -26,6 +27,9 @@
      * that asks is of an earlier version. */
     std::optional<forward::StreamOrigin> origin;
     http::Request request; ///< As the caller sent it.
+    /** Sends before this one; nothing: the box that asks is of an earlier version and reads no
+     * answer about sends. */
+    std::optional<SendsMade> made = {};
 };
 
 /** The MessagePack form. */
--- /dev/null
+++ b/src/peer/SendsMade.h
@@ -0,0 +1,31 @@
+/** \file
+ * How often backend servers were sent one request, as boxes tell each other: the box whose caller
+ * it is pays for each arrival beyond the first and holds the number of runs, whichever box sends.
+ */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace limereel::peer {
+
+/** Sends of one request. */
+struct SendsMade
+{
+    std::uint32_t runs = 0;          ///< That a server may have run.
+    std::uint32_t rejections = 0;    ///< That a server has rejected.
+    std::uint32_t unusedRepeats = 0; ///< Granted by a retry budget, and no send came of it.
+
+    auto operator<=>(const SendsMade &) const = default;
+};
+
+/** The form in a field of an answer, as in "1 2 0". */
+std::string text(const SendsMade &sends);
+
+/** The sends in \a text; nothing if it holds none. */
+std::optional<SendsMade> sendsMadeFrom(std::string_view text);
+
+} // namespace limereel::peer
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -218,6 +218,40 @@
     BOOST_TEST(!decodeDetourRequest(nlohmann::json::to_msgpack(spoilt))->origin.has_value());
 }
 
+// A box of an earlier version reads the origin as text wherever there is one.
+BOOST_AUTO_TEST_CASE(decodeDetourRequest_withSendsMade_hasThemWithAndWithoutAnOrigin)
+{
+    DetourRequest request{.from = "box-1",
+                          .leftMs = 5,
+                          .resumeAfter = {},
+                          .origin = {},
+                          .request = {},
+                          .made = SendsMade{1, 2, 1}};
+    const auto without = decodeDetourRequest(encode(request));
+    BOOST_REQUIRE(without.has_value());
+    BOOST_TEST((without->made == request.made));
+    BOOST_TEST(!without->origin.has_value());
+    const auto array = nlohmann::json::from_msgpack(encode(request));
+    BOOST_TEST(array.at(8).get<std::string>().empty());
+    request.origin =
+            limereel::forward::StreamOrigin{1, 2, limereel::forward::SoftwareVersion::withHash(3)};
+    const auto with = decodeDetourRequest(encode(request));
+    BOOST_REQUIRE(with.has_value());
+    BOOST_TEST((with->made == request.made));
+    BOOST_TEST((with->origin == request.origin));
+    request.made.reset();
+    BOOST_TEST(!decodeDetourRequest(encode(request))->made.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(sendsMadeFrom_anyText_isReadBackOrNothing)
+{
+    BOOST_TEST((sendsMadeFrom(limereel::peer::text(SendsMade{3, 4, 5})) == SendsMade{3, 4, 5}));
+    for (const char *spoilt : {"", " ", "  ", "1", "1 2", "1 2 ", " 1 2", "1 2 3 4", "-1 0 0",
+                               "1 x 0", "1001 0 0", "99999999999 0 0", "1  2"}) {
+        BOOST_TEST(!sendsMadeFrom(spoilt).has_value(), spoilt);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decode_unknownResult_isNothing)
 {
     auto array = nlohmann::json::from_msgpack(encode(newAnswer()));
