One limit for the whole search of a source

Its log shows 2.6 s of asking relays that were lost, old or silent in turn, then an answer of the store within 0.15 s.

Cause: the store came only when all relays were doubted at the same moment. Each failure costs its own wait, doubt of 0.5 s ends before three slow failures are through, and relays that hear from each other aren't "lost" while what they say gets older: it was good up to 3.5 s, from the bound for keys. The bound for changes had no part in it.

Change: searchTime (FeedPace) is counted from when the box last knew all that the store held: three quarters of the bound, or a working relay's longest cycle up to four fifths, and up to a tenth more by the box's name. From then on SourceSelector::next asks the store, if it may; a question to a relay gets the time that is left and is held for less. While the store's own pause lasts there is no such limit, so a store that is down is called at the same pace as before. A watch counts up to its answer, so that a box goes back to its relays.

--- a/src/gateway/FeedPaces.cpp
+++ b/src/gateway/FeedPaces.cpp
@@ -71,8 +71,9 @@
 {
     const Duration usable = usableFor(settings);
     const FeedPace alone = configurationPace(settings);
+    const Duration bound = std::min(usable, settings.applyWithin);
     return {alone, store::relayPace(alone, {usable, settings.applyWithin}),
-            store::maxRelayedAge(usable)};
+            store::maxRelayedAge(usable), bound};
 }
 
 // A relay's list is as old as its last confirmation; if that is late, servers that are shutting
@@ -81,7 +82,7 @@
 {
     const FeedPace alone = serverPace(settings);
     return {alone, store::relayPace(alone, {0s, settings.drainWithin}),
-            store::maxRelayedAge(settings.drainWithin)};
+            store::maxRelayedAge(settings.drainWithin), settings.drainWithin};
 }
 
 // Only the drain of a hall has to be known in time; confirmations that there is none may be old. So
@@ -98,6 +99,7 @@
     paces.alone = pace;
     paces.relaying = store::relayPace(pace, {0s, settings.hallDrainWithin});
     paces.maxRelayedAge = settings.hallDrainWithin;
+    paces.changeKnownWithin = settings.hallDrainWithin;
     // For a box that has just started the bound applies only after the contact time.
     paces.awaitRelays = settings.contact / 2;
     return paces;
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -95,8 +95,8 @@
     if (awaitingRelays()) {
         return pause;
     }
-    const FeedStep step =
-            book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed());
+    const FeedStep step = book_.next(sources_.relays(), sources_.self(), now, hooks_.storeAllowed(),
+                                     searchUntil());
     return step.kind == FeedStep::Kind::Store && leavesListToRelays() ? pause : step;
 }
 
@@ -107,7 +107,7 @@
     case FeedStep::Kind::Store:
         co_return co_await storeRound(step.relaying);
     case FeedStep::Kind::Relay:
-        co_await relayRound(step.relay, step.proven);
+        co_await relayRound(step);
         co_return kernel::Duration::zero();
     case FeedStep::Kind::Pause:
         break;
@@ -247,10 +247,26 @@
 
 void ObjectFeed::confirm(kernel::Instant asOf)
 {
+    noteKnown(asOf);
     record_.confirm(asOf);
     hooks_.confirmed(asOf);
 }
 
+void ObjectFeed::noteKnown(kernel::Instant asOf)
+{
+    knownAsOf_ = std::max(asOf, knownAsOf_.value_or(asOf));
+}
+
+std::optional<kernel::Instant> ObjectFeed::searchUntil() const
+{
+    if (!knownAsOf_ || paces_.changeKnownWithin == 0s) {
+        return std::nullopt;
+    }
+    const kernel::Duration search =
+            store::searchTime(paces_.relaying, paces_.changeKnownWithin, sources_.self());
+    return *knownAsOf_ + search;
+}
+
 asio::awaitable<json> ObjectFeed::readBody(const std::string &body)
 {
     http::JsonSlices slices(body);
@@ -404,6 +420,7 @@
                        *at_, reportedAt_);
         co_await deliver(changes->objects);
     }
+    noteKnown(reportedAt_);
     confirm(asked);
     notifyWaiters();
     if (changed_) {
@@ -412,26 +429,39 @@
     co_return true;
 }
 
-peer::FeedAsk ObjectFeed::makeAsk(bool proven) const
+store::AskTimes ObjectFeed::askTimes(const FeedStep &step, kernel::Instant now) const
+{
+    kernel::Duration hold{};
+    if (step.proven && !tooLarge_) {
+        hold = store::relayHoldTime(paces_.relaying);
+    }
+    std::optional<kernel::Duration> left;
+    if (step.askUntil) {
+        left = *step.askUntil - now;
+    }
+    return store::askTimes(hold, left);
+}
+
+peer::FeedAsk ObjectFeed::makeAsk(kernel::Duration hold) const
 {
-    const auto hold = proven && !tooLarge_ ? store::relayHoldTime(paces_.relaying) / 1ms : 0;
     return {.question = context_.random(),
             .kind = kind_,
             .at = at_.value_or(0),
-            .holdMs = static_cast<std::uint32_t>(hold),
+            .holdMs = static_cast<std::uint32_t>(hold / 1ms),
             .largeToo = tooLarge_};
 }
 
-asio::awaitable<void> ObjectFeed::relayRound(std::uint64_t relay, bool proven)
+asio::awaitable<void> ObjectFeed::relayRound(FeedStep step)
 {
-    const peer::FeedAsk ask = makeAsk(proven);
+    const std::uint64_t relay = step.relay;
     const kernel::Instant asked = context_.now();
-    const kernel::Duration timeout = std::chrono::milliseconds(ask.holdMs) + store::RelayAnswer;
+    const store::AskTimes times = askTimes(step, asked);
+    const peer::FeedAsk ask = makeAsk(times.hold);
     askingRelay_ = true;
     abandoned_ = false;
     std::optional<peer::FeedAnswer> answer;
     if (const auto where = sources_.addressOf(relay)) {
-        answer = co_await relayClient_.ask(*where, ask, timeout);
+        answer = co_await relayClient_.ask(*where, ask, times.timeout);
     }
     askingRelay_ = false;
     if (abandoned_) {
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -42,6 +42,9 @@
     /** Age from which on a relay's state is too old to use. */
     kernel::Duration maxRelayedAge{};
 
+    /** Time in which the box must know a change, whatever its relays do. */
+    kernel::Duration changeKnownWithin{};
+
     /** How long a box without any state waits for heartbeats that name relays before it asks the
      * store itself; zero: it doesn't wait. */
     kernel::Duration awaitRelays{};
@@ -121,7 +124,7 @@
 private:
     boost::asio::awaitable<kernel::Duration> round();
     boost::asio::awaitable<kernel::Duration> storeRound(bool relaying);
-    boost::asio::awaitable<void> relayRound(std::uint64_t relay, bool proven);
+    boost::asio::awaitable<void> relayRound(store::FeedStep step);
     boost::asio::awaitable<bool> list();
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<tl::expected<http::Answer, std::string>> askStore(std::string target,
@@ -134,8 +137,11 @@
     readObjects(const std::vector<store::KeptObject> &kept);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
     store::FeedStep nextStep() const;
-    peer::FeedAsk makeAsk(bool proven) const;
+    peer::FeedAsk makeAsk(kernel::Duration hold) const;
+    store::AskTimes askTimes(const store::FeedStep &step, kernel::Instant now) const;
+    std::optional<kernel::Instant> searchUntil() const;
     void confirm(kernel::Instant asOf);
+    void noteKnown(kernel::Instant asOf);
     bool appendPage(store::ObjectPage page, std::size_t bytes);
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
@@ -176,6 +182,9 @@
     std::optional<Listing> listing_;
     std::optional<std::uint64_t> at_; ///< Where the next watch starts; empty: list first.
     kernel::Instant reportedAt_;
+    /** When this box last knew all that the store held. Unlike a confirmation it includes the time
+     * of a watch, which the store would have ended with news; it isn't passed on. */
+    std::optional<kernel::Instant> knownAsOf_;
     kernel::Instant began_;       ///< When the feed was created.
     kernel::Instant listedFirst_; ///< When the first list was started.
     /** When the store answered that it no longer has the history since at_; a list is needed. */
--- a/src/gateway/RelayClient.cpp
+++ b/src/gateway/RelayClient.cpp
@@ -18,7 +18,7 @@
 asio::awaitable<std::optional<peer::FeedAnswer>>
 RelayClient::ask(kernel::Endpoint where, peer::FeedAsk ask, kernel::Duration timeout)
 {
-    const auto opened = co_await connection_.open(where, store::RelayAnswer);
+    const auto opened = co_await connection_.open(where, std::min(timeout, store::RelayAnswer));
     if (!opened) {
         co_return std::nullopt;
     }
--- a/src/store/FeedPace.cpp
+++ b/src/store/FeedPace.cpp
@@ -72,6 +72,26 @@
     return usableFor * 4 / 5;
 }
 
+Duration searchTime(const FeedPace &relaying, Duration changeKnownWithin, std::uint64_t box)
+{
+    constexpr std::uint64_t Steps = 1024;
+    constexpr Duration TwoSlowAnswers = 300ms;
+    const Duration relayCycle = 2 * relaying.wait + relaying.afterChange + TwoSlowAnswers;
+    const Duration least =
+            std::clamp<Duration>(relayCycle, changeKnownWithin * 3 / 4, changeKnownWithin * 4 / 5);
+    const Duration spread = changeKnownWithin / 10;
+    return least + spread * static_cast<std::int64_t>(box % Steps) / std::int64_t{Steps};
+}
+
+AskTimes askTimes(Duration hold, std::optional<Duration> left)
+{
+    if (!left) {
+        return {hold, hold + RelayAnswer};
+    }
+    const Duration held = std::clamp<Duration>(*left - RelayAnswer, 0s, hold);
+    return {held, std::clamp<Duration>(*left, 0s, held + RelayAnswer)};
+}
+
 std::size_t minBoxesForRelaying(const FeedPace &alone, const FeedPace &relaying)
 {
     constexpr double Relays = 2;
--- a/src/store/FeedPace.h
+++ b/src/store/FeedPace.h
@@ -7,6 +7,10 @@
 
 #include "kernel/decisions/Time.h"
 
+#include <compare>
+#include <cstdint>
+#include <optional>
+
 namespace limereel::store {
 
 /** The time limits of one feed. */
@@ -70,6 +74,16 @@
  * another relay. */
 kernel::Duration maxRelayedAge(kernel::Duration usableFor);
 
+/**
+ * How long a box searches relays, counted from when it last knew all that the store held, before it
+ * asks the store. A relay that works confirms within this time. The rest of the bound
+ * \a changeKnownWithin is left for the store's answer. Boxes whose relays stop at the same time
+ * differ in this time, so that they don't ask all at once.
+ * \param box hash of its name.
+ */
+kernel::Duration searchTime(const FeedPace &relaying, kernel::Duration changeKnownWithin,
+                            std::uint64_t box);
+
 /** Number of boxes in a hall from which on two relays call the store less often than all boxes
  * would, each by itself. In smaller halls no box relays. */
 std::size_t minBoxesForRelaying(const FeedPace &alone, const FeedPace &relaying);
@@ -79,4 +93,17 @@
  * more request. */
 inline constexpr kernel::Duration RelayAnswer = 400ms;
 
+/** The time limits of one question to a relay. */
+struct AskTimes
+{
+    kernel::Duration hold{};    ///< How long the relay may wait for news.
+    kernel::Duration timeout{}; ///< How long the asking box waits for the answer.
+
+    auto operator<=>(const AskTimes &) const = default;
+};
+
+/** The limits for a relay that may hold the question for \a hold, if \a left is the rest of the
+ * search; empty: the search has no limit. */
+AskTimes askTimes(kernel::Duration hold, std::optional<kernel::Duration> left);
+
 } // namespace limereel::store
--- a/src/store/SourceSelector.cpp
+++ b/src/store/SourceSelector.cpp
@@ -12,6 +12,8 @@
 constexpr Duration ShortestPause = 20ms;
 constexpr Duration LongestPause = 500ms;
 constexpr Duration ForgetSuspicionAfter = 60s;
+// A relay that works may need this long; a shorter question would only bring it into suspicion.
+constexpr Duration ShortestAsk = 50ms;
 
 } // namespace
 
@@ -56,18 +58,25 @@
 }
 
 FeedStep SourceSelector::next(std::span<const std::uint64_t> relays, std::uint64_t self,
-                              Instant now, bool storeAllowed) const
+                              Instant now, bool storeAllowed,
+                              std::optional<Instant> searchUntil) const
 {
     if (relaying(relays, self, now) && storeDue(now)) {
         return {.kind = FeedStep::Kind::Store, .relaying = !relays.empty()};
     }
-    if (const auto relay = firstRelay(relays, self, now)) {
-        return {.kind = FeedStep::Kind::Relay, .relay = *relay, .proven = provenRelay_ == *relay};
-    }
     const bool allowed = storeAllowed || readsStoreDirectly(relays, self);
-    if (allowed && storeDue(now)) {
+    const bool storeReady = allowed && storeDue(now);
+    const bool searchEnds = searchUntil && now + ShortestAsk >= *searchUntil;
+    const auto relay = firstRelay(relays, self, now);
+    if (storeReady && (!relay || searchEnds)) {
         return {.kind = FeedStep::Kind::Store, .relaying = false};
     }
+    if (relay) {
+        FeedStep step{.kind = FeedStep::Kind::Relay, .relay = *relay};
+        step.proven = provenRelay_ == *relay;
+        step.askUntil = storeReady ? searchUntil : std::nullopt;
+        return step;
+    }
     return pauseUntilDue(relays, self, now, allowed);
 }
 
--- a/src/store/SourceSelector.h
+++ b/src/store/SourceSelector.h
@@ -33,6 +33,9 @@
     bool relaying = false;    ///< Of the Store: this box also reads for other boxes.
     kernel::Duration pause{}; ///< Of a Pause.
 
+    /** Of a Relay: when the store has to be asked instead, answered or not. Empty: no limit. */
+    std::optional<kernel::Instant> askUntil;
+
     bool operator==(const FeedStep &) const = default;
 };
 
@@ -76,9 +79,11 @@
      * \param relays the relays of the hall, best first (RelayOrder.h); may contain \a self. Empty:
      * no box relays in this hall.
      * \param storeAllowed whether a box that relays could serve may ask the store itself.
+     * \param searchUntil when the store is asked although relays are left (FeedPace.h). It limits
+     * the whole search: with a limit for each relay, the time would grow with their number.
      */
     FeedStep next(std::span<const std::uint64_t> relays, std::uint64_t self, kernel::Instant now,
-                  bool storeAllowed = true) const;
+                  bool storeAllowed = true, std::optional<kernel::Instant> searchUntil = {}) const;
 
     /** The step for data that no relay can supply: the store, or a pause until it may be asked. */
     FeedStep storeStep(kernel::Instant now) const;
--- a/test/correctness/FeedPaceTest.cpp
+++ b/test/correctness/FeedPaceTest.cpp
@@ -5,6 +5,7 @@
 #include "store/SourceSelector.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace limereel;
 
@@ -129,6 +130,46 @@
     BOOST_TEST((oldest + store::RelayAnswer + store::RelayAnswer < usable));
 }
 
+// A slow store makes confirmations old at relays that work. If boxes gave these up, all of them
+// would call that store.
+BOOST_AUTO_TEST_CASE(searchTime_slowStore_relayThatWorksIsNotGivenUp)
+{
+    for (const kernel::Duration bound : {2000ms, 3000ms, 4000ms, 6000ms, 10000ms}) {
+        store::FeedPace alone;
+        alone.wait = 5s;
+        alone.answer = 900ms;
+        alone.afterChange = std::min<kernel::Duration>(bound / 4, 1s);
+        const store::FeedPace pace = store::relayPace(alone, {0s, bound});
+        const kernel::Duration oldest = 2 * (pace.wait + kernel::Duration(150ms));
+        BOOST_TEST((oldest + pace.afterChange <= store::searchTime(pace, bound, 0)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(searchTime_manyBoxes_differAndLeaveTimeForTheStore)
+{
+    std::mt19937_64 random(1);
+    for (const kernel::Duration bound : {1000ms, 2000ms, 4000ms, 10000ms}) {
+        const store::FeedPace pace = store::relayPace({}, {0s, bound});
+        std::set<kernel::Duration> times;
+        for (int box = 0; box < 300; ++box) {
+            times.insert(store::searchTime(pace, bound, random()));
+        }
+        BOOST_TEST((*times.rbegin() <= bound * 9 / 10));
+        BOOST_TEST(times.size() > 200U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(askTimes_searchEndsSoon_relayIsAskedToAnswerBefore)
+{
+    using store::askTimes;
+    using store::AskTimes;
+    BOOST_TEST((askTimes(200ms, {}) == AskTimes{200ms, 600ms}));
+    BOOST_TEST((askTimes(200ms, 1s) == AskTimes{200ms, 600ms}));
+    BOOST_TEST((askTimes(200ms, 500ms) == AskTimes{100ms, 500ms}));
+    BOOST_TEST((askTimes(200ms, 100ms) == AskTimes{0ms, 100ms}));
+    BOOST_TEST((askTimes(200ms, -100ms) == AskTimes{0ms, 0ms}));
+}
+
 BOOST_AUTO_TEST_CASE(minBoxesForRelaying_twoRelaysAskMoreThanAllBoxes_noBoxRelays)
 {
     store::FeedPace alone;
--- a/test/correctness/RelayTest.cpp
+++ b/test/correctness/RelayTest.cpp
@@ -113,6 +113,27 @@
     BOOST_TEST(book.next(relays, 9, at(600ms)).relay == 1U);
 }
 
+// Three relays that failed slowly were asked for ever: the first was trusted again by the time that
+// the last had failed.
+BOOST_AUTO_TEST_CASE(next_searchEnds_storeIsAskedAlthoughARelayIsLeft)
+{
+    store::SourceSelector book;
+    std::mt19937_64 random(1);
+    const std::vector<std::uint64_t> relays = {1, 2};
+    const auto next = [&](Duration since, bool allowed) {
+        return book.next(relays, 9, at(since), allowed, at(1500ms));
+    };
+    BOOST_TEST((next(1s, true).kind == FeedStep::Kind::Relay));
+    BOOST_TEST((next(1s, true).askUntil == at(1500ms)));
+    BOOST_TEST((next(1480ms, true).kind == FeedStep::Kind::Store));
+    // The store can't be asked, so the search goes on without a limit.
+    BOOST_TEST((next(1500ms, false).kind == FeedStep::Kind::Relay));
+    BOOST_TEST(!next(1500ms, false).askUntil.has_value());
+    book.noteStoreFailed(true, at(1500ms), random);
+    BOOST_TEST((next(1600ms, true).kind == FeedStep::Kind::Relay));
+    BOOST_TEST(!next(1600ms, true).askUntil.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(next_relayStaysSilent_isRetriedLessAndLessOften)
 {
     store::SourceSelector book;
