The list of servers and hall drains may ask the store for themselves

What callers would have seen: requests sent to a server that leaves, or to a hall that drains, after the bound, while no relay of the box works.

Cause: these feeds might ask the store only while the feed of configurations was hearing from it, which is a moment between two relays.

Change: they may unless that feed has found the store failing and nobody has confirmed anything since (ObjectFeed::storeFailing). When it hears from the store, it ends the pause of the others (noteStoreHeard), except in relays, whose pauses are short; hall drains are woken like the list of servers.

Cost: one call more a box at the start of an outage.

--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -108,9 +108,7 @@
         if (snapshot_) {
             freshness_.confirm(asOf);
         }
-        if (serverFeed_) {
-            serverFeed_->retryNow();
-        }
+        retryOtherFeeds();
     };
     configurationFeed_ = std::make_unique<ObjectFeed>(
             context_, adapter_.store, adapter_.configurationKind, configurationPaces(settings),
@@ -119,8 +117,8 @@
     serverHooks.changed = [this](auto objects) { changeServers(objects); };
     serverHooks.listComplete = [this](const auto &names) { dropUnlistedServers(names); };
     serverHooks.confirmed = [](kernel::Instant) {};
-    // If no relay works, only the configuration feed tests whether the store answers.
-    serverHooks.storeAllowed = [this] { return configurationFeed_->heardFromStore(); };
+    // While the store is away, only the configuration feed tests whether it answers.
+    serverHooks.storeAllowed = [this] { return !configurationFeed_->storeFailing(); };
     serverFeed_ =
             std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.serverKind,
                                          serverPaces(settings), *sources_, std::move(serverHooks));
@@ -141,13 +139,26 @@
     hooks.listComplete = [this](const auto &names) { endUnlistedDrains(names); };
     hooks.confirmed = [](kernel::Instant) {};
     hooks.storeAllowed = [this] {
-        return configurationFeed_->heardFromStore() && context_.now() - started_ >= HallDrainGrace;
+        return !configurationFeed_->storeFailing() && context_.now() - started_ >= HallDrainGrace;
     };
     hallDrainFeed_ =
             std::make_unique<ObjectFeed>(context_, adapter_.store, adapter_.hallDrainKind,
                                          hallDrainPaces(settings), *sources_, std::move(hooks));
 }
 
+void FleetView::retryOtherFeeds()
+{
+    for (ObjectFeed *const feed : {serverFeed_.get(), hallDrainFeed_.get()}) {
+        if (feed == nullptr) {
+            continue;
+        }
+        if (configurationFeed_->heardFromStore()) {
+            feed->noteStoreHeard();
+        }
+        feed->retryNow();
+    }
+}
+
 void FleetView::stop()
 {
     sweep_.reset();
--- a/src/gateway/FleetView.h
+++ b/src/gateway/FleetView.h
@@ -108,6 +108,7 @@
     void addDrain(const store::StoredObject &object, std::set<std::string> &halls);
     void setDrainedHalls(std::set<std::string> halls);
     void followHallDrains();
+    void retryOtherFeeds();
     void markMissing(const std::string &id);
     void dropServer(const std::string &id);
     bool stalled() const;
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+bool ObjectFeed::storeFailing() const
+{
+    return book_.storeFailures() > 0 && record_.storeFailedAt() >= record_.confirmedAsOf();
+}
+
+// The pauses of a relay are short already.
+void ObjectFeed::noteStoreHeard()
+{
+    if (!readsStoreDirectly()) {
+        book_.endStorePause();
+    }
+}
+
 // A box that becomes a relay stops waiting for another relay's answer.
 void ObjectFeed::noteAsked()
 {
@@ -257,6 +270,14 @@
     knownAsOf_ = std::max(asOf, knownAsOf_.value_or(asOf));
 }
 
+// Other feeds are told by hooks_.confirmed that this one has heard from the store.
+void ObjectFeed::noteStoreAnswer()
+{
+    book_.noteStoreAnswered();
+    heardFromStore_ = true;
+    noteAnswer();
+}
+
 std::optional<kernel::Instant> ObjectFeed::searchUntil() const
 {
     if (!knownAsOf_ || paces_.changeKnownWithin == 0s) {
@@ -346,7 +367,7 @@
             co_return true;
         }
     }
-    noteAnswer();
+    noteStoreAnswer();
     tooLarge_ = false;
     historyLost_.reset();
     if (!at_) {
@@ -407,7 +428,7 @@
         at_.reset();
         co_return false;
     }
-    noteAnswer();
+    noteStoreAnswer();
     noteUnreadable(changes->unreadable);
     if (changes->objects.empty()) {
         latency_ = std::max<kernel::Duration>(context_.now() - asked - wait, 0s);
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -89,6 +89,13 @@
     /** Whether this box's last answer came from the store itself. */
     bool heardFromStore() const { return heardFromStore_; }
 
+    /** Whether the store failed to answer this box's last call, and hasn't answered another box
+     * since, as far as this one knows. */
+    bool storeFailing() const;
+
+    /** Lets the feed ask the store again: another feed of this box has heard from it. */
+    void noteStoreHeard();
+
     /** Replaces the timings, from the next call on. */
     void setPaces(const FeedPaces &paces) { paces_ = paces; }
 
@@ -142,6 +149,7 @@
     std::optional<kernel::Instant> searchUntil() const;
     void confirm(kernel::Instant asOf);
     void noteKnown(kernel::Instant asOf);
+    void noteStoreAnswer();
     bool appendPage(store::ObjectPage page, std::size_t bytes);
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
--- a/src/store/SourceSelector.h
+++ b/src/store/SourceSelector.h
@@ -99,6 +99,9 @@
     void noteRelayFailed(std::uint64_t relay, RelayFault fault, kernel::Instant now);
     void noteStoreAnswered();
 
+    /** Ends the pause after failed calls: another feed has heard from the store. */
+    void endStorePause() { storeRetryAt_ = {}; }
+
     /** \param servedByRelays whether relays could serve the box, which isn't one itself. */
     void noteStoreFailed(bool servedByRelays, kernel::Instant now, std::mt19937_64 &random);
 
--- a/test/correctness/FeedSearchTest.cpp
+++ b/test/correctness/FeedSearchTest.cpp
@@ -97,6 +97,9 @@
     }
 
     bool heardFromStore() const { return heardFromStore_; }
+    bool storeFailing() const { return book_.storeFailures() > 0 && failed_ >= confirmed_; }
+    void noteStoreHeard() { book_.endStorePause(); }
+
     std::function<bool()> storeAllowed;
     std::function<void(Instant)> confirmed = [](Instant) {};
     std::optional<Instant> changeKnown;
@@ -204,6 +207,7 @@
             due_ = now_ + wait + pace.answer;
             finish_ = [this] {
                 book_.noteStoreFailed(true, now_, random_);
+                failed_ = now_;
                 failing_ = true;
                 heardFromStore_ = false;
             };
@@ -239,6 +243,7 @@
     Instant now_;
     Instant confirmed_;
     Instant known_; ///< When the store held nothing newer, with the time of a watch.
+    Instant failed_;
     Instant due_;
     std::function<void()> finish_;
     bool pausing_ = false;
@@ -255,8 +260,13 @@
         : first_(scene, gateway::configurationPaces(settings()), self, seed)
         , second_(scene, other, self, seed + 1)
     {
-        second_.storeAllowed = [this] { return first_.heardFromStore(); };
-        first_.confirmed = [this](Instant now) { second_.retryNow(now); };
+        second_.storeAllowed = [this] { return !first_.storeFailing(); };
+        first_.confirmed = [this](Instant now) {
+            if (first_.heardFromStore()) {
+                second_.noteStoreHeard();
+            }
+            second_.retryNow(now);
+        };
     }
 
     void run(Duration until)
@@ -380,6 +390,23 @@
     BOOST_TEST(lateness.late + lateness.never == 0U, lateness);
 }
 
+// The list of servers waited until the feed of configurations had the store's word.
+BOOST_DATA_TEST_CASE(servers_noRelayHelps_storeIsAskedWithinTheBound,
+                     boost::unit_test::data::make({4, 150}), latencyMs)
+{
+    const Lateness lateness = playAllOrders(latencyMs, gateway::serverPaces(settings()),
+                                            &SearchingBox::others, settings().drainWithin);
+    BOOST_TEST(lateness.late + lateness.never == 0U, lateness);
+}
+
+BOOST_DATA_TEST_CASE(hallDrains_noRelayHelps_storeIsAskedWithinTheBound,
+                     boost::unit_test::data::make({4, 150}), latencyMs)
+{
+    const Lateness lateness = playAllOrders(latencyMs, gateway::hallDrainPaces(settings()),
+                                            &SearchingBox::others, settings().hallDrainWithin);
+    BOOST_TEST(lateness.late + lateness.never == 0U, lateness);
+}
+
 BOOST_DATA_TEST_CASE(hall_allRelaysStopAtOnce_storeIsNotOverrun,
                      boost::unit_test::data::make({28, 85, 300}), boxes)
 {
--- a/test/correctness/RelayTest.cpp
+++ b/test/correctness/RelayTest.cpp
@@ -132,6 +132,8 @@
     book.noteStoreFailed(true, at(1500ms), random);
     BOOST_TEST((next(1600ms, true).kind == FeedStep::Kind::Relay));
     BOOST_TEST(!next(1600ms, true).askUntil.has_value());
+    book.endStorePause();
+    BOOST_TEST((next(1600ms, true).kind == FeedStep::Kind::Store));
 }
 
 BOOST_AUTO_TEST_CASE(next_relayStaysSilent_isRetriedLessAndLessOften)
