A box leaves runs of another box's request to that box, so max_attempts holds

Requests that may run on two servers ran on three.

Where the asking box has told the sends made before, the box that helps doesn't repeat what may have run; it answers, with the number of runs and the server's hash, and the box whose caller it is repeats it, pays for it and avoids that server. It may ask the same box again, as a box that tells of a run reaches servers; such a box isn't left out as failing. An answer of 500 and above through a detour is repeated like one that came straight. A detour whose answer is lost is one run at most, so a box that ends leaves none uncounted. With a box of an earlier version on either side all is as before; X-Detour-Sends goes only to boxes that read it.

Measured, RepeatChargeTest, 19 rows. Before, most runs of one request, max 2: own run, then through another box: 3 another box, a reset after the run: 3 another box, a stream that is taken up: 3 another box is lost as it repeats: 3 After: 2 in each, one arrival beyond the first and one charged. PeerTest, CutBoxTest, StreamVersionTest, SilentServerTest, PlannedStopTest, GatewayTest, BrokenAnswerTest, ForgedFieldsTest and DocsTest pass.

Not run: old and new builds side by side.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -94,7 +94,7 @@
     run_.sentAt = run_.context.now();
     run_.repeatUnused = false;
     run_.fleetView.servers().begin(server_.id, run_.prompt(), run_.context.now());
-    if (run_.repeatable() && run_.route.maxAttempts > run_.counts.sends + 1) {
+    if (run_.repeatable() && run_.route.maxAttempts > run_.runsMade() + 1) {
         armSilenceTimer(firstSilenceCheck(run_, server_));
     }
     const AttemptEnd end = co_await exchange();
@@ -336,7 +336,8 @@
         co_return AttemptEnd::Rejected;
     }
     noteBodyEnd(body->end);
-    http::Answer answer(start.status, ownEndToEnd(run_, start.fields), std::move(body->bytes));
+    http::Fields fields = withSends(run_, ownEndToEnd(run_, start.fields), 1);
+    http::Answer answer(start.status, std::move(fields), std::move(body->bytes));
     answer.endMarked = isMarked(body->end);
     run_.answeredWhole = true;
     run_.answeredFailure = head.status / 100 != 2;
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -14,6 +14,8 @@
 // Boxes are a few round trips apart; one that doesn't answer by then is passed over.
 constexpr kernel::Duration ConnectTimeout = 50ms;
 
+constexpr int ServerFailure = 500;
+
 bool isClientError(int status)
 {
     return status / 100 == 4;
@@ -38,7 +40,8 @@
 AttemptEnd DetourAttempt::fail(AttemptEnd end, const std::string &why)
 {
     run_.lastMessage = "through another box: " + why;
-    if (!run_.stopped()) {
+    const bool ranThere = end == AttemptEnd::MayHaveRun && run_.sendsThere;
+    if (!run_.stopped() && !ranThere) {
         detours_.table().noteFailed(box_.box, run_.context.now());
     }
     const char *result = end == AttemptEnd::Unsent     ? "unsent"
@@ -90,7 +93,10 @@
     detour.resumeAfter = run_.lastEvent;
     detour.origin = run_.origin;
     detour.request = run_.request;
-    detour.made = peer::SendsMade{run_.counts.sends, run_.counts.rejected};
+    detour.made = peer::SendsMade{.runs = run_.counts.sends,
+                                  .rejections = run_.counts.rejected,
+                                  .unusedRepeats = 0,
+                                  .lastServer = run_.lastRunAt};
     logDetour(run_, box_.name);
     run_.through = box_.name;
     run_.sentAt = run_.context.now();
@@ -159,11 +165,17 @@
     if (run_.reply.begun()) {
         co_return AttemptEnd::MayHaveRun;
     }
+    http::Answer answer(start.status, ownEndToEnd(run_, start.fields), std::move(body->bytes));
+    answer.endMarked = isMarked(body->end);
+    // The other box has left it to this one to repeat the request.
+    if (start.status >= ServerFailure && run_.sendsThere) {
+        run_.lastMessage = "through another box: failed with " + std::to_string(start.status);
+        run_.failedAnswer = std::move(answer);
+        co_return AttemptEnd::MayHaveRun;
+    }
     run_.answeredWhole = true;
     run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
     logEnd(run_, "ok");
-    http::Answer answer(start.status, ownEndToEnd(run_, start.fields), std::move(body->bytes));
-    answer.endMarked = isMarked(body->end);
     co_await run_.reply.send(std::move(answer));
     co_return AttemptEnd::Answered;
 }
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -55,7 +55,7 @@
         run_.noteBytes(writer_);
     }
     if (!run_.reply.begun()) {
-        http::Fields fields = ownEndToEnd(run_, start.fields);
+        http::Fields fields = withSends(run_, ownEndToEnd(run_, start.fields), 1);
         if (run_.forOtherBox) {
             fields = fields.without(DetourOrigin);
         }
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -72,6 +72,7 @@
         run_.origin = servedFor_->origin;
         run_.forOtherBox = true;
         run_.madeBefore = servedFor_->made;
+        noteRunElsewhere(servedFor_->made.value_or(peer::SendsMade()));
     }
     if (auto refusal = admit()) {
         co_await refuse(std::move(*refusal));
@@ -324,6 +325,9 @@
             co_return;
         }
         selection_.noteTried(run_.choice.server.id);
+        if (end == AttemptEnd::MayHaveRun) {
+            run_.lastRunAt = run_.choice.server.hash();
+        }
         // Counted however the attempt ended, so that a request that may have run is never reported
         // as not run.
         run_.counts.add(end);
@@ -357,7 +361,7 @@
 // the whole service is.
 bool RequestRun::wayIsLost() const
 {
-    return run_.fleetView.isLost(run_.service) || (noWayToVersion_ && triedDetours_.empty());
+    return run_.fleetView.isLost(run_.service) || (noWayToVersion_ && detoursTaken_ == 0);
 }
 
 // One hop at most: a request of another box's caller is sent straight or not at all.
@@ -365,7 +369,7 @@
 {
     detour_.reset();
     const bool may = run_.context.settings.gateway.detours && !servedFor_
-                     && triedDetours_.size() < MaxDetours && run_.left() >= MinTimeLeft;
+                     && detoursTaken_ < MaxDetours && run_.left() >= MinTimeLeft;
     if (may && wayIsLost()) {
         detour_ = detours_.choose(run_.service, triedDetours_, run_.origin.has_value());
     }
@@ -374,10 +378,16 @@
 
 asio::awaitable<AttemptEnd> RequestRun::takeDetour()
 {
-    triedDetours_.push_back(detour_->box);
+    ++detoursTaken_;
+    const std::uint64_t box = detour_->box;
     run_.beginAttempt();
     DetourAttempt attempt(run_, detours_, std::move(*detour_));
-    co_return co_await attempt.run();
+    const AttemptEnd end = co_await attempt.run();
+    // A box that tells of a run reaches servers; it's the server's answer that didn't come whole.
+    if (end != AttemptEnd::MayHaveRun || !run_.sendsThere) {
+        triedDetours_.push_back(box);
+    }
+    co_return end;
 }
 
 // Arrivals at servers there count like those that this box has sent. A box of an earlier version
@@ -388,7 +398,9 @@
         return true;
     }
     const bool mayHaveRun = end == AttemptEnd::MayHaveRun;
-    const peer::SendsMade untold{mayHaveRun ? 1U : 0U, mayHaveRun ? 0U : 1U, 0};
+    peer::SendsMade untold;
+    untold.runs = mayHaveRun ? 1 : 0;
+    untold.rejections = mayHaveRun ? 0 : 1;
     const peer::SendsMade there = run_.sendsThere.value_or(untold);
     if (!mayHaveRun && there.rejections == 0) {
         return true;
@@ -396,12 +408,27 @@
     run_.counts.sends += mayHaveRun ? 1 : 0;
     run_.counts.rejected += there.rejections;
     run_.repeatUnused = there.unusedRepeats > 0;
+    noteRunElsewhere(there);
     if (run_.stopped() || ranOut()) {
         return false;
     }
     return run_.repeatUnused || mayTryAgain(end);
 }
 
+// This box hasn't seen how that server failed.
+void RequestRun::noteRunElsewhere(const peer::SendsMade &made)
+{
+    if (made.lastServer == 0) {
+        return;
+    }
+    run_.lastRunAt = made.lastServer;
+    run_.fleetView.servers().forEach([this, &made](const forward::ListedServer &server) {
+        if (server.hash() == made.lastServer) {
+            selection_.noteTried(server.id);
+        }
+    });
+}
+
 // A request during which servers have crashed may have to run alone, which means one send at a time
 // in the whole fleet, or may not run at all.
 asio::awaitable<std::optional<RequestRun::Refusal>> RequestRun::acquireSendPermission()
@@ -461,7 +488,10 @@
     if (end == AttemptEnd::Unsent) {
         return run_.counts.unsent < MaxUnsent;
     }
-    if (ranOut()) {
+    // What may have run is repeated by the box whose caller it is, which alone holds the number of
+    // runs when this box ends.
+    const bool leftToOther = run_.madeBefore && end == AttemptEnd::MayHaveRun;
+    if (leftToOther || ranOut()) {
         return false;
     }
     const bool granted = std::exchange(repeatReserved_, false)
@@ -487,6 +517,10 @@
     if (checkKey() || !selection_.anotherIsUsable()) {
         return false;
     }
+    if (run_.madeBefore) {
+        // The box whose caller it is pays for the repeat.
+        return run_.fleetView.budget().left(run_.service, run_.context.now()) >= 1;
+    }
     if (!repeatReserved_) {
         repeatReserved_ = run_.fleetView.budget().take(run_.service, run_.context.now());
     }
@@ -555,6 +589,7 @@
         run_.context.counters.add("results", {{"kind", "passed"}, {"code", "backend-failed"}});
         logEnd(run_, "backend-failed", run_.lastMessage);
         http::Answer answer = std::move(*run_.failedAnswer);
+        answer.fields = withSends(run_, std::move(answer.fields), 0);
         co_await run_.reply.send(std::move(answer));
         co_return;
     }
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -76,6 +76,7 @@
     bool chooseDetour();
     boost::asio::awaitable<AttemptEnd> takeDetour();
     bool mayTryAgainAfterDetour(AttemptEnd end);
+    void noteRunElsewhere(const peer::SendsMade &made);
     boost::asio::awaitable<void> noteEnd(AttemptEnd end);
     void releasePlace(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
@@ -94,7 +95,8 @@
     StreamService &streams_;
     std::optional<DetourTerms> servedFor_;    ///< Set if the caller is another box's.
     std::optional<DetourBox> detour_;         ///< Through which the next attempt is sent.
-    std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked.
+    std::vector<std::uint64_t> triedDetours_; ///< Boxes that were asked and aren't asked again.
+    std::size_t detoursTaken_ = 0;
     bool noWayToVersion_ = false; ///< No server that may continue the stream was reached.
     bool repeatReserved_ = false; ///< The retry budget has granted the next attempt already.
     http::AnswerTimer deadlineTimer_;
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -84,8 +84,11 @@
     if (!run.madeBefore) {
         return fields;
     }
-    const peer::SendsMade made{run.counts.sends + underWay, run.counts.rejected,
-                               run.repeatUnused ? 1U : 0U};
+    peer::SendsMade made;
+    made.runs = run.counts.sends + underWay;
+    made.rejections = run.counts.rejected;
+    made.unusedRepeats = run.repeatUnused ? 1 : 0;
+    made.lastServer = underWay > 0 ? run.choice.server.hash() : run.lastRunAt;
     return fields.without(DetourSends).with(DetourSends, text(made));
 }
 
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -99,7 +99,8 @@
     /** Sends of this attempt by the box through which it went, as that tells. */
     std::optional<peer::SendsMade> sendsThere;
     AttemptCounts counts;
-    bool repeatUnused = false; ///< The retry budget granted a repeat that hasn't been sent yet.
+    std::uint64_t lastRunAt = 0; ///< Hash of the last server that may have run it; 0: none.
+    bool repeatUnused = false;   ///< The retry budget granted a repeat that hasn't been sent yet.
     std::string lastMessage;
     std::optional<http::Answer> failedAnswer; ///< A complete error answer of a backend server.
     std::optional<std::uint64_t> lastEvent;   ///< Id of the last event that the caller has.
@@ -118,6 +119,12 @@
         return route.repeatability != forward::Repeatability::Once && !passedUnnumbered;
     }
 
+    /** Attempts that may have run, those of the box that asked included. */
+    std::uint32_t runsMade() const
+    {
+        return counts.sends + madeBefore.value_or(peer::SendsMade()).runs;
+    }
+
     /** Resets the state of the previous attempt. */
     void beginAttempt();
 
--- a/src/peer/SendsMade.cpp
+++ b/src/peer/SendsMade.cpp
@@ -1,5 +1,7 @@
 #include "peer/SendsMade.h"
 
+#include "kernel/decisions/HexWord.h"
+
 #include <charconv>
 
 namespace limereel::peer {
@@ -25,23 +27,27 @@
 std::string text(const SendsMade &sends)
 {
     return std::to_string(sends.runs) + ' ' + std::to_string(sends.rejections) + ' '
-           + std::to_string(sends.unusedRepeats);
+           + std::to_string(sends.unusedRepeats) + ' ' + kernel::hexWord(sends.lastServer);
 }
 
 std::optional<SendsMade> sendsMadeFrom(std::string_view text)
 {
-    const std::size_t first = text.find(' ');
-    const std::size_t last = text.rfind(' ');
-    if (first == last) {
-        return std::nullopt;
+    SendsMade sends;
+    for (std::uint32_t *const part : {&sends.runs, &sends.rejections, &sends.unusedRepeats}) {
+        const std::size_t space = text.find(' ');
+        const auto count = countFrom(text.substr(0, space));
+        if (!count || space == std::string_view::npos) {
+            return std::nullopt;
+        }
+        *part = *count;
+        text.remove_prefix(space + 1);
     }
-    const auto runs = countFrom(text.substr(0, first));
-    const auto rejections = countFrom(text.substr(first + 1, last - first - 1));
-    const auto unused = countFrom(text.substr(last + 1));
-    if (!runs || !rejections || !unused) {
+    const auto server = kernel::wordFromHex(text);
+    if (text.size() != kernel::HexWordDigits || !server) {
         return std::nullopt;
     }
-    return SendsMade{*runs, *rejections, *unused};
+    sends.lastServer = *server;
+    return sends;
 }
 
 } // namespace limereel::peer
--- a/src/peer/SendsMade.h
+++ b/src/peer/SendsMade.h
@@ -18,11 +18,12 @@
     std::uint32_t runs = 0;          ///< That a server may have run.
     std::uint32_t rejections = 0;    ///< That a server has rejected.
     std::uint32_t unusedRepeats = 0; ///< Granted by a retry budget, and no send came of it.
+    std::uint64_t lastServer = 0;    ///< Hash of the last one that may have run it; 0: none.
 
     auto operator<=>(const SendsMade &) const = default;
 };
 
-/** The form in a field of an answer, as in "1 2 0". */
+/** The form in a field of an answer, as in "1 2 0 00000000000000a1". */
 std::string text(const SendsMade &sends);
 
 /** The sends in \a text; nothing if it holds none. */
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -226,7 +226,7 @@
                           .resumeAfter = {},
                           .origin = {},
                           .request = {},
-                          .made = SendsMade{1, 2, 1}};
+                          .made = SendsMade{1, 2, 1, 9}};
     const auto without = decodeDetourRequest(encode(request));
     BOOST_REQUIRE(without.has_value());
     BOOST_TEST((without->made == request.made));
@@ -245,9 +245,11 @@
 
 BOOST_AUTO_TEST_CASE(sendsMadeFrom_anyText_isReadBackOrNothing)
 {
-    BOOST_TEST((sendsMadeFrom(limereel::peer::text(SendsMade{3, 4, 5})) == SendsMade{3, 4, 5}));
-    for (const char *spoilt : {"", " ", "  ", "1", "1 2", "1 2 ", " 1 2", "1 2 3 4", "-1 0 0",
-                               "1 x 0", "1001 0 0", "99999999999 0 0", "1  2"}) {
+    BOOST_TEST(
+            (sendsMadeFrom(limereel::peer::text(SendsMade{3, 4, 5, 6})) == SendsMade{3, 4, 5, 6}));
+    for (const char *spoilt : {"", " ", "1", "1 2 0", "1 2 0 ", "1 2 0 6", "1 2 0 000000000000000x",
+                               "-1 0 0 0000000000000001", "1001 0 0 0000000000000001",
+                               "1  0 0000000000000001", "1 0 0 0000000000000001 "}) {
         BOOST_TEST(!sendsMadeFrom(spoilt).has_value(), spoilt);
     }
 }
--- a/test/platform/RepeatChargeTest.cpp
+++ b/test/platform/RepeatChargeTest.cpp
@@ -1,6 +1,7 @@
 // Each way on which backend servers see a request more than once, and what the boxes' budgets were
 // charged for it.
-// Guards against arrivals beyond the first that no budget counts.
+// Guards against arrivals beyond the first that no budget counts, and against a request that runs
+// more often than its route's max_attempts because several boxes send it.
 
 #include "platform/CutBoxFixture.h"
 
@@ -19,7 +20,8 @@
 using standin::RunnerFault;
 
 constexpr std::size_t Servers = 3;
-constexpr std::size_t MostUnused = 1; ///< Repeats that were granted and came to nothing.
+constexpr std::size_t MostUnused = 1;  ///< Repeats that were granted and came to nothing.
+constexpr std::size_t MaxAttempts = 2; ///< Of the routes of requests that may be repeated.
 
 /** What servers saw and boxes counted. */
 struct Tally
@@ -269,8 +271,8 @@
 
 BOOST_AUTO_TEST_SUITE(RepeatChargeTest)
 
-BOOST_DATA_TEST_CASE(arrival_beyondTheFirst_isChargedToABudget, boost::unit_test::data::make(Ways),
-                     way)
+BOOST_DATA_TEST_CASE(arrival_beyondTheFirst_isChargedToABudgetAndRunsStayWithinMaxAttempts,
+                     boost::unit_test::data::make(Ways), way)
 {
     RepeatWorld world;
     way.play(world);
@@ -280,6 +282,7 @@
     BOOST_TEST(tally.beyond >= way.beyond);
     BOOST_TEST(tally.charged >= tally.beyond);
     BOOST_TEST(tally.charged <= tally.beyond + MostUnused);
+    BOOST_TEST(tally.mostRuns <= MaxAttempts);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
