A run that throws tells its caller, and gives back what it had taken

What callers would have seen: a connection that closes with a whole request on it and neither an answer nor a refusal; later requests for the same servers that wait or are refused, as a place stays taken and the server counts as busy.

Cause: the place, the server's count and the connection of an attempt were given back by the last lines of their coroutines, which an exception skips; and the server of callers' connections closed one whose run threw.

Change: SentRequest holds the count and the interruption's connection for as long as the attempt lasts. RequestRun::serve gives the place back, and answers 504 "answer-lost" (it may have run; "internal error") with the request's id if no answer has begun, then passes the exception on, so that the connection's end is still logged as run-failed. http::Server answers 500 for any other handler that throws before its answer has begun, and closes the connection. An answer that has begun is cut, as before.

Check that changed: CallerConnectionTest/run_throws_endIsToldAndNothingStaysActive held the fault itself (nothing but a close). It asks for a 500 that says "Connection: close", then the close, and all that it asked before of the end, the fault's text and the count; its name says so. A new case holds that nothing follows an answer that has begun.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -90,16 +90,13 @@
 
 asio::awaitable<AttemptEnd> BackendExchange::sendAndForward()
 {
-    run_.interrupt->connection = connection_;
     run_.sentAt = run_.context.now();
-    run_.fleetView.servers().begin(server_.id, run_.prompt(), run_.context.now());
+    const SentRequest sent(run_, server_.id, connection_);
     if (run_.repeatable() && run_.route.maxAttempts > run_.counts.sends + 1) {
         armSilenceTimer(firstSilenceCheck(run_, server_));
     }
     const AttemptEnd end = co_await exchange();
     silenceTimer_.cancel();
-    run_.interrupt->connection.reset();
-    run_.fleetView.servers().end(server_.id);
     co_return end;
 }
 
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -31,6 +31,7 @@
 constexpr const char *NoServerOfVersion =
         "no backend server of the software version that began the stream is left";
 constexpr const char *OriginUnknown = "it isn't known which software version began the stream";
+constexpr const char *InternalError = "internal error";
 constexpr const char *Stopping = "the box stops before the request's deadline";
 constexpr const char *NoPlace =
         "no backend server that could run it has a place for it in time; come back then";
@@ -55,6 +56,32 @@
 }
 
 asio::awaitable<void> RequestRun::serve()
+{
+    std::exception_ptr fault;
+    try {
+        co_await serveCall();
+    } catch (...) {
+        fault = std::current_exception();
+    }
+    if (fault) {
+        co_await endFaulty();
+        std::rethrow_exception(fault);
+    }
+}
+
+// What the run has taken is given back. Its caller is told, unless it has a part of an answer, and
+// the connection is closed by whoever hears of the fault.
+asio::awaitable<void> RequestRun::endFaulty()
+{
+    releasePlace(run_.sentAt ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent);
+    run_.reply.closeAfter();
+    if (!run_.reply.begun()) {
+        Refusal refusal{ResultCode::AnswerLost, InternalError};
+        co_await refuse(std::move(refusal));
+    }
+}
+
+asio::awaitable<void> RequestRun::serveCall()
 {
     auto call = run_.fleetView.adapter().dialect.readCall(run_.request);
     if (!call) {
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -54,6 +54,8 @@
         kernel::Duration retryDelay{}; ///< Zero: derived from the route's objective.
     };
 
+    boost::asio::awaitable<void> serveCall();
+    boost::asio::awaitable<void> endFaulty();
     std::optional<Refusal> admit();
     std::optional<Refusal> checkKey();
     std::optional<Refusal> checkStop();
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -157,7 +157,7 @@
         try {
             co_await serveAll();
         } catch (const std::exception &fault) {
-            // Nobody else would hear of it: the caller would see a closed connection and no more.
+            // Nobody else would hear of it.
             end_.reason = EndReason::RunFailed;
             end_.fault = fault.what();
         }
@@ -305,8 +305,12 @@
         ConnectionReply reply(way(), form);
         ++end_.requests;
         Request request = toRequest(std::move(message));
-        co_await server_->handler(std::move(request), reply);
+        const std::exception_ptr fault = co_await handle(std::move(request), reply);
         restsSince_ = steadyNow();
+        if (fault) {
+            co_await tellFault(reply);
+            std::rethrow_exception(fault);
+        }
         if (!reply.whole()) {
             co_return endsFor(EndReason::Unanswered);
         }
@@ -314,6 +318,27 @@
         co_return reply.keptOpen() || endsFor(EndReason::LastAnswer);
     }
 
+    asio::awaitable<std::exception_ptr> handle(Request request, Reply &reply)
+    {
+        try {
+            co_await server_->handler(std::move(request), reply);
+        } catch (...) {
+            co_return std::current_exception();
+        }
+        co_return nullptr;
+    }
+
+    // The request may have run, which a connection that is closed with no answer doesn't say.
+    asio::awaitable<void> tellFault(Reply &reply)
+    {
+        constexpr int InternalError = 500;
+        if (!reply.begun()) {
+            reply.closeAfter();
+            Answer answer(InternalError);
+            co_await reply.send(std::move(answer));
+        }
+    }
+
     asio::awaitable<void> refuse(Refused why)
     {
         ConnectionReply reply(way(), ReplyForm());
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -53,6 +53,7 @@
     virtual void closeAfter() = 0;
 };
 
+/** Handles a request. If it throws before its answer has begun, the client is answered with 500. */
 using Handler = std::function<boost::asio::awaitable<void>(Request, Reply &)>;
 
 /** Why a request never reached the handler. */
--- a/test/correctness/CallerConnectionTest.cpp
+++ b/test/correctness/CallerConnectionTest.cpp
@@ -72,6 +72,9 @@
     {
         co_await reply.begin(200, {});
         co_await reply.write("begun");
+        if (throwsLate) {
+            throw std::runtime_error("a fault in the run of a request");
+        }
         while (!mayFinish) {
             co_await asio::post(io, asio::use_awaitable);
         }
@@ -180,6 +183,7 @@
     bool watchesCallers = false; ///< As the runs of requests do.
     std::size_t leftCallers = 0;
     bool throws = false;
+    bool throwsLate = false; ///< After a stream's answer has begun.
     bool streams = false;
     bool mayFinish = false;
     std::function<void()> whenHandled = [] {};
@@ -583,12 +587,16 @@
     BOOST_TEST(good(nextOn(caller)));
 }
 
-BOOST_AUTO_TEST_CASE(run_throws_endIsToldAndNothingStaysActive)
+// The connection was closed with nothing said.
+BOOST_AUTO_TEST_CASE(run_throws_callerAndEndAreToldAndNothingStaysActive)
 {
     throws = true;
     start();
     tcp::socket caller = connect();
     send(caller, WholeRequest);
+    const std::string answer = nextOn(caller);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 500"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
     BOOST_TEST(nextOn(caller) == "closed");
     BOOST_REQUIRE(ends.size() == 1U);
     BOOST_TEST((ends.front().reason == http::EndReason::RunFailed));
@@ -596,4 +604,21 @@
     BOOST_TEST(server->active() == 0U);
 }
 
+// Nothing may follow what the caller has: it would look like a part of the answer.
+BOOST_AUTO_TEST_CASE(run_throwsAfterItsAnswerBegan_answerIsCut)
+{
+    streams = throwsLate = true;
+    start();
+    tcp::socket caller = connect();
+    send(caller, WholeRequest);
+    std::string got;
+    std::string more;
+    while (more != "closed") {
+        got += more;
+        more = nextOn(caller);
+    }
+    BOOST_TEST(good(got));
+    BOOST_TEST(got.ends_with("5\r\nbegun\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/GatewayFixture.cpp
+++ b/test/platform/GatewayFixture.cpp
@@ -112,7 +112,7 @@
         return std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now())
                + offset_;
     };
-    gateway::addGatewayServices(*context_, platform::adapter(), [this] { stopped_ = true; });
+    gateway::addGatewayServices(*context_, adapter, [this] { stopped_ = true; });
     context_->kernel.start();
 }
 
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -85,6 +85,9 @@
     /** Lines for the gateway's section of the settings; read by start(). */
     std::string moreSettings;
 
+    /** What start() gives the gateway. */
+    gateway::Adapter adapter = platform::adapter();
+
     /** Repeats beyond the ratio in a window; read by start(). */
     int retrySlack = 1000;
 
