The soak holds repeats against the fleet's budget and max_attempts

No test of whole fleets under faults summed the arrivals beyond the first of each request over all servers, nor the runs of one request that may run again; the soak's boxes had a slack of 500 to 1500, so their budgets never bound.

SoakJudge calls it a broken promise, and more than three requests that ran more often than max_attempts, the users' own tolerance. Boxes' settings have that slack now, 50 to 52 after a reload; seeds draw as many numbers as before. The program prints the worst window of each seed.

Two new cases of SoakJudgeTest break each promise on purpose.

--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -82,6 +82,40 @@
 
 BOOST_FIXTURE_TEST_SUITE(SoakJudgeTest, JudgeFixture)
 
+BOOST_AUTO_TEST_CASE(repeats_moreInAWindowThanAllowed_breaksThePromise)
+{
+    judge = SoakJudge({.repeats = {.ratio = 0.2, .window = 10s, .slack = 2}});
+    for (int count = 0; count < 5; ++count) {
+        attempt("a" + std::to_string(count), Kind::Repeatable, 5s);
+        run("a" + std::to_string(count));
+    }
+    // The requests are those of the window before.
+    for (int count = 0; count < 3; ++count) {
+        judge.noteArrival({"a" + std::to_string(count), "i-2", "one", false, at(9s)});
+    }
+    judge.judgeRepeats();
+    BOOST_TEST(broken().empty());
+    judge.noteArrival({"a3", "i-2", "one", false, at(11s)});
+    BOOST_TEST(judge.worstRepeats().repeats == 4U);
+    judge.judgeRepeats();
+    BOOST_TEST(broken() == "repeats stay within the fleet's budget");
+}
+
+BOOST_AUTO_TEST_CASE(requests_runOnMoreServersThanMaxAttempts_breaksThePromise)
+{
+    for (int count = 0; count < 4; ++count) {
+        const std::string id = "a" + std::to_string(count);
+        attempt(id, Kind::Repeatable);
+        for (const char *server : {"i-1", "i-2", "i-3"}) {
+            judge.judgeRepeats();
+            BOOST_TEST(broken().empty());
+            run(id, server);
+        }
+    }
+    judge.judgeRepeats();
+    BOOST_TEST(broken() == "no request runs more often than max_attempts");
+}
+
 BOOST_AUTO_TEST_CASE(goodDay_everyKind_nothingIsBroken)
 {
     attempt("a1", Kind::Once);
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -23,6 +23,8 @@
         std::cout << "  " << report.rejections << " of " << report.sends
                   << " sends rejected by servers whose slots and queue were taken\n";
     }
+    std::cout << "  at worst " << report.repeats.repeats << " repeats in a window for "
+              << report.repeats.requests << " requests, allowed " << report.repeats.allowed << '\n';
     if (report.takeUps > 0) {
         std::cout << "  " << report.takenUp << " of " << report.takeUps
                   << " streams that callers took up went on\n";
--- a/test/platform/soak/Soak.cpp
+++ b/test/platform/soak/Soak.cpp
@@ -36,6 +36,7 @@
     judged.drain = bounds.drainWithin + DrainSlack;
     judged.calm = Calm;
     judged.stop = bounds.stopWithin;
+    judged.repeats = RepeatBound;
     judged.hallDrain = bounds.hallDrainWithin + DrainSlack;
     if (plan.scarce) {
         judged.served = ServedAgain;
@@ -98,6 +99,8 @@
             turn(Tick);
         }
         finishCallers();
+        judge_.judgeRepeats();
+        report.repeats = judge_.worstRepeats();
         report.attempts = judge_.attempts();
         report.served = judge_.served();
         report.refused = judge_.refused();
--- a/test/platform/soak/Soak.h
+++ b/test/platform/soak/Soak.h
@@ -30,6 +30,7 @@
     std::size_t endsJudged = 0;      ///< so many of them by boxes that had the time to know.
     std::size_t sends = 0;           ///< Requests that reached a server,
     std::size_t rejections = 0;      ///< so many of them found its slots and queue taken.
+    RepeatWindow repeats;            ///< Where least was left of those that are allowed.
     std::vector<std::string> faults; ///< Each with its moment, in seconds.
     kernel::Duration recovery{};     ///< From the last fault's end until all boxes serve all kinds.
     std::vector<Violation> violations;
--- a/test/platform/soak/SoakFaults.cpp
+++ b/test/platform/soak/SoakFaults.cpp
@@ -226,7 +226,8 @@
     if (!box.process.running()) {
         return {};
     }
-    fleet_.writeSettings(box, 500 + static_cast<int>(pick(1000)));
+    fleet_.writeSettings(box,
+                         static_cast<int>(RepeatBound.slack) - static_cast<int>(pick(1000) % 3));
     box.process.signal(SIGHUP);
     return box.name;
 }
--- a/test/platform/soak/SoakFleet.cpp
+++ b/test/platform/soak/SoakFleet.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int Halls = 3;
-constexpr int FirstRetrySlack = 1000;
+constexpr int FirstRetrySlack = static_cast<int>(RepeatBound.slack);
 
 } // namespace
 
--- a/test/platform/soak/SoakFleet.h
+++ b/test/platform/soak/SoakFleet.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "forward/FleetRetryBudget.h"
 #include "kernel/BoxSettings.h"
 #include "kernel/decisions/Time.h"
 #include "support/Processes.h"
@@ -29,6 +30,9 @@
 inline constexpr double ColdExcess = 1.5;
 inline constexpr double ColdSlack = 5;
 
+/** The fleet's bound on repeats, which all boxes have as their setting. */
+inline constexpr forward::RetryBound RepeatBound{0.2, 10s, 52};
+
 /** One gateway. */
 struct SoakBox
 {
--- a/test/platform/soak/SoakJudge.cpp
+++ b/test/platform/soak/SoakJudge.cpp
@@ -7,6 +7,9 @@
 constexpr int Ok = 200;
 constexpr int Unauthorized = 401;
 constexpr int Unavailable = 503;
+constexpr int MaxAttempts = 2; ///< Of the routes of requests that may run again.
+// Runs at servers that have ended don't count, which the judge can't tell; the users allow as many.
+constexpr std::size_t MostRunTooOften = 3;
 
 // Statuses that promise that the request did not run and never will.
 bool promisesNotRun(int status)
@@ -72,6 +75,7 @@
 void SoakJudge::noteAttempt(const SoakAttempt &attempt)
 {
     attempts_[attempt.id] = attempt;
+    repeats_.noteRequest(attempt.sent);
 }
 
 std::set<std::string> SoakJudge::versionsIn(const std::string &body)
@@ -317,6 +321,20 @@
     return sum;
 }
 
+void SoakJudge::judgeRepeats()
+{
+    const RepeatWindow worst = repeats_.worst();
+    if (bounds_.repeats.window > 0s && worst.room() < 0) {
+        breach("repeats stay within the fleet's budget",
+               std::to_string(worst.repeats) + " for " + std::to_string(worst.requests)
+                       + " requests in a window, allowed " + std::to_string(worst.allowed));
+    }
+    if (ranTooOften_.size() > MostRunTooOften) {
+        breach("no request runs more often than max_attempts",
+               std::to_string(ranTooOften_.size()) + " did, as " + *ranTooOften_.begin());
+    }
+}
+
 void SoakJudge::noteArrival(const SoakArrival &arrival)
 {
     checkCold(arrival);
@@ -326,6 +344,7 @@
         return;
     }
     const SoakAttempt &attempt = place->second;
+    repeats_.noteArrival(arrival.id, arrival.at);
     checkLeaving(attempt, arrival);
     checkHall(attempt, arrival);
     if (!arrival.ran) {
@@ -333,6 +352,9 @@
     }
     checkCrashing(attempt, arrival);
     const int runs = ++runs_[arrival.id];
+    if (!onceOnly(attempt.kind) && runs > MaxAttempts) {
+        ranTooOften_.insert(arrival.id);
+    }
     if (onceOnly(attempt.kind) && runs > 1) {
         breach("at most once", arrival.id + " ran again at " + arrival.server);
     }
--- a/test/platform/soak/SoakJudge.h
+++ b/test/platform/soak/SoakJudge.h
@@ -6,6 +6,7 @@
 
 #include "http/Message.h"
 #include "kernel/decisions/Time.h"
+#include "platform/soak/RepeatJudge.h"
 
 #include <deque>
 #include <map>
@@ -88,6 +89,7 @@
     kernel::Duration stop{};          ///< How long a planned stop may take.
     kernel::Duration absence = 200ms; ///< Longest time between two looks at a box that is absent.
     kernel::Duration contact = 3s;    ///< In touch for so long, a box knows what the others know.
+    forward::RetryBound repeats = {}; ///< No window: not judged.
 };
 
 /** The judge of one soak. */
@@ -96,6 +98,7 @@
 public:
     explicit SoakJudge(JudgeBounds bounds)
         : bounds_(bounds)
+        , repeats_(bounds.repeats)
     {
     }
 
@@ -132,6 +135,12 @@
     /** A request has ended a server. */
     void noteServerEnd(kernel::Instant at) { serverEnded_ = at; }
 
+    /** Judges the repeats of the whole soak; to be called once, at its end. */
+    void judgeRepeats();
+
+    /** The window of the soak in which least was left of the repeats that are allowed. */
+    RepeatWindow worstRepeats() const { return repeats_.worst(); }
+
     /** A promise that others have checked is broken. */
     void breach(const std::string &promise, const std::string &what);
 
@@ -171,6 +180,8 @@
     bool calmSince(kernel::Instant moment) const { return disturbed_ + bounds_.calm < moment; }
 
     JudgeBounds bounds_;
+    RepeatJudge repeats_;
+    std::set<std::string> ranTooOften_; ///< On more servers than the route's max_attempts.
     kernel::Instant disturbed_;
     kernel::Instant serverEnded_;
     kernel::Instant shortage_;
