--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -29,6 +29,9 @@
     std::optional<peer::SendsMade> made;         ///< Sends of the request before this one.
 };
 
+/** A request with less time left isn't sent. */
+inline constexpr kernel::Duration MinTimeLeft = 5ms;
+
 /** Serves one request. Must live until serve() has returned. */
 class RequestRun
 {
