One bound for all answers that a box holds

What callers saw: none by themselves; a box that is ended for its memory loses all its callers. Cause: each answer has a bound, 16 MiB, all of them together had none. Change: forward::AnswerLedger, a pure decision: 16 KiB of each answer always, more from a common 32 MiB; the one that has been long for longest may always grow, so that not all wait for each other. AnswerMemory keeps it; BackendExchange and DetourAttempt wait before they read on, so TCP holds the server back; answers_waited counts. Result: AnswerLedgerTest. EndlessAnswerTest/manyAnswers_* (60 at once, plain and events): no errors; with a ledger that grants everything 1,004,713,320 and 60,994,920 bytes, where 50,331,648 are allowed. GatewayTest, BrokenAnswerTest, EndlessAnswerTest, AnswerLedgerTest: no errors. The address sanitizer and the other programs were not run.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -65,6 +65,7 @@
     , server_(run.choice.server)
     , silenceTimer_(run.context.io)
     , events_(run, forward::StreamOrigin::of(server_))
+    , held_(run)
 {
 }
 
@@ -227,7 +228,7 @@
             co_return tl::unexpected(http::CallFailure{outcome::FailurePoint::AnswerForeign, false,
                                                        "answers of other requests came"});
         }
-        auto body = co_await connection_->readAll(http::MaxBodyBytes);
+        auto body = co_await held_.readAll(connection_);
         if (!body) {
             co_return tl::unexpected(body.error());
         }
@@ -325,7 +326,7 @@
 
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
-    auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    auto body = co_await held_.readAll(connection_);
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
@@ -358,10 +359,8 @@
     }
     run_.fleetView.servers().noteSuccess(server_.id, run_.context.now());
     noteAnswerTime();
-    if (run_.reply.begun()) {
-        co_return AttemptEnd::MayHaveRun;
-    }
-    if (!run_.repeatable() && promisesNotRun(head.status)) {
+    const bool deniesRun = !run_.repeatable() && promisesNotRun(head.status);
+    if (run_.reply.begun() || deniesRun) {
         co_return AttemptEnd::MayHaveRun;
     }
     run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
@@ -394,6 +393,7 @@
             connection_->close();
             co_return failReading("stream: ", *tooLong, true);
         }
+        co_await held_.hold(events_.pendingBytes());
     }
 }
 
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -25,6 +25,7 @@
     , detours_(detours)
     , box_(std::move(box))
     , events_(run, {})
+    , held_(run)
 {
     detours_.table().begin(box_.box);
 }
@@ -126,7 +127,7 @@
 // The other box's view may differ from this box's, so what it refuses as wrong isn't passed on.
 asio::awaitable<AttemptEnd> DetourAttempt::takeRefusal(const http::AnswerStart &start)
 {
-    const auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    const auto body = co_await held_.readAll(connection_);
     if (body) {
         returnConnection(start);
     } else {
@@ -146,7 +147,7 @@
 
 asio::awaitable<AttemptEnd> DetourAttempt::forwardWhole(http::AnswerStart start)
 {
-    auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    auto body = co_await held_.readAll(connection_);
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
@@ -203,6 +204,7 @@
             run_.noteTooLong(tooLong->passed);
             co_return fail(AttemptEnd::MayHaveRun, "stream: " + tooLong->message);
         }
+        co_await held_.hold(events_.pendingBytes());
     }
     returnConnection(start);
     detours_.table().noteServed(box_.box);
--- a/src/gateway/DetourAttempt.h
+++ b/src/gateway/DetourAttempt.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "forward/AnswerEnding.h"
+#include "gateway/AnswerMemory.h"
 #include "gateway/DetourService.h"
 #include "gateway/EventForwarder.h"
 
@@ -38,6 +39,7 @@
     const DetourBox box_;
     http::KeptConnection::Ptr connection_;
     EventForwarder events_;
+    HeldAnswer held_;
 };
 
 } // namespace limereel::gateway
