The retry budget's slack is held like a lease, not divided by the boxes seen

Cause: each box divided the slack by the boxes that it happened to see, took itself for the fleet after 3 s, forgot a larger fleet after 60 s, and a restart forgot what the former process had spent. Callers' requests that fail were then repeated several times over the bound of the fleet.

Change: FleetShare. A box has a part once it has seen a box of each listed hall and the number hasn't grown for 3 s (at once where no other box can exist; a quarter of a 32nd until then where no halls are listed, as small deployments must be able to repeat at their start). It loses the part while it sees less than half of the largest number, which shrinks only with all halls in sight. In the first window of a part, and of a process, it has a quarter: boxes spend four fifths of the limit, and a quarter of that is the last fifth. Gauges retry_budget_boxes and retry_budget_part, log line retry-share. FleetSizeEstimate stays for cold servers.

--- a/src/forward/FleetRetryBudget.cpp
+++ b/src/forward/FleetRetryBudget.cpp
@@ -38,7 +38,7 @@
         requests += slice.requests;
         repeats += slice.repeats;
     }
-    const double allowed = bound_.ratio * requests + bound_.slack / static_cast<double>(boxes_);
+    const double allowed = bound_.ratio * requests * ratioPart_ + bound_.slack * slackPart_;
     return allowed * SafePart - repeats;
 }
 
--- a/src/forward/FleetRetryBudget.h
+++ b/src/forward/FleetRetryBudget.h
@@ -1,7 +1,7 @@
 /** \file
  * The budget for retries, which the whole fleet shares: in any window, a ratio of the requests plus
  * a slack. Each box spends its own part without asking the others: the ratio of its own requests,
- * and the slack divided by the number of boxes.
+ * and its part of the slack (see FleetShare).
  *
  * Retries after a rejection by a backend server count too, so that an overloaded service isn't
  * flooded.
@@ -39,7 +39,17 @@
     void setBound(RetryBound bound) { bound_ = bound; }
 
     /** Sets how many boxes share the slack. */
-    void setBoxes(std::size_t boxes) { boxes_ = boxes == 0 ? 1 : boxes; }
+    void setBoxes(std::size_t boxes)
+    {
+        slackPart_ = 1 / static_cast<double>(boxes == 0 ? 1 : boxes);
+    }
+
+    /** Sets this box's part of the slack, 0 to 1, and of the ratio of its own requests. */
+    void setParts(double slackPart, double ratioPart)
+    {
+        slackPart_ = slackPart;
+        ratioPart_ = ratioPart;
+    }
 
     /** Counts a caller's request for \a service. */
     void countRequest(const std::string &service, kernel::Instant now);
@@ -61,7 +71,8 @@
     Slice &current(const std::string &service, kernel::Instant now);
 
     RetryBound bound_;
-    std::size_t boxes_ = 1;
+    double slackPart_ = 1;
+    double ratioPart_ = 1;
     std::map<std::string, std::deque<Slice>> services_;
 };
 
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -1,6 +1,8 @@
 #include "gateway/PlaceService.h"
 
+#include "gateway/FleetSight.h"
 #include "gateway/MessageUnits.h"
+#include "kernel/Log.h"
 #include "membership/Ownership.h"
 #include "services/PeerService.h"
 
@@ -17,6 +19,23 @@
 constexpr kernel::Duration SweepInterval = 1s;
 // Told to callers at a planned stop. Another box can take the request at once.
 constexpr kernel::Duration StopRetryDelay = 50ms;
+// More than a fleet whose settings list no halls has.
+constexpr std::size_t GuessedBoxes = 32;
+
+const kernel::Log &log()
+{
+    static const kernel::Log Log("places");
+    return Log;
+}
+
+forward::FleetSharePolicy retrySharePolicy(const kernel::BoxSettings &settings)
+{
+    forward::FleetSharePolicy policy;
+    policy.window = settings.gateway.retryWindow;
+    policy.guess = settings.gateway.hallRegions.empty() ? GuessedBoxes : 0;
+    policy.rememberedFor = std::max(policy.rememberedFor, 2 * policy.window);
+    return policy;
+}
 
 } // namespace
 
@@ -32,6 +51,7 @@
                  }
              })
     , asks_(context, owner_)
+    , retryShare_(retrySharePolicy(context.settings))
 {
 }
 
@@ -45,9 +65,7 @@
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
                 owner_.sweep();
                 asks_.expire();
-                const auto &members =
-                        context_.kernel.find<services::MembershipService>("membership");
-                fleetView_.budget().setBoxes(fleet_.note(members.owners().size(), context_.now()));
+                shareRetryBudget();
                 co_return kernel::Duration(SweepInterval);
             });
 }
@@ -253,6 +271,27 @@
     return static_cast<std::uint32_t>(std::lround(count->second.add(context_.now())));
 }
 
+void PlaceService::shareRetryBudget()
+{
+    const std::size_t boxesBefore = retryShare_.boxes();
+    const forward::FleetKnowledge knowledgeBefore = retryShare_.knowledge();
+    const forward::FleetSight sight = fleetSight(context_);
+    retryShare_.note(sight, context_.now());
+    fleetView_.budget().setParts(retryShare_.part(), retryShare_.ratioPart());
+    context_.counters.set("retry_budget_boxes", static_cast<double>(retryShare_.boxes()));
+    context_.counters.set("retry_budget_part", retryShare_.part());
+    if (retryShare_.boxes() == boxesBefore && retryShare_.knowledge() == knowledgeBefore) {
+        return;
+    }
+    log().event("retry-share",
+                {{"boxes", retryShare_.boxes()},
+                 {"seen", sight.boxes},
+                 {"whole", sight.whole},
+                 {"knowledge", text(retryShare_.knowledge())},
+                 {"part", retryShare_.part()}},
+                "The number of boxes that share the retry budget has changed.");
+}
+
 void PlaceService::receive(const peer::Message &message, const kernel::Endpoint &from)
 {
     if (const auto *const ask = std::get_if<peer::AskPermit>(&message)) {
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "forward/FleetSizeEstimate.h"
+#include "forward/FleetShare.h"
 #include "forward/RecentCount.h"
 #include "gateway/PlaceAsks.h"
 #include "gateway/PlaceOwner.h"
@@ -118,13 +118,14 @@
     void reportToKeyOwner(std::uint64_t home, std::uint64_t partsKey,
                           const forward::ListedServer &server);
     std::uint32_t countAsk(const std::string &service);
+    void shareRetryBudget();
 
     services::Context &context_;
     FleetView &fleetView_;
     PlaceOwner owner_;
     PlaceAsks asks_;
     std::map<std::string, forward::RecentCount> recentAsks_; ///< Of this box, by service.
-    forward::FleetSizeEstimate fleet_; ///< Number of boxes that share the retry budget.
+    forward::FleetShare retryShare_; ///< This box's part of the retry budget.
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
