Two bursts in one window get more retries than the limit: tests, known red

Cause: a box counts its requests over its own last window; the limit holds in each window against the requests of that one, the one before it or the one half a window before it. Retries earned by one burst and spent beside another lie in a window that counts only one of the two. No restart or cut is needed.

--- a/test/correctness/FleetBudgetTest.cpp
+++ b/test/correctness/FleetBudgetTest.cpp
@@ -385,6 +385,14 @@
     BOOST_TEST(totals.broken == 0U);
 }
 
+// Guards against retries that are earned by requests of one burst and spent in a window that holds
+// another one, so that the limit counts only one of the two.
+BOOST_AUTO_TEST_CASE(fleet_burstsAndQuietSpells_staysWithinItsBoundInEveryWindow)
+{
+    const Totals totals = playMany(divideByShare, Load::Bursts, historyCount());
+    BOOST_TEST(totals.broken == 0U);
+}
+
 // The histories are hard enough: the same ones break the bound where a box divides by the number of
 // boxes that it sees.
 BOOST_AUTO_TEST_CASE(fleet_dividedByBoxesSeen_isFoundToBreakItsBound)
@@ -393,6 +401,25 @@
     BOOST_TEST(totals.broken > historyCount() / 10);
 }
 
+// Guards against retries beyond the limit of a window that counts only one of two bursts.
+BOOST_AUTO_TEST_CASE(take_retriesOfTwoBurstsInOneWindow_areThoseOfOne)
+{
+    FleetRetryBudget budget({Ratio, Step * StepsPerWindow, 0});
+    std::size_t repeats = 0;
+    const auto burstAt = [&](std::size_t requestsAt, std::size_t retriesAt) {
+        for (std::size_t request = 0; request < 100; ++request) {
+            budget.countRequest(Service, at(requestsAt));
+        }
+        while (budget.take(Service, at(retriesAt))) {
+            ++repeats;
+        }
+    };
+    burstAt(0, 99);
+    burstAt(100, 100);
+    BOOST_TEST(repeats > 0U);
+    BOOST_TEST(static_cast<double>(repeats) <= Ratio * 100);
+}
+
 // Guards against a deployment that needs no care and gets no slack.
 BOOST_AUTO_TEST_CASE(share_noOtherBoxIsPossible_hasAllAfterTheFirstWindow)
 {
