A request that is cut off by the end of the process leaves the services alone

Cause: the count of a server's requests was given back by a destructor in the request's coroutine, so that it holds where a run throws. The event loop destroys what is pending after the services are gone. Evidence: valgrind, an invalid read in ServerTable::end from ~SentRequest in the destruction of the loop's coroutines. The count of a detour had been given back in the same way for longer. Change: runAfter() calls an action once an operation has returned or thrown, and not where the loop is destroyed. Both counts use it.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/BackendExchange.h"
 
+#include "gateway/RunAfter.h"
 #include "gateway/RunLog.h"
 
 #include <boost/asio.hpp>
@@ -92,13 +93,18 @@
 {
     run_.sentAt = run_.context.now();
     run_.repeatUnused = false;
-    const SentRequest sent(run_, server_.id, connection_);
+    run_.interrupt->connection = connection_;
+    run_.fleetView.servers().begin(server_.id, run_.prompt(), run_.context.now());
     if (run_.repeatable() && run_.route.maxAttempts > run_.runsMade() + 1) {
         armSilenceTimer(firstSilenceCheck(run_, server_));
     }
-    const AttemptEnd end = co_await exchange();
-    silenceTimer_.cancel();
-    co_return end;
+    auto exchanged = exchange();
+    std::function<void()> endSend = [this] {
+        silenceTimer_.cancel();
+        run_.interrupt->connection.reset();
+        run_.fleetView.servers().end(server_.id);
+    };
+    co_return co_await runAfter(std::move(exchanged), std::move(endSend));
 }
 
 void BackendExchange::armSilenceTimer(kernel::Duration after)
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/DetourAttempt.h"
 
+#include "gateway/RunAfter.h"
 #include "gateway/RunLog.h"
 
 #include <boost/asio.hpp>
@@ -29,12 +30,6 @@
     , events_(run, {})
     , held_(run)
 {
-    detours_.table().begin(box_.box);
-}
-
-DetourAttempt::~DetourAttempt()
-{
-    detours_.table().end(box_.box);
 }
 
 AttemptEnd DetourAttempt::fail(AttemptEnd end, const std::string &why)
@@ -70,6 +65,17 @@
 }
 
 asio::awaitable<AttemptEnd> DetourAttempt::run()
+{
+    detours_.table().begin(box_.box);
+    auto attempted = attempt();
+    std::function<void()> endDetour = [this] {
+        run_.interrupt->connection.reset();
+        detours_.table().end(box_.box);
+    };
+    co_return co_await runAfter(std::move(attempted), std::move(endDetour));
+}
+
+asio::awaitable<AttemptEnd> DetourAttempt::attempt()
 {
     const bool connected = co_await connect();
     if (!connected) {
@@ -80,9 +86,7 @@
         co_return AttemptEnd::Unsent;
     }
     run_.interrupt->connection = connection_;
-    const AttemptEnd end = co_await exchange();
-    run_.interrupt->connection.reset();
-    co_return end;
+    co_return co_await exchange();
 }
 
 asio::awaitable<AttemptEnd> DetourAttempt::exchange()
--- a/src/gateway/DetourAttempt.h
+++ b/src/gateway/DetourAttempt.h
@@ -19,13 +19,13 @@
 {
 public:
     DetourAttempt(RunState &run, DetourService &detours, DetourBox box);
-    ~DetourAttempt();
     DetourAttempt(const DetourAttempt &) = delete;
     DetourAttempt &operator=(const DetourAttempt &) = delete;
 
     boost::asio::awaitable<AttemptEnd> run();
 
 private:
+    boost::asio::awaitable<AttemptEnd> attempt();
     boost::asio::awaitable<bool> connect();
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<AttemptEnd> takeRefusal(const http::AnswerStart &start);
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -81,21 +81,6 @@
     return route.promptAffinity && !call.prompt.parts.empty() ? &call.prompt : nullptr;
 }
 
-SentRequest::SentRequest(RunState &run, std::string server,
-                         const http::KeptConnection::Ptr &connection)
-    : run_(run)
-    , server_(std::move(server))
-{
-    run_.interrupt->connection = connection;
-    run_.fleetView.servers().begin(server_, run_.prompt(), run_.context.now());
-}
-
-SentRequest::~SentRequest()
-{
-    run_.interrupt->connection.reset();
-    run_.fleetView.servers().end(server_);
-}
-
 http::Fields ownEndToEnd(const RunState &run, const http::Fields &fields)
 {
     return http::endToEnd(fields, run.fleetView.adapter().dialect.ownFields);
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -141,20 +141,6 @@
     const forward::Prompt *prompt() const;
 };
 
-/** A request at a server: counted there, and open to an interruption, however it ends. */
-class SentRequest
-{
-public:
-    SentRequest(RunState &run, std::string server, const http::KeptConnection::Ptr &connection);
-    ~SentRequest();
-    SentRequest(const SentRequest &) = delete;
-    SentRequest &operator=(const SentRequest &) = delete;
-
-private:
-    RunState &run_;
-    std::string server_; ///< Its id.
-};
-
 /** The fields of a request or answer that are passed on; those of the platform always are. */
 http::Fields ownEndToEnd(const RunState &run, const http::Fields &fields);
 
