Retries earned before a burst aren't spent beside the next one's

What callers saw: nothing; backend servers saw more repeats in a window than the bound of the fleet allows. Cause: a box counted requests over its own last window alone. The bound counts those of one of three windows, so retries that one burst has earned and that are spent beside another burst may lie in a window that counts only one of the two. Change: a box holds its part in each window that has begun within the last one, against the same three windows.

--- a/src/forward/FleetRetryBudget.cpp
+++ b/src/forward/FleetRetryBudget.cpp
@@ -1,5 +1,8 @@
 #include "forward/FleetRetryBudget.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace limereel::forward {
 
 namespace {
@@ -15,10 +18,14 @@
 {
     std::deque<Slice> &slices = services_[service];
     const kernel::Duration length = bound_.window / SlicesInWindow;
-    if (slices.empty() || now - slices.back().begin >= length) {
-        slices.push_back({now, 0, 0});
+    if (slices.empty()) {
+        slices.push_back({.begin = now});
+    } else if (now - slices.back().begin >= length) {
+        const double before = slices.back().requestsBefore + slices.back().requests;
+        slices.push_back({.begin = now, .requestsBefore = before});
     }
-    while (now - slices.front().begin > bound_.window + length) {
+    // A window may be held against the requests of the one before it.
+    while (now - slices.front().begin > 2 * bound_.window + length) {
         slices.pop_front();
     }
     return slices.back();
@@ -29,17 +36,46 @@
     current(service, now).requests += 1;
 }
 
+// The requests of slices that begin before \a moment.
+double FleetRetryBudget::requestsUntil(const std::deque<Slice> &slices, kernel::Instant moment)
+{
+    const auto next = std::ranges::lower_bound(slices, moment, {}, &Slice::begin);
+    return next == slices.end() ? slices.back().requestsBefore + slices.back().requests
+                                : next->requestsBefore;
+}
+
+// The requests that the limit counts for a window that began at \a begin: its own, those of the
+// window before it, or those of the one half a window before it.
+double FleetRetryBudget::countedRequests(const std::deque<Slice> &slices, kernel::Instant begin,
+                                         kernel::Instant now) const
+{
+    const kernel::Duration window = bound_.window;
+    const double before = requestsUntil(slices, begin);
+    const double own = slices.back().requestsBefore + slices.back().requests - before;
+    if (now - begin >= window) {
+        return own;
+    }
+    const double earlier = before - requestsUntil(slices, begin - window);
+    const double middle =
+            requestsUntil(slices, begin + window / 2) - requestsUntil(slices, begin - window / 2);
+    return std::max({own, earlier, middle});
+}
+
 double FleetRetryBudget::left(const std::string &service, kernel::Instant now)
 {
     current(service, now);
-    double requests = 0;
+    const std::deque<Slice> &slices = services_[service];
+    const kernel::Instant oldest = now - bound_.window - bound_.window / SlicesInWindow;
+    const double slack = bound_.slack * slackPart_;
     double repeats = 0;
-    for (const Slice &slice : services_[service]) {
-        requests += slice.requests;
-        repeats += slice.repeats;
+    double least = std::numeric_limits<double>::max();
+    for (auto slice = slices.rbegin(); slice != slices.rend() && slice->begin >= oldest; ++slice) {
+        repeats += slice->repeats;
+        const double requests = countedRequests(slices, slice->begin, now);
+        const double allowed = bound_.ratio * ratioPart_ * requests + slack;
+        least = std::min(least, allowed * SafePart - repeats);
     }
-    const double allowed = bound_.ratio * requests * ratioPart_ + bound_.slack * slackPart_;
-    return allowed * SafePart - repeats;
+    return least;
 }
 
 bool FleetRetryBudget::take(const std::string &service, kernel::Instant now)
--- a/src/forward/FleetRetryBudget.h
+++ b/src/forward/FleetRetryBudget.h
@@ -3,6 +3,9 @@
  * a slack. Each box spends its own part without asking the others: the ratio of its own requests,
  * and its part of the slack (see FleetShare).
  *
+ * A part holds in every window that ends now or later, as the limit does: requests that earned
+ * retries may lie before a window that the retries lie in.
+ *
  * Retries after a rejection by a backend server count too, so that an overloaded service isn't
  * flooded.
  */
@@ -64,11 +67,15 @@
     struct Slice
     {
         kernel::Instant begin;
+        double requestsBefore = 0; ///< Of all slices before it.
         double requests = 0;
         double repeats = 0;
     };
 
     Slice &current(const std::string &service, kernel::Instant now);
+    static double requestsUntil(const std::deque<Slice> &slices, kernel::Instant moment);
+    double countedRequests(const std::deque<Slice> &slices, kernel::Instant begin,
+                           kernel::Instant now) const;
 
     RetryBound bound_;
     double slackPart_ = 1;
