A box that can have no others knows its fleet although settings list more halls

What callers saw: a stream that was cut in place of going on at another server, at the only box of a fleet. Cause: the fleet counted as unknown until a box of each listed hall was in sight. Halls are also listed for their backend servers; a box whose settings allow no other box then waited for ever. Change: without seeds or known boxes but its own address, a box is the whole fleet.

--- a/src/gateway/FleetSight.cpp
+++ b/src/gateway/FleetSight.cpp
@@ -32,10 +32,11 @@
 forward::FleetSight fleetSight(const ListedFleet &listed,
                                const std::vector<membership::ShortHash> &otherHalls)
 {
-    const bool whole = std::ranges::all_of(listed.halls, [&](membership::ShortHash hall) {
+    const bool alone = !listed.others && otherHalls.empty();
+    const bool allHalls = std::ranges::all_of(listed.halls, [&](membership::ShortHash hall) {
         return hall == listed.ownHall || std::ranges::find(otherHalls, hall) != otherHalls.end();
     });
-    return {otherHalls.size() + 1, whole && (!listed.others || !otherHalls.empty())};
+    return {otherHalls.size() + 1, alone || (allHalls && !otherHalls.empty())};
 }
 
 forward::FleetSight fleetSight(const services::Context &context)
