A box that sees half of its fleet or less keeps the larger number

What callers saw: nothing; the two sides of a lasting cut through the halls each spent the whole slack. Cause: the number of boxes shrank after a minute wherever a box of each hall was in sight, also at one that sees so few that the others may be the larger part. Evidence: FleetBudgetTest/share_cutThroughTheHallsThatLasts_partsStayWithinTheWhole: 2, 3 or 4 of 8 boxes: 2.0 of the slack. Change: the number doesn't shrink while half of it or less is in sight. Result: that case passes. The sight of a single box in settings with two halls has a row here, too.

--- a/src/forward/FleetShare.cpp
+++ b/src/forward/FleetShare.cpp
@@ -54,7 +54,9 @@
         boxes_ = sight.boxes;
         grownAt_ = now;
     }
-    if (sight.boxes >= boxes_ || !sight.whole) {
+    // Beyond a cut through the halls the others may be the larger part.
+    const bool mayBeCutOff = !sight.whole || sight.boxes * 2 <= boxes_;
+    if (sight.boxes >= boxes_ || mayBeCutOff) {
         fewerSince_.reset();
         return;
     }
--- a/test/correctness/FleetBudgetTest.cpp
+++ b/test/correctness/FleetBudgetTest.cpp
@@ -464,6 +464,41 @@
     BOOST_TEST(partAfter({3, true}, 5620) == 1.0 / 3);
 }
 
+// Guards against two parts of a fleet that each take themselves for all of it: a cut through the
+// halls leaves boxes of every hall on both sides.
+BOOST_AUTO_TEST_CASE(share_cutThroughTheHallsThatLasts_partsStayWithinTheWhole)
+{
+    for (const std::size_t fewer : {1, 2, 3, 4}) {
+        FleetShare small;
+        FleetShare large;
+        for (std::size_t second = 0; second < 200; ++second) {
+            const bool cut = second >= 30;
+            small.note({cut ? fewer : 8, !cut || fewer > 1}, at(second * 10));
+            large.note({cut ? 8 - fewer : 8, true}, at(second * 10));
+        }
+        const double all = static_cast<double>(fewer) * small.part()
+                           + static_cast<double>(8 - fewer) * large.part();
+        BOOST_TEST_CONTEXT(fewer << " of 8 boxes beyond the cut: " << text(small.knowledge()))
+        {
+            BOOST_TEST(all <= 1);
+        }
+    }
+}
+
+// The same for boxes that start beyond the cut and have never seen the others.
+BOOST_AUTO_TEST_CASE(share_boxesStartBeyondACutThroughTheHalls_partsStayWithinTheWhole)
+{
+    FleetShare small;
+    FleetShare large;
+    for (std::size_t second = 0; second < 50; ++second) {
+        large.note({second < 20 ? std::size_t{8} : std::size_t{6}, true}, at(second * 10));
+        if (second >= 22) {
+            small.note({2, true}, at(second * 10));
+        }
+    }
+    BOOST_TEST(2 * small.part() + 6 * large.part() <= 1);
+}
+
 BOOST_AUTO_TEST_CASE(fleetSight_exampleTable_matches)
 {
     using gateway::fleetSight;
@@ -477,6 +512,8 @@
     BOOST_TEST(fleetSight(hall, {1}).whole);
     const gateway::ListedFleet box{.ownHall = 1, .halls = {}, .others = false};
     BOOST_TEST(fleetSight(box, {}).whole);
+    const gateway::ListedFleet boxBesideHalls{.ownHall = 1, .halls = {1, 2}, .others = false};
+    BOOST_TEST(fleetSight(boxBesideHalls, {}).whole);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
