A silent run through another box is given up only if its payer has a repeat left

What callers saw: a 502 at a box that is cut off from its servers, where a late answer was still to come. Cause: the box that helps gave a silent run up if its own budget had a repeat left, but the box that asked pays for it, and may have none. Change: the question tells whether the budget of the box that asks has a repeat left; the box that helps goes by that. Nothing is reserved: several such questions may count on the same repeat.

--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -97,9 +97,10 @@
     detour.resumeAfter = run_.lastEvent;
     detour.origin = run_.origin;
     detour.request = run_.request;
+    const double repeatsLeft = run_.fleetView.budget().left(run_.service, run_.context.now());
     detour.made = peer::SendsMade{.runs = run_.counts.sends,
                                   .rejections = run_.counts.rejected,
-                                  .unusedRepeats = 0,
+                                  .unusedRepeats = repeatsLeft >= 1 ? 1U : 0U,
                                   .lastServer = run_.lastRunAt};
     logDetour(run_, box_.name);
     run_.through = box_.name;
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -471,7 +471,7 @@
     }
     if (run_.madeBefore) {
         // The box whose caller it is pays for the repeat.
-        return run_.fleetView.budget().left(run_.service, run_.context.now()) >= 1;
+        return run_.madeBefore->unusedRepeats > 0;
     }
     if (!repeatReserved_) {
         repeatReserved_ = run_.fleetView.budget().take(run_.service, run_.context.now());
--- a/src/peer/SendsMade.h
+++ b/src/peer/SendsMade.h
@@ -15,10 +15,12 @@
 /** Sends of one request. */
 struct SendsMade
 {
-    std::uint32_t runs = 0;          ///< That a server may have run.
-    std::uint32_t rejections = 0;    ///< That a server has rejected.
-    std::uint32_t unusedRepeats = 0; ///< Granted by a retry budget, and no send came of it.
-    std::uint64_t lastServer = 0;    ///< Hash of the last one that may have run it; 0: none.
+    std::uint32_t runs = 0;       ///< That a server may have run.
+    std::uint32_t rejections = 0; ///< That a server has rejected.
+    /** Granted by a retry budget, and no send came of it; in a question, whether the budget of the
+     * box that asks has one left. */
+    std::uint32_t unusedRepeats = 0;
+    std::uint64_t lastServer = 0; ///< Hash of the last one that may have run it; 0: none.
 
     auto operator<=>(const SendsMade &) const = default;
 };
--- a/test/platform/RepeatChargeTest.cpp
+++ b/test/platform/RepeatChargeTest.cpp
@@ -285,4 +285,32 @@
     BOOST_TEST(tally.mostRuns <= MaxAttempts);
 }
 
+// Guards against a run that is given up for its silence by a box that doesn't pay for the repeat,
+// while the box that would have to pay has nothing left: the caller gets a failure instead of a
+// late answer.
+BOOST_AUTO_TEST_CASE(run_silentThroughAnotherBoxAndOwnBoxHasNoRepeatLeft_isKept)
+{
+    constexpr std::size_t Earning = 60;
+    RepeatWorld world;
+    world.moreSettings = "retry-slack = 0\n";
+    world.startCut(2);
+    for (std::size_t count = 0; count < Earning; ++count) {
+        world.call(1, world.fresh("/once/"));
+        world.call(2, world.fresh("/once/"));
+    }
+    world.eachMeets(RunnerFault::Silent);
+    const auto pending = world.begin(0, world.fresh("/again/"));
+    const auto kept = [&] {
+        return world.counter(1, "silent_attempts_kept") + world.counter(2, "silent_attempts_kept");
+    };
+    world.until([&] { return pending->done || kept() > 0; }, "the silence is noticed");
+    BOOST_TEST_MESSAGE("box 0: repeats refused "
+                       << world.counter(0, "repeats", {{"granted", "no"}, {"reason", "failed"}})
+                       << ", granted "
+                       << world.counter(0, "repeats", {{"granted", "yes"}, {"reason", "failed"}})
+                       << ", status " << pending->answer.status);
+    BOOST_TEST(kept() > 0U);
+    BOOST_TEST(!pending->done);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
