A detour that is cut off by the end of the process leaves its service alone

What callers saw: nothing; a process that ended with another box's request under way wrote to freed memory. Cause: the count of such requests is a member of a service, and the event loop destroys what is pending after the services. Evidence: the reviewer's valgrind, an invalid read in the freed DetourService in two of two runs of RepeatChargeTest's row 18. Change: the requests share the count's ownership. Result: RepeatChargeTest and CutBoxTest pass; valgrind was not run again. The same shape in CrashGuard's destructor is open.

--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -124,7 +124,7 @@
 {
     const auto payload = peer::open(bytesOf(request.body), keys_);
     auto detour = payload ? peer::decodeDetourRequest(*payload) : std::nullopt;
-    const bool full = serving_ >= context_.settings.gateway.descriptors / ServingShare;
+    const bool full = *serving_ >= context_.settings.gateway.descriptors / ServingShare;
     if (!detour || full || !context_.settings.gateway.detours || !handler_) {
         const char *result = !detour ? "unreadable" : "busy";
         context_.counters.add("detours_served", {{"result", result}});
@@ -140,9 +140,10 @@
                 {{"request", call ? call->id : std::string()},
                  {"from", detour->from},
                  {"left_ms", detour->leftMs},
-                 {"serving", serving_ + 1}},
+                 {"serving", *serving_ + 1}},
                 "A request of another box, which reaches none of its servers, is served here.");
-    const http::Counted counted(serving_);
+    const std::shared_ptr<std::size_t> serving = serving_;
+    const http::Counted counted(*serving);
     co_await handler_(std::move(*detour), reply);
 }
 
--- a/src/gateway/DetourService.h
+++ b/src/gateway/DetourService.h
@@ -71,7 +71,7 @@
     void setHandler(Handler handler) { handler_ = std::move(handler); }
 
     /** Number of requests of other boxes that are being served. */
-    std::size_t serving() const { return serving_; }
+    std::size_t serving() const { return *serving_; }
 
 private:
     /** A box that serves detours. */
@@ -98,7 +98,8 @@
     std::vector<KnownBox> known_;
     std::vector<std::string> lostServices_; ///< As they were last published.
     Handler handler_;
-    std::size_t serving_ = 0;
+    /** Requests of other boxes under way, which may be destroyed after this service. */
+    std::shared_ptr<std::size_t> serving_ = std::make_shared<std::size_t>(0);
     std::unique_ptr<services::PeriodicTask> probes_;
 };
 
