--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -63,9 +63,9 @@
             });
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
+                shareRetryBudget();
                 owner_.sweep();
                 asks_.expire();
-                shareRetryBudget();
                 co_return kernel::Duration(SweepInterval);
             });
 }
