A server can't speak for its box towards another one

What callers saw: nothing yet; a server that answers with the fields by which boxes tell each other of detours would be taken for the box: a request that ran once only would count as refused. Found by reading, by the reviewer. Cause: only the field of the stream's origin was taken off a server's answer. Change: the fields of refusals and of sends are taken off as well, and set by the box alone.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -347,7 +347,7 @@
         co_return AttemptEnd::Rejected;
     }
     noteBodyEnd(body->end);
-    http::Fields fields = withSends(run_, ownEndToEnd(run_, start.fields), 1);
+    http::Fields fields = serverFields(run_, start.fields);
     http::Answer answer(start.status, std::move(fields), std::move(body->bytes));
     answer.endMarked = isMarked(body->end);
     run_.answeredWhole = true;
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -67,7 +67,7 @@
         run_.noteBytes(writer_);
     }
     if (!run_.reply.begun()) {
-        http::Fields fields = withSends(run_, ownEndToEnd(run_, start.fields), 1);
+        http::Fields fields = serverFields(run_, start.fields);
         if (run_.forOtherBox) {
             fields = fields.without(DetourOrigin);
         }
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -86,6 +86,15 @@
     return http::endToEnd(fields, run.fleetView.adapter().dialect.ownFields);
 }
 
+http::Fields serverFields(const RunState &run, const http::Fields &fields)
+{
+    http::Fields own = ownEndToEnd(run, fields);
+    if (!run.forOtherBox) {
+        return own;
+    }
+    return withSends(run, own.without(DetourRefused).without(DetourSends), 1);
+}
+
 http::Fields withSends(const RunState &run, http::Fields fields, std::uint32_t underWay)
 {
     if (!run.madeBefore) {
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -148,6 +148,10 @@
  * the request. \param underWay sends that aren't counted yet. */
 http::Fields withSends(const RunState &run, http::Fields fields, std::uint32_t underWay);
 
+/** The fields of a server's answer that are passed on. A server can't speak for this box towards
+ * another one. */
+http::Fields serverFields(const RunState &run, const http::Fields &fields);
+
 /** Whether the HTTP status \a status tells the caller that its request did not run. */
 bool promisesNotRun(int status);
 
