--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -66,7 +66,6 @@
     , server_(run.choice.server)
     , silenceTimer_(run.context.io)
     , events_(run, forward::StreamOrigin::of(server_))
-    , held_(run)
 {
 }
 
@@ -232,7 +231,7 @@
             co_return tl::unexpected(http::CallFailure{outcome::FailurePoint::AnswerForeign, false,
                                                        "answers of other requests came"});
         }
-        auto body = co_await held_.readAll(connection_);
+        auto body = co_await connection_->readAll(http::MaxBodyBytes);
         if (!body) {
             co_return tl::unexpected(body.error());
         }
@@ -330,7 +329,7 @@
 
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
-    auto body = co_await held_.readAll(connection_);
+    auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
@@ -364,8 +363,10 @@
     }
     run_.fleetView.servers().noteSuccess(server_.id, run_.context.now());
     noteAnswerTime();
-    const bool deniesRun = !run_.repeatable() && promisesNotRun(head.status);
-    if (run_.reply.begun() || deniesRun) {
+    if (run_.reply.begun()) {
+        co_return AttemptEnd::MayHaveRun;
+    }
+    if (!run_.repeatable() && promisesNotRun(head.status)) {
         co_return AttemptEnd::MayHaveRun;
     }
     run_.context.counters.add("results", {{"kind", "passed"}, {"code", "ok"}});
@@ -398,7 +399,6 @@
             connection_->close();
             co_return failReading("stream: ", *tooLong, true);
         }
-        co_await held_.hold(events_.pendingBytes());
     }
 }
 
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include "forward/AnswerEnding.h"
-#include "gateway/AnswerMemory.h"
 #include "gateway/ConnectionPool.h"
 #include "gateway/EventForwarder.h"
 #include "gateway/RunState.h"
@@ -68,7 +67,6 @@
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
     EventForwarder events_;
-    HeldAnswer held_;
     bool waitsInSilence_ = false; ///< The server is silent, and no other attempt is sure to follow.
 };
 
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -28,7 +28,6 @@
     , detours_(detours)
     , box_(std::move(box))
     , events_(run, {})
-    , held_(run)
 {
 }
 
@@ -140,7 +139,7 @@
 // The other box's view may differ from this box's, so what it refuses as wrong isn't passed on.
 asio::awaitable<AttemptEnd> DetourAttempt::takeRefusal(const http::AnswerStart &start)
 {
-    const auto body = co_await held_.readAll(connection_);
+    const auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (body) {
         returnConnection(start);
     } else {
@@ -160,7 +159,7 @@
 
 asio::awaitable<AttemptEnd> DetourAttempt::forwardWhole(http::AnswerStart start)
 {
-    auto body = co_await held_.readAll(connection_);
+    auto body = co_await connection_->readAll(http::MaxBodyBytes);
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
@@ -223,7 +222,6 @@
             run_.noteTooLong(tooLong->passed);
             co_return fail(AttemptEnd::MayHaveRun, "stream: " + tooLong->message);
         }
-        co_await held_.hold(events_.pendingBytes());
     }
     returnConnection(start);
     detours_.table().noteServed(box_.box);
--- a/src/gateway/DetourAttempt.h
+++ b/src/gateway/DetourAttempt.h
@@ -8,7 +8,6 @@
 #pragma once
 
 #include "forward/AnswerEnding.h"
-#include "gateway/AnswerMemory.h"
 #include "gateway/DetourService.h"
 #include "gateway/EventForwarder.h"
 
@@ -39,7 +38,6 @@
     const DetourBox box_;
     http::KeptConnection::Ptr connection_;
     EventForwarder events_;
-    HeldAnswer held_;
 };
 
 } // namespace limereel::gateway
--- a/src/gateway/EventForwarder.h
+++ b/src/gateway/EventForwarder.h
@@ -40,9 +40,6 @@
      * that isn't a stream of events is held as a whole. */
     std::optional<http::CallFailure> tooLong(const http::AnswerStart &start) const;
 
-    /** Bytes that are held until their event is complete. */
-    std::size_t pendingBytes() const { return cutter_.pendingBytes(); }
-
     /** Whether the answer has stopped inside an event. */
     bool insideEvent() const { return cutter_.insideEvent(); }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,5 @@
 #include "gateway/Gateway.h"
 
-#include "gateway/AnswerMemory.h"
 #include "gateway/CrashStore.h"
 #include "gateway/DetourService.h"
 #include "gateway/FeedRelay.h"
@@ -81,7 +80,6 @@
     kernel.add(std::make_unique<services::MembershipService>(context, peerDiscoveryOf(context)));
     services::CrashService &crashes = kernel.add(std::make_unique<services::CrashService>(context));
     FleetView &fleetView = kernel.add(std::make_unique<FleetView>(context, std::move(adapter)));
-    kernel.add(std::make_unique<AnswerMemory>());
     FeedRelay &relay = kernel.add(std::make_unique<FeedRelay>(context, fleetView));
     kernel.add(std::make_unique<CrashStore>(context, fleetView.adapter(), crashes));
     PlaceService &places = kernel.add(std::make_unique<PlaceService>(context, fleetView));
