A list that relays should give isn't read from the store as a search ends

What callers saw (by test, before any landing): after a lost history each box of a hall asked nobody for two seconds and then read the whole list from the store; a change was known after 4.5 s. Cause: the end of a search named the store as the next source, which was then held back because relays should give the list. Change: a search has no end while the list is left to relays.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -280,7 +280,8 @@
 
 std::optional<kernel::Instant> ObjectFeed::searchUntil() const
 {
-    if (!knownAsOf_ || paces_.changeKnownWithin == 0s) {
+    // A list that relays should give isn't asked of the store as a search ends.
+    if (!knownAsOf_ || paces_.changeKnownWithin == 0s || leavesListToRelays()) {
         return std::nullopt;
     }
     const kernel::Duration search =
