A relay with nothing new isn't asked without a pause as a search ends

What callers saw: nothing; one box and one feed put 69 and 75 questions to a relay within 100 ms, usually one. Cause: with 0.4 s or less left, questions were held for no time at all, and a good answer is followed by the next question at once. Change: a question is held for half of what is left at least, up to the usual hold.

--- a/src/store/FeedPace.cpp
+++ b/src/store/FeedPace.cpp
@@ -88,7 +88,9 @@
     if (!left) {
         return {hold, hold + RelayAnswer};
     }
-    const Duration held = std::clamp<Duration>(*left - RelayAnswer, 0s, hold);
+    // Without a least hold a relay with nothing new would be asked again and again.
+    const Duration least = std::clamp<Duration>(*left / 2, 0s, hold);
+    const Duration held = std::clamp<Duration>(*left - RelayAnswer, least, hold);
     return {held, std::clamp<Duration>(*left, 0s, held + RelayAnswer)};
 }
 
