A relay that had less time than usual isn't doubted longer for it

Cause: a question that the end of a search cuts short counted as a relay's silence, whose doubt doubles each time. Found by reading. Change: it counts as a relay that has lost its source: doubted for the first time's length. Result: FeedSearchTest, RelayQuestionsTest and LostHistoryTest without an error; no test is about this by itself.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -491,7 +491,10 @@
     }
     processing_ = answer.has_value();
     if (!answer) {
-        noteRelayFault(relay, "silent", store::RelayFault::Silent);
+        // A relay that had less time than usual isn't silent for that.
+        const bool cutShort = times.timeout < times.hold + store::RelayAnswer;
+        noteRelayFault(relay, "silent",
+                       cutShort ? store::RelayFault::Lost : store::RelayFault::Silent);
         co_return;
     }
     peer::AskState state;
