The time to connect to a relay is part of a question's time

Cause: a question could take twice the time that a search has left, once to connect and once for the answer. Found by reading. Change: the answer gets what connecting has left. Result: RelayQuestionsTest and LostHistoryTest without an error; no test is about this by itself.

--- a/src/gateway/RelayClient.cpp
+++ b/src/gateway/RelayClient.cpp
@@ -18,6 +18,7 @@
 asio::awaitable<std::optional<peer::FeedAnswer>>
 RelayClient::ask(kernel::Endpoint where, peer::FeedAsk ask, kernel::Duration timeout)
 {
+    const kernel::Instant asked = context_.now();
     const auto opened = co_await connection_.open(where, std::min(timeout, store::RelayAnswer));
     if (!opened) {
         co_return std::nullopt;
@@ -26,7 +27,10 @@
     const peer::Bytes sealed = peer::seal(peer::encode(ask), keys_.front());
     http::Request request("POST", FeedPath, http::Fields().with("Host", kernel::text(where)),
                           std::string(sealed.begin(), sealed.end()));
-    const auto answer = co_await connection_.ask(std::move(request), {timeout, timeout, timeout});
+    // The time to connect is part of it.
+    const kernel::Duration left =
+            std::max<kernel::Duration>(timeout - (context_.now() - asked), 0s);
+    const auto answer = co_await connection_.ask(std::move(request), {left, left, left});
     if (!answer || answer->status != Good) {
         co_return std::nullopt;
     }
