Tests: the endless server stands with what speaks the users' platform's names

Cause: check_names.sh found a field of the users' platform in test/support, and the format of three tests of the review differed. Change: EndlessServer moves to test/platform; the three files are formatted.

--- a/test/correctness/FeedQuestionsTest.cpp
+++ b/test/correctness/FeedQuestionsTest.cpp
@@ -87,16 +87,15 @@
           gateway::hallDrainPaces(settings())}) {
         for (const Duration latency : std::vector<Duration>{150ms, 300ms, 500ms, 800ms}) {
             const Duration oldest = 2 * (paces.relaying.wait + latency);
-            const Duration search =
-                    store::searchTime(paces.relaying, paces.changeKnownWithin, 0);
+            const Duration search = store::searchTime(paces.relaying, paces.changeKnownWithin, 0);
             BOOST_TEST((oldest < search), "store " << latency / 1ms << " ms, bound "
-                                                   << paces.changeKnownWithin / 1ms << " ms: "
-                                                   << oldest / 1ms << " of " << search / 1ms
-                                                   << " ms, the store is asked");
+                                                   << paces.changeKnownWithin / 1ms
+                                                   << " ms: " << oldest / 1ms << " of "
+                                                   << search / 1ms << " ms, the store is asked");
             BOOST_TEST((oldest < search - store::RelayAnswer),
-                       "store " << latency / 1ms << " ms, bound "
-                                << paces.changeKnownWithin / 1ms << " ms: " << oldest / 1ms
-                                << " of " << search / 1ms << " ms, asked without a hold");
+                       "store " << latency / 1ms << " ms, bound " << paces.changeKnownWithin / 1ms
+                                << " ms: " << oldest / 1ms << " of " << search / 1ms
+                                << " ms, asked without a hold");
         }
     }
 }
--- a/test/platform/EndlessAnswerTest.cpp
+++ b/test/platform/EndlessAnswerTest.cpp
@@ -3,8 +3,8 @@
 // connection is closed and little is held.
 
 #include "gateway/FeedConnection.h"
+#include "platform/EndlessServer.h"
 #include "platform/GatewayFixture.h"
-#include "support/EndlessServer.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/support/EndlessServer.cpp
+++ b/test/platform/EndlessServer.cpp
@@ -1,4 +1,4 @@
-#include "support/EndlessServer.h"
+#include "platform/EndlessServer.h"
 
 #include <array>
 #include <boost/algorithm/string/replace.hpp>
--- a/test/platform/LostHistoryTest.cpp
+++ b/test/platform/LostHistoryTest.cpp
@@ -58,8 +58,8 @@
     const auto watched = [&] {
         const auto now = std::chrono::steady_clock::now();
         for (std::size_t index = Frozen; index < Boxes; ++index) {
-            const std::uint64_t sum = counter(index, "relay_asks", servers)
-                                      + counter(index, "store_calls", servers);
+            const std::uint64_t sum =
+                    counter(index, "relay_asks", servers) + counter(index, "store_calls", servers);
             if (sum != asked[index]) {
                 asked[index] = sum;
                 last[index] = now;
@@ -76,7 +76,8 @@
     for (std::size_t index = Frozen; index < Boxes; ++index) {
         const std::uint64_t more = counter(index, "store_calls", servers) - calls[index];
         lists += more >= More / 100 ? 1 : 0;
-        BOOST_TEST_MESSAGE("box " << index << ": " << more << " calls to the store, nobody asked for "
+        BOOST_TEST_MESSAGE("box " << index << ": " << more
+                                  << " calls to the store, nobody asked for "
                                   << longestQuiet[index] / 1ms << " ms");
     }
     BOOST_TEST_MESSAGE(took / 1ms << " ms; " << lists << " boxes read the whole list");
