Tests: a fault of a call is checked, by reference

Cause: the linter found an exception pointer that was copied; the test had also passed over it. Change: it is taken by reference and must be empty. Result: EndlessAnswerTest without an error; the linter is clean on the file.

--- a/test/platform/EndlessAnswerTest.cpp
+++ b/test/platform/EndlessAnswerTest.cpp
@@ -125,8 +125,10 @@
     Result ended(asio::awaitable<Result> asked)
     {
         std::optional<Result> result;
-        asio::co_spawn(io_, std::move(asked),
-                       [&](std::exception_ptr, Result got) { result.emplace(std::move(got)); });
+        asio::co_spawn(io_, std::move(asked), [&](const std::exception_ptr &fault, Result got) {
+            BOOST_TEST(!fault);
+            result.emplace(std::move(got));
+        });
         until([&] { return result.has_value(); }, "the end of the call");
         return std::move(*result);
     }
