--- a/src/http/AnswerTimer.cpp
+++ b/src/http/AnswerTimer.cpp
@@ -12,8 +12,7 @@
 
 // Some passes of the event loop, on a box with a part of a core too.
 constexpr kernel::Duration BetweenLooks = 20ms;
-// A box with an eighth of a core stands still for up to 90 ms of each 100 ms: five looks, within
-// the half second after its time that a caller's final answer may take.
+// Five looks on a box with an eighth of a core, which stands still for up to 90 ms of each 100 ms.
 constexpr kernel::Duration LongestLooks = 200ms;
 constexpr kernel::Duration MostBetweenLooks = 2 * BetweenLooks;
 // The loop's timers stand still while the machine is suspended.
--- a/src/http/LateLooks.h
+++ b/src/http/LateLooks.h
@@ -27,8 +27,8 @@
 {
 public:
     /**
-     * \param longest time between the first look and the last one, so that a peer that always
-     * brings something can't hold the wait open.
+     * \param longest time that all looks may take, as counted with \a mostBetween, so that a peer
+     * that always brings something can't hold the wait open.
      * \param mostBetween what the time between two looks counts at most: the process stood still
      * for the rest of it.
      */
