--- a/review/standin-2/SurplusAnswer.cpp
+++ b/review/standin-2/SurplusAnswer.cpp
@@ -70,7 +70,7 @@
     std::atomic<int> good = 0;
     const auto callOnce = [&](const std::string &attempt) {
         lab::Call call;
-        call.path = "/book/1";
+        call.path = "/book/" + attempt;
         call.key = "key-one";
         call.attempt = attempt;
         const auto answer = lab::ask(record, box.front(), call);
