Review, case 4: the part of an answer that a killed server had sent is whole

Cause: an answer without a length ends with its connection. The gateway asks once, at that moment, whether the server's port is still open. As the system closes the connections of a killed process, its port is closed last, and the part passes as whole, plain answers as well as streams.

Done: a script with four servers as processes of their own, of which one is killed. The cases are put in order of gravity: 4 to 7 become 7, 6, 5 and 8.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# The last API key of a deployment is taken away and goes on working.
+# A request is handled by an older configuration than the machine has shown.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/limereel ] && [ -x target/review-2/LastKey ] || exit 2
-timeout --signal=KILL 110 target/review-2/LastKey review/6/record.txt
+[ -x target/limereel ] && [ -x target/review-2/OldConfiguration ] || exit 2
+timeout --signal=KILL 110 target/review-2/OldConfiguration review/6/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin-2/Lab.cpp
+++ b/review/standin-2/Lab.cpp
@@ -16,6 +16,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -558,10 +559,16 @@
 }
 
 void Runner::enter(Store &store, const std::string &service, const std::string &zone)
+{
+    enterAs(store, id_, where_, service, zone);
+}
+
+void Runner::enterAs(Store &store, const std::string &id, const Endpoint &where,
+                     const std::string &service, const std::string &zone)
 {
     store.put(
-            "servers", id_,
-            "{\"service\":" + quoted(service) + ",\"address\":" + quoted(where_.text())
+            "servers", id,
+            "{\"service\":" + quoted(service) + ",\"address\":" + quoted(where.text())
                     + ",\"zone\":" + quoted(zone)
                     + R"(,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,"call_seq":1})");
 }
@@ -669,7 +676,7 @@
     comma = "";
     for (const std::string &service : services) {
         text << comma << "{\"name\":\"" << service
-             << R"(","health_path":"/health","max_conns":100,"protocol":"h1","tls":false})";
+             << R"(","health_path":"/health","max_conns":360,"protocol":"h1","tls":false})";
         comma = ",";
     }
     text << R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
@@ -770,6 +777,7 @@
     const std::string log = folder_ + "/log";
     process_ = ::fork();
     if (process_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, 1);
         ::dup2(output, 2);
--- a/review/standin-2/Lab.h
+++ b/review/standin-2/Lab.h
@@ -207,6 +207,10 @@
     /** Writes its entry into the store. */
     void enter(Store &store, const std::string &service, const std::string &zone);
 
+    /** Writes the entry of a server that runs elsewhere. */
+    static void enterAs(Store &store, const std::string &id, const Endpoint &where,
+                        const std::string &service, const std::string &zone);
+
     /** Begins work on a request; from here on it has run. */
     void run(const Message &request);
 
