Log: detours and sends say which configuration and service decided

Neither detour nor detour-served named the configuration, and sent didn't name the service, so that three hypotheses couldn't be told apart. Change: detour and detour-served name the version of the configuration in force at their box (config), sent names the service.

--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -136,9 +136,11 @@
     }
     context_.counters.add("detours_served", {{"result", "taken"}});
     const auto call = fleetView_.adapter().dialect.readCall(detour->request);
+    const forward::SnapshotPtr snapshot = fleetView_.snapshot();
     log().event("detour-served",
                 {{"request", call ? call->id : std::string()},
                  {"from", detour->from},
+                 {"config", snapshot ? snapshot->version() : 0},
                  {"left_ms", detour->leftMs},
                  {"serving", *serving_ + 1}},
                 "A request of another box, which reaches none of its servers, is served here.");
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -51,6 +51,7 @@
     nlohmann::json fields = {
             {"request", run.call.id},
             {"route", run.route.name},
+            {"service", run.service},
             {"server", run.choice.server.id},
             {"version", run.choice.server.version.text()},
             {"server_load", run.fleetView.servers().load(run.choice.server.id, now)},
@@ -108,6 +109,7 @@
                  {"route", run.route.name},
                  {"service", run.service},
                  {"through", box},
+                 {"config", run.fleetView.snapshot()->version()},
                  {"attempt", run.counts.all() + 1},
                  {"left_ms", run.left() / 1ms}},
                 "The request goes through another box: none of its servers is reached.");
