A detour runs by the configuration that admitted the request, or not at all

Cause: their box reached none of the new service's servers and sent the requests through a box that was cut off from the store. That one admitted them anew by its own, older configuration: detour with config 2, detour-served with config 1, sent with config 1 to the old service, 15 of 15. The box that asked never fell back (its configuration lines only rise), and the two versions explain the choice, so the two other hypotheses are out. Change: the detour names the version of the configuration that admitted the request. The box that is asked runs it by the same version or declines as not run (219). A newer one declines as well: otherwise the box that asks shows the newer version through it and takes it back with its next send of its own. Boxes of earlier builds can't check and aren't asked; heartbeats say who checks. A box that declined is asked last for a while.

--- a/src/forward/DetourTable.cpp
+++ b/src/forward/DetourTable.cpp
@@ -24,15 +24,30 @@
 std::optional<std::uint64_t> DetourTable::choose(const std::vector<DetourCandidate> &candidates,
                                                  const std::vector<std::uint64_t> &tried,
                                                  kernel::Instant now, std::mt19937_64 &random) const
+{
+    std::vector<DetourCandidate> usable;
+    std::vector<DetourCandidate> lastResort;
+    for (const DetourCandidate &candidate : candidates) {
+        if (std::ranges::find(tried, candidate.box) != tried.end()) {
+            continue;
+        }
+        if (!isDoubted(candidate.box, now)) {
+            usable.push_back(candidate);
+        } else if (hasOtherConfiguration(candidate.box)) {
+            lastResort.push_back(candidate);
+        }
+    }
+    return leastLoaded(usable.empty() ? lastResort : usable, random);
+}
+
+std::optional<std::uint64_t>
+DetourTable::leastLoaded(const std::vector<DetourCandidate> &candidates,
+                         std::mt19937_64 &random) const
 {
     std::vector<std::uint64_t> near;
     std::vector<std::uint64_t> far;
     for (const DetourCandidate &candidate : candidates) {
-        const bool usable = std::ranges::find(tried, candidate.box) == tried.end()
-                            && !isDoubted(candidate.box, now);
-        if (usable) {
-            (candidate.sameHall ? near : far).push_back(candidate.box);
-        }
+        (candidate.sameHall ? near : far).push_back(candidate.box);
     }
     std::optional<std::uint64_t> best;
     std::size_t bestCost = 0;
@@ -56,6 +71,12 @@
     return it != boxes_.end() && now < it->second.doubtedUntil;
 }
 
+bool DetourTable::hasOtherConfiguration(std::uint64_t box) const
+{
+    const auto it = boxes_.find(box);
+    return it != boxes_.end() && it->second.otherConfiguration;
+}
+
 std::size_t DetourTable::inFlight(std::uint64_t box) const
 {
     const auto it = boxes_.find(box);
@@ -73,17 +94,25 @@
     Asked &asked = boxes_[box];
     asked.failuresInARow = 0;
     asked.doubtedUntil = {};
+    asked.otherConfiguration = false;
 }
 
 void DetourTable::noteFailed(std::uint64_t box, kernel::Instant now)
 {
     Asked &asked = boxes_[box];
+    asked.otherConfiguration = false;
     const std::uint32_t doublings = std::min(asked.failuresInARow, MaxDoublings);
     ++asked.failuresInARow;
     asked.doubtedUntil =
             now + std::min<kernel::Duration>(FirstDoubt * (1U << doublings), LongestDoubt);
 }
 
+void DetourTable::noteOtherConfiguration(std::uint64_t box, kernel::Instant now)
+{
+    noteFailed(box, now);
+    boxes_[box].otherConfiguration = true;
+}
+
 void DetourTable::expire(kernel::Instant now)
 {
     std::erase_if(boxes_, [now](const auto &entry) {
--- a/src/forward/DetourTable.h
+++ b/src/forward/DetourTable.h
@@ -51,6 +51,10 @@
     void noteServed(std::uint64_t box);
     void noteFailed(std::uint64_t box, kernel::Instant now);
 
+    /** Records that \a box has another configuration than this one. It is asked last for a while:
+     * either box may have the newer one at any moment. */
+    void noteOtherConfiguration(std::uint64_t box, kernel::Instant now);
+
     /** Forgets boxes about which nothing is left to know. */
     void expire(kernel::Instant now);
 
@@ -60,9 +64,13 @@
         std::size_t inFlight = 0;
         std::uint32_t failuresInARow = 0;
         kernel::Instant doubtedUntil;
+        bool otherConfiguration = false; ///< Why it is doubted.
     };
 
+    std::optional<std::uint64_t> leastLoaded(const std::vector<DetourCandidate> &candidates,
+                                             std::mt19937_64 &random) const;
     bool isDoubted(std::uint64_t box, kernel::Instant now) const;
+    bool hasOtherConfiguration(std::uint64_t box) const;
     std::size_t inFlight(std::uint64_t box) const;
 
     std::map<std::uint64_t, Asked> boxes_;
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/RunAfter.h"
 #include "gateway/RunLog.h"
+#include "outcome/ResultCode.h"
 
 #include <boost/asio.hpp>
 
@@ -33,7 +34,6 @@
 
 AttemptEnd DetourAttempt::fail(AttemptEnd end, const std::string &why)
 {
-    run_.lastMessage = "through another box: " + why;
     const bool ranThere = end == AttemptEnd::MayHaveRun && run_.sendsThere;
     if (!run_.stopped() && !ranThere) {
         detours_.table().noteFailed(box_.box, run_.context.now());
@@ -41,6 +41,19 @@
     const char *result = end == AttemptEnd::Unsent     ? "unsent"
                          : end == AttemptEnd::Rejected ? "refused"
                                                        : "lost";
+    return note(end, result, why);
+}
+
+// One of the two boxes learns of the newer version in a moment, or is cut off.
+AttemptEnd DetourAttempt::failForOtherConfiguration()
+{
+    detours_.table().noteOtherConfiguration(box_.box, run_.context.now());
+    return note(AttemptEnd::Rejected, "other-configuration", "it has another configuration");
+}
+
+AttemptEnd DetourAttempt::note(AttemptEnd end, const char *result, const std::string &why)
+{
+    run_.lastMessage = "through another box: " + why;
     run_.context.counters.add("detours", {{"result", result}});
     logDetourFailure(run_, box_.name, result, why);
     return end;
@@ -96,6 +109,7 @@
     detour.resumeAfter = run_.lastEvent;
     detour.origin = run_.origin;
     detour.request = run_.request;
+    detour.configVersion = run_.configVersion;
     const double repeatsLeft = run_.fleetView.budget().left(run_.service, run_.context.now());
     detour.made = peer::SendsMade{.runs = run_.counts.sends,
                                   .rejections = run_.counts.rejected,
@@ -145,6 +159,10 @@
     } else {
         connection_->close();
     }
+    const auto other = outcome::info(outcome::ResultCode::OtherConfiguration).name;
+    if (start.fields.get(DetourRefused) == other) {
+        co_return failForOtherConfiguration();
+    }
     const bool notRun = promisesNotRun(start.status) || isClientError(start.status);
     co_return fail(notRun ? AttemptEnd::Rejected : AttemptEnd::MayHaveRun,
                    "refused with " + std::to_string(start.status));
--- a/src/gateway/DetourAttempt.h
+++ b/src/gateway/DetourAttempt.h
@@ -32,6 +32,8 @@
     boost::asio::awaitable<AttemptEnd> forwardStream(http::AnswerStart start);
     void returnConnection(const http::AnswerStart &start);
     AttemptEnd fail(AttemptEnd end, const std::string &why);
+    AttemptEnd failForOtherConfiguration();
+    AttemptEnd note(AttemptEnd end, const char *result, const std::string &why);
 
     RunState &run_;
     DetourService &detours_;
--- a/src/gateway/DetourService.cpp
+++ b/src/gateway/DetourService.cpp
@@ -65,6 +65,7 @@
 void DetourService::completeState(membership::BoxState &state) const
 {
     state.detours = context_.settings.gateway.detours;
+    state.checksConfiguration = state.detours;
     state.lostServices.clear();
     for (const std::string &service : lostServices_) {
         state.lostServices.push_back(membership::shortHash(kernel::hashOf(service)));
@@ -77,11 +78,10 @@
     const auto hall = membership::shortHash(context_.settings.hall.hash());
     known_.clear();
     for (const membership::BoxState &state : members.states()) {
-        const bool serves = state.detours && !state.leaving && state.box != members.self()
+        const bool serves = state.takesDetours() && state.box != members.self()
                             && members.liveness(state.box) == membership::Liveness::Live;
         if (serves) {
-            known_.push_back(
-                    {{state.box, state.hall == hall}, state.lostServices, state.keepsStreams});
+            known_.push_back({{state.box, state.hall == hall}, state.lostServices});
         }
     }
     table_.expire(context_.now());
@@ -89,15 +89,14 @@
 }
 
 std::optional<DetourBox> DetourService::choose(const std::string &service,
-                                               const std::vector<std::uint64_t> &tried,
-                                               bool continuesStream)
+                                               const std::vector<std::uint64_t> &tried)
 {
     const auto lost = membership::shortHash(kernel::hashOf(service));
     std::vector<forward::DetourCandidate> candidates;
     for (const KnownBox &known : known_) {
         const bool reaches =
                 std::ranges::find(known.lostServices, lost) == known.lostServices.end();
-        if (reaches && (known.keepsStreams || !continuesStream)) {
+        if (reaches) {
             candidates.push_back(known.candidate);
         }
     }
@@ -141,6 +140,7 @@
                 {{"request", call ? call->id : std::string()},
                  {"from", detour->from},
                  {"config", snapshot ? snapshot->version() : 0},
+                 {"admitted_by_config", detour->configVersion.value_or(0)},
                  {"left_ms", detour->leftMs},
                  {"serving", *serving_ + 1}},
                 "A request of another box, which reaches none of its servers, is served here.");
--- a/src/gateway/DetourService.h
+++ b/src/gateway/DetourService.h
@@ -54,11 +54,9 @@
     void stop() override;
 
     /** Chooses a box through which a request for \a service may be sent; nothing if there is none.
-     * \param tried boxes that the request has asked already.
-     * \param continuesStream whether it continues a stream, which boxes of earlier versions would
-     * do at any software version. */
+     * \param tried boxes that the request has asked already. */
     std::optional<DetourBox> choose(const std::string &service,
-                                    const std::vector<std::uint64_t> &tried, bool continuesStream);
+                                    const std::vector<std::uint64_t> &tried);
 
     /** The sealed form of a request that is to be sent through another box. */
     http::Request seal(const DetourBox &box, const peer::DetourRequest &request) const;
@@ -79,7 +77,6 @@
     {
         forward::DetourCandidate candidate;
         std::vector<membership::ShortHash> lostServices;
-        bool keepsStreams = false;
     };
 
     void completeState(membership::BoxState &state) const;
--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -131,7 +131,7 @@
 {
     const kernel::Duration left = std::chrono::milliseconds(detour.leftMs);
     RequestRun run(context_, fleetView_, pool_, places_, std::move(detour.request), reply);
-    run.setDetour({left, detour.resumeAfter, detour.origin, detour.made});
+    run.setDetour({left, detour.resumeAfter, detour.origin, detour.made, detour.configVersion});
     co_await run.serve();
 }
 
--- a/src/gateway/RequestDetours.cpp
+++ b/src/gateway/RequestDetours.cpp
@@ -27,7 +27,7 @@
     const bool may = run_.context.settings.gateway.detours && !servedFor_
                      && detoursTaken_ < MaxDetours && run_.left() >= MinTimeLeft;
     if (may && wayIsLost()) {
-        detour_ = detours_.choose(run_.service, triedDetours_, run_.origin.has_value());
+        detour_ = detours_.choose(run_.service, triedDetours_);
     }
     return detour_.has_value();
 }
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -28,6 +28,8 @@
 constexpr const char *NoServerOfVersion =
         "no backend server of the software version that began the stream is left";
 constexpr const char *OriginUnknown = "it isn't known which software version began the stream";
+constexpr const char *OtherConfiguration =
+        "the box that was asked has another configuration than the one that admitted the request";
 constexpr const char *InternalError = "internal error";
 constexpr const char *Stopping = "the box stops before the request's deadline";
 constexpr const char *NoPlace =
@@ -165,6 +167,10 @@
     if (!snapshot) {
         return Refusal{ResultCode::NoConfiguration, "the box has no configuration yet", true};
     }
+    if (auto refusal = checkConfiguration(*snapshot)) {
+        return refusal;
+    }
+    run_.configVersion = snapshot->version();
     const forward::Route *route = snapshot->route(run_.call.host, run_.request.target);
     if (route == nullptr) {
         return Refusal{ResultCode::UnknownPath, "no route has this host and path"};
@@ -187,6 +193,20 @@
     return checkKey();
 }
 
+// Both boxes have shown their callers what their configurations say. An older one would take that
+// back at the box that asks, a newer one would be taken back by the next request that it sends
+// itself.
+std::optional<RequestRun::Refusal>
+RequestRun::checkConfiguration(const forward::Snapshot &snapshot) const
+{
+    const bool same = !servedFor_ || !servedFor_->configVersion
+                      || *servedFor_->configVersion == snapshot.version();
+    if (same) {
+        return std::nullopt;
+    }
+    return Refusal{ResultCode::OtherConfiguration, OtherConfiguration, true};
+}
+
 void RequestRun::setService(const std::string &name)
 {
     const forward::Service *service = run_.fleetView.snapshot()->service(name);
--- a/src/gateway/RequestRun.h
+++ b/src/gateway/RequestRun.h
@@ -27,6 +27,8 @@
     std::optional<std::uint64_t> resumeAfter;    ///< The last event that the caller has.
     std::optional<forward::StreamOrigin> origin; ///< The server that began its stream.
     std::optional<peer::SendsMade> made;         ///< Sends of the request before this one.
+    /** Version of the configuration that admitted it there. */
+    std::optional<std::uint64_t> configVersion;
 };
 
 /** A request with less time left isn't sent. */
@@ -61,6 +63,7 @@
     boost::asio::awaitable<void> serveCall();
     boost::asio::awaitable<void> endFaulty();
     std::optional<Refusal> admit();
+    std::optional<Refusal> checkConfiguration(const forward::Snapshot &snapshot) const;
     std::optional<Refusal> checkKey();
     std::optional<Refusal> checkStop();
     void setService(const std::string &name);
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -109,7 +109,7 @@
                  {"route", run.route.name},
                  {"service", run.service},
                  {"through", box},
-                 {"config", run.fleetView.snapshot()->version()},
+                 {"config", run.configVersion},
                  {"attempt", run.counts.all() + 1},
                  {"left_ms", run.left() / 1ms}},
                 "The request goes through another box: none of its servers is reached.");
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -69,6 +69,7 @@
 
     forward::Call call;
     forward::Route route;
+    std::uint64_t configVersion = 0; ///< Of the configuration that admitted it.
     std::string service;
     std::string organisation;
     std::vector<std::string> regions; ///< Regions in which it may run; empty: any region.
--- a/src/membership/BoxState.h
+++ b/src/membership/BoxState.h
@@ -59,8 +59,15 @@
 
     bool keepsStreams = false; ///< It knows which server began a stream, and heeds it.
 
+    /** It runs a request of another box by the configuration that admitted it there, or not at all.
+     */
+    bool checksConfiguration = false;
+
     auto operator<=>(const BoxState &) const = default;
 
+    /** Whether requests of other boxes may be sent through this one. */
+    bool takesDetours() const { return detours && checksConfiguration && !leaving; }
+
     /** Whether \a other is equal apart from the version. */
     bool equalExceptVersion(const BoxState &other) const
     {
--- a/src/outcome/ResultCode.cpp
+++ b/src/outcome/ResultCode.cpp
@@ -56,6 +56,8 @@
         {PartEndsServers, "part-ends-servers", Ran::NotRun, 503, false,
          "leave the part of the prompt out that the message names; ask the operator, who can lift "
          "it"},
+        {OtherConfiguration, "other-configuration", Ran::NotRun, 503, false,
+         "come back after Retry-After"},
         {BackendFailed, "backend-failed", Ran::Ran, 502, false,
          "the backend server answered with a failure; see the message"},
         {StreamCut, "stream-cut", Ran::Ran, 502, false,
--- a/src/outcome/ResultCode.h
+++ b/src/outcome/ResultCode.h
@@ -46,6 +46,7 @@
     StreamOriginUnknown = 216,
     VersionGone = 217,
     PartEndsServers = 218,
+    OtherConfiguration = 219,
     BackendFailed = 300,
     StreamCut = 301,
     ForeignAnswer = 302,
--- a/src/peer/DetourMessages.cpp
+++ b/src/peer/DetourMessages.cpp
@@ -14,6 +14,7 @@
 // Boxes of earlier versions leave them out, and pass over them.
 constexpr std::size_t OriginIndex = 8;
 constexpr std::size_t MadeIndex = 9;
+constexpr std::size_t ConfigVersionIndex = 10;
 
 http::Fields fieldsFrom(const json &array)
 {
@@ -36,11 +37,14 @@
     json array = json::array({RequestWord, request.from, request.leftMs, resumeAfter,
                               request.request.method, request.request.target, std::move(fields),
                               request.request.body});
-    if (request.origin || request.made) {
+    if (request.origin || request.made || request.configVersion) {
         array.push_back(request.origin ? text(*request.origin) : std::string());
     }
-    if (request.made) {
-        array.push_back(text(*request.made));
+    if (request.made || request.configVersion) {
+        array.push_back(request.made ? text(*request.made) : std::string());
+    }
+    if (request.configVersion) {
+        array.push_back(*request.configVersion);
     }
     return json::to_msgpack(array);
 }
@@ -68,6 +72,9 @@
         if (array.size() > MadeIndex) {
             request.made = sendsMadeFrom(array.at(MadeIndex).get<std::string>());
         }
+        if (array.size() > ConfigVersionIndex) {
+            request.configVersion = array.at(ConfigVersionIndex).get<std::uint64_t>();
+        }
         return request;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/peer/DetourMessages.h
+++ b/src/peer/DetourMessages.h
@@ -17,7 +17,8 @@
 
 namespace limereel::peer {
 
-/** The request. The other box admits it anew, by its own configuration. */
+/** The request. The other box admits it anew, by its own configuration, which must be the same
+ * version as the one that admitted it at the box that asks. */
 struct DetourRequest
 {
     std::string from;                         ///< Name of the box that asks, for the log.
@@ -30,6 +31,9 @@
     /** Sends before this one; nothing: the box that asks is of an earlier version and reads no
      * answer about sends. */
     std::optional<SendsMade> made = {};
+    /** Of the configuration that admitted it; nothing: the box that asks is of an earlier version,
+     * and takes what the other box's configuration says. */
+    std::optional<std::uint64_t> configVersion = {};
 };
 
 /** The MessagePack form. */
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -45,14 +45,18 @@
         array.push_back(state.address);
         array.push_back(state.hall);
         array.push_back(state.linkMbps);
-        if (state.detours || state.keepsStreams) {
+        const bool more = state.keepsStreams || state.checksConfiguration;
+        if (state.detours || more) {
             array.push_back(state.detours ? 1 : 0);
         }
         const bool lost = state.detours && !state.lostServices.empty();
-        if (lost || state.keepsStreams) {
+        if (lost || more) {
             array.push_back(lost ? state.lostServices : std::vector<membership::ShortHash>());
         }
-        if (state.keepsStreams) {
+        if (more) {
+            array.push_back(state.keepsStreams ? 1 : 0);
+        }
+        if (state.checksConfiguration) {
             array.push_back(1);
         }
     }
@@ -72,7 +76,8 @@
                    .linkMbps = array.size() > 8 ? array.at(8).get<std::uint32_t>() : 0,
                    .detours = array.size() > 9 && array.at(9).get<int>() != 0,
                    .lostServices = {},
-                   .keepsStreams = array.size() > 11 && array.at(11).get<int>() != 0};
+                   .keepsStreams = array.size() > 11 && array.at(11).get<int>() != 0,
+                   .checksConfiguration = array.size() > 12 && array.at(12).get<int>() != 0};
     if (array.size() > 10) {
         state.lostServices = array.at(10).get<std::vector<std::uint32_t>>();
     }
--- a/test/correctness/DetourTableTest.cpp
+++ b/test/correctness/DetourTableTest.cpp
@@ -94,6 +94,24 @@
     BOOST_TEST(choose(time + DetourTable::FirstDoubt).has_value());
 }
 
+// Guards against a box that isn't asked any more although both have the same configuration again.
+BOOST_AUTO_TEST_CASE(choose_boxHasOtherConfiguration_isAskedLast)
+{
+    candidates = {{1, true}, {2, true}, {3, false}};
+    table.noteOtherConfiguration(1, at(0s));
+    table.noteFailed(2, at(0s));
+    BOOST_TEST(choose().value() == 3U);
+    table.noteFailed(3, at(0s));
+    BOOST_TEST(choose().value() == 1U);
+    tried = {1};
+    BOOST_TEST(!choose().has_value());
+    tried.clear();
+    table.noteServed(1);
+    BOOST_TEST(choose().value() == 1U);
+    table.noteFailed(1, at(0s));
+    BOOST_TEST(!choose().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(choose_askedBefore_isntAskedAgain)
 {
     candidates = {{1, true}, {2, true}, {3, false}};
@@ -114,6 +132,7 @@
     request.from = "box-1";
     request.leftMs = 1500;
     request.resumeAfter = 7;
+    request.configVersion = 12;
     request.request = {"POST", "/a?b=1", http::Fields().with("Host", "x").with("X-Two", "\xFF\n"),
                        std::string("\0\xFE body", 7)};
     const peer::Bytes bytes = peer::encode(request);
@@ -122,6 +141,7 @@
     BOOST_TEST(back->from == "box-1");
     BOOST_TEST(back->leftMs == 1500U);
     BOOST_TEST(back->resumeAfter.value_or(0) == 7U);
+    BOOST_TEST(back->configVersion.value_or(0) == 12U);
     BOOST_TEST(back->request.target == "/a?b=1");
     BOOST_TEST(back->request.fields.get("X-Two") == "\xFF\n");
     BOOST_TEST(back->request.body == request.request.body);
--- a/test/correctness/PeerTest.cpp
+++ b/test/correctness/PeerTest.cpp
@@ -73,7 +73,8 @@
                        .linkMbps = 1000,
                        .detours = true,
                        .lostServices = {5, 4000000000U},
-                       .keepsStreams = true};
+                       .keepsStreams = true,
+                       .checksConfiguration = true};
     return {Heartbeat{{box, {}}, {{5, 0}, {~0U, 127}}},
             AskPermit{AskKind::Home, 1, 2, 3, ~0ULL, 5, 6, 7, 8, {9, ~0ULL}},
             PermitAnswer{9, PermitResult::Redirected, {{1, 2}, {3, 0}}, 1500, 8},
@@ -201,6 +202,50 @@
     BOOST_TEST((nlohmann::json(later.begin(), later.begin() + 11) == earlier));
 }
 
+// A box of an earlier version would run another box's request by a configuration of its own.
+BOOST_AUTO_TEST_CASE(takesDetours_stateOfAnEarlierBox_isFalse)
+{
+    BoxState state{.box = 1, .incarnation = 2, .version = 3};
+    state.address = 0x7F000001;
+    state.detours = true;
+    state.keepsStreams = true;
+    const auto sent = [](const BoxState &told) {
+        Heartbeat heartbeat;
+        heartbeat.states = {told};
+        const auto message = decode(encode(Message(heartbeat)));
+        return std::get<Heartbeat>(message.value()).states.at(0);
+    };
+    BOOST_TEST(sent(state).detours);
+    BOOST_TEST(!sent(state).takesDetours());
+    state.checksConfiguration = true;
+    BOOST_TEST(sent(state).takesDetours());
+    state.keepsStreams = false;
+    BOOST_TEST(sent(state).takesDetours());
+    BOOST_TEST(!sent(state).keepsStreams);
+    state.leaving = true;
+    BOOST_TEST(!sent(state).takesDetours());
+}
+
+// A box of an earlier version reads ten fields of a request, one before it nine.
+BOOST_AUTO_TEST_CASE(encode_detourRequestWithItsConfiguration_saysTheSameToEarlierBoxes)
+{
+    DetourRequest request{.from = "box-1",
+                          .leftMs = 5,
+                          .resumeAfter = {},
+                          .origin = {},
+                          .request = {},
+                          .made = SendsMade{1, 2, 1, 9}};
+    const auto earlier = nlohmann::json::from_msgpack(encode(request));
+    BOOST_TEST(!decodeDetourRequest(encode(request))->configVersion.has_value());
+    request.configVersion = 77;
+    const auto later = nlohmann::json::from_msgpack(encode(request));
+    BOOST_TEST((nlohmann::json(later.begin(), later.begin() + 10) == earlier));
+    BOOST_TEST(decodeDetourRequest(encode(request))->configVersion.value_or(0) == 77U);
+    request.made.reset();
+    BOOST_TEST(decodeDetourRequest(encode(request))->configVersion.value_or(0) == 77U);
+    BOOST_TEST(!decodeDetourRequest(encode(request))->made.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(decodeDetourRequest_ofABoxThatTellsNoOrigin_hasNone)
 {
     DetourRequest request{
--- a/test/platform/CutBoxFixture.cpp
+++ b/test/platform/CutBoxFixture.cpp
@@ -34,8 +34,11 @@
     }
 }
 
-void CutBoxFixture::fill(standin::StoreStandin &store, const std::vector<kernel::Endpoint> &servers)
+nlohmann::json CutBoxFixture::configuration() const
 {
+    if (!firstConfiguration.is_null()) {
+        return firstConfiguration;
+    }
     nlohmann::json configuration = GatewayFixture::configuration(1);
     for (nlohmann::json &route : configuration["routes"]) {
         route["goal_ms"] = ObjectiveMs;
@@ -50,7 +53,12 @@
             listed.back()["name"] = service;
         }
     }
-    store.put("config", "main", configuration);
+    return configuration;
+}
+
+void CutBoxFixture::fill(standin::StoreStandin &store, const std::vector<kernel::Endpoint> &servers)
+{
+    store.put("config", "main", configuration());
     for (std::size_t index = 0; index < runners_.size(); ++index) {
         nlohmann::json entry = GatewayFixture::entryOf(*runners_[index], services[index]);
         entry["address"] = kernel::text(servers[index]);
--- a/test/platform/CutBoxFixture.h
+++ b/test/platform/CutBoxFixture.h
@@ -27,6 +27,10 @@
     /** The version of each server's software; to be changed before startBoxes(). */
     std::vector<std::string> versions = {"v1", "v1", "v1"};
 
+    /** The configuration of all stores; null: GatewayFixture's with these services. To be changed
+     * before startBoxes(). */
+    nlohmann::json firstConfiguration;
+
     /** The service of each server; if there are several, each route is split over them evenly. */
     std::vector<std::string> services = {"pool", "pool", "pool"};
 
@@ -39,6 +43,9 @@
     /** A server's entry goes from the list, and all boxes know it. */
     void unlist(std::size_t server);
 
+    /** The store of a box that has proxies, which no other box reads. */
+    standin::StoreStandin &storeOf(std::size_t box) { return *ways_.at(box).store; }
+
     /** Sends a request of the organisation "one" to a box and returns its answer. */
     GatewayAnswer call(std::size_t box, http::Request request);
 
@@ -52,6 +59,7 @@
     void letNotice(std::size_t box);
 
     standin::RunnerStandin &runner(std::size_t index) { return *runners_.at(index); }
+    std::size_t servers() const { return runners_.size(); }
     std::size_t runs() const;
 
 private:
@@ -73,6 +81,7 @@
         std::vector<std::unique_ptr<FullListener>> full; ///< In their places, while connects hang.
     };
 
+    nlohmann::json configuration() const;
     void fill(standin::StoreStandin &store, const std::vector<kernel::Endpoint> &servers);
     void open(Way &way);
     boost::asio::awaitable<void> exchange(kernel::Endpoint where, http::Request request,
--- a/test/platform/HallFixture.cpp
+++ b/test/platform/HallFixture.cpp
@@ -53,7 +53,7 @@
 std::size_t HallFixture::startBoxAt(const kernel::Endpoint &store, int linkMbps)
 {
     const std::size_t index = boxes_.size();
-    boxes_.push_back(std::make_unique<Box>(settings(index, store, linkMbps)));
+    boxes_.push_back(std::make_unique<Box>(settings(index, store, linkMbps), store));
     startServices(index, 1);
     return index;
 }
@@ -61,7 +61,8 @@
 void HallFixture::restartBox(std::size_t index)
 {
     const std::uint64_t before = boxes_.at(index)->context.incarnation;
-    boxes_[index] = std::make_unique<Box>(settings(index, storeAt_, 20));
+    const kernel::Endpoint store = boxes_.at(index)->store;
+    boxes_[index] = std::make_unique<Box>(settings(index, store, 20), store);
     startServices(index, before + 1);
 }
 
--- a/test/platform/HallFixture.h
+++ b/test/platform/HallFixture.h
@@ -40,6 +40,9 @@
     /** A box stands still from now on: its system takes connections, and nobody answers. */
     void freeze(std::size_t index) { boxes_.at(index)->frozen = true; }
 
+    /** A frozen box goes on. */
+    void thaw(std::size_t index) { boxes_.at(index)->frozen = false; }
+
     /** Puts a configuration with a route "/version<n>/" into the store. */
     void putVersion(int version, std::size_t padding = 0);
 
@@ -94,12 +97,14 @@
 private:
     struct Box
     {
-        explicit Box(kernel::BoxSettings settings)
-            : context(io, std::move(settings))
+        Box(kernel::BoxSettings settings, kernel::Endpoint storeOfBox)
+            : store(std::move(storeOfBox))
+            , context(io, std::move(settings))
         {
         }
 
         boost::asio::io_context io{1};
+        kernel::Endpoint store; ///< Which it reads, also after a restart.
         services::Context context;
         bool frozen = false; ///< Or killed.
     };
