An empty list of organisations lets nobody in

Seven seconds later requests with that key ran, and so did one with a key that no configuration had ever held. Cause: readContent made no difference between an empty list and none, and a configuration without organisations needs no keys. sent named the new version and no organisation, so neither an old configuration nor an old key explains it. Change: a configuration says whether it lists organisations; with a list, however empty, requests need a key that is in it. No request without a key matches an empty text in a list of keys.

--- a/src/forward/Snapshot.cpp
+++ b/src/forward/Snapshot.cpp
@@ -66,7 +66,8 @@
 
 const Organisation *Snapshot::organisation(const std::string &key) const
 {
-    const auto it = organisations_.find(key);
+    // A request without a key has none that a list could contain.
+    const auto it = key.empty() ? organisations_.end() : organisations_.find(key);
     return it == organisations_.end() ? nullptr : it->second;
 }
 
--- a/src/forward/Snapshot.h
+++ b/src/forward/Snapshot.h
@@ -100,6 +100,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Organisation> organisations;
+    /** Whether it has a list of organisations, which may be empty: then no key is valid. */
+    bool listsOrganisations = false;
     CallerLimits limits;
 
     auto operator<=>(const SnapshotContent &) const = default;
@@ -129,8 +131,11 @@
 
     const std::vector<Organisation> &organisations() const { return content_.organisations; }
 
-    /** Whether there are organisations, so that requests carry keys. */
-    bool hasOrganisations() const { return !content_.organisations.empty(); }
+    /** Whether requests need keys, unless their route is anonymous. */
+    bool needsKeys() const
+    {
+        return content_.listsOrganisations || !content_.organisations.empty();
+    }
 
 private:
     using Prefixes = std::unordered_map<std::string, const Route *>;
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -219,7 +219,7 @@
 std::optional<RequestRun::Refusal> RequestRun::checkKey()
 {
     const forward::SnapshotPtr snapshot = run_.fleetView.snapshot();
-    if (run_.route.anonymous || !snapshot->hasOrganisations()) {
+    if (run_.route.anonymous || !snapshot->needsKeys()) {
         return std::nullopt;
     }
     if (!run_.fleetView.freshness().usable(run_.context.now())) {
--- a/test/platform/GatewayTest.cpp
+++ b/test/platform/GatewayTest.cpp
@@ -317,6 +317,23 @@
                == 200);
 }
 
+// Guards against a deployment that anybody may use once its last key is taken away.
+BOOST_FIXTURE_TEST_CASE(lastKeyTakenAway_listOfOrganisationsIsEmpty_nobodyIsServed, GatewayFixture)
+{
+    startReady();
+    BOOST_TEST(call(request("GET", "/again/x")).status == 200);
+    auto next = configuration(2);
+    next["tenants"] = nlohmann::json::array();
+    putConfiguration(next);
+    until([this] { return call(request("GET", "/again/x")).status == 401; }, "the new version");
+    const http::Fields foreign = http::Fields().with("X-Api-Key", "key-of-nobody");
+    BOOST_TEST(call(request("GET", "/again/x", foreign)).status == 401);
+    http::Request without = request("GET", "/again/x");
+    without.fields = without.fields.without("X-Api-Key");
+    BOOST_TEST(call(without).status == 401);
+    BOOST_TEST(call(request("GET", "/open/x")).status == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(processStoodStillPastTheBound_keysAreNotHonouredUnconfirmed, GatewayFixture)
 {
     startReady();
