A success that no server has signed is a failure

Cause: AnswerHead::signedByBackend was read and never looked at, straight and on the way back from another box. Change: such an answer is the server's failure: repeated where that is allowed, else 502; the connection is closed, as the rest may be spoilt, too. What another box passes on is looked at as well (boxes of earlier builds). EndlessAnswerTest's server sends its signature now, as the protocol says; what the test asks for is unchanged.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -191,6 +191,14 @@
     // Opening a new connection shows that the server is reachable before anything is sent.
     if (!run_.choice.trial) {
         pooled_ = pool_.take(server_, !run_.repeatable());
+// Whatever has spoilt the head may have spoilt the rest, too.
+AttemptEnd BackendExchange::failUnsigned()
+{
+    connection_->close();
+    run_.context.counters.add("unsigned_answers", {{"from", "server"}});
+    return fail(Failure::Error, UnsignedAnswer, true);
+}
+
     }
     if (pooled_) {
         connection_ = pooled_->connection;
@@ -337,6 +345,9 @@
             fail(Failure::Full, "rejected, then cut", true);
             co_return AttemptEnd::Rejected;
         }
+    if (lacksSignature(head)) {
+        co_return failUnsigned();
+    }
         co_return fail(Failure::Lost, "body: " + body.error().message, true);
     }
     returnConnection(head.keptFor);
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -57,6 +57,7 @@
     void noteAnswerTime();
     void noteBodyEnd(http::BodyEnd end);
     AttemptEnd fail(forward::Failure failure, const std::string &message, bool sent);
+    AttemptEnd failUnsigned();
     AttemptEnd failReading(const char *what, const http::CallFailure &failure, bool sent);
 
     RunState &run_;
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -135,6 +135,12 @@
     if (!ofServer) {
         co_return co_await takeRefusal(*start);
     }
+    // A box of an earlier version passes it on.
+    if (lacksSignature(head)) {
+        connection_->close();
+        run_.context.counters.add("unsigned_answers", {{"from", "box"}});
+        co_return fail(AttemptEnd::MayHaveRun, UnsignedAnswer);
+    }
     http::AnswerStart first = std::move(*start);
     const auto writer = forward::streamOriginFrom(first.fields.get(DetourOrigin));
     first.fields = first.fields.without(DetourOrigin).without(DetourSends);
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -108,6 +108,11 @@
     return fields.without(DetourSends).with(DetourSends, text(made));
 }
 
+bool lacksSignature(const forward::AnswerHead &head)
+{
+    return head.status / 100 == 2 && !head.notRun && !head.signedByBackend;
+}
+
 bool promisesNotRun(int status)
 {
     constexpr int RequestTimeout = 408;
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -153,6 +153,12 @@
  * another one. */
 http::Fields serverFields(const RunState &run, const http::Fields &fields);
 
+/** Whether an answer claims a success that no backend server has signed, so that it isn't one. */
+bool lacksSignature(const forward::AnswerHead &head);
+
+/** Why an attempt with such an answer has failed. */
+inline constexpr const char *UnsignedAnswer = "answer: a success without its server's signature";
+
 /** Whether the HTTP status \a status tells the caller that its request did not run. */
 bool promisesNotRun(int status);
 
--- a/test/platform/EndlessAnswerTest.cpp
+++ b/test/platform/EndlessAnswerTest.cpp
@@ -24,7 +24,8 @@
 constexpr std::size_t EventBytes = MiB;
 constexpr std::size_t BodyBytes = 16 * MiB;
 
-const std::string StatusLine = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n";
+const std::string StatusLine =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: i-endless.1\r\n";
 const std::string Events = StatusLine + "Content-Type: text/event-stream\r\n";
 const std::string Text = StatusLine + "Content-Type: text/plain\r\n";
 const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
--- a/test/platform/RunnerStandin.cpp
+++ b/test/platform/RunnerStandin.cpp
@@ -143,6 +143,17 @@
     }
 }
 
+asio::awaitable<void> RunnerStandin::endAllAfter(std::shared_ptr<State> state,
+                                                 kernel::Duration after)
+{
+    asio::steady_timer timer(io_, after);
+    co_await timer.async_wait(Quiet);
+    if (state->open) {
+        close();
+        resetAll();
+    }
+}
+
 asio::awaitable<void> RunnerStandin::accept()
 {
     const std::shared_ptr<State> state = state_;
@@ -151,7 +162,7 @@
         if (error) {
             break;
         }
-        if (state->ending) {
+        if (state->ending || (resetsIdle && socket.available() == 0)) {
             reset(socket);
             continue;
         }
@@ -270,7 +281,7 @@
     const bool wrong = request.fields.get("X-Expect-Instance") != name_;
     const auto meets = [&] {
         return !wrong && fault != RunnerFault::Reject && fault != RunnerFault::Misdirect
-               && fault != RunnerFault::ResetUnread;
+               && fault != RunnerFault::ResetUnread && fault != RunnerFault::UnnamedReject;
     };
     if (meets() && !accepts()) {
         ++state_->rejections;
@@ -306,7 +317,8 @@
                                          RunnerFault fault)
 {
     const std::string id(request.fields.get("X-Attempt-Id"));
-    const bool runs = fault != RunnerFault::Reject && fault != RunnerFault::ResetUnread;
+    const bool runs = fault != RunnerFault::Reject && fault != RunnerFault::ResetUnread
+                      && fault != RunnerFault::UnnamedReject;
     if (runs && endsUnder(request)) {
         asio::steady_timer timer(io_, endsAfter);
         co_await timer.async_wait(Quiet);
@@ -318,13 +330,20 @@
         co_await writeCut(socket, request, cut);
         co_return false;
     }
-    const std::string stamp = name_ + "." + id;
+    const std::string stamp = fault == RunnerFault::Unsigned ? "" : name_ + "." + id;
     const std::string body = "done by " + name_;
     std::string text;
     switch (fault) {
     case RunnerFault::Reject:
         text = framed("503 Service Unavailable", id, "", "", "X-Not-Executed: 1\r\n" + words(true));
         break;
+    case RunnerFault::UnnamedReject:
+    case RunnerFault::SurplusRejection:
+        text = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        break;
+    case RunnerFault::Interim:
+        text = head("102 Processing", id, "", "");
+        break;
     case RunnerFault::Fail:
         text = framed("500 Internal Server Error", id, stamp, "it failed", words(false));
         break;
@@ -359,7 +378,9 @@
     default:
         break;
     }
-    if (fault == RunnerFault::Surplus) {
+    const bool ownFollows = fault == RunnerFault::Surplus || fault == RunnerFault::SurplusRejection
+                            || fault == RunnerFault::Interim;
+    if (ownFollows) {
         co_await write(socket, text);
         text.clear();
     }
@@ -406,10 +427,13 @@
     const std::string id(request.fields.get("X-Attempt-Id"));
     const std::string text =
             head("200 OK", id, name_ + "." + id, fields + words(false)) + body.substr(0, cut.bytes);
-    if (cut.portToo) {
+    if (cut.portToo && cut.portAfter == 0ms) {
         close();
     }
     co_await write(socket, text);
+    if (cut.portToo && cut.portAfter > 0ms) {
+        asio::co_spawn(io_, endAllAfter(state_, cut.portAfter), asio::detached);
+    }
     if (cut.reset) {
         reset(socket);
     }
@@ -420,7 +444,8 @@
 {
     const std::string id(request.fields.get("X-Attempt-Id"));
     const int first = firstEvent(request);
-    std::string text = head("200 OK", id, name_ + "." + id,
+    const std::string stamp = fault == RunnerFault::Unsigned ? "" : name_ + "." + id;
+    std::string text = head("200 OK", id, stamp,
                             words(false)
                                     + "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n");
--- a/test/platform/RunnerStandin.h
+++ b/test/platform/RunnerStandin.h
@@ -25,19 +25,23 @@
 /** What happens to one request. */
 enum class RunnerFault : std::uint8_t {
     None,
-    Reject,      ///< Not run: no place.
-    Misdirect,   ///< Not run: another incarnation.
-    Fail,        ///< Runs and answers 500.
-    ResetUnread, ///< Closes without having run it.
-    ResetAfter,  ///< Runs it and closes without an answer.
-    Silent,      ///< Runs it and answers nothing.
-    Surplus,     ///< An answer to another request comes before its own.
-    Foreign,     ///< Only an answer to another request comes.
-    Garbage,     ///< Bytes that form no answer.
-    Unframed,    ///< The body has no length and ends with the connection.
-    CutBody,     ///< The body ends before its length.
-    CutStream,   ///< A stream breaks off in the middle of its third event.
-    Trailing     ///< Another byte follows the whole answer.
+    Reject,           ///< Not run: no place.
+    Misdirect,        ///< Not run: another incarnation.
+    Fail,             ///< Runs and answers 500.
+    ResetUnread,      ///< Closes without having run it.
+    ResetAfter,       ///< Runs it and closes without an answer.
+    Silent,           ///< Runs it and answers nothing.
+    Surplus,          ///< An answer to another request comes before its own.
+    Foreign,          ///< Only an answer to another request comes.
+    Garbage,          ///< Bytes that form no answer.
+    Unframed,         ///< The body has no length and ends with the connection.
+    CutBody,          ///< The body ends before its length.
+    CutStream,        ///< A stream breaks off in the middle of its third event.
+    Trailing,         ///< Another byte follows the whole answer.
+    Unsigned,         ///< A whole answer without the server's signature.
+    SurplusRejection, ///< A rejection that names no request comes before its own answer.
+    UnnamedReject,    ///< Not run: no place, and the answer doesn't name the request.
+    Interim           ///< A head of status 1xx that names it comes before its own answer.
 };
 
 /** How the body of an answer is framed. */
@@ -50,6 +54,8 @@
     std::size_t bytes = 0; ///< Behind the head, with what its framing adds; at most all.
     bool reset = false;    ///< The connection is reset instead of closed.
     bool portToo = false;  ///< The process has ended: its port takes no connection any more.
+    /** With \a portToo: so long after this connection the port closes, and all others with it. */
+    kernel::Duration portAfter{};
 
     auto operator<=>(const CutAnswer &) const = default;
 };
@@ -87,6 +93,9 @@
     /** The Retry-After of an answer that turns a request away; empty: none. */
     std::string restAsked;
 
+    /** Resets each new connection on which nothing has come at once, as one above its limit. */
+    bool resetsIdle = false;
+
     /** Says in each answer that it is about to end. */
     bool saysLeaving = false;
 
@@ -190,6 +199,7 @@
                                      const http::Request &request, RunnerFault fault);
     void resetAll();
     boost::asio::awaitable<void> endPort(std::shared_ptr<State> state);
+    boost::asio::awaitable<void> endAllAfter(std::shared_ptr<State> state, kernel::Duration after);
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket &socket);
