A rejection that names no request proves nothing on a used connection

Cause: readOwnHead took any answer without an id that says "not run" for the request's own, on a connection from the pool as on a new one. Change: it counts on a connection that has carried nothing else, and for requests that may be repeated, whose connection is closed then. Otherwise it is passed over and the answer awaited. What sound rejections lose: by the protocol each carries the id.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -87,6 +87,10 @@
     run_.interrupt->connection.reset();
     pool_.returnUsed(server_, connection_, keptFor, connection_->rested());
 }
+    if (mayHoldAnswer_) {
+        connection_->close();
+        return;
+    }
 
 asio::awaitable<AttemptEnd> BackendExchange::sendAndForward()
 {
@@ -231,7 +235,8 @@
         const AnswerHead head =
                 run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
         noteServerReports(head);
-        if (head.id == run_.call.id || (head.id.empty() && head.notRun)) {
+        const bool carriedAnother = pooled_ || foreign > 0;
+        if (isOwn(head, carriedAnother)) {
             co_return start;
         }
         run_.context.counters.add("foreign_answers");
@@ -259,6 +264,24 @@
     }
     if (head.backoffUnreadable) {
         run_.context.counters.add("rests_unreadable");
+// A rejection that names no request may be of an earlier one wherever the connection has carried
+// another answer. Taken for this request's, it costs one that may be repeated nothing but the rest
+// of the connection; one that may run once could run twice.
+bool BackendExchange::isOwn(const AnswerHead &head, bool carriedAnother)
+{
+    if (head.id == run_.call.id) {
+        return true;
+    }
+    const bool unnamedRejection = head.id.empty() && head.notRun;
+    if (!unnamedRejection) {
+        return false;
+    }
+    run_.context.counters.add("rejections_unnamed",
+                              {{"connection", carriedAnother ? "used" : "new"}});
+    mayHoldAnswer_ = carriedAnother;
+    return !carriedAnother || run_.repeatable();
+}
+
         logBackoffUnreadable(run_);
     }
     if (head.backoffFor && *head.backoffFor > kernel::Duration(0)) {
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -44,6 +44,7 @@
     void waitInSilence();
     boost::asio::awaitable<AttemptEnd> exchange();
     boost::asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> readOwnHead();
+    bool isOwn(const forward::AnswerHead &head, bool carriedAnother);
     void noteServerReports(const forward::AnswerHead &head);
     boost::asio::awaitable<AttemptEnd> forwardWhole(http::AnswerStart start,
                                                     forward::AnswerHead head);
@@ -67,6 +68,7 @@
     std::optional<PooledConnection> pooled_; ///< Set if the connection was taken from the pool.
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
+    bool mayHoldAnswer_ = false;  ///< This request's answer may still come on the connection.
     EventForwarder events_;
     bool waitsInSilence_ = false; ///< The server is silent, and no other attempt is sure to follow.
 };
--- a/test/platform/TrustedAnswerTest.cpp
+++ b/test/platform/TrustedAnswerTest.cpp
@@ -110,4 +110,30 @@
     BOOST_TEST(fixture.runs() == before + (sample.repeatable ? 2U : 1U));
 }
 
+// Guards against a request that runs a second time, as surplus bytes on its connection passed for
+// its rejection.
+BOOST_DATA_TEST_CASE(rejectionNamesNoRequest_connectionHasCarriedAnotherAnswer_provesNothing,
+                     boost::unit_test::data::make(Kinds))
+{
+    FaultyServers fixture;
+    fixture.startWithKeptConnections();
+    const std::size_t before = fixture.runs();
+    const GatewayAnswer answer = fixture.callMeeting(RunnerFault::SurplusRejection, sample);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.whole);
+    BOOST_TEST((sample.repeatable || fixture.runs() == before + 1));
+    BOOST_TEST((sample.repeatable || fixture.newConnections() == 0U));
+}
+
+// A sound rejection keeps its worth: nothing else can have been on its way.
+BOOST_DATA_TEST_CASE(rejectionNamesNoRequest_connectionIsNew_requestGoesToAnotherServer,
+                     boost::unit_test::data::make(Kinds))
+{
+    FaultyServers fixture;
+    fixture.startReady();
+    const GatewayAnswer answer = fixture.callMeeting(RunnerFault::UnnamedReject, sample);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(fixture.runs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
