An interim head isn't taken for the final answer

Cause: each head with the request's id counted as final. Change: heads of 1xx but 101 are passed over, 16 at most, and aren't counted among the answers of other requests.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int MaxForeignAnswers = 3;
+constexpr int MaxInterimHeads = 16;
+constexpr int SwitchingProtocols = 101; ///< Final, and nobody has asked for it.
 // A connection is established within a few round trips or not in time, so connecting may take this
 // fraction of the route's objective.
 constexpr int ConnectFraction = 4;
@@ -227,6 +229,7 @@
 asio::awaitable<tl::expected<http::AnswerStart, http::CallFailure>> BackendExchange::readOwnHead()
 {
     // A late answer to an earlier request may arrive instead of this request's answer.
+    int interimHeads = 0;
     for (int foreign = 0;; ++foreign) {
         auto start = co_await connection_->readHead();
         if (!start) {
@@ -235,6 +238,15 @@
         const AnswerHead head =
                 run_.fleetView.adapter().dialect.readHead(start->status, start->fields);
         noteServerReports(head);
+        const bool interim = start->status / 100 == 1 && start->status != SwitchingProtocols;
+        if (interim && ++interimHeads <= MaxInterimHeads) {
+            auto empty = co_await connection_->readAll(0);
+            if (!empty) {
+                co_return tl::unexpected(empty.error());
+            }
+            --foreign;
+            continue;
+        }
         const bool carriedAnother = pooled_ || foreign > 0;
         if (isOwn(head, carriedAnother)) {
             co_return start;
--- a/test/platform/TrustedAnswerTest.cpp
+++ b/test/platform/TrustedAnswerTest.cpp
@@ -136,4 +136,16 @@
     BOOST_TEST(fixture.runs() == 1U);
 }
 
+// Guards against an interim head that is passed on in place of the whole answer behind it.
+BOOST_DATA_TEST_CASE(interimHeadNamesTheRequest_wholeAnswerFollows_isPassedOn,
+                     boost::unit_test::data::make(Kinds))
+{
+    FaultyServers fixture;
+    fixture.startReady();
+    const GatewayAnswer answer = fixture.callMeeting(RunnerFault::Interim, sample);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.whole);
+    BOOST_TEST(fixture.runs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
