The port of a killed server is looked at until it may have closed

Cause: the port was looked at once, and a killed process's port is the last that the system closes, some milliseconds after hundreds of connections. Leaving servers weren't looked at. Change: the connection that looks is held for 20 ms after an end that nothing marks; a killed process resets it. A second look tells that from a sound server with too many connections. Leaving servers are looked at, too. Only answers without a length or chunks wait.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -87,12 +87,12 @@
 void BackendExchange::returnConnection(std::optional<kernel::Duration> keptFor)
 {
     run_.interrupt->connection.reset();
-    pool_.returnUsed(server_, connection_, keptFor, connection_->rested());
-}
     if (mayHoldAnswer_) {
         connection_->close();
         return;
     }
+    pool_.returnUsed(server_, connection_, keptFor, connection_->rested());
+}
 
 asio::awaitable<AttemptEnd> BackendExchange::sendAndForward()
 {
@@ -191,12 +191,6 @@
     return fail(Failure::Lost, what + failure.message, sent);
 }
 
-asio::awaitable<bool> BackendExchange::connect()
-{
-    run_.fleetView.servers().noteAttempt(server_.id, run_.context.now());
-    // Opening a new connection shows that the server is reachable before anything is sent.
-    if (!run_.choice.trial) {
-        pooled_ = pool_.take(server_, !run_.repeatable());
 // Whatever has spoilt the head may have spoilt the rest, too.
 AttemptEnd BackendExchange::failUnsigned()
 {
@@ -205,6 +199,12 @@
     return fail(Failure::Error, UnsignedAnswer, true);
 }
 
+asio::awaitable<bool> BackendExchange::connect()
+{
+    run_.fleetView.servers().noteAttempt(server_.id, run_.context.now());
+    // Opening a new connection shows that the server is reachable before anything is sent.
+    if (!run_.choice.trial) {
+        pooled_ = pool_.take(server_, !run_.repeatable());
     }
     if (pooled_) {
         connection_ = pooled_->connection;
@@ -263,19 +263,6 @@
     }
 }
 
-// Applies what the server reports about itself, whichever request the answer belongs to. If another
-// server now has its address, the report isn't about the listed server and is ignored.
-void BackendExchange::noteServerReports(const AnswerHead &head)
-{
-    if (head.wrongInstance) {
-        return;
-    }
-    if (head.leaving && run_.fleetView.servers().noteLeaving(server_, run_.context.now())) {
-        run_.context.counters.add("servers_said_leaving");
-        logLeaving(run_);
-    }
-    if (head.backoffUnreadable) {
-        run_.context.counters.add("rests_unreadable");
 // A rejection that names no request may be of an earlier one wherever the connection has carried
 // another answer. Taken for this request's, it costs one that may be repeated nothing but the rest
 // of the connection; one that may run once could run twice.
@@ -294,6 +281,19 @@
     return !carriedAnother || run_.repeatable();
 }
 
+// Applies what the server reports about itself, whichever request the answer belongs to. If another
+// server now has its address, the report isn't about the listed server and is ignored.
+void BackendExchange::noteServerReports(const AnswerHead &head)
+{
+    if (head.wrongInstance) {
+        return;
+    }
+    if (head.leaving && run_.fleetView.servers().noteLeaving(server_, run_.context.now())) {
+        run_.context.counters.add("servers_said_leaving");
+        logLeaving(run_);
+    }
+    if (head.backoffUnreadable) {
+        run_.context.counters.add("rests_unreadable");
         logBackoffUnreadable(run_);
     }
     if (head.backoffFor && *head.backoffFor > kernel::Duration(0)) {
@@ -345,6 +345,9 @@
     }
     run_.fleetView.coldStarts().noteReported(server_.hash(), head.coldFor, now);
     http::AnswerStart first = std::move(*start);
+    if (lacksSignature(head)) {
+        co_return failUnsigned();
+    }
     const bool good = head.status / 100 == 2;
     if (run_.route.stream && good && !head.notRun) {
         co_return co_await forwardStream(std::move(first), std::move(head));
@@ -380,9 +383,6 @@
             fail(Failure::Full, "rejected, then cut", true);
             co_return AttemptEnd::Rejected;
         }
-    if (lacksSignature(head)) {
-        co_return failUnsigned();
-    }
         co_return fail(Failure::Lost, "body: " + body.error().message, true);
     }
     returnConnection(head.keptFor);
@@ -402,7 +402,7 @@
         run_.failedAnswer = std::move(answer);
         co_return AttemptEnd::MayHaveRun;
     }
-    const Completeness completeness = co_await judge({.end = body->end}, head.leaving);
+    const Completeness completeness = co_await judge({.end = body->end});
     if (completeness == Completeness::BrokenOff) {
         run_.answeredWhole = false;
         co_return fail(Failure::Lost, "body: it ended as its server stopped listening", true);
@@ -457,7 +457,7 @@
     ending.eventStream = isEventStream(start.fields);
     ending.insideEvent = events_.insideEvent();
     ending.anyEvent = events_.anyEvent();
-    if (co_await judge(ending, head.leaving) == Completeness::BrokenOff) {
+    if (co_await judge(ending) == Completeness::BrokenOff) {
         connection_->close();
         co_return fail(Failure::Lost, "stream: it ended before it was complete", true);
     }
@@ -482,15 +482,13 @@
     return AttemptEnd::Answered;
 }
 
-// A server that is leaving may stop listening right after a complete answer.
-asio::awaitable<Completeness> BackendExchange::judge(forward::AnswerEnding ending,
-                                                     bool serverSaidLeaving)
+// Nothing but its server's state tells a part of an answer without a marked end from a whole one.
+asio::awaitable<Completeness> BackendExchange::judge(forward::AnswerEnding ending)
 {
-    const auto listed = run_.fleetView.servers().find(server_.id);
-    const bool leaving = serverSaidLeaving || (listed && listed->leaving);
-    if (!leaving && needsServerState(ending)) {
+    if (needsServerState(ending)) {
         auto &crashes = run_.context.kernel.find<services::CrashService>("crashes");
-        ending.serverGone = co_await crashes.detector().hasCrashed(server_.hash(), server_.address);
+        ending.serverGone =
+                co_await crashes.detector().isAboutToCrash(server_.hash(), server_.address);
     }
     const Completeness found = completenessOf(ending);
     run_.context.counters.add("answers_judged", {{"as", text(found)}});
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -53,8 +53,7 @@
     boost::asio::awaitable<AttemptEnd> endStream(http::AnswerStart start, forward::AnswerHead head,
                                                  http::BodyEnd end);
     AttemptEnd endForCallerThatLeft();
-    boost::asio::awaitable<forward::Completeness> judge(forward::AnswerEnding ending,
-                                                        bool serverSaidLeaving);
+    boost::asio::awaitable<forward::Completeness> judge(forward::AnswerEnding ending);
     void noteAnswerTime();
     void noteBodyEnd(http::BodyEnd end);
     AttemptEnd fail(forward::Failure failure, const std::string &message, bool sent);
@@ -68,8 +67,8 @@
     std::optional<PooledConnection> pooled_; ///< Set if the connection was taken from the pool.
     http::KeptConnection::Ptr connection_;
     boost::asio::steady_timer silenceTimer_;
-    bool mayHoldAnswer_ = false;  ///< This request's answer may still come on the connection.
     EventForwarder events_;
+    bool mayHoldAnswer_ = false;  ///< This request's answer may still come on the connection.
     bool waitsInSilence_ = false; ///< The server is silent, and no other attempt is sure to follow.
 };
 
--- a/src/services/CrashDetector.cpp
+++ b/src/services/CrashDetector.cpp
@@ -14,6 +14,8 @@
 
 // A closed port refuses a connection within one round trip.
 constexpr kernel::Duration ProbeTimeout = 50ms;
+// For the process of a server with hundreds of connections to close them all.
+constexpr kernel::Duration PortClosesWithin = 20ms;
 constexpr kernel::Duration FirstReprobeDelay = 20ms; ///< The pause doubles with each probe.
 constexpr kernel::Duration LastReprobeDelay = 1280ms;
 // A server that crashed disappears from the platform's list within a few of its updates.
@@ -53,6 +55,28 @@
     co_return result == ProbeResult::Crashed;
 }
 
+// A killed process's connections are closed before its port, which takes another one until then and
+// resets it as it closes. A sound server may reset one as well, if it has too many.
+asio::awaitable<bool> CrashDetector::isAboutToCrash(std::uint64_t server, kernel::Endpoint address)
+{
+    if (crashedServers_.contains(server)) {
+        co_return true;
+    }
+    const auto connected =
+            co_await http::KeptConnection::connect(context_.io, address, ProbeTimeout);
+    if (connected) {
+        asio::steady_timer timer(context_.io, PortClosesWithin);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        const bool open = (*connected)->quiet();
+        (*connected)->close();
+        if (open) {
+            co_return false;
+        }
+    }
+    const bool crashed = co_await hasCrashed(server, std::move(address));
+    co_return crashed;
+}
+
 asio::awaitable<bool> CrashDetector::findCrash(const LostAttempt &lost)
 {
     const bool crashed = co_await hasCrashed(lost.server, lost.address);
--- a/src/services/CrashDetector.h
+++ b/src/services/CrashDetector.h
@@ -63,6 +63,10 @@
      * \param server hash of the server and its incarnation. */
     boost::asio::awaitable<bool> hasCrashed(std::uint64_t server, kernel::Endpoint address);
 
+    /** The same for a server that has just closed a connection, whose port may follow within
+     * moments; waits for these. */
+    boost::asio::awaitable<bool> isAboutToCrash(std::uint64_t server, kernel::Endpoint address);
+
     /** Notes that the platform no longer lists a server. */
     void onServerDelisted(const std::string &id);
 
--- a/test/platform/BrokenAnswerTest.cpp
+++ b/test/platform/BrokenAnswerTest.cpp
@@ -2,6 +2,7 @@
 // server's is known to be, whatever its framing, wherever it ends, and whatever kind of request it
 // answers.
 
+#include "gateway/FleetView.h"
 #include "platform/GatewayFixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -61,6 +62,29 @@
         return finish(pending);
     }
 
+    /** The same, with both servers listed as leaving while the answer is on its way. */
+    GatewayAnswer callMeetingWhileLeaving(const CutAnswer &cut, const Kind &kind)
+    {
+        startReady();
+        for (std::size_t index = 0; index < 2; ++index) {
+            runner(index).nextCut = cut;
+            runner(index).slots = 1;
+            runner(index).work = 1500ms;
+        }
+        const auto pending = begin(request("POST", kind.target));
+        until([this] { return runs() > 0; }, "the run");
+        for (std::size_t index = 0; index < 2; ++index) {
+            list(runner(index), "pool", "draining");
+        }
+        auto &servers = context().kernel.find<gateway::FleetView>("world").servers();
+        const auto leaves = [&servers](const std::string &id) {
+            const auto listed = servers.find(id);
+            return listed && listed->leaving;
+        };
+        until([&] { return leaves("i-one") && leaves("i-two"); }, "both are known to leave");
+        return finish(pending);
+    }
+
     bool broken() { return context().counters.value("attempt_failures", {{"reason", "lost"}}) > 0; }
 };
 
@@ -218,4 +242,46 @@
     BOOST_TEST(onceOnly.runs() == 1U);
 }
 
+// Guards against the same where the port of a killed server, which has many connections, closes
+// some milliseconds after the one with the answer.
+BOOST_AUTO_TEST_CASE(serverIsKilled_itsPortClosesAfterItsConnections_partIsNotTakenForComplete)
+{
+    for (const kernel::Duration portAfter : {1ms, 3ms, 8ms}) {
+        const CutAnswer cut{.bytes = 4, .portToo = true, .portAfter = portAfter};
+        CutFixture onceOnly;
+        BOOST_TEST(onceOnly.callMeeting(cut, {"/once/x", false, false}).status == 502);
+        BOOST_TEST(onceOnly.runs() == 1U);
+        CutFixture repeatable;
+        BOOST_TEST(repeatable.callMeeting(cut, {"/again/x", false, true}).marked);
+        BOOST_TEST(repeatable.runs() == 2U);
+        const CutAnswer betweenEvents{
+                .bytes = 2 * EventBytes, .portToo = true, .portAfter = portAfter};
+        CutFixture stream;
+        const auto shown = stream.callMeeting(betweenEvents, {"/stream/x", true, false});
+        BOOST_TEST(!shown.whole);
+        BOOST_TEST(shown.body == firstEvents(2));
+    }
+}
+
+// Guards against the same at a server that is listed as leaving.
+BOOST_AUTO_TEST_CASE(leavingServerIsKilled_nothingMarksTheEnd_partIsNotTakenForComplete)
+{
+    for (const kernel::Duration portAfter : {0ms, 3ms}) {
+        const CutAnswer cut{.bytes = 4, .portToo = true, .portAfter = portAfter};
+        CutFixture fixture;
+        BOOST_TEST(fixture.callMeetingWhileLeaving(cut, {"/once/x", false, false}).status == 502);
+        BOOST_TEST(fixture.runs() == 1U);
+    }
+}
+
+// A server that goes on listening has sent all, also if it turns other connections away.
+BOOST_AUTO_TEST_CASE(soundServerResetsAnotherConnection_nothingMarksTheEnd_isPassedOn)
+{
+    CutFixture fixture;
+    fixture.runner(0).resetsIdle = fixture.runner(1).resetsIdle = true;
+    const auto answer = fixture.callMeeting({.bytes = 13}, {"/once/x", false, false});
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "done by " + fixture.used().name());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
