Streams are taken up after all boxes have lost power

Cause: who began a stream is known to three boxes, and to nobody once all have lost power. Change: while a service has servers of several versions, and 15 s longer, each box replaces an object of its own in the store each 250 ms if its streams have changed (StreamArchive). Nothing waits for that. A box that has started reads all before it writes; one that nobody can tell of a stream reads them too. All boxes together use an eighth of the writes that the store allows (store-writes, 0 by default: off). Only what an entry says goes on, so no stream can be joined. CrashStore's calls to the store are shared (StoreClient). StreamVersionTest/allBoxes*: 4 checks fail if boxes don't read the store; the refusals and the single version of each answer hold before and after.

--- a/src/forward/StreamTable.cpp
+++ b/src/forward/StreamTable.cpp
@@ -28,7 +28,7 @@
 StreamTable::Noted StreamTable::note(const StreamId &id, const StreamOrigin &origin,
                                      kernel::Instant until, bool own)
 {
-    const StreamRecord added{origin, false, own, until};
+    const StreamRecord added{origin, false, own, until, false};
     const auto request = requests_.find(id.request);
     if (request != requests_.end()) {
         // Also if there is no room for the attempt: equal requests must not seem to agree.
@@ -49,6 +49,14 @@
     return Noted::Added;
 }
 
+void StreamTable::noteEnded(const Digest &attempt)
+{
+    const auto place = attempts_.find(attempt);
+    if (place != attempts_.end()) {
+        place->second.record.ended = true;
+    }
+}
+
 const StreamRecord *StreamTable::findAttempt(const Digest &attempt, kernel::Instant now) const
 {
     const auto place = attempts_.find(attempt);
--- a/src/forward/StreamTable.h
+++ b/src/forward/StreamTable.h
@@ -37,6 +37,7 @@
     bool contradicted = false; ///< Streams of two versions have the same name.
     bool own = false;          ///< A caller of this box has received it.
     kernel::Instant until;     ///< When it is forgotten.
+    bool ended = false;        ///< Its caller has all of it, so it isn't taken up.
 
     auto operator<=>(const StreamRecord &) const = default;
 };
@@ -55,6 +56,9 @@
     Noted note(const StreamId &id, const StreamOrigin &origin, kernel::Instant until,
                bool own = false);
 
+    /** Records that the caller of the stream that an attempt began has received all of it. */
+    void noteEnded(const Digest &attempt);
+
     /** The record of the stream that an attempt began; nullptr if there is none, or none any more.
      */
     const StreamRecord *findAttempt(const Digest &attempt, kernel::Instant now) const;
--- a/src/gateway/Adapter.h
+++ b/src/gateway/Adapter.h
@@ -24,6 +24,7 @@
     std::string configurationName;
     std::string serverKind; ///< Kind of the objects by which backend servers register.
     std::string crashKind; ///< Kind of the objects that hold stopped requests; written by gateways.
+    std::string streamKind;    ///< Kind of the objects that tell who began streams; by gateways.
     std::string hallDrainKind; ///< Kind of the objects by which the operator drains halls.
 
     std::function<tl::expected<forward::SnapshotContent, std::string>(const nlohmann::json &)>
--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -18,7 +18,6 @@
 constexpr int Created = 201;
 constexpr int NotFound = 404;
 constexpr int Conflict = 409;
-constexpr kernel::Duration ConnectTimeout = 1s;
 constexpr AnswerWait AnswerTimeouts = {2s, 2s, 5s};
 constexpr kernel::Duration LookUpTimeout = 300ms;
 constexpr kernel::Duration CheckInterval = 2s;
@@ -60,7 +59,7 @@
     : context_(context)
     , adapter_(adapter)
     , crashes_(crashes)
-    , connection_(context, "crash-store")
+    , client_(context, "crash-store", adapter.crashKind)
     , backoff_(FirstPause, MaxPause)
 {
 }
@@ -77,7 +76,7 @@
 void CrashStore::stop()
 {
     loop_.reset();
-    connection_.close();
+    client_.close();
 }
 
 void CrashStore::noteChange(const CrashRecord &before, const CrashRecord &record)
@@ -104,7 +103,7 @@
     }
     const bool read = co_await this->read();
     const bool written = co_await write();
-    connection_.close();
+    client_.close();
     if (read && written) {
         backoff_.succeed();
         co_return CheckInterval;
@@ -112,29 +111,13 @@
     co_return backoff_.fail(context_.random);
 }
 
-asio::awaitable<tl::expected<http::Answer, std::string>> CrashStore::ask(http::Request request)
-{
-    const kernel::Endpoint where = context_.settings.platform;
-    const auto opened = co_await connection_.open(where, ConnectTimeout);
-    if (!opened) {
-        co_return tl::unexpected(opened.error());
-    }
-    request.fields.add("Host", kernel::text(where));
-    if (!request.body.empty()) {
-        request.fields.add("Content-Type", "application/json");
-    }
-    context_.counters.add("store_calls", {{"kind", adapter_.crashKind}});
-    auto answer = co_await connection_.ask(std::move(request), AnswerTimeouts);
-    co_return answer;
-}
-
 // Returns false if something remains to be read.
 asio::awaitable<bool> CrashStore::read()
 {
     while (!fullyRead_) {
         std::string target = adapter_.store.listTarget(adapter_.crashKind, lastName_);
         http::Request request("GET", std::move(target));
-        const auto answer = co_await ask(std::move(request));
+        const auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
         if (!answer || answer->status != Good) {
             noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
             co_return false;
@@ -227,7 +210,7 @@
     const std::string &kind = adapter_.crashKind;
     json body = adapter_.store.writeObject(name, std::nullopt, contentOf(record));
     http::Request request("POST", adapter_.store.listTarget(kind, ""), {}, body.dump());
-    auto answer = co_await ask(std::move(request));
+    auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
     if (answer && answer->status == Conflict) {
         // The object exists already: replaces it with the merged record.
         const auto there = adapter_.store.readObject(json::parse(answer->body, nullptr, false));
@@ -239,7 +222,7 @@
             }
             json newer = adapter_.store.writeObject(name, there->revision, contentOf(record));
             http::Request replace("PUT", adapter_.store.objectTarget(kind, name), {}, newer.dump());
-            answer = co_await ask(std::move(replace));
+            answer = co_await client_.ask(std::move(replace), AnswerTimeouts);
         }
     }
     const bool done = answer && (answer->status == Good || answer->status == Created);
@@ -256,7 +239,7 @@
 {
     std::string target = adapter_.store.objectTarget(adapter_.crashKind, forward::text(identity));
     http::Request request("DELETE", std::move(target));
-    const auto answer = co_await ask(std::move(request));
+    const auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
     if (!answer || (answer->status != Good && answer->status != NotFound)) {
         noteFailure("remove", answer ? std::to_string(answer->status) : answer.error());
         co_return false;
--- a/src/gateway/CrashStore.h
+++ b/src/gateway/CrashStore.h
@@ -11,7 +11,7 @@
 #pragma once
 
 #include "gateway/Adapter.h"
-#include "gateway/FeedConnection.h"
+#include "gateway/StoreClient.h"
 #include "services/CrashService.h"
 #include "services/PeriodicTask.h"
 #include "store/Backoff.h"
@@ -38,7 +38,6 @@
     boost::asio::awaitable<bool> write();
     boost::asio::awaitable<bool> save(forward::CrashRecord record);
     boost::asio::awaitable<bool> remove(forward::RequestIdentity request);
-    boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(http::Request request);
     boost::asio::awaitable<void> lookUp(forward::RequestIdentity request);
     void takeObject(const store::StoredObject &object);
     void noteChange(const forward::CrashRecord &before, const forward::CrashRecord &record);
@@ -47,7 +46,7 @@
     services::Context &context_;
     const Adapter &adapter_;
     services::CrashService &crashes_;
-    FeedConnection connection_;
+    StoreClient client_;
     store::Backoff backoff_;
     bool fullyRead_ = false;
     std::string lastName_; ///< Name of the last object that was read.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -4,7 +4,7 @@
 #include "gateway/DetourService.h"
 #include "gateway/FeedRelay.h"
 #include "gateway/GatewayServices.h"
-#include "gateway/StreamService.h"
+#include "gateway/StreamArchive.h"
 #include "kernel/HeldSignals.h"
 #include "kernel/Log.h"
 #include "services/CrashService.h"
@@ -84,7 +84,8 @@
     kernel.add(std::make_unique<CrashStore>(context, fleetView.adapter(), crashes));
     PlaceService &places = kernel.add(std::make_unique<PlaceService>(context, fleetView));
     DetourService &detours = kernel.add(std::make_unique<DetourService>(context, fleetView, relay));
-    kernel.add(std::make_unique<StreamService>(context));
+    StreamService &streams = kernel.add(std::make_unique<StreamService>(context));
+    kernel.add(std::make_unique<StreamArchive>(context, fleetView, streams));
     kernel.add(std::make_unique<FrontService>(context, fleetView, places, detours));
     kernel.add(std::make_unique<ReadyService>(context, fleetView));
     kernel.add(std::make_unique<GatewayStop>(context, std::move(stopped)));
--- a/src/gateway/RequestRun.cpp
+++ b/src/gateway/RequestRun.cpp
@@ -135,6 +135,9 @@
         run_.onFirstBytes = [this] { recordStream(); };
     }
     co_await runAttempts();
+    if (run_.route.stream && run_.answeredWhole && !servedFor_) {
+        streams_.noteEnded(streamId());
+    }
     releasePlace(AttemptEnd::Unsent);
 }
 
--- /dev/null
+++ b/src/gateway/StoreClient.h
@@ -0,0 +1,38 @@
+/** \file
+ * Calls of a service to the platform's store, one at a time, on a connection of its own.
+ */
+#pragma once
+
+#include "gateway/FeedConnection.h"
+
+#include <string>
+
+namespace limereel::gateway {
+
+/** Sends requests to the store and reads whole answers. */
+class StoreClient
+{
+public:
+    /** \param name of the connection's timer in the counters.
+     * \param kind of the objects that it asks for, for the count of calls. */
+    StoreClient(services::Context &context, std::string name, std::string kind)
+        : context_(context)
+        , kind_(std::move(kind))
+        , connection_(context, std::move(name))
+    {
+    }
+
+    /** The answer to \a request, whatever its status. The error says why there is none. */
+    boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(http::Request request,
+                                                                        AnswerWait wait);
+
+    /** Closes the connection, which makes a running call fail. */
+    void close() { connection_.close(); }
+
+private:
+    services::Context &context_;
+    std::string kind_;
+    FeedConnection connection_;
+};
+
+} // namespace limereel::gateway
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -241,6 +241,12 @@
         co_await waitUntil(pending, began + after);
     }
     pending_.erase(ask.ask);
+    const bool unknown = !pending->sources.origin() && !pending->sources.contradicted();
+    if (unknown && byAttempt && recall_) {
+        const kernel::Duration left = began + whole - context_.now();
+        co_await recall_(std::max<kernel::Duration>(left, whole / 3));
+        pending->sources.add(known(ask));
+    }
     StreamLookup found{pending->sources.origin(), ""};
     if (!found.origin) {
         const bool silent = !pending->unanswered.empty();
--- a/src/gateway/StreamService.h
+++ b/src/gateway/StreamService.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,18 @@
     boost::asio::awaitable<StreamLookup> find(forward::StreamId id, bool byAttempt,
                                               kernel::Duration objective);
 
+    /** Records that the caller has received the whole stream. */
+    void noteEnded(const forward::StreamId &id) { table_.noteEnded(id.attempt); }
+
+    /** Takes over what another source than a box tells of a stream. */
+    void learn(const peer::StreamNote &note) { keep(note, false); }
+
+    const forward::StreamTable &table() const { return table_; }
+
+    /** Sets what calls learn() for streams that no box knows, within \a longest. */
+    using Recall = std::function<boost::asio::awaitable<void>(kernel::Duration longest)>;
+    void setRecall(Recall recall) { recall_ = std::move(recall); }
+
     /** Before a planned stop: hands the records over to the boxes that keep them without this one.
      */
     void beginLeaving();
@@ -93,6 +106,7 @@
     std::vector<forward::StreamKeeper> toldKeepers_;
     std::map<std::uint64_t, PendingPtr> pending_;
     bool leaving_ = false;
+    Recall recall_;
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -87,6 +87,10 @@
             {{"gateway", "descriptors", "integer from 64 to 1000000", "4096",
               "file descriptors that the process may use"},
              count(field(&G::descriptors), 64, 1000000)},
+            {{"gateway", "store-writes", "decimal from 0 to 1000000", "0",
+              "writes a second that the store takes from all boxes together; 0: not known, and who "
+              "began streams isn't written there"},
+             decimal(field(&G::storeWrites), 0, 1000000)},
             {{"gateway", "link-mbps", "decimal from 1 to 1000000", "1000",
               "megabits a second of the box's own link; boxes with fast ones ask the store for "
               "those of their hall"},
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -16,9 +16,12 @@
 using Versions = std::vector<std::string>;
 
 constexpr std::size_t Servers = 3;
+constexpr std::size_t Boxes = 3;
+constexpr const char *ArchiveKind = "begun-streams";
 constexpr int Events = 40;
 constexpr std::size_t FewEvents = 3;
 constexpr kernel::Duration Pause = 10ms;
+constexpr kernel::Duration LongPause = 40ms; ///< Longer than the store takes to be told.
 
 /** The versions that wrote the events in \a text. */
 std::set<std::string> versionsIn(const std::string &text)
@@ -77,6 +80,67 @@
         startBoxes(cuttable, others);
     }
 
+    /** Three boxes that tell the store of their streams. */
+    void startWithArchive(const Versions &of)
+    {
+        moreSettings += "store-writes = 400\n";
+        start(of, 0, Boxes);
+        for (std::size_t index = 0; index < Servers; ++index) {
+            runner(index).pause = LongPause;
+        }
+        if (std::set(of.begin(), of.end()).size() > 1) {
+            until([this] { return writeStreams(); }, "all boxes write to the store");
+        }
+    }
+
+    /** Whether all boxes have seen several versions. */
+    bool writeStreams() const
+    {
+        bool all = true;
+        for (std::size_t box = 0; box < Boxes; ++box) {
+            all = all && counter(box, "stream_archive_turns", {{"to", "on"}}) == 1;
+        }
+        return all;
+    }
+
+    /** Streams of which the store has been told. */
+    std::size_t archivedStreams()
+    {
+        std::size_t count = 0;
+        for (const auto &[name, object] : store().objects(ArchiveKind)) {
+            count += object.at("spec").at("streams").size();
+        }
+        return count;
+    }
+
+    void killAllBoxes()
+    {
+        for (std::size_t box = 0; box < Boxes; ++box) {
+            killBox(box);
+        }
+    }
+
+    void restartAllBoxes()
+    {
+        for (std::size_t box = 0; box < Boxes; ++box) {
+            restartBox(box);
+        }
+        const auto ready = [this] {
+            bool all = true;
+            for (std::size_t box = 0; box < Boxes; ++box) {
+                all = all && world(box).ready() && boxesKnownTo(box) == Boxes;
+            }
+            return all;
+        };
+        until(ready, "all boxes are back");
+    }
+
+    void loseAllPower()
+    {
+        killAllBoxes();
+        restartAllBoxes();
+    }
+
     static http::Request stream(const std::string &id, const http::Fields &more = {})
     {
         http::Fields fields = more;
@@ -375,6 +439,86 @@
     BOOST_TEST(hall.takeUpAt(2, "first", pending->answer.body, "third").lastStatus == 503);
 }
 
+// Guards against a stream of two versions after all boxes have lost power, and against one that is
+// refused although it was told to the store.
+BOOST_AUTO_TEST_CASE(allBoxesLosePower_callerTakesStreamUp_goesOnAtTheVersionThatBeganIt)
+{
+    for (const Versions &versions : Arrangements) {
+        const bool mixed = versions[0] != versions[1] || versions[1] != versions[2];
+        StreamVersions hall;
+        hall.startWithArchive(versions);
+        const auto pending = hall.beginStream(0, "first");
+        const std::size_t beginner = hall.beginner();
+        if (mixed) {
+            hall.until([&] { return hall.archivedStreams() == 1; }, "the store is told");
+        }
+        hall.loseAllPower();
+        hall.leave(pending);
+        hall.runner(beginner).crash();
+        const Held held = hall.takeUpAt(2, "first", pending->answer.body);
+        const bool goesOn = mixed && hall.othersLike(beginner) > 0;
+        StreamVersions::check(held, goesOn, describe(versions) + ", all boxes lost power");
+        BOOST_TEST((held.lastStatus == 200 || held.lastStatus == 503));
+    }
+}
+
+// Guards against the same where a box has lost power once more before its stream is taken up.
+BOOST_AUTO_TEST_CASE(allBoxesLosePowerTwice_callerTakesStreamUp_goesOn)
+{
+    StreamVersions hall;
+    hall.startWithArchive({"v1", "v2", "v3"});
+    const auto pending = hall.beginStream(0, "first");
+    hall.until([&] { return hall.archivedStreams() == 1; }, "the store is told");
+    hall.loseAllPower();
+    hall.leave(pending);
+    const auto another = hall.beginStream(0, "another");
+    hall.until([&] { return hall.archivedStreams() == 2; }, "the store is told of both");
+    hall.loseAllPower();
+    hall.leave(another);
+    StreamVersions::check(hall.takeUpAt(1, "first", pending->answer.body), true, "the first one");
+    StreamVersions::check(hall.takeUpAt(2, "another", another->answer.body, "third"), true,
+                          "the second one");
+}
+
+// Guards against a stream that is taken up at any version as its record in the store is gone,
+// unreadable, or of another stream.
+BOOST_AUTO_TEST_CASE(allBoxesLosePower_recordIsNotInTheStore_streamIsRefused)
+{
+    const nlohmann::json spoilt = {{"streams", nlohmann::json::array({"not an entry"})}};
+    for (const bool removed : {true, false}) {
+        StreamVersions hall;
+        hall.startWithArchive({"v1", "v2", "v3"});
+        const auto pending = hall.beginStream(0, "first");
+        hall.until([&] { return hall.archivedStreams() == 1; }, "the store is told");
+        hall.killAllBoxes();
+        hall.leave(pending);
+        if (removed) {
+            hall.store().remove(ArchiveKind, "box-1");
+        } else {
+            hall.store().put(ArchiveKind, "box-1", spoilt);
+        }
+        hall.restartAllBoxes();
+        StreamVersions::check(hall.takeUpAt(1, "first", pending->answer.body), false,
+                              "without a record");
+    }
+}
+
+// Guards against calls to the store where one version serves, and records that nobody removes.
+BOOST_AUTO_TEST_CASE(streamEndsOrOneVersionServes_store_holdsNoRecord)
+{
+    StreamVersions one;
+    one.startWithArchive({"v1", "v1", "v1"});
+    const auto single = one.beginStream(0, "first");
+    one.until([&] { return single->done; }, "its end");
+    BOOST_TEST(one.store().objects(ArchiveKind).empty());
+    StreamVersions two;
+    two.startWithArchive({"v1", "v2", "v1"});
+    const auto pending = two.beginStream(0, "first");
+    two.until([&] { return two.archivedStreams() == 1; }, "the store is told");
+    two.until([&] { return pending->done; }, "its end");
+    two.until([&] { return two.archivedStreams() == 0; }, "its record is taken back");
+}
+
 // Guards against a stream that is taken up although nobody knows which version began it.
 BOOST_AUTO_TEST_CASE(nobodyKnowsWhoBeganTheStream_caller_isToldThatItHasNotRun)
 {
