Times of any length are read as long ones

Cause: seconds and milliseconds of up to 63 bits are multiplied into microseconds. The same holds for a caller's deadline, which became negative.

--- a/test/platform/DialectTest.cpp
+++ b/test/platform/DialectTest.cpp
@@ -56,6 +56,38 @@
     BOOST_TEST(unreadable.backoffUnreadable);
 }
 
+// Guards against a time that is so long that it becomes a negative one.
+BOOST_AUTO_TEST_CASE(readHead_keepAliveOfAnyLength_isNoLessThanAShorterOne)
+{
+    const auto keptFor = [](const std::string &seconds) {
+        const auto fields = http::Fields().with("Keep-Alive", "timeout=" + seconds);
+        return platform::adapter().dialect.readHead(200, fields).keptFor;
+    };
+    BOOST_TEST((keptFor("5") == kernel::Duration(5s)));
+    for (const char *seconds : {"100000", "9223372036854775", "9223372036854775807"}) {
+        BOOST_TEST((keptFor(seconds) >= kernel::Duration(3600s)), seconds);
+    }
+    for (const char *seconds : {"-1", "-9223372036854775808"}) {
+        BOOST_TEST((keptFor(seconds) == kernel::Duration(0s)), seconds);
+    }
+    BOOST_TEST((!keptFor("9223372036854775808")));
+}
+
+// The same for a caller's patience.
+BOOST_AUTO_TEST_CASE(readCall_deadlineOfAnyLength_isNoLessThanAShorterOne)
+{
+    for (const char *milliseconds : {"100000000", "9223372036854775", "9223372036854775807"}) {
+        const http::Request request("GET", "/x",
+                                    http::Fields()
+                                            .with("Host", "x")
+                                            .with("X-Attempt-Id", "a1")
+                                            .with("X-Deadline-Ms", milliseconds));
+        const auto call = platform::adapter().dialect.readCall(request);
+        BOOST_REQUIRE(call.has_value());
+        BOOST_TEST((call->callerTimeout >= kernel::Duration(3600s)), milliseconds);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(readHead_leaving_isReadFromEveryAnswer)
 {
     const auto &dialect = platform::adapter().dialect;
