Streams are written to the store as they begin

Cause: all that were refused had begun within 0.3 s before their box lost power but one, after the last of the writes, which came each 250 ms; each of them asks up to three times. Change: a box writes at once as a stream begins, and again after 100 ms at the earliest (120 ms by the bound of six boxes and 400 writes a second). Streams that ended go with the next write and cause none.

--- a/src/forward/MixedVersions.cpp
+++ b/src/forward/MixedVersions.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Streams last for seconds; one that began after the last write before a power loss isn't known.
-constexpr kernel::Duration ShortestPause = 250ms;
+// A stream that began after the last write before a power loss isn't known.
+constexpr kernel::Duration ShortestPause = 100ms;
 constexpr double WritesFraction = 0.125;
 
 } // namespace
--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -33,12 +33,11 @@
     return Log;
 }
 
-std::vector<forward::StreamId> idsOf(const std::vector<peer::StreamNote> &notes)
+std::set<forward::StreamId> idsOf(const std::vector<peer::StreamNote> &notes)
 {
-    std::vector<forward::StreamId> ids;
-    ids.reserve(notes.size());
+    std::set<forward::StreamId> ids;
     for (const peer::StreamNote &note : notes) {
-        ids.push_back(note.id);
+        ids.insert(note.id);
     }
     return ids;
 }
@@ -61,6 +60,11 @@
     if (context_.settings.gateway.storeWrites <= 0) {
         return;
     }
+    streams_.onNote([this] {
+        if (loop_ && versions_.any(context_.now())) {
+            loop_->hurry();
+        }
+    });
     streams_.setRecall([this](kernel::Duration longest) { return recall(longest); });
     loop_ = std::make_unique<services::PeriodicTask>(context_.io, [this] { return round(); });
 }
@@ -79,24 +83,37 @@
     return forward::archivePause(boxes, context_.settings.gateway.storeWrites);
 }
 
+kernel::Duration StreamArchive::untilNextWrite() const
+{
+    const kernel::Instant now = context_.now();
+    return wroteAt_ ? std::max<kernel::Duration>(*wroteAt_ + pause() - now, 0s) : 0s;
+}
+
+// Streams that have ended go with the next write.
+bool StreamArchive::hasNew(const std::vector<peer::StreamNote> &notes) const
+{
+    return std::ranges::any_of(
+            notes, [this](const peer::StreamNote &note) { return !written_.contains(note.id); });
+}
+
 asio::awaitable<kernel::Duration> StreamArchive::round()
 {
     updateVersions();
-    std::vector<peer::StreamNote> notes = dueNotes();
-    if (notes.empty() && !versions_.any(context_.now())) {
-        if (revision_) {
-            co_await remove();
-        }
-        co_return VersionsInterval;
+    if (const kernel::Duration left = untilNextWrite(); left > 0s) {
+        co_return left;
     }
-    if (idsOf(notes) != written_) {
+    std::vector<peer::StreamNote> notes = dueNotes();
+    if (notes.empty() && revision_) {
+        co_await remove();
+    } else if (hasNew(notes)) {
         // What it wrote before its last start is kept, as other boxes may not have read it.
         const bool known = readAt_ || co_await read(FirstReadTimeouts);
         if (known) {
+            wroteAt_ = context_.now();
             co_await write(dueNotes());
         }
     }
-    co_return pause();
+    co_return VersionsInterval;
 }
 
 void StreamArchive::updateVersions()
--- a/src/gateway/StreamArchive.h
+++ b/src/gateway/StreamArchive.h
@@ -3,8 +3,8 @@
  * that these can be taken up after all boxes have lost power. docs/design/stream-origins.md says
  * what it costs.
  *
- * Only while servers of several software versions serve: each box replaces an object of its own a
- * few times a second, if its streams have changed. Nothing waits for that. What wasn't written in
+ * Only while servers of several software versions serve: each box replaces an object of its own as
+ * a stream begins, a few times a second at most. Nothing waits for that. What wasn't written in
  * time is unknown, and a stream of unknown origin isn't continued.
  */
 #pragma once
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
 
     boost::asio::awaitable<kernel::Duration> round();
     kernel::Duration pause() const;
+    kernel::Duration untilNextWrite() const;
+    bool hasNew(const std::vector<peer::StreamNote> &notes) const;
     void updateVersions();
     std::vector<peer::StreamNote> dueNotes() const;
     boost::asio::awaitable<void> write(std::vector<peer::StreamNote> notes);
@@ -61,7 +64,8 @@
     StoreClient reads_;
     forward::MixedVersions versions_;
     std::optional<kernel::Instant> versionsAt_; ///< When the versions were last looked at.
-    std::vector<forward::StreamId> written_;    ///< The streams in this box's object.
+    std::set<forward::StreamId> written_;       ///< The streams in this box's object.
+    std::optional<kernel::Instant> wroteAt_;    ///< When it began to write that object.
     std::optional<std::uint64_t> revision_;     ///< Of that object; nothing: there is none.
     std::vector<Carried> carried_;
     std::map<std::string, std::uint64_t> taken_; ///< Revisions of the objects that were read.
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -91,6 +91,7 @@
     const peer::StreamNote note{id, origin, milliseconds(left)};
     keep(note, true);
     tell({.notes = {note}, .handedOver = leaving_});
+    onNote_();
 }
 
 void StreamService::keep(const peer::StreamNote &note, bool own)
--- a/src/gateway/StreamService.h
+++ b/src/gateway/StreamService.h
@@ -55,6 +55,9 @@
     /** Records that the caller has received the whole stream. */
     void noteEnded(const forward::StreamId &id) { table_.noteEnded(id.attempt); }
 
+    /** Sets what is called after each note(). */
+    void onNote(std::function<void()> called) { onNote_ = std::move(called); }
+
     /** Takes over what another source than a box tells of a stream. */
     void learn(const peer::StreamNote &note) { keep(note, false); }
 
@@ -107,6 +110,7 @@
     std::map<std::uint64_t, PendingPtr> pending_;
     bool leaving_ = false;
     Recall recall_;
+    std::function<void()> onNote_ = [] {};
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
 
