A wait for the store's records ends with the read, for all who wait

Callers that take streams up while a read runs waited on one timer; each that came set it anew, which ends the others' waits, so that they looked before the records were there and were refused. Change: each has a timer of its own, and the read's end cancels all. An object that has room for no more streams is said in the log. Result: StreamVersionTest and StreamArchiveTest pass; the fault itself wasn't brought about by a test.

--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -51,7 +51,6 @@
     , streams_(streams)
     , writes_(context, "stream-archive", fleetView.adapter().streamKind)
     , reads_(context, "stream-archive-read", fleetView.adapter().streamKind)
-    , readDone_(context.io)
 {
 }
 
@@ -174,6 +173,9 @@
         revision_.reset();
     }
     const bool done = status == Good || status == Created;
+    if (notes.size() >= MaxArchived) {
+        noteFailure("write", "there is room for " + std::to_string(MaxArchived) + " streams");
+    }
     if (done) {
         written_ = idsOf(notes);
         context_.counters.add("stream_archive_writes", {{"result", "done"}});
@@ -207,13 +209,20 @@
 asio::awaitable<void> StreamArchive::recall(kernel::Duration longest)
 {
     if (reading_) {
-        readDone_.expires_after(longest);
-        co_await readDone_.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await waitForRead(longest);
     } else if (!readLately()) {
         co_await read({longest, longest, longest});
     }
 }
 
+asio::awaitable<void> StreamArchive::waitForRead(kernel::Duration longest)
+{
+    asio::steady_timer timer(context_.io, longest);
+    waiting_.insert(&timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    waiting_.erase(&timer);
+}
+
 asio::awaitable<bool> StreamArchive::read(AnswerWait wait)
 {
     if (reading_) {
@@ -225,7 +234,9 @@
     if (done) {
         readAt_ = context_.now();
     }
-    readDone_.cancel();
+    for (asio::steady_timer *timer : waiting_) {
+        timer->cancel();
+    }
     co_return done;
 }
 
--- a/src/gateway/StreamArchive.h
+++ b/src/gateway/StreamArchive.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> write(std::vector<peer::StreamNote> notes);
     boost::asio::awaitable<void> remove();
     boost::asio::awaitable<void> recall(kernel::Duration longest);
+    boost::asio::awaitable<void> waitForRead(kernel::Duration longest);
     bool readLately() const;
     boost::asio::awaitable<bool> read(AnswerWait wait);
     boost::asio::awaitable<bool> readPages(AnswerWait wait);
@@ -71,7 +72,7 @@
     std::map<std::string, std::uint64_t> taken_; ///< Revisions of the objects that were read.
     std::optional<kernel::Instant> readAt_;      ///< When all objects were last read.
     bool reading_ = false;
-    boost::asio::steady_timer readDone_; ///< Cancelled as a read ends.
+    std::set<boost::asio::steady_timer *> waiting_; ///< For the end of a read.
     std::unique_ptr<services::PeriodicTask> loop_;
 };
 
