--- a/test/platform/ConfigurationReadTest.cpp
+++ b/test/platform/ConfigurationReadTest.cpp
@@ -57,4 +57,23 @@
     BOOST_TEST((snapshot.organisation("") == nullptr));
 }
 
+// Guards against one route without a service that leaves a deployment without any configuration.
+BOOST_FIXTURE_TEST_CASE(routeWithoutAService_otherRoutes_areServed, support::GatewayFixture)
+{
+    json spec = configuration(1);
+    for (json &route : spec["routes"]) {
+        if (route["path_prefix"] == "/again/") {
+            route.erase("service");
+        }
+    }
+    putConfiguration(spec);
+    list(runner(0), "pool");
+    start();
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(call(request("POST", "/once/x")).status == 200);
+    const auto refused = call(request("POST", "/again/x"));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(runner(0).runs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
