--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
 #include <set>
 
 using namespace limereel;
@@ -17,6 +19,7 @@
 
 constexpr std::size_t Servers = 3;
 constexpr std::size_t Boxes = 3;
+constexpr int FewHistories = 8; ///< Unless LIMEREEL_HISTORIES names another number.
 constexpr const char *ArchiveKind = "begun-streams";
 constexpr int Events = 40;
 constexpr std::size_t FewEvents = 3;
@@ -125,6 +128,39 @@
         for (std::size_t box = 0; box < Boxes; ++box) {
             restartBox(box);
         }
+        untilAllAreBack();
+    }
+
+    /** The boxes whose bits are set lose power and come back. */
+    void losePower(std::uint64_t boxes)
+    {
+        for (std::size_t box = 0; box < Boxes; ++box) {
+            if ((boxes >> box & 1U) != 0) {
+                killBox(box);
+            }
+        }
+        for (std::size_t box = 0; box < Boxes; ++box) {
+            if ((boxes >> box & 1U) != 0) {
+                restartBox(box);
+            }
+        }
+        untilAllAreBack();
+    }
+
+    /** The store has lost all records of streams. */
+    void forgetArchive()
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, object] : store().objects(ArchiveKind)) {
+            names.push_back(name);
+        }
+        for (const std::string &name : names) {
+            store().remove(ArchiveKind, name);
+        }
+    }
+
+    void untilAllAreBack()
+    {
         const auto ready = [this] {
             bool all = true;
             for (std::size_t box = 0; box < Boxes; ++box) {
@@ -503,6 +539,38 @@
     }
 }
 
+// Guards against a stream of two versions in any order of power losses, lost records and take-ups.
+BOOST_AUTO_TEST_CASE(randomHistoriesOfPowerLosses_streamsAreTakenUp_noneHoldsTwoVersions)
+{
+    const char *const wanted = std::getenv("LIMEREEL_HISTORIES");
+    const int histories = wanted != nullptr ? std::stoi(wanted) : FewHistories;
+    std::mt19937_64 random(20261204);
+    StreamVersions hall;
+    hall.startWithArchive({"v1", "v2", "v1"});
+    int goneOn = 0;
+    for (int history = 0; history < histories; ++history) {
+        const std::string first = "first" + std::to_string(history);
+        const auto pending = hall.beginStream(random() % Boxes, first);
+        const bool told = random() % 2 == 0;
+        if (told) {
+            hall.until([&] { return hall.archivedStreams() > 0; }, "the store is told");
+        }
+        hall.losePower(1 + random() % ((1U << Boxes) - 1));
+        hall.leave(pending);
+        if (random() % 4 == 0) {
+            hall.forgetArchive();
+        }
+        const Held held = hall.takeUpAt(random() % Boxes, first, pending->answer.body,
+                                        "second" + std::to_string(history));
+        BOOST_TEST(versionsIn(held.events).size() == 1U, "history " << history);
+        BOOST_TEST(isGapless(held.events), "history " << history);
+        BOOST_TEST((held.lastStatus == 200 || held.lastStatus == 503), "history " << history);
+        goneOn += held.whole ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(goneOn << " of " << histories << " streams went on");
+    BOOST_TEST(goneOn > 0);
+}
+
 // Guards against calls to the store where one version serves, and records that nobody removes.
 BOOST_AUTO_TEST_CASE(streamEndsOrOneVersionServes_store_holdsNoRecord)
 {
