--- a/test/platform/DetourConfigurationTest.cpp
+++ b/test/platform/DetourConfigurationTest.cpp
@@ -256,7 +256,7 @@
         for (std::size_t index = 0; index < servers(); ++index) {
             runner(index).faults.clear();
         }
-        const std::string effect = effectOf(std::string(request.fields.get("X-Attempt-Id")));
+        std::string effect = effectOf(std::string(request.fields.get("X-Attempt-Id")));
         checkAnswer(decision, pending->answer, effect);
         return effect;
     }
