Template: store-writes is a plain value

Change: 400, the writes a second of the smallest deployment; others allow more, so boxes there write less often than they could (85 boxes: each 1.7 s).

--- a/test/platform/GatewayProcessTest.cpp
+++ b/test/platform/GatewayProcessTest.cpp
@@ -85,7 +85,6 @@
                 {"{{platform.address}}", kernel::text(storeEndpoint())},
                 {"metrics-port = 9464", "metrics-port = 0"},
                 {"{{seed_nodes}}", "127.0.0.1:1"},
-                {"{{platform.writes_per_s}}", "400.0"},
                 {"{{limits.link_mbps}}", "1000.0"},
                 {"{{limits.max_fds}}", "4100"},
                 {"{{beat_interval_ms}}", "1200"},
