Logs say what each send to a server rests on

Cause: sent said only 'granted' or 'unanswered'; a send without a place had no mark, the owner's count and bound were nowhere, and the server's own count was used but not logged. So the three hypotheses of the incident couldn't be told apart. Change: sent has place (granted, unanswered, above-bound, not-asked), the owner, its count and limit; ended has the load that the server told; the owner logs above-bound with count, bound, mean, reports and boxes; limereel_sends counts by place. Result: PlaceLedgerTest, PlaceWaitTest and GatewayTest are good; nothing else was run on it.

--- a/src/forward/PlaceLedger.cpp
+++ b/src/forward/PlaceLedger.cpp
@@ -45,6 +45,17 @@
     return confidence * sum / weights * static_cast<double>(fleet.boxes) / engines;
 }
 
+std::size_t PlaceLedger::recentReports(std::uint64_t service, kernel::Instant now) const
+{
+    const auto it = reports_.find(service);
+    if (it == reports_.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(it->second, [&](const auto &item) {
+        return now - item.second.reportedAt <= policy_.reportMaxAge;
+    }));
+}
+
 double PlaceLedger::noteReport(const PlaceAsk &ask, const FleetSize &fleet, kernel::Instant now)
 {
     reports_[ask.service][ask.box] = {ask.boxLoad, ask.boxAsks, now};
--- a/src/forward/PlaceLedger.h
+++ b/src/forward/PlaceLedger.h
@@ -83,6 +83,12 @@
 
     std::uint32_t load(std::uint64_t engine) const;
 
+    /** The mean load of a service's engines, as estimated from the latest reports. */
+    double meanLoad(std::uint64_t service, const FleetSize &fleet, kernel::Instant now) const;
+
+    /** The number of boxes that reported on the service recently. */
+    std::size_t recentReports(std::uint64_t service, kernel::Instant now) const;
+
 private:
     struct LoadReport
     {
@@ -94,8 +100,6 @@
     /** End of the lease, by request. */
     using Places = std::unordered_map<std::uint64_t, kernel::Instant>;
 
-    double meanLoad(std::uint64_t service, const FleetSize &fleet, kernel::Instant now) const;
-
     PlacePolicy policy_;
     std::map<std::uint64_t, Places> engines_;
     /** By service, then box. */
--- /dev/null
+++ b/src/forward/PlaceSearch.h
@@ -0,0 +1,38 @@
+/** \file
+ * Decides, for one request, whether a chosen server is used after its owner was asked for a place
+ * there, or another one is chosen.
+ *
+ * Only a granted place is counted by the owner, which alone enforces the bound on the server's
+ * load. Every other send adds to a load that nobody knows.
+ */
+#pragma once
+
+#include "forward/ServerRequirements.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace limereel::forward {
+
+/** How the owner of a server was involved in a send. */
+enum class OwnerSaid : std::uint8_t {
+    NotAsked,  ///< No owner was asked.
+    Granted,   ///< The owner granted a place.
+    Nothing,   ///< The owner didn't answer in time.
+    AboveBound ///< The owner said that the server is above the load bound.
+};
+
+std::string_view text(OwnerSaid said);
+
+/** The search for a server for one send. */
+class PlaceSearch
+{
+public:
+    /** Whether the request is sent to \a server, whose owner said this. Otherwise another server is
+     * to be chosen, and \a requirements exclude this one. */
+    bool mayUse(OwnerSaid said, const std::string &server, ServerRequirements &requirements);
+};
+
+} // namespace limereel::forward
--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -320,6 +320,7 @@
     if (run_.route.stream && run_.lastEvent) {
         countContinuation(run_, server_);
     }
+    run_.context.counters.add("sends", {{"place", std::string(text(run_.basis.said))}});
     logSend(run_);
     const kernel::Instant sentAt = run_.context.now();
     connection_->send(std::move(passed));
@@ -340,6 +341,7 @@
     if (head.loadUnreadable) {
         run_.context.counters.add("loads_unreadable");
     }
+    run_.toldLoad = head.load;
     if (head.load) {
         run_.fleetView.servers().noteLoad(server_.id, *head.load, now);
     }
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -348,9 +348,30 @@
 // spread by load anyway.
 bool PlaceOwner::aboveBound(const peer::AskPermit &ask)
 {
-    const double bound =
-            ledger_.noteReport(placeAskOf(ask), fleetFor(ask.resource), context_.now());
-    return ask.chat != 0 && book_.load(ask.resource) + 1 > bound;
+    const forward::FleetSize fleet = fleetFor(ask.resource);
+    const double bound = ledger_.noteReport(placeAskOf(ask), fleet, context_.now());
+    const bool above = ask.chat != 0 && book_.load(ask.resource) + 1 > bound;
+    if (above) {
+        logAboveBound(ask, fleet, bound);
+    }
+    return above;
+}
+
+void PlaceOwner::logAboveBound(const peer::AskPermit &ask, const forward::FleetSize &fleet,
+                               double bound) const
+{
+    const kernel::Instant now = context_.now();
+    log().event("above-bound",
+                {{"permit", ask.request},
+                 {"server", ask.resource},
+                 {"box", ask.router},
+                 {"load", book_.load(ask.resource)},
+                 {"bound", bound},
+                 {"mean", ledger_.meanLoad(ask.organisation, fleet, now)},
+                 {"reports", ledger_.recentReports(ask.organisation, now)},
+                 {"boxes", fleet.boxes},
+                 {"seen", ask.seen}},
+                "A backend server is above the load bound.");
 }
 
 // Decides on the leases that the book counts, which include those of boxes of earlier versions.
--- a/src/gateway/PlaceOwner.h
+++ b/src/gateway/PlaceOwner.h
@@ -95,6 +95,8 @@
     peer::PermitAnswer answerOf(const admission::Decision &decision, const peer::AskPermit &ask);
     void suggestHolders(const peer::AskPermit &ask, peer::PermitAnswer &reply);
     bool aboveBound(const peer::AskPermit &ask);
+    void logAboveBound(const peer::AskPermit &ask, const forward::FleetSize &fleet,
+                       double bound) const;
     void refuseStart(const peer::AskPermit &ask, peer::PermitAnswer &reply);
     void deliver(const std::vector<admission::Decision> &decisions);
     void armSettleTimer();
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -151,6 +151,7 @@
 {
     PlaceOutcome outcome;
     outcome.place = result.place;
+    outcome.asked = result.place.asked;
     outcome.queued = result.queued;
     outcome.withdrawn = result.withdrawn();
     if (!result.answer) {
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -37,6 +37,7 @@
     bool withdrawn = false;
     kernel::Duration expectedWait{};           ///< For a place there, if it has none.
     kernel::Duration comeBack{};               ///< When the caller should return; zero: not stated.
+    std::uint64_t asked = 0;                   ///< The box that was asked; 0: none.
     std::uint32_t load = 0;                    ///< Of the server, as its owner said.
     std::uint32_t limit = 0;                   ///< Places that the owner grants; 0: unknown.
     std::optional<kernel::Instant> answeredAt; ///< When the owner's last answer came.
--- a/src/gateway/RunLog.cpp
+++ b/src/gateway/RunLog.cpp
@@ -32,6 +32,19 @@
     return moment ? (now - *moment) / 1ms : -1;
 }
 
+void addBasis(const SendBasis &basis, nlohmann::json &fields)
+{
+    fields["place"] = text(basis.said);
+    if (basis.said == forward::OwnerSaid::NotAsked) {
+        return;
+    }
+    fields["owner"] = basis.owner;
+    if (basis.said != forward::OwnerSaid::Nothing) {
+        fields["owner_load"] = basis.load;
+        fields["owner_limit"] = basis.limit;
+    }
+}
+
 // During a planned stop: when the request came, from the drain on, and how long the process runs.
 void addStop(const RunState &run, nlohmann::json &fields)
 {
@@ -74,9 +87,7 @@
     if (run.choice.takeFrom) {
         fields["parts_from"] = kernel::text(*run.choice.takeFrom);
     }
-    if (run.place) {
-        fields["place"] = run.place->owner != 0 ? "granted" : "unanswered";
-    }
+    addBasis(run.basis, fields);
     if (run.lastEvent) {
         fields["after_event"] = *run.lastEvent;
         fields["began_at_version"] = run.origin ? run.origin->version.text() : "unknown";
@@ -229,6 +240,10 @@
     if (!run.through.empty()) {
         fields["through"] = run.through;
     }
+    if (run.toldLoad) {
+        fields["server_running"] = run.toldLoad->running;
+        fields["server_waiting"] = run.toldLoad->waiting;
+    }
     if (run.bodyEnd) {
         fields["answer_end"] = text(*run.bodyEnd);
     }
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -46,6 +46,7 @@
     bodyEnd.reset();
     through.clear();
     sendsThere.reset();
+    toldLoad.reset();
     answeredWhole = false;
     answeredFailure = false;
 }
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -7,6 +7,7 @@
 #include "forward/StreamOrigin.h"
 #include "gateway/FleetView.h"
 #include "gateway/PlaceService.h"
+#include "gateway/SendBasis.h"
 #include "http/KeptConnection.h"
 #include "http/Server.h"
 #include "peer/SendsMade.h"
@@ -97,6 +98,9 @@
     std::optional<peer::SendsMade> madeBefore;
     std::string through;        ///< The box through which this attempt is sent; empty: straight.
     std::optional<Place> place; ///< The place at the server of this attempt.
+    SendBasis basis;            ///< What the send of this attempt rests on.
+    /** The load that the server of this attempt told with its answer. */
+    std::optional<forward::ReportedLoad> toldLoad;
     /** Sends of this attempt by the box through which it went, as that tells. */
     std::optional<peer::SendsMade> sendsThere;
     AttemptCounts counts;
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -23,6 +23,20 @@
 constexpr const char *AllFull =
         "all backend servers that could run it have as many requests as they have places";
 
+SendBasis basisOf(const PlaceOutcome &outcome)
+{
+    SendBasis basis;
+    basis.owner = outcome.asked;
+    basis.load = outcome.load;
+    basis.limit = outcome.limit;
+    if (outcome.unanswered) {
+        basis.said = forward::OwnerSaid::Nothing;
+    } else {
+        basis.said = outcome.place ? forward::OwnerSaid::Granted : forward::OwnerSaid::AboveBound;
+    }
+    return basis;
+}
+
 } // namespace
 
 // An engine has a limited number of slots, so the owner of the chosen engine has to grant a place.
@@ -96,6 +110,7 @@
     full_.clear();
     aboveBound_.reset();
     noPlace_ = false;
+    run_.basis = {};
     if (mayWait_ && requirements.prompt == nullptr) {
         requirements.order = identity();
     }
@@ -222,6 +237,7 @@
     const std::uint64_t partsKey = forward::sharedPartsKey(run_.call.prompt);
     PlaceOutcome outcome = co_await places_.acquire(std::move(asked), partsKey);
     run_.place = outcome.place;
+    run_.basis = basisOf(outcome);
     std::ranges::move(outcome.holders, std::back_inserter(requirements.holders));
     if (outcome.cold) {
         excludeCold(requirements, choice.server.id);
@@ -254,6 +270,7 @@
         outcome.noPlace = true;
     }
     run_.place = outcome.place;
+    run_.basis = basisOf(outcome);
     if (run_.stopped()) {
         co_return Step::Refused;
     }
