An owner that doesn't answer is passed over, and not taken to agree

Cause: an ask that wasn't answered within 25 ms counted as a grant while the service wasn't short, so the request went to the engine that all boxes prefer for its prompt, and no owner's count bounded that. Class: what nobody has answered is taken for a yes. PlaceWaitTest/prompt_ownerIsSilent_* failed before too: 4 of 8 sends unanswered. Change: such a server is passed over like one above the bound; after two silent owners, or three asked, a random server is used. Where no other server is left it is used after one ask. PlaceWaitTest, AskWaitTest, CutBoxTest and GatewayTest are good.

--- a/src/forward/PlaceSearch.h
+++ b/src/forward/PlaceSearch.h
@@ -3,7 +3,9 @@
  * there, or another one is chosen.
  *
  * Only a granted place is counted by the owner, which alone enforces the bound on the server's
- * load. Every other send adds to a load that nobody knows.
+ * load. Every other send adds to a load that nobody knows, and all boxes prefer the same server for
+ * the same prompt. So an owner that doesn't answer is passed over like one that refuses, and a
+ * server without a granted place is used only if it was drawn at random.
  */
 #pragma once
 
@@ -13,6 +15,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace limereel::forward {
 
@@ -31,8 +34,14 @@
 {
 public:
     /** Whether the request is sent to \a server, whose owner said this. Otherwise another server is
-     * to be chosen, and \a requirements exclude this one. */
+     * to be chosen, and \a requirements exclude this one as long as there are others. */
     bool mayUse(OwnerSaid said, const std::string &server, ServerRequirements &requirements);
+
+    /** Whether the owner of \a server was asked before and didn't answer. */
+    bool wasSilent(const std::string &server) const;
+
+private:
+    std::vector<std::string> silent_; ///< Ids of servers whose owners didn't answer.
 };
 
 } // namespace limereel::forward
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -107,6 +107,7 @@
 {
     mayWait_ = isShort();
     waitingAsks_ = MaxWaitingAsks;
+    search_ = {};
     full_.clear();
     aboveBound_.reset();
     noPlace_ = false;
@@ -200,6 +201,9 @@
 asio::awaitable<ServerSelection::Step>
 ServerSelection::takePlace(forward::ServerRequirements &requirements, forward::Choice &choice)
 {
+    if (search_.wasSilent(choice.server.id)) {
+        co_return co_await useUnanswered(requirements, choice);
+    }
     if (admits() && (requirements.prompt != nullptr || mayWait_)) {
         co_return co_await admit(requirements, choice);
     }
@@ -212,6 +216,17 @@
     co_return taken ? Step::Taken : Step::Next;
 }
 
+// No better server is left than one whose owner didn't answer, and a second ask would cost as much
+// time again.
+asio::awaitable<ServerSelection::Step>
+ServerSelection::useUnanswered(forward::ServerRequirements &requirements, forward::Choice &choice)
+{
+    if (requirements.prompt != nullptr) {
+        co_await assignPartSource(requirements, choice);
+    }
+    co_return Step::Taken;
+}
+
 // The owner is asked even if this box considers the server warm, because it may know more. Returns
 // false if another server has to be chosen; \a requirements then excludes this one.
 asio::awaitable<bool> ServerSelection::takeColdSend(forward::ServerRequirements &requirements,
@@ -228,8 +243,7 @@
     co_return granted;
 }
 
-// Without admission control. After several full engines another one is used without a place, since
-// waiting here wouldn't help. Returns false if another server has to be chosen.
+// Without admission control. Returns false if another server has to be chosen.
 asio::awaitable<bool> ServerSelection::takePlaceByBound(forward::ServerRequirements &requirements,
                                                         forward::Choice &choice)
 {
@@ -243,13 +257,7 @@
         excludeCold(requirements, choice.server.id);
         co_return false;
     }
-    if (run_.place || requirements.spread) {
-        co_await assignPartSource(requirements, choice);
-        co_return true;
-    }
-    requirements.full.push_back(choice.server.id);
-    requirements.spread = requirements.full.size() >= MaxOwnersAsked;
-    co_return false;
+    co_return co_await useOrPassOver(requirements, choice) == Step::Taken;
 }
 
 // With admission control: asks the owner of the chosen server for a place, and waits there if the
@@ -281,8 +289,18 @@
     if (outcome.noPlace) {
         co_return afterRefusal(requirements, choice, outcome);
     }
-    if (!run_.place && !requirements.spread) {
-        co_return afterBound(requirements, choice);
+    co_return co_await useOrPassOver(requirements, choice);
+}
+
+// While the service is short, an unanswered ask comes this far only if this box itself knows of a
+// free slot.
+asio::awaitable<ServerSelection::Step>
+ServerSelection::useOrPassOver(forward::ServerRequirements &requirements, forward::Choice &choice)
+{
+    const forward::OwnerSaid said = run_.basis.said;
+    const bool knownFree = mayWait_ && said == forward::OwnerSaid::Nothing;
+    if (!knownFree && !search_.mayUse(said, choice.server.id, requirements)) {
+        co_return passOver(requirements, choice);
     }
     if (requirements.prompt != nullptr) {
         co_await assignPartSource(requirements, choice);
@@ -315,17 +333,19 @@
     return Step::Next;
 }
 
-// The server is above the load bound. After several of these, a random other one is used without a
-// place, since all boxes would otherwise overload the next one in the order.
-ServerSelection::Step ServerSelection::afterBound(forward::ServerRequirements &requirements,
-                                                  const forward::Choice &choice)
+// Another server is to be chosen: this one is above the load bound, or its owner doesn't answer.
+ServerSelection::Step ServerSelection::passOver(forward::ServerRequirements &requirements,
+                                                const forward::Choice &choice)
 {
-    requirements.full.push_back(choice.server.id);
-    const bool enough = requirements.full.size() >= MaxOwnersAsked;
-    if (enough && mayWait_ && !full_.empty()) {
+    if (run_.place) {
+        // The owner may count the place without its answer having arrived.
+        places_.giveBack(*run_.place, {.unused = true});
+        run_.place.reset();
+    }
+    if (requirements.spread && mayWait_ && !full_.empty()) {
         return Step::Refused;
     }
-    requirements.spread = enough && full_.empty();
+    requirements.spread = requirements.spread && full_.empty();
     if (requirements.prompt == nullptr) {
         requirements.tried.push_back(choice.server.id);
         aboveBound_ = choice;
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -81,7 +81,11 @@
     queueAtBest(forward::ServerRequirements &requirements);
     Step afterRefusal(forward::ServerRequirements &requirements, const forward::Choice &choice,
                       const PlaceOutcome &outcome);
-    Step afterBound(forward::ServerRequirements &requirements, const forward::Choice &choice);
+    boost::asio::awaitable<Step> useUnanswered(forward::ServerRequirements &requirements,
+                                               forward::Choice &choice);
+    boost::asio::awaitable<Step> useOrPassOver(forward::ServerRequirements &requirements,
+                                               forward::Choice &choice);
+    Step passOver(forward::ServerRequirements &requirements, const forward::Choice &choice);
     bool mayUseUnanswered(const forward::ListedServer &server) const;
     PlaceTerms terms(const forward::ServerRequirements &requirements);
     std::uint64_t identity();
@@ -98,6 +102,8 @@
     std::vector<std::string> tried_;
     bool allInBackoff_ = false;
 
+    forward::PlaceSearch search_; ///< Of one choice.
+
     // Of one choice where admission control is enabled.
     bool mayWait_ = false;                      ///< Whether owners may queue the request.
     std::size_t waitingAsks_ = 0;               ///< Asks left that may wait.
