One odd object costs no other object of its answer

Cause: a list is parsed as a whole, so a container nested over 64 deep, a number beyond a double, half of a surrogate pair or a byte that is no UTF-8 in any member of any entry discarded all entries; the box stopped following its servers while that entry stood. Class: what one of many writers spoils is charged to all. Change: JsonRepair replaces what the parser rejects, and the answer is read again; only where the first reading fails, so sound answers cost nothing more. An entry whose read member was odd is unreadable and logged by name, any other holds. Records of crashes and of streams are read in the same way; they had no bound on depth at all before. Counter answers_repaired, a log line when the number changes.

--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -1,5 +1,6 @@
 #include "gateway/CrashStore.h"
 
+#include "http/JsonRepair.h"
 #include "kernel/Log.h"
 
 #include <boost/asio.hpp>
@@ -122,7 +123,7 @@
             noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
             co_return false;
         }
-        auto page = adapter_.store.readPage(json::parse(answer->body, nullptr, false));
+        auto page = adapter_.store.readPage(http::parseStored(answer->body));
         if (!page) {
             noteFailure("read", page.error());
             co_return false;
@@ -156,7 +157,7 @@
     if (!answer || (answer->status != Good && answer->status != NotFound)) {
         noteFailure("look-up", answer ? std::to_string(answer->status) : answer.error().message);
     } else if (answer->status == Good) {
-        const auto object = adapter_.store.readObject(json::parse(answer->body, nullptr, false));
+        const auto object = adapter_.store.readObject(http::parseStored(answer->body));
         if (object) {
             takeObject(*object);
         }
@@ -213,7 +214,7 @@
     auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
     if (answer && answer->status == Conflict) {
         // The object exists already: replaces it with the merged record.
-        const auto there = adapter_.store.readObject(json::parse(answer->body, nullptr, false));
+        const auto there = adapter_.store.readObject(http::parseStored(answer->body));
         if (there) {
             takeObject(*there);
             record = crashes_.book().record(record.request);
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -289,9 +289,24 @@
     return *knownAsOf_ + search;
 }
 
+// An object that another writer has spoilt costs no other.
 asio::awaitable<json> ObjectFeed::readBody(const std::string &body)
 {
-    http::JsonSlices slices(body);
+    json value = co_await readSlices(body);
+    if (!value.is_discarded()) {
+        co_return value;
+    }
+    const auto repaired = http::repairJson(body);
+    if (!repaired) {
+        co_return value;
+    }
+    noteRepaired(*repaired);
+    co_return co_await readSlices(repaired->text);
+}
+
+asio::awaitable<json> ObjectFeed::readSlices(std::string_view text)
+{
+    http::JsonSlices slices(text);
     while (slices.readSlice()) {
         context_.counters.add("store_answer_slices", {{"kind", kind_}});
         co_await yieldToLoop();
@@ -299,6 +314,21 @@
     co_return slices.take();
 }
 
+// The same object comes with each list, and is logged once.
+void ObjectFeed::noteRepaired(const http::RepairedJson &repaired)
+{
+    context_.counters.add("answers_repaired", {{"kind", kind_}});
+    if (std::exchange(replacedParts_, repaired.replaced()) == repaired.replaced()) {
+        return;
+    }
+    log().event("repaired",
+                {{"kind", kind_},
+                 {"deep", repaired.deep},
+                 {"numbers", repaired.numbers},
+                 {"characters", repaired.characters}},
+                "Parts of the store's objects can't be read and are replaced.");
+}
+
 // Delivers the objects in batches. processing_ stays set meanwhile, which tells callers of
 // hasUnprocessed() that more is to come.
 asio::awaitable<void> ObjectFeed::deliver(std::span<const store::StoredObject> objects)
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -18,6 +18,7 @@
 #include "gateway/FeedConnection.h"
 #include "gateway/FeedSources.h"
 #include "gateway/RelayClient.h"
+#include "http/JsonRepair.h"
 #include "peer/FeedRecord.h"
 #include "services/Context.h"
 #include "services/PeriodicTask.h"
@@ -143,6 +144,8 @@
     boost::asio::awaitable<std::vector<store::StoredObject>>
     readObjects(const std::vector<store::KeptObject> &kept);
     boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
+    boost::asio::awaitable<nlohmann::json> readSlices(std::string_view text);
+    void noteRepaired(const http::RepairedJson &repaired);
     store::FeedStep nextStep() const;
     peer::FeedAsk makeAsk(kernel::Duration hold) const;
     store::AskTimes askTimes(const store::FeedStep &step, kernel::Instant now) const;
@@ -196,6 +199,7 @@
     kernel::Instant began_;       ///< When the feed was created.
     kernel::Instant listedFirst_; ///< When the first list was started.
     /** When the store answered that it no longer has the history since at_; a list is needed. */
+    std::size_t replacedParts_ = 0; ///< Of the last answer that had to be repaired.
     std::optional<kernel::Instant> historyLost_;
     std::string source_; ///< The source that was last logged.
     bool heardFromStore_ = false;
--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/ArchivedStreams.h"
 #include "gateway/MessageUnits.h"
+#include "http/JsonRepair.h"
 #include "kernel/Log.h"
 #include "services/MembershipService.h"
 
@@ -167,7 +168,7 @@
     const auto answer = co_await writes_.ask(std::move(request), WriteTimeouts);
     const int status = answer ? answer->status : 0;
     if (status == Good || status == Created || status == Conflict) {
-        const auto there = format.readObject(json::parse(answer->body, nullptr, false));
+        const auto there = format.readObject(http::parseStored(answer->body));
         revision_ = there ? std::optional(there->revision) : std::nullopt;
     } else if (status == NotFound) {
         revision_.reset();
@@ -252,7 +253,7 @@
             noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
             co_return false;
         }
-        const auto page = format.readPage(json::parse(answer->body, nullptr, false));
+        const auto page = format.readPage(http::parseStored(answer->body));
         if (!page) {
             noteFailure("read", page.error());
             co_return false;
--- a/test/platform/GatewayRelayTest.cpp
+++ b/test/platform/GatewayRelayTest.cpp
@@ -65,6 +65,24 @@
     until([&] { return !listed(6) && !listed(7); }, "its leaving at all boxes");
 }
 
+// Guards against one odd entry among the servers' that costs the boxes behind relays all others.
+BOOST_AUTO_TEST_CASE(oddEntryAmongServers_boxesOutOfReachOfTheStore_goOnFollowing)
+{
+    startAll();
+    const std::string deep = std::string(1000, '[') + std::string(1000, ']');
+    const std::vector<std::string> odd = {deep, "1e400", R"("\ud800")"};
+    for (std::size_t number = 0; number < odd.size(); ++number) {
+        store().rawTexts["raw"] = odd[number];
+        store().put("servers", "i-odd", {{"service", "pool"}, {"unread", "raw"}});
+        const std::string id = "i-new-" + std::to_string(number);
+        listServer(id);
+        const auto listed = [&](std::size_t box) {
+            return world(box).servers().find(id).has_value();
+        };
+        until([&] { return listed(0) && listed(6) && listed(7); }, "the new server everywhere");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(boxStartsWhileTheStoreIsDown_itsHallTellsItWhatItKnows)
 {
     moreSettings = "refuse-unconfirmed-keys = false\n";
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -18,11 +18,6 @@
     return made;
 }
 
-http::Answer answerOf(const json &body)
-{
-    return http::Answer{200, http::Fields().with("Content-Type", "application/json"), body.dump()};
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(asio::io_context &io, const kernel::Endpoint &where)
@@ -34,6 +29,20 @@
     server_.listen(where);
 }
 
+http::Answer StoreStandin::answerOf(const json &body) const
+{
+    std::string text = body.dump();
+    for (const auto &[marker, raw] : rawTexts) {
+        const std::string quoted = '"' + marker + '"';
+        for (auto place = text.find(quoted); place != std::string::npos;
+             place = text.find(quoted, place + raw.size())) {
+            text.replace(place, quoted.size(), raw);
+        }
+    }
+    return http::Answer{200, http::Fields().with("Content-Type", "application/json"),
+                        std::move(text)};
+}
+
 void StoreStandin::record(const std::string &kind, json object, bool gone)
 {
     ++revision_;
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -61,6 +61,10 @@
     Faults faults;
     std::size_t pageSize = 500;
 
+    /** Texts that stand in answers in place of these strings, as other writers may have written
+     * them. */
+    std::map<std::string, std::string> rawTexts;
+
 private:
     struct Change
     {
@@ -79,6 +83,7 @@
                                         http::Reply &reply);
     boost::asio::awaitable<void> change(const http::Request &request, const std::string &path,
                                         http::Reply &reply);
+    http::Answer answerOf(const nlohmann::json &body) const;
     void record(const std::string &kind, nlohmann::json object, bool gone);
 
     boost::asio::io_context &io_;
