An owner that doesn't answer has a deputy

Cause: the next server in the order has none of the prompt's parts. Change: where the owner doesn't answer, the box that takes over when it fails is asked for a place at the same server. All boxes ask the same one, so its count bounds what they send. If that is silent too, a random server is used. PlaceWaitTest, AskWaitTest, GatewayTest, CutBoxTest good.

--- a/src/forward/PlaceSearch.cpp
+++ b/src/forward/PlaceSearch.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::size_t MaxOwnersAsked = 3; ///< Before a random server is used without a place.
-// Each costs the whole time limit of an ask, and the next owner may be as slow.
-constexpr std::size_t MaxSilentOwners = 2;
 
 } // namespace
 
@@ -33,12 +31,13 @@
     if (said == OwnerSaid::Granted || requirements.spread) {
         return true;
     }
-    if (said == OwnerSaid::Nothing) {
+    const bool silent = said == OwnerSaid::Nothing;
+    if (silent) {
         silent_.push_back(server);
     }
     requirements.full.push_back(server);
-    requirements.spread =
-            requirements.full.size() >= MaxOwnersAsked || silent_.size() >= MaxSilentOwners;
+    // Silence costs the whole time limit of the asks, and the next owners may be as slow.
+    requirements.spread = silent || requirements.full.size() >= MaxOwnersAsked;
     return false;
 }
 
--- a/src/forward/PlaceSearch.h
+++ b/src/forward/PlaceSearch.h
@@ -23,7 +23,7 @@
 enum class OwnerSaid : std::uint8_t {
     NotAsked,  ///< No owner was asked.
     Granted,   ///< The owner granted a place.
-    Nothing,   ///< The owner didn't answer in time.
+    Nothing,   ///< Neither the owner nor its deputy answered in time.
     AboveBound ///< The owner said that the server is above the load bound.
 };
 
--- a/src/gateway/PlaceAsks.cpp
+++ b/src/gateway/PlaceAsks.cpp
@@ -24,11 +24,18 @@
 
 } // namespace
 
-Place PlaceAsks::placeOf(const peer::AskPermit &ask) const
+// The box asked is 0 if there is none.
+Place PlaceAsks::placeOf(const peer::AskPermit &ask, std::uint64_t silent) const
 {
     auto &members = context_.kernel.find<services::MembershipService>("membership");
-    const auto owner = membership::ownerOf(ask.resource, members.owners());
-    return {ask.request, ask.resource, 0, owner.value_or(0)};
+    Place place{ask.request, ask.resource, 0, 0};
+    for (const std::uint64_t box : membership::rankedOwners(ask.resource, members.owners(), 2)) {
+        if (box != silent) {
+            place.asked = box;
+            break;
+        }
+    }
+    return place;
 }
 
 PlaceAsks::PendingPtr PlaceAsks::addPending(std::uint64_t request)
@@ -50,14 +57,15 @@
     co_return result;
 }
 
-asio::awaitable<AskResult> PlaceAsks::askAndWait(peer::AskPermit ask, OnWait onWait)
+asio::awaitable<AskResult> PlaceAsks::askAndWait(peer::AskPermit ask, OnWait onWait,
+                                                 std::uint64_t silent)
 {
     if (leaving_) {
         ask.waitMs = 0;
         ask.lateMs = 0;
     }
     AskResult result;
-    result.place = placeOf(ask);
+    result.place = placeOf(ask, silent);
     const PendingPtr pending = addPending(ask.request);
     co_await firstAnswer(result.place, ask, pending);
     result.queued = isQueued(pending->answer);
--- a/src/gateway/PlaceAsks.h
+++ b/src/gateway/PlaceAsks.h
@@ -66,8 +66,10 @@
     /** Asks the owner of the requested resource, which may be this box. */
     boost::asio::awaitable<AskResult> ask(peer::AskPermit ask);
 
-    /** The same, and if the owner queues the request, waits for its second answer. */
-    boost::asio::awaitable<AskResult> askAndWait(peer::AskPermit ask, OnWait onWait);
+    /** The same, and if the owner queues the request, waits for its second answer. \param silent a
+     * box that didn't answer; if it is the owner, its deputy is asked. */
+    boost::asio::awaitable<AskResult> askAndWait(peer::AskPermit ask, OnWait onWait,
+                                                 std::uint64_t silent = 0);
 
     /** Tells the owner that a place, or the wait for it, has ended. */
     void giveBack(const Place &place, const PlaceUse &use);
@@ -98,7 +100,7 @@
         kernel::Instant at;
     };
 
-    Place placeOf(const peer::AskPermit &ask) const;
+    Place placeOf(const peer::AskPermit &ask, std::uint64_t silent = 0) const;
     PendingPtr addPending(std::uint64_t request);
     boost::asio::awaitable<void> firstAnswer(Place place, peer::AskPermit ask, PendingPtr pending);
     boost::asio::awaitable<void> waitForPlace(Place place, peer::AskPermit ask, PendingPtr pending,
--- a/src/gateway/PlaceService.cpp
+++ b/src/gateway/PlaceService.cpp
@@ -144,6 +144,14 @@
     ask.seen = static_cast<std::uint32_t>(
             std::lround(fleetView_.servers().load(server.id, context_.now())));
     AskResult result = co_await asks_.askAndWait(ask, std::move(terms.onWait));
+    if (!result.answer && terms.askDeputy) {
+        // The owner may grant it all the same, later.
+        giveBack(result.place, {.unused = true});
+        ask.request = context_.random();
+        result = co_await asks_.askAndWait(ask, {}, result.place.asked);
+        context_.counters.add("deputies_asked",
+                              {{"result", result.answer ? "answered" : "no-answer"}});
+    }
     co_return outcomeOf(server, result);
 }
 
--- a/src/gateway/PlaceService.h
+++ b/src/gateway/PlaceService.h
@@ -53,6 +53,7 @@
     kernel::Duration wait{};        ///< How long it can wait and still be answered in time.
     kernel::Duration late{};        ///< How long beyond that it is still of use.
     kernel::Duration lease{};       ///< How long it may hold the place.
+    bool askDeputy = false;         ///< Whether the owner's deputy is asked if it doesn't answer.
     PlaceAsks::OnWait onWait;
 };
 
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -371,6 +371,7 @@
     terms.identity = returnReserved_ ? 0 : identity();
     terms.lease = std::max<kernel::Duration>(run_.left(), 0s) + LeaseMargin;
     if (!mayWait_) {
+        terms.askDeputy = !requirements.spread;
         return terms;
     }
     constexpr kernel::Duration None{};
