A box out of step takes no stream up by its own record of an equal request

Callers saw: (the users' report) during a release one machine was out of step; streams taken up there went on at a runner of another version (ORDER). Cause: a caller that doesn't name its try is given the version on which all recorded streams of equal requests agree. A box that is cut off from the others asks them in vain, and its own record, of another try at an older version, then agrees with itself. A box that has seen the others die asks nobody. Two boxes that agree ended the asking early. Class: an absence of answers is taken for agreement. Cost: unnamed streams are refused where three of four keepers are silent or a hall isn't seen. Not tried: a box that stands still, one just started, two builds; 1,000 histories.

--- a/src/forward/StreamTable.cpp
+++ b/src/forward/StreamTable.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Of the boxes that are asked, all but one keep the record of any equal request's stream.
+constexpr std::size_t AnswersThatCover = 2;
+
 void extend(StreamRecord &record, const StreamOrigin &origin, kernel::Instant until)
 {
     record.until = std::max(record.until, until);
@@ -101,4 +104,9 @@
     return contradicted_ ? std::nullopt : origin_;
 }
 
+bool coversEqualRequests(const StreamAnswers &answers)
+{
+    return answers.wholeFleet && answers.answered >= std::min(answers.asked, AnswersThatCover);
+}
+
 } // namespace limereel::forward
--- a/src/forward/StreamTable.h
+++ b/src/forward/StreamTable.h
@@ -109,4 +109,20 @@
     bool contradicted_ = false;
 };
 
+/** Who has answered a question about a stream. */
+struct StreamAnswers
+{
+    std::size_t asked = 0; ///< Other boxes that keep records of the request.
+    std::size_t answered = 0;
+    bool wholeFleet = false; ///< Whether the boxes that are seen could be all.
+
+    auto operator<=>(const StreamAnswers &) const = default;
+};
+
+/**
+ * Whether the records of equal requests' streams are those of all of them. A box that is cut off,
+ * or was, may know of one and have missed another, which a server of another version began.
+ */
+bool coversEqualRequests(const StreamAnswers &answers);
+
 } // namespace limereel::forward
--- a/src/gateway/StreamService.cpp
+++ b/src/gateway/StreamService.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StreamService.h"
 
+#include "gateway/FleetSight.h"
 #include "gateway/MessageUnits.h"
 #include "services/MembershipService.h"
 #include "services/PeerService.h"
@@ -212,6 +213,13 @@
     return share > 0s ? std::min(most, share) : most;
 }
 
+// Two boxes that agree on equal requests may both have missed the stream that is asked for.
+bool StreamService::Pending::over() const
+{
+    const bool settled = byAttempt ? sources.settled() : sources.contradicted();
+    return settled || unanswered.empty();
+}
+
 asio::awaitable<StreamLookup> StreamService::find(forward::StreamId id, bool byAttempt,
                                                   kernel::Duration objective)
 {
@@ -222,7 +230,7 @@
     std::erase_if(asked,
                   [self](const forward::StreamKeeper &keeper) { return keeper.box == self; });
     const auto pending =
-            std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), {}, {}});
+            std::make_shared<Pending>(Pending{asio::steady_timer(context_.io), {}, {}, byAttempt});
     const peer::StreamAsk ask{context_.random(), byAttempt, byAttempt ? id.attempt : id.request};
     pending->sources.add(known(ask));
     for (const forward::StreamKeeper &keeper : asked) {
@@ -248,9 +256,12 @@
         co_await recall_(std::max<kernel::Duration>(left, whole / 3));
         pending->sources.add(known(ask));
     }
-    StreamLookup found{pending->sources.origin(), ""};
+    const forward::StreamAnswers answers{asked.size(), asked.size() - pending->unanswered.size(),
+                                         fleetSight(context_).whole};
+    const bool covered = byAttempt || coversEqualRequests(answers);
+    StreamLookup found{covered ? pending->sources.origin() : std::nullopt, ""};
     if (!found.origin) {
-        const bool silent = !pending->unanswered.empty();
+        const bool silent = !covered || !pending->unanswered.empty();
         found.why = pending->sources.contradicted() ? "contradicted"
                     : silent                        ? "no-answer"
                                                     : "not-recorded";
--- a/src/gateway/StreamService.h
+++ b/src/gateway/StreamService.h
@@ -78,7 +78,8 @@
         boost::asio::steady_timer timer;
         forward::StreamSources sources;
         std::vector<std::uint64_t> unanswered; ///< Boxes.
-        bool over() const { return sources.settled() || unanswered.empty(); }
+        bool byAttempt = true;
+        bool over() const;
     };
     using PendingPtr = std::shared_ptr<Pending>;
 
--- a/test/correctness/StreamTableTest.cpp
+++ b/test/correctness/StreamTableTest.cpp
@@ -198,4 +198,16 @@
     }
 }
 
+// Guards against a box that takes its own record of an equal request for all that there is.
+BOOST_AUTO_TEST_CASE(coversEqualRequests_fewAnswerOrFleetIsCut_doesNot)
+{
+    for (std::size_t asked = 0; asked <= 4; ++asked) {
+        for (std::size_t answered = 0; answered <= asked; ++answered) {
+            const bool enough = answered == asked || answered >= 2;
+            BOOST_TEST(coversEqualRequests({asked, answered, true}) == enough);
+            BOOST_TEST(!coversEqualRequests({asked, answered, false}));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -475,6 +475,43 @@
     BOOST_TEST(hall.takeUpAt(2, "first", pending->answer.body, "third").lastStatus == 503);
 }
 
+// Guards against a box that is out of step: it has a list that is behind and, cut off from the
+// other boxes, knows an equal request's stream alone. A caller that doesn't name its try must not
+// be given that one's version.
+BOOST_AUTO_TEST_CASE(boxIsOutOfStep_callerDoesNotNameItsFirstTry_noStreamHoldsTwoVersions)
+{
+    for (const bool othersSeemDead : {false, true}) {
+        for (const Versions &versions : Arrangements) {
+            StreamVersions hall;
+            hall.start(versions, 1, 2);
+            hall.leave(hall.beginStream(0, "equal"));
+            const std::size_t left = hall.beginner();
+            hall.store().remove("servers", hall.runner(left).name());
+            hall.until(
+                    [&] {
+                        const std::string &id = hall.runner(left).name();
+                        return !hall.world(1).servers().find(id)
+                               && !hall.world(2).servers().find(id);
+                    },
+                    "the others know that the server leaves");
+            hall.setReachesBoxes(0, false);
+            const auto pending = hall.beginStream(1, "first");
+            hall.leave(pending);
+            if (othersSeemDead) {
+                hall.until([&] { return hall.boxesKnownTo(0) == 1; }, "the others seem dead");
+            }
+            const Held held = hall.takeUpAt(0, "", pending->answer.body);
+            const std::string what = describe(versions) + (othersSeemDead ? ", alone" : ", cut");
+            BOOST_TEST(versionsIn(held.events).size() == 1U, what << ": events of two versions");
+            BOOST_TEST(held.lastStatus == 503, what << ": the caller isn't told to come back");
+            hall.setReachesBoxes(0, true);
+            hall.until([&] { return hall.boxesKnownTo(0) == Boxes; }, "the boxes know each other");
+            const Held named = hall.takeUpAt(0, "first", pending->answer.body, "third");
+            BOOST_TEST(versionsIn(named.events).size() == 1U, what << ": two versions, named");
+        }
+    }
+}
+
 // Guards against a stream of two versions after all boxes have lost power, and against one that is
 // refused although it was told to the store.
 BOOST_AUTO_TEST_CASE(allBoxesLosePower_callerTakesStreamUp_goesOnAtTheVersionThatBeganIt)
