A new owner heeds what other boxes believe to run at an engine

Cause: the load bound was held against the places that the owner has granted itself. A new owner has granted none, so it grants up to the bound once more on top of what runs; for limits of places it already assumed what others believe for two seconds, not for the bound. Evidence: PlaceWaitTest/ownerIsNew_* fails before: a place is granted at an engine that the asking box believes to run 40. Change: PlaceBook::believedLoad, the more of the places taken and, while the owner is new, what boxes believe. Result: PlaceBookTest, PlaceWaitTest good. How many sends this concerns at 295 boxes wasn't measured.

--- a/src/admission/PlaceBook.cpp
+++ b/src/admission/PlaceBook.cpp
@@ -218,6 +218,16 @@
     return found == servers_.end() ? 0 : static_cast<std::uint32_t>(found->second.places.size());
 }
 
+std::uint32_t PlaceBook::believedLoad(const PlaceRequest &ask, Instant now) const
+{
+    const auto found = servers_.find(ask.server);
+    if (found == servers_.end()) {
+        return ask.seen;
+    }
+    const bool settling = now - found->second.firstAsked < policy_.settle;
+    return std::max(loadOf(found->second, now), settling ? ask.seen : 0);
+}
+
 PlaceBook::Server &PlaceBook::serverOf(const PlaceRequest &ask, Instant now)
 {
     auto found = servers_.find(ask.server);
--- a/src/admission/PlaceBook.h
+++ b/src/admission/PlaceBook.h
@@ -129,6 +129,10 @@
     /** Places taken at \a server. */
     std::uint32_t load(std::uint64_t server) const;
 
+    /** Requests that run at the server of \a ask, for all that a new owner can know: the places
+     * taken, or what other boxes believe if that is more. */
+    std::uint32_t believedLoad(const PlaceRequest &ask, kernel::Instant now) const;
+
 private:
     struct Place
     {
--- a/src/gateway/PlaceOwner.cpp
+++ b/src/gateway/PlaceOwner.cpp
@@ -350,23 +350,24 @@
 {
     const forward::FleetSize fleet = fleetFor(ask.resource);
     const double bound = ledger_.noteReport(placeAskOf(ask), fleet, context_.now());
-    const bool above = ask.chat != 0 && book_.load(ask.resource) + 1 > bound;
+    const std::uint32_t load = book_.believedLoad(placeRequestOf(ask), context_.now());
+    const bool above = ask.chat != 0 && load + 1 > bound;
     if (above) {
-        logAboveBound(ask, fleet, bound);
+        logAboveBound(ask, fleet, {load, bound});
     }
     return above;
 }
 
 void PlaceOwner::logAboveBound(const peer::AskPermit &ask, const forward::FleetSize &fleet,
-                               double bound) const
+                               const LoadAndBound &found) const
 {
     const kernel::Instant now = context_.now();
     log().event("above-bound",
                 {{"permit", ask.request},
                  {"server", ask.resource},
                  {"box", ask.router},
-                 {"load", book_.load(ask.resource)},
-                 {"bound", bound},
+                 {"load", found.load},
+                 {"bound", found.bound},
                  {"mean", ledger_.meanLoad(ask.organisation, fleet, now)},
                  {"reports", ledger_.recentReports(ask.organisation, now)},
                  {"boxes", fleet.boxes},
--- a/src/gateway/PlaceOwner.h
+++ b/src/gateway/PlaceOwner.h
@@ -88,6 +88,13 @@
         std::optional<kernel::Endpoint> from;
     };
 
+    /** The load of a server, and the most that is granted there. */
+    struct LoadAndBound
+    {
+        std::uint32_t load = 0;
+        double bound = 0;
+    };
+
     bool admits() const { return context_.settings.gateway.admission; }
     peer::PermitAnswer decideByLedger(const peer::AskPermit &ask);
     peer::PermitAnswer decideByBook(const peer::AskPermit &ask,
@@ -96,7 +103,7 @@
     void suggestHolders(const peer::AskPermit &ask, peer::PermitAnswer &reply);
     bool aboveBound(const peer::AskPermit &ask);
     void logAboveBound(const peer::AskPermit &ask, const forward::FleetSize &fleet,
-                       double bound) const;
+                       const LoadAndBound &found) const;
     void refuseStart(const peer::AskPermit &ask, peer::PermitAnswer &reply);
     void deliver(const std::vector<admission::Decision> &decisions);
     void armSettleTimer();
--- a/test/correctness/PlaceBookTest.cpp
+++ b/test/correctness/PlaceBookTest.cpp
@@ -1288,4 +1288,16 @@
     BOOST_TEST(book.anyWaiting());
 }
 
+// Guards against a new owner that takes a server for idle, as it has granted nothing there yet.
+BOOST_FIXTURE_TEST_CASE(believedLoad_ownerIsNew_isWhatOtherBoxesBelieve, BookFixture)
+{
+    PlaceRequest ask = requestOf(1, 1s);
+    ask.seen = 9;
+    BOOST_TEST(book.believedLoad(ask, at(0s)) == 9U);
+    verdict(requestOf(2, 1s), at(0s));
+    BOOST_TEST(book.believedLoad(ask, at(1999ms)) == 9U);
+    // By then other boxes have heard of the owner, and it has counted what came since.
+    BOOST_TEST(book.believedLoad(ask, at(2s)) == book.load(Server));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/PlaceWaitTest.cpp
+++ b/test/platform/PlaceWaitTest.cpp
@@ -696,4 +696,20 @@
     BOOST_TEST(next<peer::GiveBack>().request != 0U);
 }
 
+// Guards against a new owner of an engine that grants places there up to the bound once more.
+BOOST_FIXTURE_TEST_CASE(ownerIsNew_engineIsBelievedAboveTheBound_placeIsntGranted,
+                        ShortageOfTwoBoxes)
+{
+    startWithOther(false);
+    listSmall(*ours);
+    until([this] { return world().servers().ids().size() == 2; }, "the other server");
+    peer::AskPermit ask = askOf(1, 64);
+    ask.chat = 5;
+    ask.seen = 40;
+    BOOST_TEST((askHere(ask).result == PermitResult::Full));
+    ask = askOf(2, 64);
+    ask.chat = 5;
+    BOOST_TEST((askHere(ask).result == PermitResult::Granted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
