ServerSelection: one way to use a server, one limit of owners asked

Cause: the search's limit stood twice, and the end of a choice three times. Change: MaxOwnersAsked belongs to PlaceSearch; use() ends a choice; a comment that spoke of the earlier rule. Behaviour stays. Result: PlaceWaitTest and SendBoundTest good.

--- a/src/forward/PlaceSearch.cpp
+++ b/src/forward/PlaceSearch.cpp
@@ -4,12 +4,6 @@
 
 namespace limereel::forward {
 
-namespace {
-
-constexpr std::size_t MaxOwnersAsked = 3; ///< Before a random server is used without a place.
-
-} // namespace
-
 std::string_view text(OwnerSaid said)
 {
     switch (said) {
--- a/src/forward/PlaceSearch.h
+++ b/src/forward/PlaceSearch.h
@@ -33,6 +33,9 @@
 class PlaceSearch
 {
 public:
+    /** Owners that are asked before a random server is used, with or without a place. */
+    static constexpr std::size_t MaxOwnersAsked = 3;
+
     /** Whether the request is sent to \a server, whose owner said this. Otherwise another server is
      * to be chosen, and \a requirements exclude this one as long as there are others. */
     bool mayUse(OwnerSaid said, const std::string &server, ServerRequirements &requirements);
--- a/src/gateway/ServerSelection.cpp
+++ b/src/gateway/ServerSelection.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t MaxOwnersAsked = 3; ///< Owners that are asked for a place.
+constexpr std::size_t MaxOwnersAsked = forward::PlaceSearch::MaxOwnersAsked;
 // Owners that may queue the request. A second one still finds a place where the first has ended or
 // its answer was lost; each further one costs the caller more time than it is likely to gain.
 constexpr std::size_t MaxWaitingAsks = 2;
@@ -208,7 +208,8 @@
 ServerSelection::takePlace(forward::ServerRequirements &requirements, forward::Choice &choice)
 {
     if (search_.wasSilent(choice.server.id)) {
-        co_return co_await useUnanswered(requirements, choice);
+        // No better one is left, and a second ask would cost as much time again.
+        co_return co_await use(requirements, choice);
     }
     if (admits() && (requirements.prompt != nullptr || mayWait_)) {
         co_return co_await admit(requirements, choice);
@@ -222,10 +223,8 @@
     co_return taken ? Step::Taken : Step::Next;
 }
 
-// No better server is left than one whose owner didn't answer, and a second ask would cost as much
-// time again.
 asio::awaitable<ServerSelection::Step>
-ServerSelection::useUnanswered(forward::ServerRequirements &requirements, forward::Choice &choice)
+ServerSelection::use(forward::ServerRequirements &requirements, forward::Choice &choice)
 {
     if (requirements.prompt != nullptr) {
         co_await assignPartSource(requirements, choice);
@@ -308,14 +307,11 @@
     if (!knownFree && !search_.mayUse(said, choice.server.id, requirements)) {
         co_return passOver(requirements, choice);
     }
-    if (requirements.prompt != nullptr) {
-        co_await assignPartSource(requirements, choice);
-    }
-    co_return Step::Taken;
+    co_return co_await use(requirements, choice);
 }
 
-// While a service isn't short, a request whose owner doesn't answer is sent, as without admission
-// control. While it is short, it is sent only where this box itself knows of a free slot.
+// While a service is short, a request whose owner doesn't answer is sent only where this box itself
+// knows of a free slot.
 bool ServerSelection::mayUseUnanswered(const forward::ListedServer &server) const
 {
     return !isShort() || run_.fleetView.servers().hasFreeSlot(server.id, run_.context.now());
--- a/src/gateway/ServerSelection.h
+++ b/src/gateway/ServerSelection.h
@@ -81,8 +81,8 @@
     queueAtBest(forward::ServerRequirements &requirements);
     Step afterRefusal(forward::ServerRequirements &requirements, const forward::Choice &choice,
                       const PlaceOutcome &outcome);
-    boost::asio::awaitable<Step> useUnanswered(forward::ServerRequirements &requirements,
-                                               forward::Choice &choice);
+    boost::asio::awaitable<Step> use(forward::ServerRequirements &requirements,
+                                     forward::Choice &choice);
     boost::asio::awaitable<Step> useOrPassOver(forward::ServerRequirements &requirements,
                                                forward::Choice &choice);
     Step passOver(forward::ServerRequirements &requirements, const forward::Choice &choice);
