A box that didn't answer is asked again after two seconds

Cause: after two asks in a row without an answer a box took the owner for unreachable until that box's own heartbeat came to it. A box sends two a second, so among 295 that takes up to 147 s (worked out), though all others say meanwhile that it lives. Each box that had met a late answer asked another owner for so long: two owners and more, each granting up to the bound. MembershipTest/noteUnreachable_fleetOf295_* before: 94 of 100 boxes still don't take a live box for an owner 3 s later. Change: the mark ends after two seconds (HeartbeatPolicy::unreachableFor), or with the box's own heartbeat. A box that is dead is found by the heartbeats as before; one that only this box can't reach costs two time limits each two seconds, and its deputy answers meanwhile. Result: 0 of 100; MembershipTest good.

--- a/src/membership/HeartbeatTable.cpp
+++ b/src/membership/HeartbeatTable.cpp
@@ -73,7 +73,7 @@
     const Duration dead = deadAfter();
     if (!states.empty() && states.front().box != self_.box) {
         Peer &sender = peer(states.front().box, now);
-        sender.unreachable = false;
+        sender.unreachableUntil = now;
         mergeLastHeard(sender, now, dead, now);
     }
     const std::vector<BoxAge> sortedAges = sortedByBox(ages);
@@ -141,7 +141,7 @@
 void HeartbeatTable::noteUnreachable(std::uint64_t box, Instant now)
 {
     if (box != self_.box) {
-        peer(box, now).unreachable = true;
+        peer(box, now).unreachableUntil = now + policy_.unreachableFor;
     }
 }
 
@@ -176,7 +176,7 @@
     if (silent > bounds.dead) {
         return Liveness::Dead;
     }
-    if (entry.unreachable || silent > bounds.suspected) {
+    if (now < entry.unreachableUntil || silent > bounds.suspected) {
         return Liveness::Suspected;
     }
     return now < entry.dampedUntil ? Liveness::Damped : Liveness::Live;
--- a/src/membership/HeartbeatTable.h
+++ b/src/membership/HeartbeatTable.h
@@ -63,7 +63,10 @@
     std::size_t introductionDivisor = 8;
     kernel::Duration suspectAfter = 8s; ///< Minimum silence; longer with many boxes.
     kernel::Duration deadAfter = 14s;   ///< Minimum silence; see HeartbeatTable::deadAfter().
-    kernel::Duration dampFor = 10s;     ///< First damping; doubled with each further death.
+    /** How long a box that didn't answer owns nothing, as far as this one is concerned. The others
+     * still ask it, so two boxes own the same resources meanwhile. */
+    kernel::Duration unreachableFor = 2s;
+    kernel::Duration dampFor = 10s; ///< First damping; doubled with each further death.
     kernel::Duration dampAtMost = 120s;
     kernel::Duration forgetAfter = 600s; ///< A dead box and its damping are dropped then.
 };
@@ -115,8 +118,8 @@
     splitIntoMessages(const std::vector<BoxState> &introduction) const;
 
     /**
-     * Notes that a box didn't answer a direct message; it is suspected until it is heard from
-     * again.
+     * Notes that a box didn't answer a direct message; it is suspected for a short time, unless its
+     * own heartbeat comes first.
      */
     void noteUnreachable(std::uint64_t box, kernel::Instant now);
 
@@ -148,7 +151,7 @@
         kernel::Instant dampedUntil;
         std::size_t deaths = 0;
         bool deathCounted = false;
-        bool unreachable = false;
+        kernel::Instant unreachableUntil; ///< Until then it isn't asked for anything.
         std::size_t passedOn = 0;
     };
 
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -560,6 +560,26 @@
     BOOST_TEST((hall.table(1).owners(hall.now()) == hall.all()));
 }
 
+// Guards against two owners of one server for minutes: boxes that got no answer of its owner in
+// time ask another box until the owner's own heartbeat comes, which takes longer the larger the
+// fleet is.
+BOOST_AUTO_TEST_CASE(noteUnreachable_fleetOf295AndBoxIsLive_allTakeItForTheOwnerAgainSoon)
+{
+    constexpr std::uint64_t Late = 7;
+    constexpr std::uint64_t Askers = 100; // Which got no answer of it.
+    Hall hall(295);
+    hall.periods(3);
+    for (std::uint64_t box = Late + 1; box <= Late + Askers; ++box) {
+        hall.table(box).noteUnreachable(Late, hall.now());
+    }
+    hall.periods(3);
+    std::size_t split = 0;
+    for (std::uint64_t box = 1; box <= 295; ++box) {
+        split += std::ranges::binary_search(hall.table(box).owners(hall.now()), Late) ? 0 : 1;
+    }
+    BOOST_TEST(split == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(backendHealth_outages_requireMoreProbes)
 {
     const Instant now{kernel::Duration(3600s)};
