A lost store is logged with the call that failed

Cause: 'store-lost' told neither whether a list or a watch was refused, nor behind which name a list was to go on, so the hypotheses of the service that didn't come back can't be told apart by the logs. Change: the line names the last call, the name behind which it asked and how many objects were read before. No decision changes.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -29,6 +29,9 @@
 // many delay requests by about 10 ms on a box with an eighth of a core.
 constexpr std::size_t MaxBatch = 64;
 
+// Another writer's name may be as long as an object.
+constexpr std::size_t MaxLoggedName = 200;
+
 // Lets other handlers of the event loop run: parsing, applying and storing a large answer are split
 // over several turns of the loop.
 asio::awaitable<void> yieldToLoop()
@@ -208,7 +211,12 @@
     notifyWaiters();
     if (!failing_) {
         failing_ = true;
-        log().event("store-lost", {{"kind", kind_}, {"why", why}},
+        log().event("store-lost",
+                    {{"kind", kind_},
+                     {"why", why},
+                     {"call", lastCall_.what},
+                     {"after", lastCall_.after.substr(0, MaxLoggedName)},
+                     {"read", lastCall_.read}},
                     "The feed has lost contact with the store.");
     }
 }
@@ -373,6 +381,7 @@
         const auto &objects = listing_->objects;
         const std::string after = objects.empty() ? std::string() : objects.back().name;
         std::string target = format_.listTarget(kind_, after);
+        lastCall_ = {"list", after, objects.size()};
         const kernel::Instant asked = context_.now();
         const kernel::Duration timeout =
                 store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
@@ -440,6 +449,7 @@
     const kernel::Duration answerTimeout = store::answerWait(pace, latency_);
     const kernel::Duration timeout = wait + answerTimeout;
     std::string target = format_.watchTarget(kind_, *at_, wait);
+    lastCall_ = {"watch", {}, 0};
     const auto answer = co_await askStore(std::move(target),
                                           {timeout, answerTimeout, timeout + MaxListingTime});
     if (answer && answer->status == HistoryGone) {
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -178,9 +178,18 @@
         std::vector<store::KeptObject> kept; ///< The same objects, serialized for other boxes.
     };
 
+    /** The last call to the store, for the log. */
+    struct LastCall
+    {
+        const char *what = "none"; ///< "list" or "watch".
+        std::string after;         ///< The name behind which a list was to go on.
+        std::size_t read = 0;      ///< Objects of the list that were read before.
+    };
+
     services::Context &context_;
     const store::ObjectFormat &format_;
     std::string kind_;
+    LastCall lastCall_;
     FeedPaces paces_;
     FeedSources &sources_;
     FeedHooks hooks_;
