Test: names of other writers in targets, against a store that decodes strictly

Cause: no test could see a name that changes a target: the store's stand-in neither decoded targets nor refused any. Change: the stand-in reads targets by RFC 3986 (Boost.URL) and answers 400 to what is none; OddNameTest lists servers with such names before sound ones, one object a page. A box that starts knows none of the sound servers in 30 s with a00%, a01%zz, a02&b=, a03+, a05 with two bytes of UTF-8, a06#x, a08 with a blank, CR LF and 0x7f; refused (hypothesis A) or asked for the same page for ever (B, 02 and 03). With a04%C3%A9, a07?y, a09/b and 1 KB of x it knows them here.

--- /dev/null
+++ b/test/platform/OddNameTest.cpp
@@ -0,0 +1,129 @@
+// Names that other writers gave to objects of the store: whatever stands in one, it arrives as it
+// was written wherever a box asks for it, and costs no other object of its list.
+
+#include "gateway/FleetView.h"
+#include "platform/GatewayFixture.h"
+#include "platform/Objects.h"
+#include "support/DecodedTarget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+
+namespace {
+
+constexpr const char *Servers = "servers";
+
+/** Of each kind of byte that means something in a target, in a field or in a line. */
+const std::vector<std::string> OddNamesOfServers = {"a00%",
+                                                    "a01%zz",
+                                                    "a02&b=",
+                                                    "a03+",
+                                                    "a04%C3%A9",
+                                                    "a05\xC3\xA9",
+                                                    "a06#x",
+                                                    "a07?y",
+                                                    "a08 b",
+                                                    "a09/b",
+                                                    "a10\r\nHost: other",
+                                                    "a11\x7f",
+                                                    std::string(1024, 'x')};
+
+std::vector<std::string> oddNames()
+{
+    std::vector<std::string> names = OddNamesOfServers;
+    names.insert(names.end(),
+                 {".", "..", "\xE2\x82\xAC", "\xF0\x9F\x98\x80", std::string("a\0b", 3)});
+    for (int byte = 1; byte < 0x80; ++byte) {
+        names.push_back(std::string("b") + static_cast<char>(byte) + "c");
+    }
+    return names;
+}
+
+/** How a name is shown in the output of a test. */
+std::string shown(const std::string &name)
+{
+    return nlohmann::json(name.substr(0, 40)).dump();
+}
+
+/** A gateway whose store has objects with odd names among its servers, one object a page. */
+struct OddNames : support::GatewayFixture
+{
+    OddNames() { putConfiguration(configuration(1)); }
+
+    /** Lists a server that stands in front of the sound ones. */
+    void listOdd(const std::string &name)
+    {
+        store().put(Servers, name, entryOf(runner(0), "pool"));
+    }
+
+    void listSound()
+    {
+        store().put(Servers, "z-first", entryOf(runner(0), "pool"));
+        store().put(Servers, "z-last", entryOf(runner(1), "pool"));
+    }
+
+    void startAndLearn()
+    {
+        store().pageSize = 1;
+        start();
+        until([this] { return ready() && known("z-first") && known("z-last"); },
+              "readiness with all sound servers");
+    }
+
+    bool known(const std::string &id)
+    {
+        return context().kernel.find<gateway::FleetView>("world").servers().find(id).has_value();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OddNameTest)
+
+// Guards against a name that goes into a target as it is: the store reads another name, or refuses.
+BOOST_AUTO_TEST_CASE(targets_oddName_isReadAsWritten)
+{
+    const store::ObjectFormat format = platform::objectFormat();
+    for (const std::string &name : oddNames()) {
+        const auto list = support::decodeTarget(format.listTarget(Servers, name));
+        BOOST_TEST_CONTEXT(shown(name))
+        {
+            BOOST_REQUIRE(list.has_value());
+            BOOST_TEST((list->query == std::map<std::string, std::string>{{"after_rev", name}}));
+            BOOST_TEST(list->segments.back() == Servers);
+            const auto object = support::decodeTarget(format.objectTarget(Servers, name));
+            BOOST_REQUIRE(object.has_value());
+            BOOST_TEST(object->segments.back() == name);
+            BOOST_TEST(object->segments.size() == list->segments.size() + 1);
+            BOOST_TEST(object->query.empty());
+        }
+    }
+}
+
+// Guards against a list that can't be read past one name, so that a box that starts has no server.
+BOOST_AUTO_TEST_CASE(list_oddNameEndsAPage_boxKnowsAllServers)
+{
+    for (const std::string &name : OddNamesOfServers) {
+        BOOST_TEST_CONTEXT(shown(name))
+        {
+            OddNames fixture;
+            fixture.listOdd(name);
+            fixture.listSound();
+            BOOST_CHECK_NO_THROW(fixture.startAndLearn());
+        }
+    }
+}
+
+// Guards against the same after all boxes have lost what they knew.
+BOOST_FIXTURE_TEST_CASE(restart_namesOfTheRecord_boxServes, OddNames)
+{
+    for (const char *name : {"a00%", "a01%zz", "a02&b=", "a03+", "a04%C3%A9"}) {
+        listOdd(name);
+    }
+    listSound();
+    startAndLearn();
+    BOOST_TEST(call(request("POST", "/again/x")).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::string_view Prefix = "/v1/objects/";
+const std::vector<std::string> Prefix = {"v1", "objects"};
+constexpr int NoTarget = 400;
 
 http::ServerLimits limits()
 {
@@ -81,6 +82,21 @@
     record(kind, std::move(object), true);
 }
 
+std::optional<StoreStandin::Subject> StoreStandin::subjectOf(const http::Request &request)
+{
+    const auto target = support::decodeTarget(request.target);
+    const std::size_t least = Prefix.size() + 1;
+    if (!target || target->segments.size() < least || target->segments.size() > least + 1
+        || !std::equal(Prefix.begin(), Prefix.end(), target->segments.begin())) {
+        return std::nullopt;
+    }
+    Subject subject{target->segments[Prefix.size()], std::nullopt, target->query};
+    if (target->segments.size() > least) {
+        subject.name = target->segments.back();
+    }
+    return subject;
+}
+
 asio::awaitable<void> StoreStandin::handle(http::Request request, http::Reply &reply)
 {
     ++calls_;
@@ -98,36 +114,35 @@
         co_await reply.send(std::move(refused));
         co_return;
     }
-    const std::string kind(request.path().substr(Prefix.size()));
-    if (request.method == "POST") {
-        co_await create(request, kind, reply);
-        co_return;
-    }
-    if (request.method != "GET") {
-        co_await change(request, kind, reply);
-        co_return;
-    }
-    if (kind.find('/') != std::string::npos) {
-        co_await one(kind, reply);
-    } else if (request.query("watch").empty()) {
-        co_await list(request, kind, reply);
+    const auto subject = subjectOf(request);
+    if (!subject) {
+        http::Answer refused(NoTarget);
+        co_await reply.send(std::move(refused));
+    } else if (request.method == "POST") {
+        co_await create(request, *subject, reply);
+    } else if (request.method != "GET") {
+        co_await change(request, *subject, reply);
+    } else if (subject->name) {
+        co_await one(*subject, reply);
+    } else if (subject->query.contains("watch")) {
+        co_await watch(*subject, reply);
     } else {
-        co_await watch(request, kind, reply);
+        co_await list(*subject, reply);
     }
 }
 
-asio::awaitable<void> StoreStandin::one(const std::string &path, http::Reply &reply)
+asio::awaitable<void> StoreStandin::one(const Subject &subject, http::Reply &reply)
 {
-    const std::size_t slash = path.find('/');
-    const auto &objects = objects_[path.substr(0, slash)];
-    const auto there = objects.find(path.substr(slash + 1));
+    const auto &objects = objects_[subject.kind];
+    const auto there = objects.find(*subject.name);
     http::Answer answer = there == objects.end() ? http::Answer(404) : answerOf(there->second);
     co_await reply.send(std::move(answer));
 }
 
-asio::awaitable<void> StoreStandin::create(const http::Request &request, const std::string &kind,
+asio::awaitable<void> StoreStandin::create(const http::Request &request, const Subject &subject,
                                            http::Reply &reply)
 {
+    const std::string &kind = subject.kind;
     const json object = json::parse(request.body);
     const std::string name = object.at("metadata").at("name");
     const bool isNew = !objects_[kind].contains(name);
@@ -139,12 +154,11 @@
     co_await reply.send(std::move(answer));
 }
 
-asio::awaitable<void> StoreStandin::change(const http::Request &request, const std::string &path,
+asio::awaitable<void> StoreStandin::change(const http::Request &request, const Subject &subject,
                                            http::Reply &reply)
 {
-    const std::size_t slash = path.find('/');
-    const std::string kind = path.substr(0, slash);
-    const std::string name = path.substr(slash + 1);
+    const std::string &kind = subject.kind;
+    const std::string name = subject.name.value_or("");
     const auto there = objects_[kind].find(name);
     http::Answer answer(404);
     if (there != objects_[kind].end() && request.method == "DELETE") {
@@ -164,13 +178,13 @@
     co_await reply.send(std::move(answer));
 }
 
-asio::awaitable<void> StoreStandin::list(const http::Request &request, const std::string &kind,
-                                         http::Reply &reply)
+asio::awaitable<void> StoreStandin::list(const Subject &subject, http::Reply &reply)
 {
-    const std::string after = request.query("after_rev");
+    const auto behind = subject.query.find("after_rev");
+    const std::string after = behind == subject.query.end() ? std::string() : behind->second;
     json items = json::array();
     bool more = false;
-    for (const auto &[name, object] : objects_[kind]) {
+    for (const auto &[name, object] : objects_[subject.kind]) {
         if (name <= after) {
             continue;
         }
@@ -186,13 +200,12 @@
     co_await reply.send(std::move(answer));
 }
 
-asio::awaitable<void> StoreStandin::watch(const http::Request &request, const std::string &kind,
-                                          http::Reply &reply)
+asio::awaitable<void> StoreStandin::watch(const Subject &subject, http::Reply &reply)
 {
-    const std::uint64_t since = std::stoull(request.query("watch"));
+    const std::uint64_t since = std::stoull(subject.query.at("watch"));
     const kernel::Instant until =
             std::chrono::time_point_cast<kernel::Duration>(std::chrono::steady_clock::now())
-            + 1ms * std::stoll(request.query("wait_ms"));
+            + 1ms * std::stoll(subject.query.at("wait_ms"));
     if (since < forgotten_) {
         http::Answer gone(410);
         co_await reply.send(std::move(gone));
@@ -202,7 +215,7 @@
     asio::steady_timer timer(io_);
     while (true) {
         for (const Change &change : changes_) {
-            if (change.revision > since && change.kind == kind) {
+            if (change.revision > since && change.kind == subject.kind) {
                 events.push_back(change.event);
             }
         }
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -1,15 +1,18 @@
 /** \file
  * A small stand-in for the platform's store, as far as docs/interfaces/users-platform.md relies on
- * it: objects by kind and name, lists in pages, waiting watches, lost history; faults on demand.
+ * it: objects by kind and name, lists in pages, waiting watches, lost history; faults on demand. It
+ * decodes targets strictly, and answers 400 to what is none.
  */
 #pragma once
 
 #include "http/Server.h"
+#include "support/DecodedTarget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -73,15 +76,22 @@
         nlohmann::json event;
     };
 
+    /** What a call is about. */
+    struct Subject
+    {
+        std::string kind;
+        std::optional<std::string> name;
+        std::map<std::string, std::string> query;
+    };
+
+    static std::optional<Subject> subjectOf(const http::Request &request);
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
-    boost::asio::awaitable<void> list(const http::Request &request, const std::string &kind,
-                                      http::Reply &reply);
-    boost::asio::awaitable<void> watch(const http::Request &request, const std::string &kind,
-                                       http::Reply &reply);
-    boost::asio::awaitable<void> one(const std::string &path, http::Reply &reply);
-    boost::asio::awaitable<void> create(const http::Request &request, const std::string &kind,
+    boost::asio::awaitable<void> list(const Subject &subject, http::Reply &reply);
+    boost::asio::awaitable<void> watch(const Subject &subject, http::Reply &reply);
+    boost::asio::awaitable<void> one(const Subject &subject, http::Reply &reply);
+    boost::asio::awaitable<void> create(const http::Request &request, const Subject &subject,
                                         http::Reply &reply);
-    boost::asio::awaitable<void> change(const http::Request &request, const std::string &path,
+    boost::asio::awaitable<void> change(const http::Request &request, const Subject &subject,
                                         http::Reply &reply);
     http::Answer answerOf(const nlohmann::json &body) const;
     void record(const std::string &kind, nlohmann::json object, bool gone);
--- /dev/null
+++ b/test/support/DecodedTarget.h
@@ -0,0 +1,27 @@
+/** \file
+ * The target of a request as a strict server reads it: what isn't a target by RFC 3986 is refused,
+ * escapes are decoded, and a plus sign in the query is a blank.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limereel::support {
+
+/** A decoded target. */
+struct DecodedTarget
+{
+    std::vector<std::string> segments;
+    std::map<std::string, std::string> query;
+
+    auto operator<=>(const DecodedTarget &) const = default;
+};
+
+/** Decodes \a target; nullopt if it is none. */
+std::optional<DecodedTarget> decodeTarget(std::string_view target);
+
+} // namespace limereel::support
