--- a/test/platform/OddNameTest.cpp
+++ b/test/platform/OddNameTest.cpp
@@ -54,20 +54,20 @@
     /** Lists a server that stands in front of the sound ones. */
     void listOdd(const std::string &name)
     {
-        store().put(Servers, name, entryOf(runner(0), "pool"));
+        store().put(Servers, name, entryOf(runner(0), "other"));
     }
 
     void listSound()
     {
-        store().put(Servers, "z-first", entryOf(runner(0), "pool"));
-        store().put(Servers, "z-last", entryOf(runner(1), "pool"));
+        list(runner(0), "pool");
+        list(runner(1), "pool");
     }
 
     void startAndLearn()
     {
         store().pageSize = 1;
         start();
-        until([this] { return ready() && known("z-first") && known("z-last"); },
+        until([this] { return ready() && known(runner(0).name()) && known(runner(1).name()); },
               "readiness with all sound servers");
     }
 
