ObjectFeed: what reads the store's JSON and what asks relays have files of their own

Change: StoredJson reads answers and kept objects in slices; FeedRelaying.cpp holds how relays are asked and their answers applied. Moved as it was; behaviour is unchanged. OddNameTest, OddEntryTest, GatewayTest, GatewayStallTest, LostHistoryTest, RelayQuestionsTest and GatewayRelayTest are good.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -1,7 +1,6 @@
 #include "gateway/ObjectFeed.h"
 
 #include "gateway/KeptObjects.h"
-#include "http/JsonSlices.h"
 #include "kernel/Log.h"
 #include "store/ListWait.h"
 
@@ -25,20 +24,9 @@
 constexpr kernel::Duration RelayDiscoveryPoll = 100ms;
 // More than one page of the store.
 constexpr std::size_t LongList = 500;
-// Requests wait while objects are processed. At an estimated tens of microseconds per object, this
-// many delay requests by about 10 ms on a box with an eighth of a core.
-constexpr std::size_t MaxBatch = 64;
-
 // Another writer's name may be as long as an object.
 constexpr std::size_t MaxLoggedName = 200;
 
-// Lets other handlers of the event loop run: parsing, applying and storing a large answer are split
-// over several turns of the loop.
-asio::awaitable<void> yieldToLoop()
-{
-    co_await asio::post(asio::use_awaitable);
-}
-
 const kernel::Log &log()
 {
     static const kernel::Log Log("feed");
@@ -59,6 +47,7 @@
     , book_(paces.sources)
     , storeConnection_(context, "store")
     , relayClient_(context)
+    , json_(context, kind_)
     , began_(context.now())
     , loop_(std::make_unique<services::PeriodicTask>(context.io, [this] { return round(); }))
 {
@@ -297,53 +286,13 @@
     return *knownAsOf_ + search;
 }
 
-// An object that another writer has spoilt costs no other.
-asio::awaitable<json> ObjectFeed::readBody(const std::string &body)
-{
-    json value = co_await readSlices(body);
-    if (!value.is_discarded()) {
-        co_return value;
-    }
-    const auto repaired = http::repairJson(body);
-    if (!repaired) {
-        co_return value;
-    }
-    noteRepaired(*repaired);
-    co_return co_await readSlices(repaired->text);
-}
-
-asio::awaitable<json> ObjectFeed::readSlices(std::string_view text)
-{
-    http::JsonSlices slices(text);
-    while (slices.readSlice()) {
-        context_.counters.add("store_answer_slices", {{"kind", kind_}});
-        co_await yieldToLoop();
-    }
-    co_return slices.take();
-}
-
-// The same object comes with each list, and is logged once.
-void ObjectFeed::noteRepaired(const http::RepairedJson &repaired)
-{
-    context_.counters.add("answers_repaired", {{"kind", kind_}});
-    if (std::exchange(replacedParts_, repaired.replaced()) == repaired.replaced()) {
-        return;
-    }
-    log().event("repaired",
-                {{"kind", kind_},
-                 {"deep", repaired.deep},
-                 {"numbers", repaired.numbers},
-                 {"characters", repaired.characters}},
-                "Parts of the store's objects can't be read and are replaced.");
-}
-
 // Delivers the objects in batches. processing_ stays set meanwhile, which tells callers of
 // hasUnprocessed() that more is to come.
 asio::awaitable<void> ObjectFeed::deliver(std::span<const store::StoredObject> objects)
 {
-    while (objects.size() > MaxBatch) {
-        hooks_.changed(objects.first(MaxBatch));
-        objects = objects.subspan(MaxBatch);
+    while (objects.size() > MaxObjectsPerTurn) {
+        hooks_.changed(objects.first(MaxObjectsPerTurn));
+        objects = objects.subspan(MaxObjectsPerTurn);
         co_await yieldToLoop();
     }
     hooks_.changed(objects);
@@ -393,7 +342,7 @@
         }
         latency_ = context_.now() - asked;
         const std::size_t bytes = answer->body.size();
-        json body = co_await readBody(answer->body);
+        json body = co_await json_.read(answer->body);
         auto page = format_.readPage(std::move(body));
         if (!page) {
             listing_.reset();
@@ -462,7 +411,7 @@
         noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
         co_return false;
     }
-    json body = co_await readBody(answer->body);
+    json body = co_await json_.read(answer->body);
     auto changes = format_.readChanges(std::move(body));
     if (!changes) {
         noteFailure("the changes can't be read, " + changes.error());
@@ -491,183 +440,4 @@
     co_return true;
 }
 
-store::AskTimes ObjectFeed::askTimes(const FeedStep &step, kernel::Instant now) const
-{
-    kernel::Duration hold{};
-    if (step.proven && !tooLarge_) {
-        hold = store::relayHoldTime(paces_.relaying);
-    }
-    std::optional<kernel::Duration> left;
-    if (step.askUntil) {
-        left = *step.askUntil - now;
-    }
-    return store::askTimes(hold, left);
-}
-
-peer::FeedAsk ObjectFeed::makeAsk(kernel::Duration hold) const
-{
-    return {.question = context_.random(),
-            .kind = kind_,
-            .at = at_.value_or(0),
-            .holdMs = static_cast<std::uint32_t>(hold / 1ms),
-            .largeToo = tooLarge_};
-}
-
-asio::awaitable<void> ObjectFeed::relayRound(FeedStep step)
-{
-    const std::uint64_t relay = step.relay;
-    const kernel::Instant asked = context_.now();
-    const store::AskTimes times = askTimes(step, asked);
-    const peer::FeedAsk ask = makeAsk(times.hold);
-    askingRelay_ = true;
-    abandoned_ = false;
-    std::optional<peer::FeedAnswer> answer;
-    if (const auto where = sources_.addressOf(relay)) {
-        answer = co_await relayClient_.ask(*where, ask, times.timeout);
-    }
-    askingRelay_ = false;
-    if (abandoned_) {
-        co_return;
-    }
-    processing_ = answer.has_value();
-    if (!answer) {
-        // A relay that had less time than usual isn't silent for that.
-        const bool cutShort = times.timeout < times.hold + store::RelayAnswer;
-        noteRelayFault(relay, "silent",
-                       cutShort ? store::RelayFault::Lost : store::RelayFault::Silent);
-        co_return;
-    }
-    peer::AskState state;
-    state.ask = ask;
-    state.asked = asked;
-    state.now = context_.now();
-    state.known = record_.at().value_or(0);
-    state.oldest = paces_.maxRelayedAge;
-    const peer::Verdict verdict = peer::judge(*answer, state);
-    if (verdict == peer::Verdict::Good) {
-        noteRelayAnswer(relay);
-    } else {
-        const bool foreign = verdict == peer::Verdict::Foreign;
-        noteRelayFault(relay, peer::text(verdict),
-                       foreign ? store::RelayFault::Silent : store::RelayFault::Lost);
-    }
-    if (peer::tellsSomething(verdict) && answer->confirmedMs) {
-        co_await applyAnswer(std::move(*answer), asked);
-    }
-    processing_ = false;
-}
-
-void ObjectFeed::noteRelayFault(std::uint64_t relay, const std::string &what,
-                                store::RelayFault fault)
-{
-    context_.counters.add("relay_faults", {{"kind", kind_}, {"reason", what}});
-    log().event("relay-fault", {{"kind", kind_}, {"relay", sources_.nameOf(relay)}, {"why", what}},
-                "A relay didn't send what the store holds.");
-    book_.noteRelayFailed(relay, fault, context_.now());
-    relayClient_.close();
-}
-
-void ObjectFeed::noteRelayAnswer(std::uint64_t relay)
-{
-    relayFault_ = false;
-    book_.noteRelayAnswered(relay);
-    noteSource(sources_.nameOf(relay));
-    heardFromStore_ = false;
-    noteAnswer();
-}
-
-asio::awaitable<void> ObjectFeed::applyAnswer(peer::FeedAnswer answer, kernel::Instant asked)
-{
-    if (answer.storeFailedMs) {
-        record_.noteStoreFailure(peer::forAsker(asked, *answer.storeFailedMs));
-    }
-    tooLarge_ = std::ranges::any_of(answer.objects, &store::KeptObject::large);
-    if (tooLarge_) {
-        context_.counters.add("relay_too_large", {{"kind", kind_}});
-        co_return;
-    }
-    const kernel::Instant asOf = peer::forAsker(asked, *answer.confirmedMs);
-    reportedAt_ = reportTimeOf(answer, asked);
-    const bool newer = answer.at > at_.value_or(0);
-    if (newer) {
-        const bool taken = co_await applyNews(std::move(answer));
-        if (!taken) {
-            co_return;
-        }
-        historyLost_.reset();
-    }
-    confirm(asOf);
-    if (newer) {
-        notifyWaiters();
-    }
-}
-
-// Objects missing from a complete list were removed after this feed's last confirmation.
-kernel::Instant ObjectFeed::reportTimeOf(const peer::FeedAnswer &answer,
-                                         kernel::Instant asked) const
-{
-    const kernel::Instant asOf = peer::forAsker(asked, *answer.confirmedMs);
-    if (answer.whole) {
-        return record_.confirmedAsOf().value_or(asOf);
-    }
-    return answer.toldMs ? peer::forAsker(asked, *answer.toldMs) : asOf;
-}
-
-asio::awaitable<std::vector<store::StoredObject>>
-ObjectFeed::readObjects(const std::vector<store::KeptObject> &kept)
-{
-    std::vector<store::StoredObject> objects;
-    for (const store::KeptObject &one : kept) {
-        store::StoredObject object;
-        object.name = one.name;
-        object.revision = one.revision;
-        object.gone = one.gone;
-        if (!one.gone) {
-            object.content = co_await readBody(one.text);
-        }
-        objects.push_back(std::move(object));
-        if (objects.size() % MaxBatch == 0) {
-            co_await yieldToLoop();
-        }
-    }
-    co_return objects;
-}
-
-// Returns false if not all of it could be applied; then nothing is confirmed.
-asio::awaitable<bool> ObjectFeed::applyNews(peer::FeedAnswer answer)
-{
-    if (answer.whole && at_) {
-        co_return co_await applyWholeList(std::move(answer));
-    }
-    const auto objects = co_await readObjects(answer.objects);
-    at_ = answer.at;
-    if (answer.whole) {
-        record_.replace(std::move(answer.objects), answer.at, reportedAt_);
-        co_await deliver(objects);
-        deliverNames(objects);
-    } else {
-        record_.change(std::move(answer.objects), answer.at, reportedAt_);
-        co_await deliver(objects);
-    }
-    co_await yieldToLoop();
-    co_return true;
-}
-
-// The answer leaves out contents that this box has already.
-asio::awaitable<bool> ObjectFeed::applyWholeList(peer::FeedAnswer answer)
-{
-    auto merged = record_.merge(std::move(answer.objects));
-    if (!merged) {
-        context_.counters.add("relay_faults", {{"kind", kind_}, {"reason", "incomplete"}});
-        at_.reset();
-        co_return false;
-    }
-    const auto objects = co_await readObjects(merged->changes);
-    at_ = answer.at;
-    record_.replace(std::move(merged->all), answer.at, reportedAt_);
-    co_await deliver(objects);
-    co_await yieldToLoop();
-    co_return true;
-}
-
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -8,6 +8,8 @@
  * instead of the store, so that the calls to the store don't grow with the number of boxes in a
  * hall.
  *
+ * Its relays are asked, and their answers applied, in FeedRelaying.cpp.
+ *
  * An outage leaves the known state unchanged. Each answered watch also confirms that the store had
  * nothing newer when the watch was sent; an answer of a relay confirms this for the time of the
  * relay's own last confirmation.
@@ -18,7 +20,7 @@
 #include "gateway/FeedConnection.h"
 #include "gateway/FeedSources.h"
 #include "gateway/RelayClient.h"
-#include "http/JsonRepair.h"
+#include "gateway/StoredJson.h"
 #include "peer/FeedRecord.h"
 #include "services/Context.h"
 #include "services/PeriodicTask.h"
@@ -141,11 +143,6 @@
     void noteRelayAnswer(std::uint64_t relay);
     boost::asio::awaitable<bool> applyNews(peer::FeedAnswer answer);
     boost::asio::awaitable<bool> applyWholeList(peer::FeedAnswer answer);
-    boost::asio::awaitable<std::vector<store::StoredObject>>
-    readObjects(const std::vector<store::KeptObject> &kept);
-    boost::asio::awaitable<nlohmann::json> readBody(const std::string &body);
-    boost::asio::awaitable<nlohmann::json> readSlices(std::string_view text);
-    void noteRepaired(const http::RepairedJson &repaired);
     store::FeedStep nextStep() const;
     peer::FeedAsk makeAsk(kernel::Duration hold) const;
     store::AskTimes askTimes(const store::FeedStep &step, kernel::Instant now) const;
@@ -197,6 +194,7 @@
     peer::FeedRecord record_;
     FeedConnection storeConnection_;
     RelayClient relayClient_;
+    StoredJson json_;
     std::shared_ptr<std::set<boost::asio::steady_timer *>> waiting_ =
             std::make_shared<std::set<boost::asio::steady_timer *>>(); ///< Timers of held asks.
     std::optional<Listing> listing_;
@@ -208,7 +206,6 @@
     kernel::Instant began_;       ///< When the feed was created.
     kernel::Instant listedFirst_; ///< When the first list was started.
     /** When the store answered that it no longer has the history since at_; a list is needed. */
-    std::size_t replacedParts_ = 0; ///< Of the last answer that had to be repaired.
     std::optional<kernel::Instant> historyLost_;
     std::string source_; ///< The source that was last logged.
     bool heardFromStore_ = false;
