A list whose pages don't advance is given up

What callers saw: as with a refused page, a box that starts has no server; besides, it asks the store for the same page as fast as it can, one core and the store's rate with it. Cause: a list went on behind the last name of a page for as long as the store said that more follows, in three places (feeds, stopped requests, streams). A name that the store reads as a smaller one gives the same page for ever. Change: store::ListCursor, pure, judges a page by what it adds, drops what an earlier page had, and is the one place that says behind which name a list goes on. All three readers use it. Why it works: each page that is followed by another one has added a name; names are finite.

--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -97,7 +97,7 @@
 
 asio::awaitable<kernel::Duration> CrashStore::round()
 {
-    if (!fullyRead_ && lastName_.empty() && backoff_.failures() == 0) {
+    if (!fullyRead_ && cursor_.after().empty() && backoff_.failures() == 0) {
         asio::steady_timer spread(
                 context_.io, 1ms * static_cast<std::int64_t>(context_.random() % StartSpreadMs));
         co_await spread.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -116,7 +116,7 @@
 asio::awaitable<bool> CrashStore::read()
 {
     while (!fullyRead_) {
-        std::string target = adapter_.store.listTarget(adapter_.crashKind, lastName_);
+        std::string target = adapter_.store.listTarget(adapter_.crashKind, cursor_.after());
         http::Request request("GET", std::move(target));
         const auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
         if (!answer || answer->status != Good) {
@@ -128,11 +128,16 @@
             noteFailure("read", page.error());
             co_return false;
         }
+        const store::ListProgress progress = cursor_.take(*page);
         for (const store::StoredObject &object : page->objects) {
             takeObject(object);
-            lastName_ = object.name;
         }
-        fullyRead_ = !page->more || page->objects.empty();
+        fullyRead_ = progress == store::ListProgress::Complete;
+        if (progress == store::ListProgress::Stuck) {
+            cursor_ = store::ListCursor();
+            noteFailure("read", "the list doesn't go on");
+            co_return false;
+        }
     }
     co_return true;
 }
--- a/src/gateway/CrashStore.h
+++ b/src/gateway/CrashStore.h
@@ -15,6 +15,7 @@
 #include "services/CrashService.h"
 #include "services/PeriodicTask.h"
 #include "store/Backoff.h"
+#include "store/ListCursor.h"
 
 #include <map>
 #include <memory>
@@ -49,7 +50,7 @@
     StoreClient client_;
     store::Backoff backoff_;
     bool fullyRead_ = false;
-    std::string lastName_; ///< Name of the last object that was read.
+    store::ListCursor cursor_;
     std::map<forward::RequestIdentity, forward::CrashRecord> saved_; ///< Records in the store.
     std::set<forward::RequestIdentity> toRemove_;
     std::map<forward::RequestIdentity, kernel::Instant> lookedUp_; ///< When, lately.
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -323,14 +323,13 @@
     // A relay may have reported a newer state since the first page was read.
     const bool outdated = begun && listing_->at < at_.value_or(0);
     if (!begun || outdated || now - listing_->begun > MaxListingTime) {
-        listing_ = Listing{now, 0, {}, {}};
-    }
-    bool more = true;
-    while (more) {
-        const auto &objects = listing_->objects;
-        const std::string after = objects.empty() ? std::string() : objects.back().name;
-        std::string target = format_.listTarget(kind_, after);
-        lastCall_ = {"list", after, objects.size()};
+        listing_ = Listing{now, 0, {}, {}, {}};
+    }
+    auto progress = store::ListProgress::Reading;
+    while (progress == store::ListProgress::Reading) {
+        const store::ListCursor &cursor = listing_->cursor;
+        std::string target = format_.listTarget(kind_, cursor.after());
+        lastCall_ = {"list", cursor.after(), cursor.read()};
         const kernel::Instant asked = context_.now();
         const kernel::Duration timeout =
                 store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
@@ -351,8 +350,13 @@
         }
         noteUnreadable(page->unreadable);
         const bool first = listing_->objects.empty();
-        more = appendPage(std::move(*page), bytes);
-        if (more && first && !readsStoreDirectly()) {
+        progress = appendPage(std::move(*page), bytes);
+        if (progress == store::ListProgress::Stuck) {
+            listing_.reset();
+            noteFailure("the list doesn't go on");
+            co_return false;
+        }
+        if (progress == store::ListProgress::Reading && first && !readsStoreDirectly()) {
             co_return true;
         }
     }
@@ -376,16 +380,16 @@
 }
 
 // Changes between two pages come with the watch, which starts from the first page's revision.
-bool ObjectFeed::appendPage(store::ObjectPage page, std::size_t bytes)
+store::ListProgress ObjectFeed::appendPage(store::ObjectPage page, std::size_t bytes)
 {
     if (listing_->objects.empty()) {
         listing_->at = page.at;
     }
-    const bool more = page.more && !page.objects.empty();
+    const store::ListProgress progress = listing_->cursor.take(page);
     std::ranges::move(keptObjects(page.objects, bytes, readsStoreDirectly()),
                       std::back_inserter(listing_->kept));
     std::ranges::move(page.objects, std::back_inserter(listing_->objects));
-    return more;
+    return progress;
 }
 
 asio::awaitable<bool> ObjectFeed::watch()
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -25,6 +25,7 @@
 #include "services/Context.h"
 #include "services/PeriodicTask.h"
 #include "store/FeedPace.h"
+#include "store/ListCursor.h"
 #include "store/SourceSelector.h"
 
 #include <functional>
@@ -150,7 +151,7 @@
     void confirm(kernel::Instant asOf);
     void noteKnown(kernel::Instant asOf);
     void noteStoreAnswer();
-    bool appendPage(store::ObjectPage page, std::size_t bytes);
+    store::ListProgress appendPage(store::ObjectPage page, std::size_t bytes);
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
     void noteAnswer();
@@ -171,6 +172,7 @@
     {
         kernel::Instant begun;
         std::uint64_t at = 0; ///< Revision of the first page; the watch starts there.
+        store::ListCursor cursor;
         std::vector<store::StoredObject> objects;
         std::vector<store::KeptObject> kept; ///< The same objects, serialized for other boxes.
     };
--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -5,6 +5,7 @@
 #include "http/JsonRepair.h"
 #include "kernel/Log.h"
 #include "services/MembershipService.h"
+#include "store/ListCursor.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -244,25 +245,29 @@
 asio::awaitable<bool> StreamArchive::readPages(AnswerWait wait)
 {
     const store::ObjectFormat &format = fleetView_.adapter().store;
-    std::string last;
-    bool more = true;
-    while (more) {
-        http::Request request("GET", format.listTarget(fleetView_.adapter().streamKind, last));
+    store::ListCursor cursor;
+    auto progress = store::ListProgress::Reading;
+    while (progress == store::ListProgress::Reading) {
+        http::Request request("GET",
+                              format.listTarget(fleetView_.adapter().streamKind, cursor.after()));
         const auto answer = co_await reads_.ask(std::move(request), wait);
         if (!answer || answer->status != Good) {
             noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
             co_return false;
         }
-        const auto page = format.readPage(http::parseStored(answer->body));
+        auto page = format.readPage(http::parseStored(answer->body));
         if (!page) {
             noteFailure("read", page.error());
             co_return false;
         }
+        progress = cursor.take(*page);
         for (const store::StoredObject &object : page->objects) {
             take(object);
-            last = object.name;
         }
-        more = page->more && !page->objects.empty();
+    }
+    if (progress == store::ListProgress::Stuck) {
+        noteFailure("read", "the list doesn't go on");
+        co_return false;
     }
     co_return true;
 }
--- a/test/platform/OddNameTest.cpp
+++ b/test/platform/OddNameTest.cpp
@@ -126,4 +126,20 @@
     BOOST_TEST(call(request("POST", "/again/x")).status == 200);
 }
 
+// Guards against a box that reads the same page for ever.
+BOOST_FIXTURE_TEST_CASE(list_pageDoesNotAdvance_isGivenUp, OddNames)
+{
+    listOdd("a-stuck");
+    listSound();
+    store().pageSize = 1;
+    store().beginsAgainBehind = {"a-stuck"};
+    start();
+    until(
+            [this] {
+                return context().counters.value("store_failures", {{"kind", Servers}}) > 0U;
+            },
+            "the end of the list");
+    BOOST_TEST(context().counters.value("store_calls", {{"kind", Servers}}) <= 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -181,7 +181,8 @@
 asio::awaitable<void> StoreStandin::list(const Subject &subject, http::Reply &reply)
 {
     const auto behind = subject.query.find("after_rev");
-    const std::string after = behind == subject.query.end() ? std::string() : behind->second;
+    const bool asked = behind != subject.query.end() && !beginsAgainBehind.contains(behind->second);
+    const std::string after = asked ? behind->second : std::string();
     json items = json::array();
     bool more = false;
     for (const auto &[name, object] : objects_[subject.kind]) {
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -64,6 +64,9 @@
     Faults faults;
     std::size_t pageSize = 500;
 
+    /** Names behind which a list begins again, as though another name had been asked for. */
+    std::set<std::string> beginsAgainBehind;
+
     /** Texts that stand in answers in place of these strings, as other writers may have written
      * them. */
     std::map<std::string, std::string> rawTexts;
