A page of which no name can be read isn't taken for the end of its list

What callers saw: nothing reported; found by reading for the same cause elsewhere. All servers behind such a page count as gone, on boxes that start and on those that read a list again. Cause: a page without readable objects ended the list, though the store said that more follows. Evidence: OddNameTest/list_pageHasNoReadableName_serversBehindItStayKnown failed before: i-two was dropped. Change: ListCursor says Complete only where the store says that nothing follows; else such a page is Stuck, and the list is a failure that drops nothing.

--- a/src/store/ListCursor.cpp
+++ b/src/store/ListCursor.cpp
@@ -4,15 +4,14 @@
 
 ListProgress ListCursor::take(ObjectPage &page)
 {
-    const bool more = page.more && !page.objects.empty();
-    if (more) {
+    if (!page.objects.empty()) {
         after_ = page.objects.back().name;
     }
     std::erase_if(page.objects, [this](const StoredObject &object) {
         const bool isNew = names_.insert(object.name).second;
         return !isNew;
     });
-    if (!more) {
+    if (!page.more) {
         return ListProgress::Complete;
     }
     return page.objects.empty() ? ListProgress::Stuck : ListProgress::Reading;
--- a/test/correctness/ListCursorTest.cpp
+++ b/test/correctness/ListCursorTest.cpp
@@ -77,4 +77,11 @@
     BOOST_TEST(cursor.read() == 3U);
 }
 
+// Guards against a page of which no name can be read that is taken for the end of the list.
+BOOST_AUTO_TEST_CASE(take_pageWithoutNamesAndMore_isStuck)
+{
+    take({"a"}, true);
+    BOOST_TEST((take({}, true) == ListProgress::Stuck));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/OddNameTest.cpp
+++ b/test/platform/OddNameTest.cpp
@@ -71,6 +71,20 @@
               "readiness with all sound servers");
     }
 
+    /** The store fails, so that the box reads its lists again. */
+    void interruptStore()
+    {
+        const std::uint64_t before = failures();
+        store().faults.status = 503;
+        until([&] { return failures() > before; }, "a failure");
+        store().faults.status = 0;
+    }
+
+    std::uint64_t failures()
+    {
+        return context().counters.value("store_failures", {{"kind", Servers}});
+    }
+
     bool known(const std::string &id)
     {
         return context().kernel.find<gateway::FleetView>("world").servers().find(id).has_value();
@@ -142,4 +156,22 @@
     BOOST_TEST(context().counters.value("store_calls", {{"kind", Servers}}) <= 4U);
 }
 
+// Guards against a page of which nothing can be read that is taken for the end of the list, so that
+// all servers behind it count as gone.
+BOOST_FIXTURE_TEST_CASE(list_pageHasNoReadableName_serversBehindItStayKnown, OddNames)
+{
+    listSound();
+    startAndLearn();
+    store().putSpoilt(Servers, "i-p", {{"spec", entryOf(runner(0), "pool")}});
+    interruptStore();
+    const std::uint64_t before = failures();
+    const auto unreadable = [this] {
+        return context().counters.value("objects_unreadable", {{"kind", Servers}});
+    };
+    until([&] { return unreadable() > 0U && (failures() > before || !known("i-two")); },
+          "the page that can't be read");
+    BOOST_TEST(known("i-one"));
+    BOOST_TEST(known("i-two"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
