A list that can't be read to its end is used as far as it was read

What callers saw: hardly a request was served after all machines had been killed; one refused page was enough. Cause: a list was worth nothing until its last page: what had been read was dropped after eight seconds, and no box of a restarted fleet got any server, also where hundreds had been read. Change: behind a rejected name the list goes on behind the one before it (ListCursor::refuse). Where that doesn't help, what was read is used and followed by watches from the first page's revision; it confirms nothing, isn't passed on, drops nothing, and is read again after 2 s to a minute.

--- a/src/gateway/FeedRelaying.cpp
+++ b/src/gateway/FeedRelaying.cpp
@@ -123,6 +123,8 @@
             co_return;
         }
         historyLost_.reset();
+        partial_.reset();
+        record_.setLost(false);
     }
     confirm(asOf);
     if (newer) {
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -116,6 +116,7 @@
     FeedHooks serverHooks;
     serverHooks.changed = [this](auto objects) { changeServers(objects); };
     serverHooks.listComplete = [this](const auto &names) { dropUnlistedServers(names); };
+    serverHooks.listPartial = [this] { serversKnown_ = true; };
     serverHooks.confirmed = [](kernel::Instant) {};
     // While the store is away, only the configuration feed tests whether it answers.
     serverHooks.storeAllowed = [this] { return !configurationFeed_->storeFailing(); };
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -4,6 +4,8 @@
 #include "kernel/Log.h"
 #include "store/ListWait.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
 
@@ -24,9 +26,19 @@
 constexpr kernel::Duration RelayDiscoveryPoll = 100ms;
 // More than one page of the store.
 constexpr std::size_t LongList = 500;
+constexpr kernel::Duration FirstRelist = 2s;
+// Thousands of boxes whose lists are partial share the store.
+constexpr kernel::Duration LongestRelist = 60s;
 // Another writer's name may be as long as an object.
 constexpr std::size_t MaxLoggedName = 200;
 
+// Whether the store rejects the question itself, and would do so again.
+bool refusesName(int status)
+{
+    constexpr std::array<int, 3> Refusals = {400, 414, 431};
+    return std::ranges::find(Refusals, status) != Refusals.end();
+}
+
 const kernel::Log &log()
 {
     static const kernel::Log Log("feed");
@@ -48,6 +60,7 @@
     , storeConnection_(context, "store")
     , relayClient_(context)
     , json_(context, kind_)
+    , relist_(FirstRelist, LongestRelist)
     , began_(context.now())
     , loop_(std::make_unique<services::PeriodicTask>(context.io, [this] { return round(); }))
 {
@@ -156,7 +169,7 @@
     noteSource(relaying ? "store-for-hall" : "store");
     bool good = false;
     changed_ = false;
-    if (at_ && !failing_ && !tooLarge_ && !historyLost_) {
+    if (mayWatch()) {
         good = co_await watch();
     } else {
         good = co_await list();
@@ -171,6 +184,12 @@
     co_return changed_ ? pace.afterChange : kernel::Duration::zero();
 }
 
+bool ObjectFeed::mayWatch() const
+{
+    const bool listDue = partial_ && context_.now() >= partial_->listAgainAt;
+    return (at_ || partial_) && !failing_ && !tooLarge_ && !historyLost_ && !listDue;
+}
+
 void ObjectFeed::noteFailure(const std::string &what)
 {
     const bool spare = !tooLarge_ && !readsStoreDirectly();
@@ -212,7 +231,7 @@
 
 void ObjectFeed::noteAnswer()
 {
-    record_.setLost(false);
+    record_.setLost(partial_.has_value());
     if (failing_) {
         failing_ = false;
         log().event("store-back", {{"kind", kind_}}, "The store answers again.");
@@ -327,47 +346,69 @@
     }
     auto progress = store::ListProgress::Reading;
     while (progress == store::ListProgress::Reading) {
-        const store::ListCursor &cursor = listing_->cursor;
-        std::string target = format_.listTarget(kind_, cursor.after());
-        lastCall_ = {"list", cursor.after(), cursor.read()};
-        const kernel::Instant asked = context_.now();
-        const kernel::Duration timeout =
-                store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
-        const auto answer =
-                co_await askStore(std::move(target), {timeout, timeout, timeout + MaxListingTime});
-        if (!answer || answer->status != Good) {
-            noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
-            co_return false;
-        }
-        latency_ = context_.now() - asked;
-        const std::size_t bytes = answer->body.size();
-        json body = co_await json_.read(answer->body);
-        auto page = format_.readPage(std::move(body));
-        if (!page) {
-            listing_.reset();
-            noteFailure("the list can't be read, " + page.error());
-            co_return false;
-        }
-        noteUnreadable(page->unreadable);
         const bool first = listing_->objects.empty();
-        progress = appendPage(std::move(*page), bytes);
-        if (progress == store::ListProgress::Stuck) {
-            listing_.reset();
-            noteFailure("the list doesn't go on");
+        const auto read = co_await readPage();
+        if (!read) {
             co_return false;
         }
+        progress = *read;
         if (progress == store::ListProgress::Reading && first && !readsStoreDirectly()) {
             co_return true;
         }
     }
-    noteStoreAnswer();
+    Listing listing = std::move(*listing_);
+    listing_.reset();
     tooLarge_ = false;
     historyLost_.reset();
     if (!at_) {
-        listedFirst_ = listing_->begun;
+        listedFirst_ = listing.begun;
     }
-    Listing listing = std::move(*listing_);
-    listing_.reset();
+    if (progress == store::ListProgress::Complete) {
+        co_await applyList(std::move(listing));
+    } else {
+        co_await applyPartialList(std::move(listing));
+    }
+    co_await yieldToLoop();
+    co_return true;
+}
+
+// Returns nullopt after a failure of the store.
+asio::awaitable<std::optional<store::ListProgress>> ObjectFeed::readPage()
+{
+    store::ListCursor &cursor = listing_->cursor;
+    std::string target = format_.listTarget(kind_, cursor.after());
+    lastCall_ = {"list", cursor.after(), cursor.read()};
+    const kernel::Instant asked = context_.now();
+    const kernel::Duration timeout =
+            store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
+    const auto answer =
+            co_await askStore(std::move(target), {timeout, timeout, timeout + MaxListingTime});
+    if (answer && refusesName(answer->status) && !cursor.after().empty()) {
+        context_.counters.add("list_names_refused", {{"kind", kind_}});
+        co_return cursor.refuse();
+    }
+    if (!answer || answer->status != Good) {
+        noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
+        co_return std::nullopt;
+    }
+    latency_ = context_.now() - asked;
+    const std::size_t bytes = answer->body.size();
+    json body = co_await json_.read(answer->body);
+    auto page = format_.readPage(std::move(body));
+    if (!page) {
+        listing_.reset();
+        noteFailure("the list can't be read, " + page.error());
+        co_return std::nullopt;
+    }
+    noteUnreadable(page->unreadable);
+    co_return appendPage(std::move(*page), bytes);
+}
+
+asio::awaitable<void> ObjectFeed::applyList(Listing listing)
+{
+    partial_.reset();
+    relist_.succeed();
+    noteStoreAnswer();
     at_ = std::max(at_.value_or(0), listing.at);
     co_await yieldToLoop();
     record_.replace(std::move(listing.kept), listing.at, reportedAt_);
@@ -375,8 +416,24 @@
     deliverNames(listing.objects);
     confirm(listing.begun);
     notifyWaiters();
+}
+
+// What was read is used, and nothing counts as gone that wasn't. It is neither confirmed nor passed
+// on, since what it lacks isn't known. Other boxes don't wait for it.
+asio::awaitable<void> ObjectFeed::applyPartialList(Listing listing)
+{
+    partial_ = PartialList{listing.at, context_.now() + relist_.fail(context_.random)};
+    noteStoreAnswer();
+    context_.counters.add("lists_partial", {{"kind", kind_}});
+    log().event("list-partial",
+                {{"kind", kind_},
+                 {"after", lastCall_.after.substr(0, MaxLoggedName)},
+                 {"read", listing.cursor.read()}},
+                "The store's list doesn't go on behind a name; what was read is used.");
+    notifyWaiters();
     co_await yieldToLoop();
-    co_return true;
+    co_await deliver(listing.objects);
+    hooks_.listPartial();
 }
 
 // Changes between two pages come with the watch, which starts from the first page's revision.
@@ -401,7 +458,7 @@
     const kernel::Duration wait = store::watchWait(pace, latency_, age);
     const kernel::Duration answerTimeout = store::answerWait(pace, latency_);
     const kernel::Duration timeout = wait + answerTimeout;
-    std::string target = format_.watchTarget(kind_, *at_, wait);
+    std::string target = format_.watchTarget(kind_, partial_ ? partial_->at : *at_, wait);
     lastCall_ = {"watch", {}, 0};
     const auto answer = co_await askStore(std::move(target),
                                           {timeout, answerTimeout, timeout + MaxListingTime});
@@ -420,6 +477,7 @@
     if (!changes) {
         noteFailure("the changes can't be read, " + changes.error());
         at_.reset();
+        partial_.reset();
         co_return false;
     }
     noteStoreAnswer();
@@ -427,21 +485,32 @@
     if (changes->objects.empty()) {
         latency_ = std::max<kernel::Duration>(context_.now() - asked - wait, 0s);
     }
-    at_ = std::max(*at_, changes->at);
     changed_ = !changes->objects.empty();
-    if (changed_) {
-        co_await yieldToLoop();
-        record_.change(keptObjects(changes->objects, answer->body.size(), readsStoreDirectly()),
-                       *at_, reportedAt_);
+    if (partial_) {
+        partial_->at = std::max(partial_->at, changes->at);
         co_await deliver(changes->objects);
+    } else {
+        co_await applyChanges(*changes, answer->body.size());
+        noteKnown(reportedAt_);
+        confirm(asked);
+        notifyWaiters();
     }
-    noteKnown(reportedAt_);
-    confirm(asked);
-    notifyWaiters();
     if (changed_) {
         co_await yieldToLoop();
     }
     co_return true;
 }
 
+asio::awaitable<void> ObjectFeed::applyChanges(const store::ObjectChanges &changes,
+                                               std::size_t bytes)
+{
+    at_ = std::max(*at_, changes.at);
+    if (changes.objects.empty()) {
+        co_return;
+    }
+    co_await yieldToLoop();
+    record_.change(keptObjects(changes.objects, bytes, readsStoreDirectly()), *at_, reportedAt_);
+    co_await deliver(changes.objects);
+}
+
 } // namespace limereel::gateway
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -8,6 +8,9 @@
  * instead of the store, so that the calls to the store don't grow with the number of boxes in a
  * hall.
  *
+ * A list that doesn't go on behind some name is used as far as it was read, and followed by
+ * watches. It is neither confirmed nor passed on, and is read again now and then.
+ *
  * Its relays are asked, and their answers applied, in FeedRelaying.cpp.
  *
  * An outage leaves the known state unchanged. Each answered watch also confirms that the store had
@@ -24,6 +27,7 @@
 #include "peer/FeedRecord.h"
 #include "services/Context.h"
 #include "services/PeriodicTask.h"
+#include "store/Backoff.h"
 #include "store/FeedPace.h"
 #include "store/ListCursor.h"
 #include "store/SourceSelector.h"
@@ -65,6 +69,9 @@
     /** Called after a complete list with the names of all objects; all others are gone. */
     std::function<void(const std::set<std::string> &names)> listComplete = [](const auto &) {};
 
+    /** Called after a list that couldn't be read to its end: what it lacks may exist. */
+    std::function<void()> listPartial = [] {};
+
     /** Called when the known state was found to be the newest at \a asOf. */
     std::function<void(kernel::Instant asOf)> confirmed;
 
@@ -133,11 +140,34 @@
     };
 
 private:
+    /** A list that is read page by page. It is kept when the store refuses a page, so that all of
+     * many boxes that start together can finish theirs although the store refuses some calls. */
+    struct Listing
+    {
+        kernel::Instant begun;
+        std::uint64_t at = 0; ///< Revision of the first page; the watch starts there.
+        store::ListCursor cursor;
+        std::vector<store::StoredObject> objects;
+        std::vector<store::KeptObject> kept; ///< The same objects, serialized for other boxes.
+    };
+
+    /** A list that couldn't be read to its end. Watches follow what was read of it. */
+    struct PartialList
+    {
+        std::uint64_t at = 0; ///< Where the next watch starts.
+        kernel::Instant listAgainAt;
+    };
+
     boost::asio::awaitable<kernel::Duration> round();
     boost::asio::awaitable<kernel::Duration> storeRound(bool relaying);
     boost::asio::awaitable<void> relayRound(store::FeedStep step);
     boost::asio::awaitable<bool> list();
+    boost::asio::awaitable<std::optional<store::ListProgress>> readPage();
+    boost::asio::awaitable<void> applyList(Listing listing);
+    boost::asio::awaitable<void> applyPartialList(Listing listing);
     boost::asio::awaitable<bool> watch();
+    boost::asio::awaitable<void> applyChanges(const store::ObjectChanges &changes,
+                                              std::size_t bytes);
     boost::asio::awaitable<tl::expected<http::Answer, std::string>> askStore(std::string target,
                                                                              AnswerWait wait);
     boost::asio::awaitable<void> applyAnswer(peer::FeedAnswer answer, kernel::Instant asked);
@@ -152,6 +182,7 @@
     void noteKnown(kernel::Instant asOf);
     void noteStoreAnswer();
     store::ListProgress appendPage(store::ObjectPage page, std::size_t bytes);
+    bool mayWatch() const;
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
     void noteAnswer();
@@ -166,17 +197,6 @@
     void noteSource(const std::string &source);
     void notifyWaiters();
 
-    /** A list that is read page by page. It is kept when the store refuses a page, so that all of
-     * many boxes that start together can finish theirs although the store refuses some calls. */
-    struct Listing
-    {
-        kernel::Instant begun;
-        std::uint64_t at = 0; ///< Revision of the first page; the watch starts there.
-        store::ListCursor cursor;
-        std::vector<store::StoredObject> objects;
-        std::vector<store::KeptObject> kept; ///< The same objects, serialized for other boxes.
-    };
-
     /** The last call to the store, for the log. */
     struct LastCall
     {
@@ -200,6 +220,8 @@
     std::shared_ptr<std::set<boost::asio::steady_timer *>> waiting_ =
             std::make_shared<std::set<boost::asio::steady_timer *>>(); ///< Timers of held asks.
     std::optional<Listing> listing_;
+    std::optional<PartialList> partial_; ///< Set until the list is known as a whole.
+    store::Backoff relist_;
     std::optional<std::uint64_t> at_; ///< Where the next watch starts; empty: list first.
     kernel::Instant reportedAt_;
     /** When this box last knew all that the store held. Unlike a confirmation it includes the time
--- a/src/store/ListCursor.h
+++ b/src/store/ListCursor.h
@@ -10,6 +10,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace limereel::store {
 
@@ -33,9 +34,15 @@
     /** Takes \a page, and removes from it the objects that an earlier page had. */
     ListProgress take(ObjectPage &page);
 
+    /** The store rejects the question behind after(). The list goes on behind an earlier name of
+     * the last page, which then comes once more in part. */
+    ListProgress refuse();
+
 private:
     std::string after_;
-    std::set<std::string> names_; ///< Of the objects that were read.
+    std::vector<std::string> lastPage_; ///< Its names up to after().
+    int stepsBack_ = 0;                 ///< Names of the last page that were rejected.
+    std::set<std::string> names_;       ///< Of the objects that were read.
 };
 
 } // namespace limereel::store
--- a/test/correctness/ListCursorTest.cpp
+++ b/test/correctness/ListCursorTest.cpp
@@ -84,4 +84,30 @@
     BOOST_TEST((take({}, true) == ListProgress::Stuck));
 }
 
+// Guards against a list that is given up for one name that the store rejects.
+BOOST_AUTO_TEST_CASE(refuse_pageHadOthers_goesOnBehindTheOneBefore)
+{
+    take({"a", "b", "c"}, true);
+    BOOST_TEST((cursor.refuse() == ListProgress::Reading));
+    BOOST_TEST(cursor.after() == "b");
+    BOOST_TEST((take({"c", "d", "e"}, true) == ListProgress::Reading));
+    BOOST_TEST((namesOf(taken) == std::vector<std::string>{"d", "e"}));
+}
+
+BOOST_AUTO_TEST_CASE(refuse_onlyNameOfItsPage_isStuck)
+{
+    take({"a", "b"}, true);
+    take({"c"}, true);
+    BOOST_TEST((cursor.refuse() == ListProgress::Stuck));
+}
+
+BOOST_AUTO_TEST_CASE(refuse_manyNames_isStuckAfterEight)
+{
+    take(std::vector<std::string>{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}, true);
+    for (int step = 0; step < 8; ++step) {
+        BOOST_TEST((cursor.refuse() == ListProgress::Reading));
+    }
+    BOOST_TEST((cursor.refuse() == ListProgress::Stuck));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -181,6 +181,11 @@
 asio::awaitable<void> StoreStandin::list(const Subject &subject, http::Reply &reply)
 {
     const auto behind = subject.query.find("after_rev");
+    if (behind != subject.query.end() && refusesBehind.contains(behind->second)) {
+        http::Answer refused(NoTarget);
+        co_await reply.send(std::move(refused));
+        co_return;
+    }
     const bool asked = behind != subject.query.end() && !beginsAgainBehind.contains(behind->second);
     const std::string after = asked ? behind->second : std::string();
     json items = json::array();
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -64,6 +64,9 @@
     Faults faults;
     std::size_t pageSize = 500;
 
+    /** Names behind which the store lists nothing, and answers 400. */
+    std::set<std::string> refusesBehind;
+
     /** Names behind which a list begins again, as though another name had been asked for. */
     std::set<std::string> beginsAgainBehind;
 
