A name that can't stand in a field is left out, with a line that names it

What callers saw: nothing reported; the cause of the refused targets, looked for elsewhere. With an entry named 'a, CR LF, X-Evil: 1' each request of its service carried a second field of another writer's choice; the server answers 400 or nothing, callers get 502 and 504. Cause: server ids and names of organisations go into fields of requests as they are, and Beast writes what it is given. All others of the list or configuration hold.

--- a/src/forward/Snapshot.h
+++ b/src/forward/Snapshot.h
@@ -100,6 +100,7 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Organisation> organisations;
+    std::vector<std::string> leftOut; ///< Names of organisations that can't be told to servers.
     /** Whether it has a list of organisations, which may be empty: then no key is valid. */
     bool listsOrganisations = false;
     CallerLimits limits;
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -300,6 +300,11 @@
                  {"routes", snapshot_->content().routes.size()},
                  {"idle_ms", snapshot_->limits().idleTimeout / 1ms}},
                 "A new configuration is in force.");
+    for (const std::string &name : snapshot_->content().leftOut) {
+        context_.counters.add("organisations_left_out");
+        log().event("organisation-left-out", {{"organisation", name}},
+                    "An organisation's name can't be told to servers; its keys aren't known.");
+    }
     std::map<std::string, forward::ColdPolicy> cold;
     for (const forward::Service &service : snapshot_->content().services) {
         cold[service.name] = service.cold;
--- a/test/platform/OddNameTest.cpp
+++ b/test/platform/OddNameTest.cpp
@@ -43,7 +43,8 @@
 /** How a name is shown in the output of a test. */
 std::string shown(const std::string &name)
 {
-    return nlohmann::json(name.substr(0, 40)).dump();
+    return nlohmann::json(name.substr(0, 40))
+            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 /** A gateway whose store has objects with odd names among its servers, one object a page. */
@@ -226,4 +227,59 @@
     until([this] { return !known("i-two"); }, "the end of one that left since");
 }
 
+// Guards against a server's id that ends its field and writes another one into each request.
+BOOST_FIXTURE_TEST_CASE(servers_nameCannotStandInAField_areLeftOutAndTheOthersServe, OddNames)
+{
+    for (const std::string &name :
+         {std::string("a\r\nX-Evil: 1"), std::string("a\nX-Evil: 1"), std::string("a\0b", 3),
+          std::string("a\x01"), std::string("a\x7f"), std::string(" a"), std::string("a "),
+          std::string(1000000, 'x')}) {
+        store().put(Servers, name, entryOf(runner(0), "pool"));
+    }
+    list(runner(1), "pool");
+    start();
+    until([this] { return ready() && known("i-two"); }, "readiness with the sound server");
+    BOOST_TEST(context().counters.value("servers_unreadable") == 8U);
+    for (int number = 0; number < 20; ++number) {
+        const http::Fields id = http::Fields().with("X-Attempt-Id", "a" + std::to_string(number));
+        BOOST_TEST(call(request("POST", "/again/x", id)).status == 200);
+    }
+    BOOST_TEST(runner(0).records().empty());
+}
+
+// Guards against ids that are left out though they arrive as they were written.
+BOOST_FIXTURE_TEST_CASE(servers_nameCanStandInAField_arrivesAsWritten, OddNames)
+{
+    for (const char *name : {"a% &+#?/=;b", "a\tb", "\xC3\xA9", "\x80\xFF"}) {
+        store::StoredObject object;
+        object.name = name;
+        object.content = nlohmann::json::parse(entryOf(runner(0), "pool").dump());
+        const auto entry = platform::readServer(object);
+        BOOST_REQUIRE_MESSAGE(entry.has_value(), shown(name) << ": " << entry.error());
+        BOOST_TEST(entry->server.id == name);
+    }
+}
+
+// Guards against an organisation's name that does the same, and against a configuration that is
+// left out as a whole for it.
+BOOST_FIXTURE_TEST_CASE(organisation_nameCannotStandInAField_itsKeysAreNotKnown, OddNames)
+{
+    nlohmann::json spec = configuration(1);
+    spec["tenants"].push_back(
+            {{"name", "two\r\nX-Evil: 1"}, {"api_keys", nlohmann::json::array({"key-odd"})}});
+    putConfiguration(spec);
+    listSound();
+    start();
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(call(request("POST", "/again/x")).status == 200);
+    const http::Fields odd = http::Fields().with("X-Api-Key", "key-odd");
+    BOOST_TEST(call(request("POST", "/again/x", odd)).status == 401);
+    for (const standin::RunnerStandin *one : {&runner(0), &runner(1)}) {
+        for (const standin::RunnerRecord &record : one->records()) {
+            BOOST_TEST(record.request.fields.get("X-Evil").empty());
+        }
+    }
+    BOOST_TEST(context().counters.value("organisations_left_out") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
