Test: crowds of clients that keep no limits, against the real process

Change: ClientCrowdTest starts the real program with limits of its own (bodies of 1 MiB, heads of 8 KiB) and plays 13 kinds of crowd of 200 clients each: the process lives, descriptors stay under crowd and 64, an ordinary request and one of the largest size are answered beside the crowd and after it, at most 96 MiB are held at the peak. Crowd and bounds are fixed here, before the product changes.

--- /dev/null
+++ b/test/platform/ClientCrowdTest.cpp
@@ -0,0 +1,194 @@
+// Crowds of clients that keep no limits, against the real process: it lives, what it holds stays
+// under a bound, and an ordinary request is answered beside the crowd and after it.
+
+#include "support/ClientCrowd.h"
+#include "platform/GatewayFixture.h"
+#include "support/Processes.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+
+using namespace limereel;
+using namespace limereel::support;
+
+namespace {
+
+constexpr std::size_t KiB = 1024;
+constexpr std::size_t MiB = 1024 * KiB;
+constexpr std::size_t Clients = 200;
+constexpr std::size_t HeadBytes = 8 * KiB;
+constexpr std::size_t BodyBytes = MiB;
+// Half of the memory of the box in these tests.
+constexpr std::size_t MostHeldBytes = 96 * MiB;
+constexpr std::size_t MostDescriptors = Clients + 64;
+constexpr std::size_t JustShort = BodyBytes - 8 * KiB;
+constexpr std::size_t Endless = 4 * MiB;
+
+const std::string Head = "POST /again/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: crowd\r\n"
+                         "X-Api-Key: key-one\r\nX-Deadline-Ms: 15000\r\n";
+const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(std::size_t bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes << "\r\n" << std::string(bytes, 'y') << "\r\n";
+    return text.str();
+}
+
+std::string withLength(std::size_t bytes)
+{
+    return Head + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+/** The real process before the fixture's store and servers. */
+class CrowdFixture : public GatewayFixture
+{
+public:
+    CrowdFixture()
+        : folder_(std::filesystem::temp_directory_path()
+                  / ("limereel-crowd-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directories(folder_);
+        nlohmann::json spec = configuration(1);
+        spec["limits"]["max_header_bytes"] = HeadBytes;
+        spec["limits"]["max_body_bytes"] = BodyBytes;
+        putConfiguration(spec);
+        list(runner(0), "pool");
+        list(runner(1), "pool");
+        moreSettings = "descriptors = 1024\n";
+        const std::filesystem::path settings = folder_ / "box.ini";
+        std::ofstream(settings) << settingsText();
+        process_ = Process({LIMEREEL_BINARY, "gateway", "--settings", settings.string()},
+                           (folder_ / "box.log").string());
+        until([this] { return ready(); }, "readiness");
+    }
+
+    ~CrowdFixture() { std::filesystem::remove_all(folder_); }
+
+    /** The most memory that the process has held so far. */
+    std::size_t mostHeld() const
+    {
+        std::ifstream status("/proc/" + std::to_string(process_.id()) + "/status");
+        std::string word;
+        while (status >> word && word != "VmHWM:") {
+        }
+        std::size_t kibibytes = 0;
+        status >> kibibytes;
+        return kibibytes * KiB;
+    }
+
+    std::size_t descriptors() const
+    {
+        const std::filesystem::directory_iterator all("/proc/" + std::to_string(process_.id())
+                                                      + "/fd");
+        return static_cast<std::size_t>(
+                std::distance(std::filesystem::begin(all), std::filesystem::end(all)));
+    }
+
+    int callWithBody(std::size_t bytes)
+    {
+        http::Request asked = request("POST", "/again/x");
+        asked.body = std::string(bytes, 'z');
+        return call(std::move(asked)).status;
+    }
+
+    /** Plays a crowd that sends \a bytes, and checks what has to hold. */
+    void check(const CrowdBytes &bytes)
+    {
+        {
+            ClientCrowd crowd(io_, callerEndpoint(), bytes, Clients);
+            until([&] { return crowd.settled(); }, "the end of what the crowd sends");
+            BOOST_TEST(process_.running());
+            BOOST_TEST(descriptors() <= MostDescriptors);
+            BOOST_TEST(callWithBody(8) == 200);
+            BOOST_TEST(callWithBody(BodyBytes) == 200);
+        }
+        until([this] { return descriptors() <= MostDescriptors - Clients; }, "closed connections");
+        BOOST_TEST(callWithBody(BodyBytes) == 200);
+        BOOST_TEST(process_.running());
+        const std::size_t held = mostHeld();
+        BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
+    }
+
+private:
+    std::filesystem::path folder_;
+    Process process_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientCrowdTest, CrowdFixture)
+
+// Each guards against a process that runs out of memory by clients of this kind.
+
+BOOST_AUTO_TEST_CASE(chunkedBodies_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({Chunked, chunk(16 * KiB), JustShort});
+}
+
+BOOST_AUTO_TEST_CASE(largeChunks_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({Chunked + "ff000\r\n", std::string(KiB, 'y'), JustShort});
+}
+
+BOOST_AUTO_TEST_CASE(tinyChunks_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({Chunked, chunk(1), 2 * MiB});
+}
+
+BOOST_AUTO_TEST_CASE(bodiesWithLength_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({withLength(BodyBytes), std::string(KiB, 'y'), JustShort});
+}
+
+BOOST_AUTO_TEST_CASE(bodiesOverTheLimit_areAnnounced_boxHoldsLittle)
+{
+    check({withLength(9000000000), std::string(KiB, 'y'), Endless});
+}
+
+BOOST_AUTO_TEST_CASE(bodiesOverTheLimit_areJustSent_boxHoldsLittle)
+{
+    check({Chunked, chunk(16 * KiB), Endless});
+}
+
+BOOST_AUTO_TEST_CASE(chunkExtensions_haveNoEnd_boxHoldsLittle)
+{
+    check({Chunked + "5;", std::string(KiB, 'a'), Endless});
+}
+
+BOOST_AUTO_TEST_CASE(trailers_haveNoEnd_boxHoldsLittle)
+{
+    check({Chunked + "0\r\n", "X-More: y\r\n", Endless});
+}
+
+BOOST_AUTO_TEST_CASE(heads_haveNoEnd_boxHoldsLittle)
+{
+    check({Head, "X-More: " + std::string(100, 'y') + "\r\n", Endless});
+}
+
+BOOST_AUTO_TEST_CASE(headsOfTinyFields_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({Head, "a:\r\n", HeadBytes - 16});
+}
+
+BOOST_AUTO_TEST_CASE(emptyLines_haveNoEnd_boxHoldsLittle)
+{
+    check({"\r\n", "\r\n", Endless});
+}
+
+BOOST_AUTO_TEST_CASE(bodiesBehindHeadsOfTinyFields_stopShortOfTheEnd_boxHoldsLittle)
+{
+    std::string head = Head;
+    while (head.size() < HeadBytes - 64) {
+        head += "a:\r\n";
+    }
+    check({head + "Content-Length: 100000\r\n\r\n", std::string(KiB, 'y'), HeadBytes + 80 * KiB});
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequests_answersAreNotRead_boxHoldsLittle)
+{
+    check({"", "GET /nowhere HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: c\r\n\r\n", MiB});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/GatewayFixture.cpp
+++ b/test/platform/GatewayFixture.cpp
@@ -90,7 +90,7 @@
     store_->put("servers", runner.name(), entryOf(runner, service, state));
 }
 
-kernel::BoxSettings GatewayFixture::settings() const
+std::string GatewayFixture::settingsText() const
 {
     std::ostringstream text;
     text << "[box]\nname = box-1\nhall = hall-a\nregion = region-a\nseed = 1\n[listen]\ncaller = "
@@ -100,12 +100,13 @@
          << "\n[peers]\nkeys = " << std::string(64, 'a')
          << "\n[gateway]\nretry-slack = " << retrySlack << "\nseeds = 127.0.0.1:1\n"
          << moreSettings;
-    return kernel::settingsFrom(text.str()).value();
+    return text.str();
 }
 
 void GatewayFixture::start()
 {
-    context_ = std::make_unique<services::Context>(io_, settings());
+    context_ =
+            std::make_unique<services::Context>(io_, kernel::settingsFrom(settingsText()).value());
     context_->incarnation = 1;
     context_->random.seed(1);
     context_->now = [this] {
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -114,6 +114,9 @@
     void nextMeets(standin::RunnerFault fault);
 
 protected:
+    /** The settings of the gateway as an INI file. */
+    std::string settingsText() const;
+
     boost::asio::io_context io_{1};
     std::unique_ptr<standin::StoreStandin> store_;
     std::vector<std::unique_ptr<standin::RunnerStandin>> runners_;
@@ -121,7 +124,6 @@
     bool stopped_ = false;
 
 private:
-    kernel::BoxSettings settings() const;
     boost::asio::awaitable<void> exchange(std::shared_ptr<PendingCall> pending,
                                           http::Request request);
 
