A caller's buffer holds a head or the framing of a chunk, not a body beside it

What the users saw: a process ran out of memory by clients that keep no limits. Cause: a connection's buffer could grow to the largest head and the largest body together, though bodies leave it as they come. Extensions of chunks and trailers don't, so without an end they filled it. Evidence: ClientCrowdTest on the code before: extensions 125 MiB, trailers 222 MiB, 96 allowed, 200 clients.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,5 +1,6 @@
 #include "http/Server.h"
 
+#include "http/AnswerBound.h"
 #include "http/ConnectionReply.h"
 #include "http/Counted.h"
 #include "http/Rest.h"
@@ -28,6 +29,13 @@
 // Beast holds no longer field, and says so by an exception that would end the process.
 constexpr std::uint32_t MostHeadBytes = 65535;
 
+// A body leaves the buffer as it comes. Only a head, the framing of one chunk or the trailers have to
+// be in it as a whole.
+std::size_t bufferBytes(const ServerLimits &limits)
+{
+    return std::max<std::size_t>(limits.headBytes, MaxFramingBytes);
+}
+
 /** A limit of rests that was lowered. */
 struct FormerLimit
 {
@@ -145,7 +153,7 @@
         : server_(std::move(server))
         , socket_(std::move(socket))
         , limit_(socket_)
-        , buffer_(server_->limits.headBytes + server_->limits.bodyBytes)
+        , buffer_(bufferBytes(server_->limits))
         , restsSince_(steadyNow())
     {
     }
@@ -245,8 +253,7 @@
     // The limits of now count, not those of when the connection was opened.
     void fitBuffer()
     {
-        const std::size_t most = std::size_t{server_->limits.headBytes} + server_->limits.bodyBytes;
-        buffer_.max_size(std::max(most, buffer_.size()));
+        buffer_.max_size(std::max(bufferBytes(server_->limits), buffer_.size()));
     }
 
     asio::awaitable<bool> serveOne()
