A byte budget bounds the requests of a box, over all its connections

What the users saw: many bodies at once, most stopping just short of their end and staying open, ended a process: out of memory. Cause: bodies were bounded a connection, never a box: up to 2,050 connections with 4 MiB each, twice that as texts double, in 260 MB. Change: http::ByteBudget counts the buffers, heads and bodies of requests that are read or served at the listeners for callers and for other boxes, a sixth of memory-mb (new, 256 by default, the deployment's limit by the template). Without room the oldest that is still being read is refused with 503 memory-full (result 220) and a time to come back; it wasn't read whole, so nothing ran. One that was read never gives way; one alone is always served. Logs and metrics: front memory-full, request_bytes_held, requests_given_way. Why it works: what a crowd holds is bounded whatever it sends, and who stops is older than who is read at full speed.

--- a/src/gateway/FeedRelay.cpp
+++ b/src/gateway/FeedRelay.cpp
@@ -54,6 +54,7 @@
                                              [this](http::Request request, http::Reply &reply) {
                                                  return handle(std::move(request), reply);
                                              });
+    server_->setBudget(context_.requestBytes);
     fleetView_.onConfiguration([this](const forward::Snapshot &) {
         if (server_) {
             server_->setLimits(limits());
--- a/src/gateway/FrontService.cpp
+++ b/src/gateway/FrontService.cpp
@@ -1,10 +1,13 @@
 #include "gateway/FrontService.h"
 
 #include "gateway/RequestRun.h"
+#include "kernel/Log.h"
 #include "services/Answers.h"
 #include "services/ConnectionLog.h"
 
 #include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
 
 namespace limereel::gateway {
 
@@ -15,6 +18,12 @@
 
 constexpr kernel::Duration SweepInterval = 500ms;
 
+const kernel::Log &log()
+{
+    static const kernel::Log Log("front");
+    return Log;
+}
+
 ResultCode codeOf(http::Refused why)
 {
     switch (why) {
@@ -23,6 +32,8 @@
         return ResultCode::TooLarge;
     case http::Refused::TooManyConnections:
         return ResultCode::TooManyConnections;
+    case http::Refused::NoRoom:
+        return ResultCode::MemoryFull;
     case http::Refused::Malformed:
         break;
     }
@@ -47,6 +58,7 @@
                                              [this](http::Request request, http::Reply &reply) {
                                                  return handle(std::move(request), reply);
                                              });
+    server_->setBudget(context_.requestBytes);
     server_->setRefusal([this](http::Refused why) { return refusalOf(why); });
     server_->onConnectionEnd([this](const http::ConnectionEnd &end) {
         services::recordConnectionEnd(context_.counters, end);
@@ -66,10 +78,25 @@
     sweep_ = std::make_unique<services::PeriodicTask>(
             context_.io, [this]() -> asio::awaitable<kernel::Duration> {
                 pool_.sweep();
+                noteRequestBytes();
                 co_return kernel::Duration(SweepInterval);
             });
 }
 
+void FrontService::noteRequestBytes()
+{
+    const http::ByteBudget &budget = *context_.requestBytes;
+    context_.counters.set("request_bytes_held", static_cast<double>(budget.held()));
+    context_.counters.set("requests_given_way", static_cast<double>(budget.gaveWay()));
+    if (std::exchange(gaveWay_, budget.gaveWay()) != budget.gaveWay()) {
+        log().event("memory-full",
+                    {{"given_way", budget.gaveWay()},
+                     {"held", budget.held()},
+                     {"limit", budget.limit()}},
+                    "Requests that were being read gave way to younger ones.");
+    }
+}
+
 void FrontService::stop()
 {
     sweep_.reset();
--- a/src/gateway/FrontService.h
+++ b/src/gateway/FrontService.h
@@ -37,6 +37,7 @@
 private:
     http::ServerLimits limits() const;
     http::Answer refusalOf(http::Refused why);
+    void noteRequestBytes();
     boost::asio::awaitable<void> handle(http::Request request, http::Reply &reply);
     boost::asio::awaitable<void> handleDetour(peer::DetourRequest detour, http::Reply &reply);
 
@@ -45,6 +46,7 @@
     PlaceService &places_;
     DetourService &detours_;
     ConnectionPool pool_;
+    std::uint64_t gaveWay_ = 0; ///< Requests that had given way when that was last logged.
     std::unique_ptr<http::Server> server_;
     std::unique_ptr<services::PeriodicTask> sweep_;
 };
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,8 +1,8 @@
 #include "http/Server.h"
 
-#include "http/AnswerBound.h"
 #include "http/ConnectionReply.h"
 #include "http/Counted.h"
+#include "http/RequestReader.h"
 #include "http/Rest.h"
 #include "http/SteadyClock.h"
 #include "http/TimeLimit.h"
@@ -12,6 +12,8 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
+#include <optional>
 #include <vector>
 
 namespace limereel::http {
@@ -26,16 +28,6 @@
 // Errors come back as values: a client that goes away is ordinary.
 constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
 
-// Beast holds no longer field, and says so by an exception that would end the process.
-constexpr std::uint32_t MostHeadBytes = 65535;
-
-// A body leaves the buffer as it comes. Only a head, the framing of one chunk or the trailers have to
-// be in it as a whole.
-std::size_t bufferBytes(const ServerLimits &limits)
-{
-    return std::max<std::size_t>(limits.headBytes, MaxFramingBytes);
-}
-
 /** A limit of rests that was lowered. */
 struct FormerLimit
 {
@@ -86,6 +78,8 @@
 
     asio::io_context &io;
     ServerLimits limits;
+    std::shared_ptr<ByteBudget> budget =
+            std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max());
     std::vector<FormerLimit> formerLimits; ///< Each counts until its own time.
     Handler handler;
     std::function<Answer(Refused)> refusal = [](Refused) { return Answer(400); };
@@ -101,49 +95,6 @@
 
 namespace {
 
-using Parser = bhttp::request_parser<bhttp::string_body>;
-
-Request toRequest(bhttp::request<bhttp::string_body> message)
-{
-    Request request{std::string(message.method_string()),
-                    std::string(message.target()),
-                    {},
-                    std::move(message.body())};
-    for (const auto &field : message) {
-        request.fields.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    return request;
-}
-
-// Whether all on the way agree where the body ends: by one length, or by chunks and nothing else.
-// The parser takes any other transfer coding for no body, and what follows for the next request.
-bool framingIsClear(const bhttp::request<bhttp::string_body> &message)
-{
-    const auto codings = message.count(bhttp::field::transfer_encoding);
-    const auto lengths = message.count(bhttp::field::content_length);
-    if (codings == 0) {
-        return lengths <= 1;
-    }
-    return codings == 1 && lengths == 0
-           && beast::iequals(message[bhttp::field::transfer_encoding], "chunked");
-}
-
-Refused refusedFor(const beast::error_code &error)
-{
-    if (error == bhttp::error::body_limit) {
-        return Refused::BodyTooLarge;
-    }
-    const bool head = error == bhttp::error::header_limit || error == bhttp::error::buffer_overflow;
-    return head ? Refused::HeadTooLarge : Refused::Malformed;
-}
-
-// Only a client that spoke HTTP badly is told so; one that left or was slow is dropped.
-bool isProtocolError(const beast::error_code &error)
-{
-    return error.category() == bhttp::make_error_code(bhttp::error::bad_method).category()
-           && error != bhttp::error::end_of_stream && error != bhttp::error::partial_message;
-}
-
 /** One caller's connection. Lives in the coroutine that serves it. */
 template <typename SharedPtr>
 class Connection
@@ -251,10 +202,7 @@
     }
 
     // The limits of now count, not those of when the connection was opened.
-    void fitBuffer()
-    {
-        buffer_.max_size(std::max(bufferBytes(server_->limits), buffer_.size()));
-    }
+    void fitBuffer() { buffer_.max_size(std::max(bufferBytes(server_->limits), buffer_.size())); }
 
     asio::awaitable<bool> serveOne()
     {
@@ -270,48 +218,45 @@
 
     asio::awaitable<bool> readAndAnswer()
     {
-        const ServerLimits &limits = server_->limits;
-        Parser parser;
-        parser.header_limit(std::min(limits.headBytes, MostHeadBytes));
-        parser.body_limit(limits.bodyBytes);
         fitBuffer();
         const kernel::Instant begun = steadyNow();
-        limit_.expireAfter(limits.headTimeout);
-        const auto [error, bytes] = co_await bhttp::async_read(socket_, buffer_, parser, Quiet);
+        ByteBudget::Share share(server_->budget, [this] { cancelReads(); });
+        limit_.expireAfter(server_->limits.headTimeout);
+        RequestRead read = co_await readRequest(socket_, buffer_, server_->limits, share);
         limit_.never();
         // The limit may close the connection between the read of the request's end and its
         // handling; the request would run for nobody.
-        if (error || limit_.expired()) {
+        if (!read.request || limit_.expired()) {
             end_.reading = steadyNow() - begun;
-            end_.readBytes = bytes + buffer_.size();
-            co_return co_await endUnread(error);
+            end_.readBytes = read.bytes;
+            co_return co_await endUnread(read.refused);
         }
-        auto message = parser.release();
-        if (message.version() < 11 || !framingIsClear(message)) {
-            co_await refuse(Refused::Malformed);
-            co_return endsFor(EndReason::Refused);
+        const bool more = co_await answer(std::move(*read.request), read.form);
+        if (buffer_.size() == 0) {
+            buffer_.shrink_to_fit();
         }
-        co_return co_await answer(std::move(message));
+        co_return more;
     }
 
-    asio::awaitable<bool> endUnread(beast::error_code error)
+    void cancelReads()
     {
-        if (isProtocolError(error)) {
-            co_await refuse(refusedFor(error));
+        beast::error_code ignored;
+        socket_.cancel(ignored);
+    }
+
+    asio::awaitable<bool> endUnread(std::optional<Refused> refused)
+    {
+        if (refused && !limit_.expired()) {
+            co_await refuse(*refused);
             co_return endsFor(EndReason::Refused);
         }
         co_return endsFor(limit_.expired() ? EndReason::HeadLimit : EndReason::CallerBroke);
     }
 
-    asio::awaitable<bool> answer(bhttp::request<bhttp::string_body> message)
+    asio::awaitable<bool> answer(Request request, ReplyForm form)
     {
-        ReplyForm form;
-        form.version = message.version();
-        form.keepAlive = message.keep_alive();
-        form.headOnly = message.method() == bhttp::verb::head;
         ConnectionReply reply(way(), form);
         ++end_.requests;
-        Request request = toRequest(std::move(message));
         const std::exception_ptr fault = co_await handle(std::move(request), reply);
         restsSince_ = steadyNow();
         if (fault) {
@@ -452,6 +397,11 @@
     shared_->ended = std::move(ended);
 }
 
+void Server::setBudget(std::shared_ptr<ByteBudget> budget)
+{
+    shared_->budget = std::move(budget);
+}
+
 void Server::listen(const kernel::Endpoint &endpoint)
 {
     const tcp::endpoint where(asio::ip::make_address(endpoint.address), endpoint.port);
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "http/ByteBudget.h"
 #include "http/ConnectionEnd.h"
 #include "http/Message.h"
 #include "kernel/BoxSettings.h"
@@ -57,7 +58,13 @@
 using Handler = std::function<boost::asio::awaitable<void>(Request, Reply &)>;
 
 /** Why a request never reached the handler. */
-enum class Refused : std::uint8_t { Malformed, HeadTooLarge, BodyTooLarge, TooManyConnections };
+enum class Refused : std::uint8_t {
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    TooManyConnections,
+    NoRoom ///< In the byte budget.
+};
 
 /** Limits of a server. */
 struct ServerLimits
@@ -87,6 +94,10 @@
     /** How a request that the limits refuse is answered. */
     void setRefusal(std::function<Answer(Refused)> refusal);
 
+    /** Sets the budget that requests are counted in; shared with other servers. Without it they
+     * aren't bounded in sum. */
+    void setBudget(std::shared_ptr<ByteBudget> budget);
+
     /** Sets what hears of the end of each connection. */
     void onConnectionEnd(std::function<void(const ConnectionEnd &)> ended);
 
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -87,6 +87,10 @@
             {{"gateway", "descriptors", "integer from 64 to 1000000", "4096",
               "file descriptors that the process may use"},
              count(field(&G::descriptors), 64, 1000000)},
+            {{"gateway", "memory-mb", "integer from 64 to 1000000", "256",
+              "megabytes of memory that the process may use; a sixth of it may hold requests, and "
+              "beyond that the oldest of those that are still being read is refused"},
+             count(field(&G::memoryMb), 64, 1000000)},
             {{"gateway", "store-writes", "decimal from 0 to 1000000", "0",
               "writes a second that the store takes from all boxes together; 0: not known, and who "
               "began streams isn't written there"},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -33,6 +33,7 @@
     Duration partRemembered{};     ///< How long an unused prompt part is thought kept.
     std::uint32_t metricsPort = 0; ///< 0: none.
     std::uint32_t descriptors = 0; ///< File descriptors that the process may use.
+    std::uint32_t memoryMb = 256;  ///< Memory that the process may use.
     double storeWrites = 0;        ///< Writes a second that the store allows; 0: not stated.
     double linkMbps = 0;           ///< Of the box's own link; boxes with fast ones relay first.
     Duration hallDrainWithin{};    ///< A drained hall gets nothing new later; zero: none is told.
--- a/src/outcome/ResultCode.cpp
+++ b/src/outcome/ResultCode.cpp
@@ -58,6 +58,7 @@
          "it"},
         {OtherConfiguration, "other-configuration", Ran::NotRun, 503, false,
          "come back after Retry-After"},
+        {MemoryFull, "memory-full", Ran::NotRun, 503, false, "come back after Retry-After"},
         {BackendFailed, "backend-failed", Ran::Ran, 502, false,
          "the backend server answered with a failure; see the message"},
         {StreamCut, "stream-cut", Ran::Ran, 502, false,
--- a/src/outcome/ResultCode.h
+++ b/src/outcome/ResultCode.h
@@ -47,6 +47,7 @@
     VersionGone = 217,
     PartEndsServers = 218,
     OtherConfiguration = 219,
+    MemoryFull = 220,
     BackendFailed = 300,
     StreamCut = 301,
     ForeignAnswer = 302,
--- a/src/services/CallerService.cpp
+++ b/src/services/CallerService.cpp
@@ -47,6 +47,8 @@
     case http::Refused::TooManyConnections:
         return refusalOf(ResultCode::TooManyConnections,
                          "the box has as many connections as it takes", 1s);
+    case http::Refused::NoRoom:
+        return refusalOf(ResultCode::MemoryFull, "the box has no memory for the request", 1s);
     case http::Refused::Malformed:
         break;
     }
@@ -75,6 +77,7 @@
                                              [this](http::Request request, http::Reply &reply) {
                                                  return handle(std::move(request), reply);
                                              });
+    server_->setBudget(context_.requestBytes);
     server_->setRefusal([this](http::Refused why) {
         const Refusal refusal = refusalFor(why);
         context_.counters.add("results",
--- a/src/services/Context.h
+++ b/src/services/Context.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "http/ByteBudget.h"
 #include "kernel/BoxSettings.h"
 #include "kernel/Clock.h"
 #include "kernel/Counters.h"
@@ -11,11 +12,21 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <random>
 #include <string>
 
 namespace limereel::services {
 
+/** Bytes that a box with \a settings may hold of requests. The rest is for answers, what it knows
+ * of its fleet, and what memory that was given back still takes. */
+inline std::size_t requestBudget(const kernel::BoxSettings &settings)
+{
+    constexpr std::size_t BudgetFraction = 6;
+    constexpr std::size_t MiB = std::size_t{1024} * 1024;
+    return settings.gateway.memoryMb * MiB / BudgetFraction;
+}
+
 /** Shared by the services of one process and outlives them. Used only from the thread of the event
  * loop. */
 struct Context
@@ -28,10 +39,12 @@
     kernel::Kernel kernel;
     std::mt19937_64 random;
     std::function<kernel::Instant()> now = kernel::now;
+    std::shared_ptr<http::ByteBudget> requestBytes; ///< Of all servers of the box.
 
     Context(boost::asio::io_context &loop, kernel::BoxSettings boxSettings)
         : io(loop)
         , settings(std::move(boxSettings))
+        , requestBytes(std::make_shared<http::ByteBudget>(requestBudget(settings)))
     {
     }
 };
--- a/test/platform/ClientCrowdTest.cpp
+++ b/test/platform/ClientCrowdTest.cpp
@@ -56,7 +56,7 @@
         putConfiguration(spec);
         list(runner(0), "pool");
         list(runner(1), "pool");
-        moreSettings = "descriptors = 1024\n";
+        moreSettings = "descriptors = 1024\nmemory-mb = 192\n";
         const std::filesystem::path settings = folder_ / "box.ini";
         std::ofstream(settings) << settingsText();
         process_ = Process({LIMEREEL_BINARY, "gateway", "--settings", settings.string()},
@@ -108,6 +108,7 @@
         BOOST_TEST(callWithBody(BodyBytes) == 200);
         BOOST_TEST(process_.running());
         const std::size_t held = mostHeld();
+        BOOST_TEST_MESSAGE("held at most " << held / MiB << " MiB");
         BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
     }
 
--- a/test/platform/GatewayProcessTest.cpp
+++ b/test/platform/GatewayProcessTest.cpp
@@ -87,6 +87,7 @@
                 {"{{seed_nodes}}", "127.0.0.1:1"},
                 {"{{limits.link_mbps}}", "1000.0"},
                 {"{{limits.max_fds}}", "4100"},
+                {"{{limits.memory_mb}}", "260"},
                 {"{{beat_interval_ms}}", "1200"},
                 {"{{bounds.revoke_ms}}", revokeMs},
                 {"{{bounds.drain_ms}}", "2000"},
