An answer without a marked end isn't whole while its request is being sent

Cause: the write of the request takes the reset off the socket, and the read then finds an orderly end. The write's failure was known and nobody asked it. Change: KeptConnection, which all readers of servers, boxes, relays and the store use, takes an end that only the connection marks for a failure while the request isn't sent, or couldn't be. Why it works: the write is asked after the read's end, and the loop handles its failure no later than the end that its reset left behind; a server that resets has left the rest of the request unread, so it can't have been sent.

--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -212,10 +212,17 @@
             break;
         }
     }
-    if (part.empty()) {
-        co_return BodyPart{{}, endOf(*state->parser)};
+    if (!part.empty()) {
+        co_return BodyPart{std::move(part), {}};
     }
-    co_return BodyPart{std::move(part), {}};
+    const BodyEnd end = endOf(*state->parser);
+    // The reset may have been taken by the write, and the read then finds an orderly end.
+    if (!isMarked(end) && (state->sending || state->failed)) {
+        state->failed = true;
+        co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false,
+                                             "it ended while the request was being sent"});
+    }
+    co_return BodyPart{{}, end};
 }
 
 asio::awaitable<tl::expected<Body, CallFailure>> KeptConnection::readAll(std::size_t mostBytes)
