An answer whose status is none of HTTP is the server's failure

Cause: the parser takes any three digits, and the readers took what the parser gave. Evidence: UploadAnswerTest/status_isNoneOfHttp_* on the code before: 000, 001, 099, 600 and 999 were passed on, signed and whole, at all four kinds of route; feeds and calls of states took them, too. Change: both places that read heads, KeptConnection and Client::Stream, fail for a status outside 100 to 599; so servers, other boxes, the store, relays and states are covered. Result: 502 at each route, an error to feeds and states. The report of odd bytes in names of fields was played again wherever answers are read (head_lineIsNoField_*, 10 lines): 502 or an error each, also on the code before; a control byte or a bare CR in a value likewise. A folded line is passed on as one value, which RFC 9112 allows.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/BoundedSource.h"
 #include "http/ResponseEnd.h"
+#include "http/Status.h"
 #include "http/TimeLimit.h"
 
 #include <boost/asio.hpp>
@@ -121,6 +122,9 @@
     if (headError) {
         co_return tl::unexpected(connection->failure(FailurePoint::AllSent, headError));
     }
+    if (!isStatus(static_cast<int>(connection->parser.get().result_int()))) {
+        co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false, NoStatus});
+    }
     co_return Stream(std::move(connection));
 }
 
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -3,6 +3,7 @@
 #include "http/BoundedSource.h"
 #include "http/ResponseEnd.h"
 #include "http/SocketState.h"
+#include "http/Status.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -180,6 +181,10 @@
     AnswerStart start;
     const auto &head = state->parser->get();
     start.status = static_cast<int>(head.result_int());
+    if (!isStatus(start.status)) {
+        state->failed = true;
+        co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false, NoStatus});
+    }
     for (const auto &field : head) {
         start.fields.add(std::string(field.name_string()), std::string(field.value()));
     }
--- a/test/platform/UploadAnswerTest.cpp
+++ b/test/platform/UploadAnswerTest.cpp
@@ -1,6 +1,7 @@
 // Servers that answer before they have read a whole body, and answers whose heads aren't those of
 // an answer, wherever answers are read.
 
+#include "gateway/FeedConnection.h"
 #include "platform/GatewayFixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -100,6 +101,35 @@
         return call(std::move(asked));
     }
 
+    /** Runs \a asked to its end. */
+    template <typename Result>
+    Result ended(asio::awaitable<Result> asked)
+    {
+        std::optional<Result> result;
+        asio::co_spawn(io_, std::move(asked), [&](const std::exception_ptr &fault, Result got) {
+            BOOST_TEST(!fault);
+            result.emplace(std::move(got));
+        });
+        until([&] { return result.has_value(); }, "the end of the call");
+        return std::move(*result);
+    }
+
+    /** As the store and relays are asked. */
+    tl::expected<http::Answer, std::string> askAsAFeed()
+    {
+        gateway::FeedConnection connection(context(), "test");
+        const auto opened = ended(connection.open(server.where(), 10s));
+        BOOST_REQUIRE(opened.has_value());
+        const gateway::AnswerWait wait{10s, 10s, 10s};
+        return ended(connection.ask(request("GET", "/list"), wait));
+    }
+
+    /** As states are asked. */
+    tl::expected<http::Answer, http::CallFailure> callByItself()
+    {
+        return ended(http::call(context().io, server.where(), request("GET", "/state"), {}));
+    }
+
     HastyServer server;
 };
 
@@ -130,4 +160,40 @@
     BOOST_TEST(answer.body == server.body);
 }
 
+// Guards against a status that is none and is shown to the caller as one.
+BOOST_AUTO_TEST_CASE(status_isNoneOfHttp_isTheServersFailure)
+{
+    server.fields = "Content-Length: " + std::to_string(PartBytes) + "\r\n";
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        server.statusLine = std::string("HTTP/1.1 ") + status + " Odd";
+        for (const char *target : {"/again/x", "/once/x", "/stream/x", "/resume/x"}) {
+            BOOST_TEST(call(request("GET", target)).status == 502, status << " at " << target);
+        }
+        BOOST_TEST(!askAsAFeed().has_value(), status);
+        BOOST_TEST(!callByItself().has_value(), status);
+    }
+}
+
+// Guards against a line that is no field and is passed on as one, or that hides another.
+BOOST_AUTO_TEST_CASE(head_lineIsNoField_isTheServersFailure)
+{
+    const std::string length = "Content-Length: " + std::to_string(PartBytes) + "\r\n";
+    const std::vector<std::string> lines = {"X Odd: 1",
+                                            "X-Odd : 1",
+                                            "X\tOdd: 1",
+                                            "X\x01Odd: 1",
+                                            ": 1",
+                                            "X-Odd",
+                                            "X-Odd\xFF: 1",
+                                            "X-Odd: a\x01\x62",
+                                            "X-Odd: a\rb: c",
+                                            std::string("X\0Odd: 1", 8)};
+    for (const std::string &line : lines) {
+        server.fields = length + line + "\r\n";
+        BOOST_TEST(call(request("GET", "/again/x")).status == 502, line);
+        BOOST_TEST(!askAsAFeed().has_value(), line);
+        BOOST_TEST(!callByItself().has_value(), line);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
