A byte budget bounds the answers of a box, over all its callers

Change: a second ByteBudget, another sixth of memory-mb, counts whole answers as they are read, foreign ones and incomplete events, from servers and through other boxes. The largest gives way and its attempt ends as one whose answer was lost. Bodies are held in blocks here, too. Why it works: an answer without an end becomes the largest, however fast it comes; one that a caller waits for has some kilobytes.

--- a/src/gateway/BackendExchange.cpp
+++ b/src/gateway/BackendExchange.cpp
@@ -184,6 +184,11 @@
     return sent ? AttemptEnd::MayHaveRun : AttemptEnd::Unsent;
 }
 
+http::KeptConnection::Hold BackendExchange::holdAnswer()
+{
+    return [this](std::size_t bytes) { return run_.holdAnswer(bytes); };
+}
+
 AttemptEnd BackendExchange::failReading(const char *what, const http::CallFailure &failure,
                                         bool sent)
 {
@@ -240,7 +245,7 @@
         noteServerReports(head);
         const bool interim = start->status / 100 == 1 && start->status != SwitchingProtocols;
         if (interim && ++interimHeads <= MaxInterimHeads) {
-            auto empty = co_await connection_->readAll(0);
+            auto empty = co_await connection_->readAll(0, holdAnswer());
             if (!empty) {
                 co_return tl::unexpected(empty.error());
             }
@@ -256,7 +261,7 @@
             co_return tl::unexpected(http::CallFailure{outcome::FailurePoint::AnswerForeign, false,
                                                        "answers of other requests came"});
         }
-        auto body = co_await connection_->readAll(http::MaxBodyBytes);
+        auto body = co_await connection_->readAll(http::MaxBodyBytes, holdAnswer());
         if (!body) {
             co_return tl::unexpected(body.error());
         }
@@ -377,7 +382,7 @@
 
 asio::awaitable<AttemptEnd> BackendExchange::forwardWhole(http::AnswerStart start, AnswerHead head)
 {
-    auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    auto body = co_await connection_->readAll(http::MaxBodyBytes, holdAnswer());
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
--- a/src/gateway/BackendExchange.h
+++ b/src/gateway/BackendExchange.h
@@ -53,6 +53,7 @@
     boost::asio::awaitable<AttemptEnd> endStream(http::AnswerStart start, forward::AnswerHead head,
                                                  http::BodyEnd end);
     AttemptEnd endForCallerThatLeft();
+    http::KeptConnection::Hold holdAnswer();
     boost::asio::awaitable<forward::Completeness> judge(forward::AnswerEnding ending);
     void noteAnswerTime();
     void noteBodyEnd(http::BodyEnd end);
--- a/src/gateway/DetourAttempt.cpp
+++ b/src/gateway/DetourAttempt.cpp
@@ -159,7 +159,8 @@
 // The other box's view may differ from this box's, so what it refuses as wrong isn't passed on.
 asio::awaitable<AttemptEnd> DetourAttempt::takeRefusal(const http::AnswerStart &start)
 {
-    const auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    const auto body = co_await connection_->readAll(
+            http::MaxBodyBytes, [this](std::size_t bytes) { return run_.holdAnswer(bytes); });
     if (body) {
         returnConnection(start);
     } else {
@@ -183,7 +184,8 @@
 
 asio::awaitable<AttemptEnd> DetourAttempt::forwardWhole(http::AnswerStart start)
 {
-    auto body = co_await connection_->readAll(http::MaxBodyBytes);
+    auto body = co_await connection_->readAll(
+            http::MaxBodyBytes, [this](std::size_t bytes) { return run_.holdAnswer(bytes); });
     if (!body) {
         connection_->close();
         run_.noteTooLong(body.error().passed);
--- a/src/gateway/EventForwarder.cpp
+++ b/src/gateway/EventForwarder.cpp
@@ -16,13 +16,13 @@
     return coding.empty() && (type.empty() || boost::algorithm::istarts_with(type, EventStream));
 }
 
-std::optional<http::CallFailure> EventForwarder::tooLong(const http::AnswerStart &start) const
+std::optional<http::CallFailure> EventForwarder::tooLong(const http::AnswerStart &start)
 {
     const bool events = isEventStream(start.fields);
     const http::AnswerBound bound = events ? http::AnswerBound::Event : http::AnswerBound::Body;
     const std::size_t most = events ? http::MaxEventBytes : http::MaxBodyBytes;
     if (cutter_.pendingBytes() <= most) {
-        return std::nullopt;
+        return run_.holdAnswer(cutter_.pendingBytes());
     }
     return http::CallFailure{outcome::FailurePoint::AnswerBegun, false, http::tooLong(bound, most),
                              bound};
--- a/src/gateway/EventForwarder.h
+++ b/src/gateway/EventForwarder.h
@@ -36,9 +36,10 @@
     /** Forwards what belongs to no event, at the end of a complete answer. */
     boost::asio::awaitable<bool> forwardRest(const http::AnswerStart &start);
 
-    /** The bound that is passed by what is held of the answer that begins with \a start. A body
-     * that isn't a stream of events is held as a whole. */
-    std::optional<http::CallFailure> tooLong(const http::AnswerStart &start) const;
+    /** The bound that is passed by what is held of the answer that begins with \a start, or the
+     * failure if there is no room for it. A body that isn't a stream of events is held as a
+     * whole. */
+    std::optional<http::CallFailure> tooLong(const http::AnswerStart &start);
 
     /** Whether the answer has stopped inside an event. */
     bool insideEvent() const { return cutter_.insideEvent(); }
--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -34,11 +34,27 @@
     , reply(toCaller)
     , began(ofContext.now())
     , guard(ofContext)
+    , answerBytes(ofContext.answerBytes, [holder = interrupt] {
+        if (holder->connection) {
+            holder->connection->close();
+        }
+    })
 {
 }
 
+std::optional<http::CallFailure> RunState::holdAnswer(std::size_t bytes)
+{
+    if (answerBytes.resize(bytes)) {
+        return std::nullopt;
+    }
+    context.counters.add("answers_without_room");
+    return http::CallFailure{outcome::FailurePoint::AnswerBegun, false,
+                             "there is no room for more of it"};
+}
+
 void RunState::beginAttempt()
 {
+    answerBytes.resize(0);
     sentAt.reset();
     headAt.reset();
     firstPiece.reset();
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -83,6 +83,7 @@
     kernel::Duration sinceFirstTry{};
     services::CrashGuard guard; ///< Tracks the request from its admission on.
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
+    http::ByteBudget::Share answerBytes; ///< What is held of this attempt's answer.
 
     forward::Choice choice;                    ///< The server of this attempt.
     std::optional<kernel::Instant> sentAt;     ///< When this attempt was sent; empty before that.
@@ -139,6 +140,9 @@
     /** Records that bytes of a stream that \a writer wrote are about to go to the caller. */
     void noteBytes(const forward::StreamOrigin &writer);
 
+    /** Holds \a bytes of this attempt's answer; the failure if there is no room for them. */
+    std::optional<http::CallFailure> holdAnswer(std::size_t bytes);
+
     /** Counts an answer that was given up as it passed \a bound, if it did. */
     void noteTooLong(std::optional<http::AnswerBound> bound) const;
 
--- a/src/http/BodyBlocks.cpp
+++ b/src/http/BodyBlocks.cpp
@@ -17,6 +17,17 @@
     return blocks_.back().data() + filled_;
 }
 
+void BodyBlocks::append(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        char *const place = next();
+        const std::string_view piece = bytes.substr(0, room());
+        std::ranges::copy(piece, place);
+        noteFilled(piece.size());
+        bytes.remove_prefix(piece.size());
+    }
+}
+
 std::size_t BodyBlocks::held() const
 {
     return std::accumulate(
--- a/src/http/BodyBlocks.h
+++ b/src/http/BodyBlocks.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace limereel::http {
@@ -31,6 +32,9 @@
     /** \a bytes have been put to next(). */
     void noteFilled(std::size_t bytes) { filled_ += bytes; }
 
+    /** Puts \a bytes at the end. */
+    void append(std::string_view bytes);
+
     /** Bytes of memory that the blocks take. */
     std::size_t held() const;
 
--- a/src/http/ByteBudget.cpp
+++ b/src/http/ByteBudget.cpp
@@ -1,5 +1,6 @@
 #include "http/ByteBudget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace limereel::http {
@@ -10,21 +11,32 @@
     return alone || held_ + more <= limit_;
 }
 
-// Those that are younger than the asker stay: it is the one that has taken long.
+// The asker itself if it is the first to give way.
+ByteBudget::Share *ByteBudget::nextToGiveWay(std::size_t more, const Share &asker) const
+{
+    const auto wanted = [&](const Share *share) {
+        return share->bytes_ + (share == &asker ? more : 0);
+    };
+    const auto place = first_ == GivesWay::Largest
+                               ? std::ranges::max_element(mayGiveWay_, {}, wanted)
+                               : std::ranges::find_if(mayGiveWay_, [&](const Share *share) {
+                                     return wanted(share) > 0;
+                                 });
+    return place == mayGiveWay_.end() ? nullptr : *place;
+}
+
 void ByteBudget::makeRoom(std::size_t more, const Share &asker)
 {
-    auto place = mayGiveWay_.begin();
-    while (place != mayGiveWay_.end() && *place != &asker && !hasRoom(more, asker.bytes_)) {
-        Share &oldest = **place;
-        ++place;
-        if (oldest.bytes_ == 0) {
-            continue;
+    while (!hasRoom(more, asker.bytes_)) {
+        Share *const next = nextToGiveWay(more, asker);
+        if (next == nullptr || next == &asker || next->bytes_ == 0) {
+            return;
         }
         ++gaveWay_;
-        held_ -= std::exchange(oldest.bytes_, 0);
-        oldest.gaveWay_ = true;
-        const auto giveWay = std::move(oldest.giveWay_);
-        oldest.keep();
+        held_ -= std::exchange(next->bytes_, 0);
+        next->gaveWay_ = true;
+        const auto giveWay = std::move(next->giveWay_);
+        next->keep();
         giveWay();
     }
 }
--- a/src/http/ByteBudget.h
+++ b/src/http/ByteBudget.h
@@ -1,10 +1,9 @@
 /** \file
- * Bounds the bytes that a box holds of requests, over all connections of all its listeners.
+ * Bounds the bytes that a box holds of requests, or of answers, over all its connections.
  *
- * Limits on one request don't bound a box: as many requests as it has connections may come at once,
- * and clients that never finish theirs keep what they have sent. When there is no room, the oldest
- * request that is still being read gives way. One that comes as fast as it can be read is younger
- * than those that have stopped.
+ * Limits on one message don't bound a box: as many as it has connections may come at once, and
+ * clients that never finish theirs keep what they have sent. When there is no room, a message that
+ * is still being read gives way.
  */
 #pragma once
 
@@ -16,14 +15,21 @@
 
 namespace limereel::http {
 
+/** Which holder gives way first. */
+enum class GivesWay : std::uint8_t {
+    Oldest, ///< A message that comes as fast as it can be read is younger than those that stopped.
+    Largest ///< A message without an end becomes the largest, however fast it comes.
+};
+
 /** The budget. Outlives none of its shares. Used from one thread. */
 class ByteBudget
 {
 public:
     class Share;
 
-    explicit ByteBudget(std::size_t limit)
+    explicit ByteBudget(std::size_t limit, GivesWay first = GivesWay::Oldest)
         : limit_(limit)
+        , first_(first)
     {
     }
 
@@ -39,8 +45,10 @@
 private:
     bool hasRoom(std::size_t more, std::size_t own) const;
     void makeRoom(std::size_t more, const Share &asker);
+    Share *nextToGiveWay(std::size_t more, const Share &asker) const;
 
     std::size_t limit_;
+    GivesWay first_;
     std::size_t held_ = 0;
     std::uint64_t gaveWay_ = 0;
     std::list<Share *> mayGiveWay_; ///< The oldest first.
@@ -50,7 +58,7 @@
 class ByteBudget::Share
 {
 public:
-    /** \param giveWay called at most once, when a younger holder needs the room. What is held then
+    /** \param giveWay called at most once, when another holder needs the room. What is held then
      * has to be let go soon; it no longer counts. */
     Share(std::shared_ptr<ByteBudget> budget, std::function<void()> giveWay);
     ~Share();
--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/KeptConnection.h"
 
+#include "http/BodyBlocks.h"
 #include "http/BoundedSource.h"
 #include "http/ResponseEnd.h"
 #include "http/SocketState.h"
@@ -29,6 +30,12 @@
 using Parser = bhttp::response_parser<bhttp::buffer_body>;
 using Message = bhttp::request<bhttp::string_body>;
 
+std::optional<CallFailure> bodyTooLong(std::size_t mostBytes)
+{
+    return CallFailure{FailurePoint::AnswerBegun, false, tooLong(AnswerBound::Body, mostBytes),
+                       AnswerBound::Body};
+}
+
 Message toMessage(Request request)
 {
     Message message;
@@ -230,24 +237,25 @@
     co_return BodyPart{{}, end};
 }
 
-asio::awaitable<tl::expected<Body, CallFailure>> KeptConnection::readAll(std::size_t mostBytes)
+asio::awaitable<tl::expected<Body, CallFailure>> KeptConnection::readAll(std::size_t mostBytes,
+                                                                         Hold hold)
 {
-    Body all;
+    BodyBlocks blocks;
+    std::size_t bytes = 0;
     while (true) {
         auto part = co_await readPart();
         if (!part) {
             co_return tl::unexpected(part.error());
         }
         if (part->end) {
-            all.end = *part->end;
-            co_return all;
+            co_return Body{blocks.join(), *part->end};
         }
-        all.bytes += part->bytes;
-        if (all.bytes.size() > mostBytes) {
+        bytes += part->bytes.size();
+        blocks.append(part->bytes);
+        auto failure = bytes > mostBytes ? bodyTooLong(mostBytes) : hold(blocks.held());
+        if (failure) {
             state_->failed = true;
-            co_return tl::unexpected(CallFailure{FailurePoint::AnswerBegun, false,
-                                                 tooLong(AnswerBound::Body, mostBytes),
-                                                 AnswerBound::Body});
+            co_return tl::unexpected(std::move(*failure));
         }
     }
 }
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,8 +50,12 @@
     /** The next part of the answer's body, or its end. */
     boost::asio::awaitable<tl::expected<BodyPart, CallFailure>> readPart();
 
-    /** Reads the rest of the body, at most \a mostBytes. */
-    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(std::size_t mostBytes);
+    /** Whether the bytes of a body that have come may be held; else the failure. */
+    using Hold = std::function<std::optional<CallFailure>(std::size_t bytes)>;
+
+    /** Reads the rest of the body, at most \a mostBytes and as long as \a hold lets it. */
+    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(
+            std::size_t mostBytes, Hold hold = [](std::size_t) { return std::nullopt; });
 
     /** Ends the connection; what is being read fails. */
     void close();
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -89,7 +89,8 @@
              count(field(&G::descriptors), 64, 1000000)},
             {{"gateway", "memory-mb", "integer from 64 to 1000000", "256",
               "megabytes of memory that the process may use; a sixth of it may hold requests, and "
-              "beyond that the oldest of those that are still being read is refused"},
+              "beyond that the oldest of those that are still being read is refused; another sixth "
+              "holds answers, and beyond that the largest is given up"},
              count(field(&G::memoryMb), 64, 1000000)},
             {{"gateway", "store-writes", "decimal from 0 to 1000000", "0",
               "writes a second that the store takes from all boxes together; 0: not known, and who "
--- a/src/services/Context.h
+++ b/src/services/Context.h
@@ -18,9 +18,9 @@
 
 namespace limereel::services {
 
-/** Bytes that a box with \a settings may hold of requests. The rest is for answers, what it knows
- * of its fleet, and what memory that was given back still takes. */
-inline std::size_t requestBudget(const kernel::BoxSettings &settings)
+/** Bytes that a box with \a settings may hold of requests, and again of answers. The rest is for
+ * what it knows of its fleet, and for memory that was given back and isn't used again. */
+inline std::size_t byteBudget(const kernel::BoxSettings &settings)
 {
     constexpr std::size_t BudgetFraction = 6;
     constexpr std::size_t MiB = std::size_t{1024} * 1024;
@@ -40,11 +40,14 @@
     std::mt19937_64 random;
     std::function<kernel::Instant()> now = kernel::now;
     std::shared_ptr<http::ByteBudget> requestBytes; ///< Of all servers of the box.
+    std::shared_ptr<http::ByteBudget> answerBytes;  ///< That backend servers send.
 
     Context(boost::asio::io_context &loop, kernel::BoxSettings boxSettings)
         : io(loop)
         , settings(std::move(boxSettings))
-        , requestBytes(std::make_shared<http::ByteBudget>(requestBudget(settings)))
+        , requestBytes(std::make_shared<http::ByteBudget>(byteBudget(settings)))
+        , answerBytes(
+                  std::make_shared<http::ByteBudget>(byteBudget(settings), http::GivesWay::Largest))
     {
     }
 };
--- a/test/correctness/BodyBlocksTest.cpp
+++ b/test/correctness/BodyBlocksTest.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-void put(BodyBlocks &blocks, std::string_view text)
-{
-    while (!text.empty()) {
-        char *const place = blocks.next();
-        const std::size_t bytes = std::min(blocks.room(), text.size());
-        std::ranges::copy(text.substr(0, bytes), place);
-        blocks.noteFilled(bytes);
-        text.remove_prefix(bytes);
-    }
-}
-
 std::string randomText(std::mt19937_64 &random, std::size_t bytes)
 {
     std::string text(bytes, '\0');
@@ -49,7 +38,7 @@
             std::string_view left = text;
             while (!left.empty()) {
                 const std::size_t bytes = std::min<std::size_t>(1 + random() % 5000, left.size());
-                put(blocks, left.substr(0, bytes));
+                blocks.append(left.substr(0, bytes));
                 left.remove_prefix(bytes);
             }
             BOOST_TEST(blocks.held() < size + BodyBlocks::BlockBytes);
@@ -63,10 +52,10 @@
 {
     BodyBlocks blocks(1000000);
     BOOST_TEST(blocks.held() == 0U);
-    put(blocks, "x");
+    blocks.append("x");
     BOOST_TEST(blocks.held() == BodyBlocks::BlockBytes);
     BodyBlocks small(10);
-    put(small, "x");
+    small.append("x");
     BOOST_TEST(small.held() == 10U);
 }
 
--- a/test/correctness/ByteBudgetTest.cpp
+++ b/test/correctness/ByteBudgetTest.cpp
@@ -98,6 +98,22 @@
     BOOST_TEST(first->resize(10));
 }
 
+// Guards against an answer without an end that takes the room of all others.
+BOOST_AUTO_TEST_CASE(resize_largestGivesWay_smallOldOnesStay)
+{
+    budget = std::make_shared<ByteBudget>(Limit, limereel::http::GivesWay::Largest);
+    const auto first = share(1);
+    const auto second = share(2);
+    const auto third = share(3);
+    first->resize(10);
+    second->resize(70);
+    BOOST_TEST(third->resize(30));
+    BOOST_TEST(gaveWay == std::vector<int>{2});
+    BOOST_TEST(!third->resize(91));
+    BOOST_TEST(!first->gaveWay());
+    BOOST_TEST(budget->held() == 40U);
+}
+
 // Guards against bytes that are never given back.
 BOOST_AUTO_TEST_CASE(randomHolders_allEnd_nothingIsHeld)
 {
--- a/test/platform/ClientCrowdTest.cpp
+++ b/test/platform/ClientCrowdTest.cpp
@@ -1,7 +1,9 @@
-// Crowds of clients that keep no limits, against the real process: it lives, what it holds stays
-// under a bound, and an ordinary request is answered beside the crowd and after it.
+// Crowds of clients that keep no limits, and answers without end, against the real process: it
+// lives, what it holds stays under a bound, and an ordinary request is answered beside the crowd
+// and after it.
 
 #include "support/ClientCrowd.h"
+#include "platform/EndlessServer.h"
 #include "platform/GatewayFixture.h"
 #include "support/Processes.h"
 
@@ -17,6 +19,7 @@
 constexpr std::size_t KiB = 1024;
 constexpr std::size_t MiB = 1024 * KiB;
 constexpr std::size_t Clients = 200;
+constexpr std::size_t Callers = 40;
 constexpr std::size_t HeadBytes = 8 * KiB;
 constexpr std::size_t BodyBytes = MiB;
 // Half of the memory of the box in these tests.
@@ -29,6 +32,9 @@
                          "X-Api-Key: key-one\r\nX-Deadline-Ms: 15000\r\n";
 const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
 
+const std::string AnswerHead =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: i-flood.1\r\n";
+
 std::string chunk(std::size_t bytes)
 {
     std::ostringstream text;
@@ -46,14 +52,24 @@
 {
 public:
     CrowdFixture()
-        : folder_(std::filesystem::temp_directory_path()
+        : flood_(io_)
+        , folder_(std::filesystem::temp_directory_path()
                   / ("limereel-crowd-" + std::to_string(::getpid())))
     {
         std::filesystem::create_directories(folder_);
         nlohmann::json spec = configuration(1);
         spec["limits"]["max_header_bytes"] = HeadBytes;
         spec["limits"]["max_body_bytes"] = BodyBytes;
+        nlohmann::json flood = spec["routes"][1];
+        flood["name"] = "flood";
+        flood["path_prefix"] = "/flood/";
+        flood["service"] = "flood";
+        spec["routes"].push_back(flood);
+        spec["services"].push_back({{"name", "flood"}, {"health_path", "/health"}});
         putConfiguration(spec);
+        nlohmann::json entry = entryOf(runner(0), "flood");
+        entry["address"] = kernel::text(flood_.where());
+        store().put("servers", "i-flood", entry);
         list(runner(0), "pool");
         list(runner(1), "pool");
         moreSettings = "descriptors = 1024\nmemory-mb = 192\n";
@@ -112,7 +128,27 @@
         BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
     }
 
+    /** Calls a server that answers each call with \a answer. */
+    void checkAnswers(const EndlessAnswer &answer)
+    {
+        flood_.answer = answer;
+        std::vector<std::shared_ptr<PendingCall>> calls;
+        for (std::size_t caller = 0; caller < Callers; ++caller) {
+            calls.push_back(begin(request("GET", "/flood/x")));
+        }
+        for (const auto &pending : calls) {
+            const GatewayAnswer got = finish(pending);
+            BOOST_TEST((got.status >= 500 || !got.whole), "status " << got.status);
+        }
+        BOOST_TEST(callWithBody(8) == 200);
+        BOOST_TEST(process_.running());
+        const std::size_t held = mostHeld();
+        BOOST_TEST_MESSAGE("held at most " << held / MiB << " MiB");
+        BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
+    }
+
 private:
+    EndlessServer flood_;
     std::filesystem::path folder_;
     Process process_;
 };
@@ -192,4 +228,21 @@
     check({"", "GET /nowhere HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: c\r\n\r\n", MiB});
 }
 
+// The same by servers whose answers have no end, at many callers.
+
+BOOST_AUTO_TEST_CASE(answersWithLength_haveNoEnd_boxHoldsLittle)
+{
+    checkAnswers({AnswerHead + "Content-Length: 100000000\r\n\r\n", std::string(KiB, 'y')});
+}
+
+BOOST_AUTO_TEST_CASE(answersInChunks_haveNoEnd_boxHoldsLittle)
+{
+    checkAnswers({AnswerHead + "Transfer-Encoding: chunked\r\n\r\n", chunk(KiB)});
+}
+
+BOOST_AUTO_TEST_CASE(headsOfAnswers_haveNoEnd_boxHoldsLittle)
+{
+    checkAnswers({AnswerHead, "X-More: y\r\n"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
