Soak: the store holds names of other writers, and lists in pages of two

Change: ten entries with odd names stand before, among and behind the soak's servers, in pages of two objects; boxes are killed, restarted and cut from the store as before.

--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -87,6 +87,26 @@
             {"tenants", organisations}};
 }
 
+// Objects of the store's lists, so that odd names come to stand at the end of a page.
+constexpr std::size_t PageSize = 2;
+
+// Entries of other writers, before the soak's servers, among them and behind them.
+constexpr std::array<const char *, 10> OddNames = {"a00%",      "a01%zz",      "a02&b=", "a03+",
+                                                   "a04%C3%A9", "a05\xC3\xA9", "i-0 #x", "i-1%",
+                                                   "i-2/?y",    "z%"};
+
+json entryElsewhere()
+{
+    return {{"service", "elsewhere"},
+            {"address", "127.0.0.1:9"},
+            {"zone", ServerHalls[0]},
+            {"version", "v1"},
+            {"slots", 1},
+            {"state", "ready"},
+            {"cold_left_ms", 0},
+            {"call_seq", 1}};
+}
+
 } // namespace
 
 SoakWorld::SoakWorld(boost::asio::io_context &io, SoakFleet &fleet, const SoakPlan &plan)
@@ -99,7 +119,11 @@
     for (const SoakBox &box : fleet.boxes()) {
         storeProxies_.push_back(std::make_unique<LoopbackProxy>(io, box.store, storeAt));
     }
+    store_->pageSize = PageSize;
     nextConfiguration();
+    for (const char *name : OddNames) {
+        store_->put("servers", name, entryElsewhere());
+    }
     for (std::size_t count = 0; count < plan.servers; ++count) {
         addServer();
     }
