--- a/test/platform/ClientCrowdTest.cpp
+++ b/test/platform/ClientCrowdTest.cpp
@@ -112,10 +112,18 @@
 
     /** Plays a crowd that sends \a bytes, and checks what has to hold. */
     void check(const CrowdBytes &bytes, std::size_t clients = Clients)
+    {
+        checkTogether(std::vector{bytes}, clients);
+    }
+
+    /** The same with crowds of several kinds at once, \a clients in all. */
+    void checkTogether(const std::vector<CrowdBytes> &kinds, std::size_t clients = Clients)
     {
         {
-            ClientCrowd crowd(io_, callerEndpoint(), bytes, clients);
-            until([&] { return crowd.settled(); }, "the end of what the crowd sends");
+            const auto crowds = startCrowds(kinds, clients / kinds.size());
+            const auto settled = [](const auto &crowd) { return crowd->settled(); };
+            until([&] { return std::ranges::all_of(crowds, settled); },
+                  "the end of what the crowd sends");
             BOOST_TEST(process_.running());
             BOOST_TEST(descriptors() <= clients + MoreDescriptors);
             BOOST_TEST(callWithBody(8) == 200);
@@ -124,9 +132,7 @@
         until([this] { return descriptors() <= MoreDescriptors; }, "closed connections");
         BOOST_TEST(callWithBody(BodyBytes) == 200);
         BOOST_TEST(process_.running());
-        const std::size_t held = mostHeld();
-        BOOST_TEST_MESSAGE("held at most " << held / MiB << " MiB");
-        BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
+        checkHeld();
     }
 
     /** Calls a server that answers each call with \a answer. */
@@ -143,12 +149,27 @@
         }
         BOOST_TEST(callWithBody(8) == 200);
         BOOST_TEST(process_.running());
+        checkHeld();
+    }
+
+private:
+    std::vector<std::unique_ptr<ClientCrowd>> startCrowds(const std::vector<CrowdBytes> &kinds,
+                                                          std::size_t clients)
+    {
+        std::vector<std::unique_ptr<ClientCrowd>> crowds;
+        for (const CrowdBytes &bytes : kinds) {
+            crowds.push_back(std::make_unique<ClientCrowd>(io_, callerEndpoint(), bytes, clients));
+        }
+        return crowds;
+    }
+
+    void checkHeld() const
+    {
         const std::size_t held = mostHeld();
         BOOST_TEST_MESSAGE("held at most " << held / MiB << " MiB");
         BOOST_TEST(held <= MostHeldBytes, "held " << held / MiB << " MiB");
     }
 
-private:
     EndlessServer flood_;
     std::filesystem::path folder_;
     Process process_;
@@ -229,11 +250,27 @@
     check({head + "Content-Length: 100000\r\n\r\n", std::string(KiB, 'y'), HeadBytes + 80 * KiB});
 }
 
+BOOST_AUTO_TEST_CASE(bodiesThatAwaitAWord_stopShortOfTheEnd_boxHoldsLittle)
+{
+    check({Head + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(16 * KiB),
+           JustShort});
+}
+
 BOOST_AUTO_TEST_CASE(pipelinedRequests_answersAreNotRead_boxHoldsLittle)
 {
     check({"", "GET /nowhere HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: c\r\n\r\n", MiB});
 }
 
+// Guards against clients of one kind whose room those of another kind take.
+BOOST_AUTO_TEST_CASE(clientsOfManyKinds_atOnce_boxHoldsLittle)
+{
+    checkTogether({{Chunked, chunk(16 * KiB), JustShort},
+                   {Chunked, chunk(1), 2 * MiB},
+                   {withLength(BodyBytes), std::string(KiB, 'y'), JustShort},
+                   {Head, "a:\r\n", HeadBytes - 16},
+                   {Chunked + "0\r\n", "X-More: y\r\n", Endless}});
+}
+
 // The same by servers whose answers have no end, at many callers.
 
 BOOST_AUTO_TEST_CASE(answersWithLength_haveNoEnd_boxHoldsLittle)
