Each attempt of a request holds its answer by itself

What callers would see: a request whose answer had given way at one server got 502, also where another server answered it whole. Cause: the share of the answers' budget belonged to the request, and one that gave way takes nothing any more. Evidence: EndlessAnswerTest/answerGaveWay_anotherServerAnswers_requestIsServed on the code before: 502. Change: each attempt begins with a share of its own. Result: 200, whole, three runs; ClientCrowdTest as before.

--- a/src/gateway/RunState.cpp
+++ b/src/gateway/RunState.cpp
@@ -34,17 +34,12 @@
     , reply(toCaller)
     , began(ofContext.now())
     , guard(ofContext)
-    , answerBytes(ofContext.answerBytes, [holder = interrupt] {
-        if (holder->connection) {
-            holder->connection->close();
-        }
-    })
 {
 }
 
 std::optional<http::CallFailure> RunState::holdAnswer(std::size_t bytes)
 {
-    if (answerBytes.resize(bytes)) {
+    if (answerBytes && answerBytes->resize(bytes)) {
         return std::nullopt;
     }
     context.counters.add("answers_without_room");
@@ -54,7 +49,11 @@
 
 void RunState::beginAttempt()
 {
-    answerBytes.resize(0);
+    answerBytes.emplace(context.answerBytes, [holder = interrupt] {
+        if (holder->connection) {
+            holder->connection->close();
+        }
+    });
     sentAt.reset();
     headAt.reset();
     firstPiece.reset();
--- a/src/gateway/RunState.h
+++ b/src/gateway/RunState.h
@@ -83,7 +83,9 @@
     kernel::Duration sinceFirstTry{};
     services::CrashGuard guard; ///< Tracks the request from its admission on.
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
-    http::ByteBudget::Share answerBytes; ///< What is held of this attempt's answer.
+    /** What is held of this attempt's answer. One that gave way holds nothing any more, so each
+     * attempt has its own. */
+    std::optional<http::ByteBudget::Share> answerBytes;
 
     forward::Choice choice;                    ///< The server of this attempt.
     std::optional<kernel::Instant> sentAt;     ///< When this attempt was sent; empty before that.
--- a/test/platform/EndlessAnswerTest.cpp
+++ b/test/platform/EndlessAnswerTest.cpp
@@ -3,6 +3,7 @@
 // connection is closed and little is held.
 
 #include "gateway/FeedConnection.h"
+#include "gateway/FleetView.h"
 #include "platform/EndlessServer.h"
 #include "platform/GatewayFixture.h"
 
@@ -172,6 +173,35 @@
 
 BOOST_AUTO_TEST_SUITE(EndlessAnswerTest)
 
+// Guards against a request whose answer gave way once, and that takes no other server's answer.
+BOOST_AUTO_TEST_CASE(answerGaveWay_anotherServerAnswers_requestIsServed)
+{
+    constexpr std::size_t Room = 8 * MiB;
+    constexpr std::size_t Held = 5 * MiB;
+    constexpr std::size_t Wanted = 4 * MiB;
+    EndlessFixture fixture;
+    fixture.startWith({Text + "Content-Length: 100000000\r\n\r\n", std::string(64 * KiB, 'y'),
+                       EndlessPace::Aligned});
+    const auto budget = std::make_shared<http::ByteBudget>(Room, http::GivesWay::Largest);
+    fixture.context().answerBytes = budget;
+    fixture.list(fixture.runner(0), "pool");
+    auto &servers = fixture.context().kernel.find<gateway::FleetView>("world").servers();
+    fixture.until([&] { return servers.find("i-one").has_value(); }, "the second server");
+    std::shared_ptr<PendingCall> pending;
+    for (int number = 0; fixture.server.requests() == 0; ++number) {
+        const http::Fields id = http::Fields().with("X-Attempt-Id", "a" + std::to_string(number));
+        pending = fixture.begin(GatewayFixture::request("POST", "/again/x", id));
+        fixture.until([&] { return pending->done || fixture.server.requests() > 0; }, "a server");
+    }
+    fixture.until([&] { return budget->held() > Held; }, "much of an answer without an end");
+    http::ByteBudget::Share other(budget, [] {});
+    BOOST_TEST(other.resize(Wanted));
+    const GatewayAnswer answer = fixture.finish(pending);
+    BOOST_TEST(budget->gaveWay() == 1U);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.whole);
+}
+
 // Guards against a server that fills the box's memory with an answer that never ends.
 BOOST_AUTO_TEST_CASE(answer_hasNoEndAndComesFast_endsAtItsBoundAsTheServersFailure)
 {
