Names of other writers are cut in log lines

Cause: an entry whose name has a megabyte made a line of a megabyte each time it was read. Change: kernel::shortName, 200 bytes; the lines that name objects of the store by their writer's name use it.

--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -183,7 +183,8 @@
         // Counted below together with objects whose names can't be parsed.
     }
     context_.counters.add("objects_unreadable", {{"kind", adapter_.crashKind}});
-    log().event("unreadable", {{"name", object.name}}, "A stopped request can't be read.");
+    log().event("unreadable", {{"name", kernel::shortName(object.name)}},
+                "A stopped request can't be read.");
 }
 
 // Returns false if something remains to be written.
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -302,7 +302,7 @@
                 "A new configuration is in force.");
     for (const std::string &name : snapshot_->content().leftOut) {
         context_.counters.add("organisations_left_out");
-        log().event("organisation-left-out", {{"organisation", name}},
+        log().event("organisation-left-out", {{"organisation", kernel::shortName(name)}},
                     "An organisation's name can't be told to servers; its keys aren't known.");
     }
     std::map<std::string, forward::ColdPolicy> cold;
@@ -325,7 +325,8 @@
         return;
     }
     context_.counters.add("servers_unreadable");
-    log().event("server-unreadable", {{"server", object.name}, {"why", entry.error()}},
+    log().event("server-unreadable",
+                {{"server", kernel::shortName(object.name)}, {"why", entry.error()}},
                 "The entry of a backend server can't be read; it names none.");
     if (servers_.find(object.name)) {
         markMissing(object.name);
@@ -378,7 +379,8 @@
         return;
     }
     context_.counters.add("hall_drains_unreadable");
-    log().event("hall-drain-unreadable", {{"object", object.name}, {"why", hall.error()}},
+    log().event("hall-drain-unreadable",
+                {{"object", kernel::shortName(object.name)}, {"why", hall.error()}},
                 "The drain of a hall can't be read; it drains none.");
 }
 
@@ -453,7 +455,8 @@
         }
     }
     if (newServers_ > MaxServerLogLines) {
-        log().event("servers-listed", {{"new", newServers_}, {"last", objects.back().name}},
+        log().event("servers-listed",
+                    {{"new", newServers_}, {"last", kernel::shortName(objects.back().name)}},
                     "Many backend servers are new; the first of them have lines of their own.");
     }
 }
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -29,8 +29,6 @@
 constexpr kernel::Duration FirstRelist = 2s;
 // Thousands of boxes whose lists are partial share the store.
 constexpr kernel::Duration LongestRelist = 60s;
-// Another writer's name may be as long as an object.
-constexpr std::size_t MaxLoggedName = 200;
 
 // Whether the store rejects the question itself, and would do so again.
 bool refusesName(int status)
@@ -223,7 +221,7 @@
                     {{"kind", kind_},
                      {"why", why},
                      {"call", lastCall_.what},
-                     {"after", lastCall_.after.substr(0, MaxLoggedName)},
+                     {"after", kernel::shortName(lastCall_.after)},
                      {"read", lastCall_.read}},
                     "The feed has lost contact with the store.");
     }
@@ -427,7 +425,7 @@
     context_.counters.add("lists_partial", {{"kind", kind_}});
     log().event("list-partial",
                 {{"kind", kind_},
-                 {"after", lastCall_.after.substr(0, MaxLoggedName)},
+                 {"after", kernel::shortName(lastCall_.after)},
                  {"read", listing.cursor.read()}},
                 "The store's list doesn't go on behind a name; what was read is used.");
     notifyWaiters();
--- a/src/kernel/Log.cpp
+++ b/src/kernel/Log.cpp
@@ -49,6 +49,12 @@
 
 } // namespace
 
+std::string shortName(const std::string &name)
+{
+    constexpr std::size_t MaxLoggedName = 200;
+    return name.substr(0, MaxLoggedName);
+}
+
 std::optional<std::uint64_t> LineLimiter::pass(const std::string &event, Instant now)
 {
     Window &window = events_[event];
--- a/src/kernel/Log.h
+++ b/src/kernel/Log.h
@@ -19,6 +19,9 @@
 
 namespace limereel::kernel {
 
+/** The beginning of \a name, for a line: another writer's may be as long as an object. */
+std::string shortName(const std::string &name);
+
 /** Sets the log up; called once, before the first line.
  * \param level error, warn, info or debug. \param box its name, for every line. */
 void startLog(const std::string &level, const std::string &box = {});
--- a/test/correctness/LogTest.cpp
+++ b/test/correctness/LogTest.cpp
@@ -44,6 +44,13 @@
 
 BOOST_AUTO_TEST_SUITE(ExplainTest)
 
+// Guards against a log line as long as another writer's name.
+BOOST_AUTO_TEST_CASE(shortName_megabyte_isCut)
+{
+    BOOST_TEST(kernel::shortName("i-one") == "i-one");
+    BOOST_TEST(kernel::shortName(std::string(1000000, 'x')).size() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(linesOf_mixedLog_givesTheRequestsLinesWithTheirInputs)
 {
     std::istringstream log(
