--- a/src/http/KeptConnection.cpp
+++ b/src/http/KeptConnection.cpp
@@ -260,6 +260,12 @@
     }
 }
 
+asio::awaitable<tl::expected<Body, CallFailure>> KeptConnection::readAll(std::size_t mostBytes)
+{
+    const auto anyBytes = [](std::size_t) -> std::optional<CallFailure> { return std::nullopt; };
+    return readAll(mostBytes, anyBytes);
+}
+
 void KeptConnection::close()
 {
     state_->failed = true;
--- a/src/http/KeptConnection.h
+++ b/src/http/KeptConnection.h
@@ -54,8 +54,11 @@
     using Hold = std::function<std::optional<CallFailure>(std::size_t bytes)>;
 
     /** Reads the rest of the body, at most \a mostBytes and as long as \a hold lets it. */
-    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(
-            std::size_t mostBytes, Hold hold = [](std::size_t) { return std::nullopt; });
+    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(std::size_t mostBytes,
+                                                                    Hold hold);
+
+    /** The same without a budget. */
+    boost::asio::awaitable<tl::expected<Body, CallFailure>> readAll(std::size_t mostBytes);
 
     /** Ends the connection; what is being read fails. */
     void close();
