What left between two lists in part is seen

What callers saw: nothing yet by a report; found while the test for a page that can't be had was written. A server that left while a box read its list again, and could read only a part, stayed known for as long as the list was one in part, and got requests.

Cause: applyPartialList began its watch at the new list's revision. A part of a list doesn't show what was removed, and the removal lay before that revision, so no watch brought it.

Change: the watch of a part goes on where the box's last watch ended. Where the store has lost that history (410) it starts at the part's own revision, without another list.

--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -420,7 +420,11 @@
 // on, since what it lacks isn't known. Other boxes don't wait for it.
 asio::awaitable<void> ObjectFeed::applyPartialList(Listing listing)
 {
-    partial_ = PartialList{listing.at, context_.now() + relist_.fail(context_.random)};
+    // What was removed isn't seen in a part of a list, so the watch goes on where the last one
+    // ended.
+    const std::uint64_t watched = partial_ ? partial_->at : at_.value_or(listing.at);
+    partial_ = PartialList{std::min(watched, listing.at), listing.at,
+                           context_.now() + relist_.fail(context_.random)};
     noteStoreAnswer();
     context_.counters.add("lists_partial", {{"kind", kind_}});
     log().event("list-partial",
@@ -460,6 +464,10 @@
     lastCall_ = {"watch", {}, 0};
     const auto answer = co_await askStore(std::move(target),
                                           {timeout, answerTimeout, timeout + MaxListingTime});
+    if (answer && answer->status == HistoryGone && partial_ && partial_->at < partial_->listedAt) {
+        partial_->at = partial_->listedAt;
+        co_return true;
+    }
     if (answer && answer->status == HistoryGone) {
         log().info("The store no longer has the history of '" + kind_
                    + "'; the list is read again.");
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -154,7 +154,8 @@
     /** A list that couldn't be read to its end. Watches follow what was read of it. */
     struct PartialList
     {
-        std::uint64_t at = 0; ///< Where the next watch starts.
+        std::uint64_t at = 0;       ///< Where the next watch starts.
+        std::uint64_t listedAt = 0; ///< Where it starts if the history since at is lost.
         kernel::Instant listAgainAt;
     };
 
--- a/test/platform/OddNameTest.cpp
+++ b/test/platform/OddNameTest.cpp
@@ -227,6 +227,42 @@
     until([this] { return !known("i-two"); }, "the end of one that left since");
 }
 
+// Guards against a server that stays known for good, as it left between two lists in part.
+BOOST_FIXTURE_TEST_CASE(list_serverLeftBeforeAListInPart_isGone, OddNames)
+{
+    listSound();
+    startAndLearn();
+    store().put(Servers, "i-p", entryOf(runner(0), "other"));
+    store().put(Servers, "i-z", entryOf(runner(0), "other"));
+    store().refusesBehind = {"i-p"};
+    const std::uint64_t before = failures();
+    store().faults.status = 503;
+    until([&] { return failures() > before; }, "a failure");
+    store().remove(Servers, "i-two");
+    store().faults.status = 0;
+    until([this] { return partialLists() > 0U; }, "a list in part");
+    until([this] { return !known("i-two"); }, "the end of the one that left");
+}
+
+// Guards against a part of a list that is read for ever, as the store has lost the history before.
+BOOST_FIXTURE_TEST_CASE(list_historyIsLostBeforeAListInPart_changesAreFollowedFromTheListInPart,
+                        OddNames)
+{
+    listSound();
+    startAndLearn();
+    store().put(Servers, "i-p", entryOf(runner(0), "other"));
+    store().put(Servers, "i-z", entryOf(runner(0), "other"));
+    store().refusesBehind = {"i-p"};
+    const std::uint64_t before = failures();
+    store().faults.status = 503;
+    until([&] { return failures() > before; }, "a failure");
+    store().forgetHistory();
+    store().faults.status = 0;
+    until([this] { return partialLists() > 0U; }, "a list in part");
+    store().put(Servers, "i-q", entryOf(runner(0), "other"));
+    until([this] { return known("i-q"); }, "a server that came since");
+}
+
 // Guards against a server's id that ends its field and writes another one into each request.
 BOOST_FIXTURE_TEST_CASE(servers_nameCannotStandInAField_areLeftOutAndTheOthersServe, OddNames)
 {
