A page of a list that can't be had, for whatever reason, costs no other page

What callers saw: a box that starts serves nothing, for as long as an entry with an odd name stands in a list of servers longer than a page, where the store meets the question behind that name with anything but 400, 414 or 431.

Cause: readPage went on past a name for three statuses only. Any other failure (another status, a reset, silence, an answer cut off or one that is no page) asked for the same page again without end, and after eight seconds threw away what the pages before had brought. A list of statuses can't close that class.

Change: any page that fails may be one that can't be had. A name that a target must escape is left at once for an earlier name of its page, as one that the store rejects was. Behind a plain name the page is asked for once more first. A busy store (429, 503) is asked for the same page. Steps back grow by four, in place of eight single ones, so they come to the first name of any page. Where no page follows, what was read is used and followed by watches, also by a box that knew all before, which got no changes until now. A box that knows nothing uses what it has read after 0.8 s without a page, 1.5 s where the store is busy.

Evidence: UnreadablePageTest, three tables of ten faults.

--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -133,7 +133,7 @@
             takeObject(object);
         }
         fullyRead_ = progress == store::ListProgress::Complete;
-        if (progress == store::ListProgress::Stuck) {
+        if (progress == store::ListProgress::Partial) {
             cursor_ = store::ListCursor();
             noteFailure("read", "the list doesn't go on");
             co_return false;
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -8,8 +8,8 @@
  * instead of the store, so that the calls to the store don't grow with the number of boxes in a
  * hall.
  *
- * A list that doesn't go on behind some name is used as far as it was read, and followed by
- * watches. It is neither confirmed nor passed on, and is read again now and then.
+ * A list of which a page can't be had, for whatever reason, is used as far as it was read, and
+ * followed by watches. It is neither confirmed nor passed on, and is read again now and then.
  *
  * Its relays are asked, and their answers applied, in FeedRelaying.cpp.
  *
@@ -145,7 +145,9 @@
     struct Listing
     {
         kernel::Instant begun;
-        std::uint64_t at = 0; ///< Revision of the first page; the watch starts there.
+        kernel::Instant pageAt; ///< When the last page came.
+        std::uint64_t at = 0;   ///< Revision of the first page; the watch starts there.
+        std::size_t inUse = 0;  ///< Objects that were delivered before the list's end.
         store::ListCursor cursor;
         std::vector<store::StoredObject> objects;
         std::vector<store::KeptObject> kept; ///< The same objects, serialized for other boxes.
@@ -156,6 +158,7 @@
     {
         std::uint64_t at = 0;       ///< Where the next watch starts.
         std::uint64_t listedAt = 0; ///< Where it starts if the history since at is lost.
+        kernel::Instant begun;      ///< Since when no whole list has been had.
         kernel::Instant listAgainAt;
     };
 
@@ -163,7 +166,11 @@
     boost::asio::awaitable<kernel::Duration> storeRound(bool relaying);
     boost::asio::awaitable<void> relayRound(store::FeedStep step);
     boost::asio::awaitable<bool> list();
+    bool mayContinueList(kernel::Instant now) const;
     boost::asio::awaitable<std::optional<store::ListProgress>> readPage();
+    std::optional<store::ListProgress> notePageFault(store::PageFault fault,
+                                                     const std::string &what);
+    boost::asio::awaitable<void> useReadPart();
     boost::asio::awaitable<void> applyList(Listing listing);
     boost::asio::awaitable<void> applyPartialList(Listing listing);
     boost::asio::awaitable<bool> watch();
@@ -184,6 +191,7 @@
     void noteStoreAnswer();
     store::ListProgress appendPage(store::ObjectPage page, std::size_t bytes);
     bool mayWatch() const;
+    kernel::Duration watchWait(kernel::Instant now) const;
     void noteFailure(const std::string &what);
     void noteRelayFault(std::uint64_t relay, const std::string &what, store::RelayFault fault);
     void noteAnswer();
@@ -204,6 +212,8 @@
         const char *what = "none"; ///< "list" or "watch".
         std::string after;         ///< The name behind which a list was to go on.
         std::size_t read = 0;      ///< Objects of the list that were read before.
+        store::PageFault fault{};  ///< Of the page of a list that didn't come.
+        std::string why;           ///< The same in words.
     };
 
     services::Context &context_;
@@ -222,8 +232,8 @@
             std::make_shared<std::set<boost::asio::steady_timer *>>(); ///< Timers of held asks.
     std::optional<Listing> listing_;
     std::optional<PartialList> partial_; ///< Set until the list is known as a whole.
-    store::Backoff relist_;
-    std::optional<std::uint64_t> at_; ///< Where the next watch starts; empty: list first.
+    bool listTookTooLong_ = false;       ///< The list before this one came to no end.
+    std::optional<std::uint64_t> at_;    ///< Where the next watch starts; empty: list first.
     kernel::Instant reportedAt_;
     /** When this box last knew all that the store held. Unlike a confirmation it includes the time
      * of a watch, which the store would have ended with news; it isn't passed on. */
--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -265,7 +265,7 @@
             take(object);
         }
     }
-    if (progress == store::ListProgress::Stuck) {
+    if (progress == store::ListProgress::Partial) {
         noteFailure("read", "the list doesn't go on");
         co_return false;
     }
--- a/src/store/ListCursor.cpp
+++ b/src/store/ListCursor.cpp
@@ -1,24 +1,39 @@
 #include "store/ListCursor.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace limereel::store {
 
 namespace {
 
-// Of one page; one odd name among sound ones needs one step.
-constexpr int MaxStepsBack = 8;
+// From a name in the middle of many odd ones, a page of 500 needs five steps.
+constexpr std::size_t StrideGrowth = 4;
+constexpr int FailuresBeforeStep = 2;
+
+// Characters that no store, proxy or parser of targets can take for anything but themselves.
+bool isPlain(char character)
+{
+    const bool letter =
+            (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+    const bool digit = character >= '0' && character <= '9';
+    const bool mark = std::string_view("-._~").find(character) != std::string_view::npos;
+    return letter || digit || mark;
+}
+
+bool isPlain(const std::string &name)
+{
+    return std::ranges::all_of(name, [](char character) { return isPlain(character); });
+}
 
 } // namespace
 
 ListProgress ListCursor::take(ObjectPage &page)
 {
-    lastPage_.clear();
+    std::vector<std::string> names;
     for (const StoredObject &object : page.objects) {
-        lastPage_.push_back(object.name);
-    }
-    if (!lastPage_.empty()) {
-        after_ = lastPage_.back();
+        names.push_back(object.name);
     }
-    stepsBack_ = 0;
     std::erase_if(page.objects, [this](const StoredObject &object) {
         const bool isNew = names_.insert(object.name).second;
         return !isNew;
@@ -26,16 +41,40 @@
     if (!page.more) {
         return ListProgress::Complete;
     }
-    return page.objects.empty() ? ListProgress::Stuck : ListProgress::Reading;
+    if (page.objects.empty()) {
+        return stepBack();
+    }
+    lastPage_ = std::move(names);
+    after_ = lastPage_.back();
+    stride_ = 1;
+    failures_ = 0;
+    return ListProgress::Reading;
+}
+
+bool ListCursor::blamesName(PageFault fault) const
+{
+    return fault == PageFault::Rejected || !isPlain(after_);
+}
+
+ListProgress ListCursor::fail(PageFault fault)
+{
+    if (blamesName(fault)) {
+        return stepBack();
+    }
+    if (fault == PageFault::Busy || ++failures_ < FailuresBeforeStep) {
+        return ListProgress::Reading;
+    }
+    return stepBack();
 }
 
-ListProgress ListCursor::refuse()
+ListProgress ListCursor::stepBack()
 {
-    if (lastPage_.size() <= 1 || stepsBack_ == MaxStepsBack) {
-        return ListProgress::Stuck;
+    if (lastPage_.size() <= 1) {
+        return ListProgress::Partial;
     }
-    ++stepsBack_;
-    lastPage_.pop_back();
+    const std::size_t step = std::min(stride_, lastPage_.size() - 1);
+    stride_ *= StrideGrowth;
+    lastPage_.resize(lastPage_.size() - step);
     after_ = lastPage_.back();
     return ListProgress::Reading;
 }
--- a/src/store/ListCursor.h
+++ b/src/store/ListCursor.h
@@ -1,8 +1,9 @@
 /** \file
  * Where the reading of a list in pages stands: behind which name it goes on, and whether it can.
  *
- * The names are those of other writers, and a store may take one for another name than it is. So a
- * page is judged by what it adds, not by what it says of itself.
+ * The names are those of other writers. A store may reject one, fail at it, or take it for another
+ * name than it is. So a page is judged by what it adds, not by what it says of itself, and where
+ * none comes behind a name, the list goes on behind another one.
  */
 #pragma once
 
@@ -14,11 +15,18 @@
 
 namespace limereel::store {
 
-/** What a page has brought a list to. */
+/** What the last answer has brought a list to. */
 enum class ListProgress : std::uint8_t {
     Reading,  ///< More follows behind ListCursor::after().
     Complete, ///< All objects have been read.
-    Stuck     ///< More would follow, and can't be asked for.
+    Partial   ///< No more can be asked for; there may be objects that weren't read.
+};
+
+/** Why a page didn't come. */
+enum class PageFault : std::uint8_t {
+    Rejected, ///< The store rejects the question, and would do so again.
+    Busy,     ///< The store takes no calls now.
+    Failed    ///< Anything else; the next try may bring it.
 };
 
 /** The cursor of one list. Pure. */
@@ -34,14 +42,22 @@
     /** Takes \a page, and removes from it the objects that an earlier page had. */
     ListProgress take(ObjectPage &page);
 
-    /** The store rejects the question behind after(). The list goes on behind an earlier name of
-     * the last page, which then comes once more in part. */
-    ListProgress refuse();
+    /** Whether \a fault is more likely due to the name behind which was asked than to the state of
+     * the store. Another name can then be tried at once. */
+    bool blamesName(PageFault fault) const;
+
+    /** The page behind after(), which isn't the first one, didn't come. The list goes on behind an
+     * earlier name of the last page, which then comes once more in part. Where the name isn't
+     * blamed, it takes two failures, and a busy store is asked for the same page again. */
+    ListProgress fail(PageFault fault);
 
 private:
+    ListProgress stepBack();
+
     std::string after_;
-    std::vector<std::string> lastPage_; ///< Its names up to after().
-    int stepsBack_ = 0;                 ///< Names of the last page that were rejected.
+    std::vector<std::string> lastPage_; ///< Names of the last page that added any, up to after().
+    std::size_t stride_ = 1;            ///< By how many names the next step goes back.
+    int failures_ = 0;                  ///< Since a page added any object.
     std::set<std::string> names_;       ///< Of the objects that were read.
 };
 
--- a/src/store/ListWait.cpp
+++ b/src/store/ListWait.cpp
@@ -1,5 +1,7 @@
 #include "store/ListWait.h"
 
+#include <algorithm>
+
 namespace limereel::store {
 
 namespace {
@@ -11,9 +13,22 @@
 // for a relay that died. Then the box reads on by itself, within the seconds that a server that
 // shuts down still has.
 constexpr kernel::Duration AwaitRelays = 2s;
+constexpr kernel::Duration ShortestRelist = 500ms;
+// Thousands of boxes whose lists are partial share the store.
+constexpr kernel::Duration LongestRelist = 60s;
+// A trouble that has just begun may end soon.
+constexpr int RelistsPerTimePartial = 8;
 
 } // namespace
 
+kernel::Duration relistPause(kernel::Duration partialFor, std::mt19937_64 &random)
+{
+    const kernel::Duration longest = std::clamp<kernel::Duration>(
+            partialFor / RelistsPerTimePartial, ShortestRelist, LongestRelist);
+    std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
+    return kernel::Duration(jitter(random));
+}
+
 bool leavesListToRelays(const ListNeed &need, kernel::Instant now)
 {
     const auto within = [now](const std::optional<kernel::Instant> &since, kernel::Duration wait) {
--- a/src/store/ListWait.h
+++ b/src/store/ListWait.h
@@ -1,5 +1,6 @@
 /** \file
- * Decides whether a box that needs a list of the store waits for the relays of its hall to read it.
+ * Decides whether a box that needs a list of the store waits for the relays of its hall to read it,
+ * and when a list is read again that couldn't be read to its end.
  *
  * With ten thousand servers a list has 50 pages and 4 MB. If half of a fleet of 985 boxes restarts,
  * or its relays lose the store for two seconds, the boxes would ask for 25,000 pages and 2 GB at
@@ -10,6 +11,7 @@
 #include "kernel/decisions/Time.h"
 
 #include <optional>
+#include <random>
 
 namespace limereel::store {
 
@@ -28,6 +30,10 @@
     auto operator<=>(const ListNeed &) const = default;
 };
 
+/** How long a box waits until it reads a list again of which it could have only a part, if that is
+ * all it has had for the time \a partialFor. */
+kernel::Duration relistPause(kernel::Duration partialFor, std::mt19937_64 &random);
+
 /** Whether the box doesn't ask the store for the list, or the rest of it, at \a now. */
 bool leavesListToRelays(const ListNeed &need, kernel::Instant now);
 
--- /dev/null
+++ b/test/platform/UnreadablePageTest.cpp
@@ -0,0 +1,131 @@
+// Lists of the store of which one page can't be had, for whatever reason: what the other pages hold
+// is used, as soon as a box starts.
+
+#include "gateway/FleetView.h"
+#include "platform/GatewayFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace limereel;
+
+namespace {
+
+using PageFault = standin::StoreStandin::PageFault;
+
+constexpr const char *Servers = "servers";
+// Between the two sound servers of the fixture.
+constexpr const char *OddName = "i-p &+#%";
+
+struct FaultRow
+{
+    const char *text;
+    PageFault fault;
+};
+
+std::ostream &operator<<(std::ostream &out, const FaultRow &row)
+{
+    return out << row.text;
+}
+
+const std::vector<FaultRow> Faults = {{"400", PageFault::Refusal},
+                                      {"404", PageFault::NotFound},
+                                      {"429", PageFault::TooMany},
+                                      {"500", PageFault::Failure},
+                                      {"503", PageFault::Unavailable},
+                                      {"reset", PageFault::Reset},
+                                      {"answer cut off", PageFault::CutAnswer},
+                                      {"silence", PageFault::Silence},
+                                      {"no page", PageFault::NoPage},
+                                      {"the first page", PageFault::FirstPage}};
+
+/** A gateway, two sound servers, and an entry with an odd name between them. */
+struct UnreadablePage : support::GatewayFixture
+{
+    UnreadablePage()
+    {
+        putConfiguration(configuration(1));
+        list(runner(0), "pool");
+        list(runner(1), "pool");
+    }
+
+    void listOdd(const std::string &name)
+    {
+        store().put(Servers, name, entryOf(runner(0), "other"));
+    }
+
+    bool known(const std::string &id)
+    {
+        return context().kernel.find<gateway::FleetView>("world").servers().find(id).has_value();
+    }
+
+    bool knowsBoth() { return known(runner(0).name()) && known(runner(1).name()); }
+
+    std::uint64_t counted(const char *name)
+    {
+        return context().counters.value(name, {{"kind", Servers}});
+    }
+
+    /** The store fails, so that the box reads its lists again. */
+    void interruptStore()
+    {
+        const std::uint64_t before = counted("store_failures");
+        store().faults.status = 503;
+        until([&] { return counted("store_failures") > before; }, "a failure");
+        store().faults.status = 0;
+    }
+
+    int statusOfCall() { return call(request("POST", "/again/x")).status; }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UnreadablePageTest, UnreadablePage)
+
+// Guards against a page that costs all the others, as the store can't list behind an odd name.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, oddNameEndsAPageOfTwo_boxStarts_knowsAllServers,
+                       boost::unit_test::data::make(Faults), row)
+{
+    listOdd(OddName);
+    store().pageSize = 2;
+    store().faultsBehind[OddName] = row.fault;
+    start();
+    until([this] { return ready() && knowsBoth(); }, "readiness with all sound servers");
+    BOOST_TEST(counted("lists_partial") == 0U);
+    BOOST_TEST(statusOfCall() == 200);
+}
+
+// Guards against pages that were read and aren't used, where nothing helps past the next one.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, listEndsBehindAPlainName_boxStarts_servesWithWhatItHasRead,
+                       boost::unit_test::data::make(Faults), row)
+{
+    store().pageSize = 1;
+    store().faultsBehind[runner(0).name()] = row.fault;
+    start();
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(statusOfCall() == 200);
+    BOOST_TEST(!known(runner(1).name()));
+    store().faultsBehind.clear();
+    until([this] { return knowsBoth(); }, "the whole list, once it can be read");
+}
+
+// Guards against a box that drops what it knows, or follows no changes, for a page it can't read.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, listEndsBehindAPlainName_boxThatKnowsAll_followsChanges,
+                       boost::unit_test::data::make(Faults), row)
+{
+    store().pageSize = 1;
+    start();
+    until([this] { return ready() && knowsBoth(); }, "readiness with all sound servers");
+    store().faultsBehind[runner(0).name()] = row.fault;
+    interruptStore();
+    until([this] { return counted("lists_partial") > 0U; }, "a list in part");
+    BOOST_TEST(knowsBoth());
+    store().put(Servers, "i-z", entryOf(runner(0), "other"));
+    until([this] { return known("i-z"); }, "a server that came since");
+    store().remove(Servers, runner(1).name());
+    until([this] { return !known(runner(1).name()); }, "the end of one that left since");
+    BOOST_TEST(known(runner(0).name()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
