What stands behind an odd name on a page of its own is read

What callers saw: in a trial with pages of one entry, half of the servers got nothing, as all behind an odd name stayed unread; at a store that takes escapes as they stand, none was read and the box said it was ready.

Cause: ListCursor went back to earlier names of the page only. Without one the list ended there.

Change: the list then goes on behind a name made up to follow the last one: its plain beginning and the next plain character in the order of bytes, which no store can take for another name. Objects between the two are passed over, so such a list stays one in part: nothing counts as gone for it, and it confirms nothing.

--- a/src/store/ListCursor.cpp
+++ b/src/store/ListCursor.cpp
@@ -11,19 +11,22 @@
 constexpr std::size_t StrideGrowth = 4;
 constexpr int FailuresBeforeStep = 2;
 
-// Characters that no store, proxy or parser of targets can take for anything but themselves.
-bool isPlain(char character)
+// Characters that no store, proxy or parser of targets can take for anything but themselves, in the
+// order of bytes.
+constexpr std::string_view PlainCharacters =
+        "-.0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ_abcdefghijklmnopqrstuvwxyz~";
+
+bool isPlain(std::string_view name)
 {
-    const bool letter =
-            (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-    const bool digit = character >= '0' && character <= '9';
-    const bool mark = std::string_view("-._~").find(character) != std::string_view::npos;
-    return letter || digit || mark;
+    return name.find_first_not_of(PlainCharacters) == std::string_view::npos;
 }
 
-bool isPlain(const std::string &name)
+// Empty if there is none.
+std::string_view plainCharacterBehind(char character)
 {
-    return std::ranges::all_of(name, [](char character) { return isPlain(character); });
+    const auto byte = [](char one) { return static_cast<unsigned char>(one); };
+    const auto *const found = std::ranges::upper_bound(PlainCharacters, byte(character), {}, byte);
+    return found == PlainCharacters.end() ? std::string_view() : std::string_view(found, 1);
 }
 
 } // namespace
@@ -39,13 +42,15 @@
         return !isNew;
     });
     if (!page.more) {
-        return ListProgress::Complete;
+        return mayLack_ ? ListProgress::Partial : ListProgress::Complete;
     }
     if (page.objects.empty()) {
         return stepBack();
     }
     lastPage_ = std::move(names);
-    after_ = lastPage_.back();
+    end_ = lastPage_.back();
+    after_ = end_;
+    leapt_ = false;
     stride_ = 1;
     failures_ = 0;
     return ListProgress::Reading;
@@ -70,7 +75,7 @@
 ListProgress ListCursor::stepBack()
 {
     if (lastPage_.size() <= 1) {
-        return ListProgress::Partial;
+        return leap();
     }
     const std::size_t step = std::min(stride_, lastPage_.size() - 1);
     stride_ *= StrideGrowth;
@@ -79,4 +84,31 @@
     return ListProgress::Reading;
 }
 
+ListProgress ListCursor::leap()
+{
+    const auto behind = leapt_ ? std::nullopt : plainNameBehind(end_);
+    if (!behind) {
+        return ListProgress::Partial;
+    }
+    leapt_ = true;
+    mayLack_ = true;
+    after_ = *behind;
+    return ListProgress::Reading;
+}
+
+std::optional<std::string> plainNameBehind(const std::string &name)
+{
+    std::size_t place = name.find_first_not_of(PlainCharacters);
+    if (place == std::string::npos) {
+        return std::nullopt;
+    }
+    while (plainCharacterBehind(name[place]).empty()) {
+        if (place == 0) {
+            return std::nullopt;
+        }
+        --place;
+    }
+    return name.substr(0, place).append(plainCharacterBehind(name[place]));
+}
+
 } // namespace limereel::store
--- a/src/store/ListCursor.h
+++ b/src/store/ListCursor.h
@@ -9,6 +9,7 @@
 
 #include "store/ObjectFormat.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,18 +48,27 @@
     bool blamesName(PageFault fault) const;
 
     /** The page behind after(), which isn't the first one, didn't come. The list goes on behind an
-     * earlier name of the last page, which then comes once more in part. Where the name isn't
+     * earlier name of the last page, which then comes once more in part; without one, it goes on
+     * behind a name made up to follow the last one, and is Partial at best. Where the name isn't
      * blamed, it takes two failures, and a busy store is asked for the same page again. */
     ListProgress fail(PageFault fault);
 
 private:
     ListProgress stepBack();
+    ListProgress leap();
 
     std::string after_;
+    std::string end_;                   ///< The last name of the last page that added any.
     std::vector<std::string> lastPage_; ///< Names of the last page that added any, up to after().
     std::size_t stride_ = 1;            ///< By how many names the next step goes back.
     int failures_ = 0;                  ///< Since a page added any object.
+    bool leapt_ = false;                ///< after() is a name that was made up.
+    bool mayLack_ = false;              ///< Objects may have been passed over.
     std::set<std::string> names_;       ///< Of the objects that were read.
 };
 
+/** A name of which no character needs an escape in a target and which follows \a name in the order
+ * of bytes, with few names between; nullopt if there is none, or if \a name is such a name. */
+std::optional<std::string> plainNameBehind(const std::string &name);
+
 } // namespace limereel::store
--- a/test/correctness/ListCursorTest.cpp
+++ b/test/correctness/ListCursorTest.cpp
@@ -157,6 +157,43 @@
     }
 }
 
+// Guards against objects that are never read, as the name before them can't be asked for.
+BOOST_AUTO_TEST_CASE(fail_oddNameIsAPageOfItsOwn_goesOnBehindItAndIsPartial)
+{
+    take({"a"}, true);
+    take({"b%"}, true);
+    BOOST_TEST((cursor.fail(PageFault::Failed) == ListProgress::Reading));
+    BOOST_TEST(cursor.after() == "b-");
+    BOOST_TEST((take({"c"}, true) == ListProgress::Reading));
+    BOOST_TEST((take({"d"}, false) == ListProgress::Partial));
+    BOOST_TEST(cursor.read() == 4U);
+}
+
+// Guards against a list that goes on for ever behind names that were made up.
+BOOST_AUTO_TEST_CASE(fail_nothingBehindTheMadeUpName_isPartial)
+{
+    take({"a%"}, true);
+    BOOST_TEST((take({"a%"}, true) == ListProgress::Reading));
+    BOOST_TEST((take({"a%"}, true) == ListProgress::Partial));
+}
+
+// Guards against a made-up name that passes over more than it must, or needs an escape itself.
+BOOST_AUTO_TEST_CASE(plainNameBehind_anyName_followsItClosely)
+{
+    const std::pair<const char *, const char *> rows[] = {
+            {"a00%", "a00-"},  {"a02&b=", "a02-"}, {"a03+", "a03-"},       {"a06#x", "a06-"},
+            {"a08 b", "a08-"}, {"a09/b", "a090"},  {"a:", "aA"},           {"a[b", "a_"},
+            {"a`", "aa"},      {"a{", "a~"},       {"a04\xC3\xA9", "a05"}, {"a9\x7f", "aA"},
+            {"a~\xC3", "b"},   {"%", "-"},         {"i-p &+#%", "i-p-"}};
+    for (const auto &[name, behind] : rows) {
+        BOOST_TEST_REQUIRE(plainNameBehind(name).has_value(), name);
+        BOOST_TEST(*plainNameBehind(name) == behind);
+        BOOST_TEST((std::string(name) < std::string(behind)));
+    }
+    BOOST_TEST(!plainNameBehind("a-plain.name_~9").has_value());
+    BOOST_TEST(!plainNameBehind("\xC3\xA9").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(RelistPauseTest)
--- a/test/platform/UnreadablePageTest.cpp
+++ b/test/platform/UnreadablePageTest.cpp
@@ -96,6 +96,19 @@
     BOOST_TEST(statusOfCall() == 200);
 }
 
+// Guards against servers that are never read, as the odd name is the only one of its page.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, oddNameIsAPageOfItsOwn_boxStarts_knowsAllServers,
+                       boost::unit_test::data::make(Faults), row)
+{
+    listOdd(OddName);
+    store().pageSize = 1;
+    store().faultsBehind[OddName] = row.fault;
+    start();
+    until([this] { return ready() && knowsBoth(); }, "readiness with all sound servers");
+    BOOST_TEST(counted("lists_partial") > 0U);
+    BOOST_TEST(statusOfCall() == 200);
+}
+
 // Guards against pages that were read and aren't used, where nothing helps past the next one.
 BOOST_DATA_TEST_CASE_F(UnreadablePage, listEndsBehindAPlainName_boxStarts_servesWithWhatItHasRead,
                        boost::unit_test::data::make(Faults), row)
@@ -128,4 +141,45 @@
     BOOST_TEST(known(runner(0).name()));
 }
 
+// Guards against a list that is given up among many odd names in a row.
+BOOST_AUTO_TEST_CASE(tenOddNamesEndAPage_boxStarts_knowsAllServers)
+{
+    for (const std::size_t pageSize : {11U, 3U, 1U}) {
+        BOOST_TEST_CONTEXT("pages of " << pageSize)
+        {
+            UnreadablePage fixture;
+            for (char letter = 'a'; letter < 'k'; ++letter) {
+                const std::string name = std::string("i-p") + letter + "%";
+                fixture.listOdd(name);
+                fixture.store().faultsBehind[name] = PageFault::Failure;
+            }
+            fixture.store().pageSize = pageSize;
+            fixture.start();
+            BOOST_CHECK_NO_THROW(
+                    fixture.until([&] { return fixture.ready() && fixture.knowsBoth(); },
+                                  "readiness with all sound servers"));
+        }
+    }
+}
+
+// Guards against a store that takes the escapes of a name for the name.
+BOOST_AUTO_TEST_CASE(storeDecodesNothing_boxStarts_knowsAllServers)
+{
+    for (const std::size_t pageSize : {2U, 1U}) {
+        BOOST_TEST_CONTEXT("pages of " << pageSize)
+        {
+            UnreadablePage fixture;
+            for (const char *name : {"a00%", "a02&b=", "a03+", "a04%C3%A9", "a06#x", "a08 b"}) {
+                fixture.listOdd(name);
+            }
+            fixture.store().decodesNothing = true;
+            fixture.store().pageSize = pageSize;
+            fixture.start();
+            BOOST_CHECK_NO_THROW(
+                    fixture.until([&] { return fixture.ready() && fixture.knowsBoth(); },
+                                  "readiness with all sound servers"));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
