The configuration is asked for by its name where other entries stand before it

What callers saw: in a trial, an entry of another writer before the configuration, at the end of a page, kept a box that starts from any configuration; it answered nothing while the entry stood.

Cause: the feed of the configuration read its whole kind, page by page, though one object matters and its name is known. A page that couldn't be had ended the list before that object. A list in part wouldn't help: it confirms nothing, and without a confirmation no key is honoured.

Change: a feed may have one object that matters. Its list ends with the first page that holds it; where the first page doesn't, the object is read by its name. That is as new as the page or newer, so the watch starts from the page's revision and the list is a whole one.

Evidence: UnreadablePageTest/oddNameBeforeTheConfiguration_*, pages of one, ten faults: 10 of 10 failed on ("this didn't happen: readiness"), 10 of 10 good now, and the next configuration is in force. GatewayTest, GatewayRelayTest and LostHistoryTest good.

--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -112,7 +112,7 @@
     };
     configurationFeed_ = std::make_unique<ObjectFeed>(
             context_, adapter_.store, adapter_.configurationKind, configurationPaces(settings),
-            *sources_, std::move(configurationHooks));
+            *sources_, std::move(configurationHooks), adapter_.configurationName);
     FeedHooks serverHooks;
     serverHooks.changed = [this](auto objects) { changeServers(objects); };
     serverHooks.listComplete = [this](const auto &names) { dropUnlistedServers(names); };
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int Good = 200;
+constexpr int NotFound = 404;
 constexpr int HistoryGone = 410;
 // Well within any store's history, so that the watch can start from the first page's revision.
 constexpr kernel::Duration MaxListingTime = 8s;
@@ -59,10 +60,11 @@
 
 ObjectFeed::ObjectFeed(services::Context &context, const store::ObjectFormat &format,
                        std::string kind, const FeedPaces &paces, FeedSources &sources,
-                       FeedHooks hooks)
+                       FeedHooks hooks, std::string onlyName)
     : context_(context)
     , format_(format)
     , kind_(std::move(kind))
+    , onlyName_(std::move(onlyName))
     , paces_(paces)
     , sources_(sources)
     , hooks_(std::move(hooks))
@@ -395,6 +397,9 @@
 asio::awaitable<std::optional<store::ListProgress>> ObjectFeed::readPage()
 {
     const store::ListCursor &cursor = listing_->cursor;
+    if (!onlyName_.empty() && !cursor.after().empty()) {
+        co_return co_await readOnlyObject();
+    }
     std::string target = format_.listTarget(kind_, cursor.after());
     lastCall_ = {"list", cursor.after(), cursor.read(), {}, "adds nothing"};
     const kernel::Instant asked = context_.now();
@@ -421,6 +426,40 @@
     co_return appendPage(std::move(*page), bytes);
 }
 
+// Its state is as new as the first page's or newer, and the watch starts from that.
+asio::awaitable<std::optional<store::ListProgress>> ObjectFeed::readOnlyObject()
+{
+    lastCall_ = {"object", {}, listing_->cursor.read(), {}, {}};
+    const kernel::Duration timeout =
+            store::pageWait(paces_.alone, book_.storeFailures(), at_.has_value());
+    const auto answer = co_await askStore(format_.objectTarget(kind_, onlyName_),
+                                          {timeout, timeout, timeout + MaxListingTime});
+    if (answer && answer->status == NotFound) {
+        co_return store::ListProgress::Complete;
+    }
+    if (!answer || answer->status != Good) {
+        noteFailure(answer ? "status " + std::to_string(answer->status) : answer.error());
+        co_return std::nullopt;
+    }
+    json body = co_await json_.read(answer->body);
+    auto object = format_.readObject(std::move(body));
+    if (!object) {
+        noteFailure("the object can't be read, " + object.error());
+        co_return std::nullopt;
+    }
+    store::ObjectPage page;
+    page.objects.push_back(std::move(*object));
+    appendPage(std::move(page), answer->body.size());
+    co_return store::ListProgress::Complete;
+}
+
+bool ObjectFeed::holdsOnlyObject() const
+{
+    return !onlyName_.empty()
+           && std::ranges::find(listing_->objects, onlyName_, &store::StoredObject::name)
+                      != listing_->objects.end();
+}
+
 // Returns nullopt if the same call may bring the page after a pause.
 std::optional<store::ListProgress> ObjectFeed::notePageFault(store::PageFault fault,
                                                              const std::string &what)
@@ -511,7 +550,7 @@
     std::ranges::move(keptObjects(page.objects, bytes, readsStoreDirectly()),
                       std::back_inserter(listing_->kept));
     std::ranges::move(page.objects, std::back_inserter(listing_->objects));
-    return progress;
+    return holdsOnlyObject() ? store::ListProgress::Complete : progress;
 }
 
 // The watch of a list in part ends when the list is due again.
--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -83,8 +83,11 @@
 class ObjectFeed
 {
 public:
+    /** \param onlyName the name of the only object that matters; it is asked for by its name if
+     * the first page of the list doesn't hold it. Empty: all do. */
     ObjectFeed(services::Context &context, const store::ObjectFormat &format, std::string kind,
-               const FeedPaces &paces, FeedSources &sources, FeedHooks hooks);
+               const FeedPaces &paces, FeedSources &sources, FeedHooks hooks,
+               std::string onlyName = {});
 
     /** When the store last failed to answer; empty if it never did. */
     std::optional<kernel::Instant> lastFailure() const { return record_.storeFailedAt(); }
@@ -168,6 +171,8 @@
     boost::asio::awaitable<bool> list();
     bool mayContinueList(kernel::Instant now) const;
     boost::asio::awaitable<std::optional<store::ListProgress>> readPage();
+    boost::asio::awaitable<std::optional<store::ListProgress>> readOnlyObject();
+    bool holdsOnlyObject() const;
     std::optional<store::ListProgress> notePageFault(store::PageFault fault,
                                                      const std::string &what);
     boost::asio::awaitable<void> useReadPart();
@@ -209,7 +214,7 @@
     /** The last call to the store, for the log. */
     struct LastCall
     {
-        const char *what = "none"; ///< "list" or "watch".
+        const char *what = "none"; ///< "list", "object" or "watch".
         std::string after;         ///< The name behind which a list was to go on.
         std::size_t read = 0;      ///< Objects of the list that were read before.
         store::PageFault fault{};  ///< Of the page of a list that didn't come.
@@ -219,6 +224,7 @@
     services::Context &context_;
     const store::ObjectFormat &format_;
     std::string kind_;
+    std::string onlyName_;
     LastCall lastCall_;
     FeedPaces paces_;
     FeedSources &sources_;
--- a/test/platform/UnreadablePageTest.cpp
+++ b/test/platform/UnreadablePageTest.cpp
@@ -182,4 +182,23 @@
     }
 }
 
+// Guards against a configuration that isn't read, as another entry stands before it.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, oddNameBeforeTheConfiguration_boxStarts_serves,
+                       boost::unit_test::data::make(Faults), row)
+{
+    store().put("config", OddName, "no configuration");
+    store().pageSize = 1;
+    store().faultsBehind[OddName] = row.fault;
+    start();
+    until([this] { return ready() && knowsBoth(); }, "readiness");
+    BOOST_TEST(statusOfCall() == 200);
+    putConfiguration(configuration(2));
+    until(
+            [this] {
+                const auto &view = context().kernel.find<gateway::FleetView>("world");
+                return view.snapshot() && view.snapshot()->version() == 2;
+            },
+            "the next configuration");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
