A box whose list in part names no server isn't ready

Cause: a list in part made the box ready, whatever it held.

Change: a box with a list in part is ready once it knows a server, also by a watch. A whole list without a server makes it ready as before: there is none.

UnreadablePageTest (53 cases), OddNameTest and GatewayTest good.

--- a/src/forward/ServerTable.h
+++ b/src/forward/ServerTable.h
@@ -92,6 +92,9 @@
     /** Calls \a visit for each listed server. */
     void forEach(const std::function<void(const ListedServer &server)> &visit) const;
 
+    /** Whether no server is listed. */
+    bool empty() const { return index_.all().empty(); }
+
     /** The ids of all listed servers. */
     std::vector<std::string> ids() const;
 
--- a/src/gateway/FleetView.cpp
+++ b/src/gateway/FleetView.cpp
@@ -116,7 +116,7 @@
     FeedHooks serverHooks;
     serverHooks.changed = [this](auto objects) { changeServers(objects); };
     serverHooks.listComplete = [this](const auto &names) { dropUnlistedServers(names); };
-    serverHooks.listPartial = [this] { serversKnown_ = true; };
+    serverHooks.listPartial = [this] { serversRead_ = std::max(serversRead_, ListRead::Part); };
     serverHooks.confirmed = [](kernel::Instant) {};
     // While the store is away, only the configuration feed tests whether it answers.
     serverHooks.storeAllowed = [this] { return !configurationFeed_->storeFailing(); };
@@ -267,7 +267,10 @@
 
 bool FleetView::ready() const
 {
-    return snapshot_ && serversKnown_ && freshness_.usable(context_.now());
+    // A part of a list may name no server although there are some.
+    const bool serversKnown = serversRead_ == ListRead::Whole
+                              || (serversRead_ == ListRead::Part && !servers_.empty());
+    return snapshot_ && serversKnown && freshness_.usable(context_.now());
 }
 
 // Parses only the newest of several versions in one answer: each may have thousands of routes, and
@@ -364,11 +367,12 @@
                     server.leaving ? "A backend server is shutting down."
                                    : "A backend server accepts requests.");
     }
-    if (serversKnown_ && (!known || newIncarnation)) {
+    const bool listed = serversRead_ != ListRead::None;
+    if (listed && (!known || newIncarnation)) {
         coldStarts_.noteStarted(server.hash(), now);
     }
     coldStarts_.noteReported(server.hash(), entry.coldFor, now);
-    servers_.put(server, serversKnown_ ? now : kernel::Instant());
+    servers_.put(server, listed ? now : kernel::Instant());
 }
 
 void FleetView::addDrain(const store::StoredObject &object, std::set<std::string> &halls)
@@ -441,7 +445,7 @@
     for (const std::string &id : delisted) {
         markMissing(id);
     }
-    serversKnown_ = true;
+    serversRead_ = ListRead::Whole;
 }
 
 void FleetView::changeServers(std::span<const store::StoredObject> objects)
--- a/src/gateway/FleetView.h
+++ b/src/gateway/FleetView.h
@@ -38,6 +38,9 @@
  */
 kernel::Duration keptAfterOutage(const kernel::GatewaySettings &settings);
 
+/** How much of a list has been read. */
+enum class ListRead : std::uint8_t { None, Part, Whole };
+
 /** Follows the store and keeps the resulting view of the fleet. */
 class FleetView : public kernel::Service
 {
@@ -134,7 +137,7 @@
     KeyTrust trust_ = KeyTrust::Stale; ///< The state that was last logged.
     bool catchingUp_ = false;          ///< Set after a stall until the list is up to date.
     std::optional<kernel::Instant> caughtUpAt_;
-    bool serversKnown_ = false;
+    ListRead serversRead_ = ListRead::None; ///< The most that was read at once.
     std::size_t newServers_ = 0; ///< Number of new servers in the answer being processed.
     std::map<std::string, kernel::Instant> missing_; ///< No longer listed; when to remove them.
     std::vector<std::function<void(const forward::Snapshot &)>> onConfiguration_;
--- a/test/platform/UnreadablePageTest.cpp
+++ b/test/platform/UnreadablePageTest.cpp
@@ -182,6 +182,19 @@
     }
 }
 
+// Guards against a box that says it is ready and knows no server.
+BOOST_AUTO_TEST_CASE(listInPartNamesNoServer_boxStarts_isReadyOnceItKnowsOne)
+{
+    store().put(Servers, "a", "no server");
+    store().pageSize = 1;
+    store().faultsBehind["a"] = PageFault::Refusal;
+    start();
+    until([this] { return counted("lists_partial") > 0U; }, "a list in part");
+    BOOST_TEST(!ready());
+    store().put(Servers, "i-three", entryOf(runner(0), "pool"));
+    until([this] { return ready(); }, "readiness with a server that came since");
+}
+
 // Guards against a configuration that isn't read, as another entry stands before it.
 BOOST_DATA_TEST_CASE_F(UnreadablePage, oddNameBeforeTheConfiguration_boxStarts_serves,
                        boost::unit_test::data::make(Faults), row)
