A setting without a value counts as left out, unless it is required

What callers saw: none of the eight cases in review/ started, "the gateway isn't ready". Their filler of the template, like the platform's, puts nothing where a value isn't given, and the template's line memory-mb = came without one; the gateway refused its settings.

Cause: the table of settings took an empty value for a value. Only two kinds of keys bore one, each by a check of its own.

Change: settingsFrom takes an optional key without a value for one that is left out, for all keys in one place; the check "true, false or nothing" goes. A required key without one stays an error with file, section and key, and so does a unit without a number ("found 'ms'", templateWithAGap_isRefusedWithItsPlace, unchanged).

--- a/src/command/BoxCommands.cpp
+++ b/src/command/BoxCommands.cpp
@@ -59,9 +59,11 @@
 
 void printReference()
 {
-    std::cout << "# Settings\n\nMade by `limereel settings-reference`; a test compares.\n\n"
-                 "## The box's file (INI)\n\n| section | key | allowed | default | meaning "
-                 "|\n|---|---|---|---|---|\n";
+    std::cout
+            << "# Settings\n\nMade by `limereel settings-reference`; a test compares.\n\n"
+               "## The box's file (INI)\n\nA key without a value counts as left out, unless it is "
+               "required.\n\n| section | key | allowed | default | meaning "
+               "|\n|---|---|---|---|---|\n";
     for (const auto &row : kernel::settingTable()) {
         printTableRow({row.section, row.key, row.allowed, row.byDefault, row.meaning});
     }
--- a/src/kernel/BoxSettings.cpp
+++ b/src/kernel/BoxSettings.cpp
@@ -162,12 +162,15 @@
         const std::string section(row.info.section);
         const std::string key(row.info.key);
         const auto found = values->find({section, key});
-        const bool given = found != values->end();
-        if (!given && row.info.byDefault == Required) {
+        const bool written = found != values->end();
+        const bool required = row.info.byDefault == Required;
+        if (!written && required) {
             problems.push_back(
                     {section, key, "missing; allowed is " + std::string(row.info.allowed)});
             continue;
         }
+        // A template writes a key also where it has no value for it.
+        const bool given = written && (required || !found->second.empty());
         const auto stored =
                 row.store(given ? found->second : std::string(row.info.byDefault), settings);
         if (!stored) {
--- a/src/kernel/BoxSettings.h
+++ b/src/kernel/BoxSettings.h
@@ -105,6 +105,8 @@
     Duration placementGuard{};
 
     GatewaySettings gateway;
+
+    bool operator==(const BoxSettings &) const = default;
 };
 
 /** One thing wrong with a settings file. */
--- a/src/kernel/GatewaySettingRows.cpp
+++ b/src/kernel/GatewaySettingRows.cpp
@@ -48,10 +48,10 @@
               "how long after a key was taken away it may still run a request at a box that "
               "reaches the store"},
              duration(field(&G::revokeWithin), 1s, 600s)},
-            {{"gateway", "refuse-unconfirmed-keys", "true, false or nothing: true", "true",
+            {{"gateway", "refuse-unconfirmed-keys", "true or false", "true",
               "whether requests with keys are refused once the configuration wasn't confirmed "
               "within revoke-within; else they go on by the last configuration known"},
-             flagOrTrue(field(&G::refuseUnconfirmedKeys))},
+             flag(field(&G::refuseUnconfirmedKeys))},
             {{"gateway", "drain-within", "100ms to 600s", "2s",
               "how long after a backend server began to leave it may get new work"},
              duration(field(&G::drainWithin), 100ms, 600s)},
--- a/src/kernel/GatewaySettings.h
+++ b/src/kernel/GatewaySettings.h
@@ -44,6 +44,8 @@
     bool detours = true; ///< Whether requests go through other boxes whose servers aren't reached.
     std::map<std::string, std::string> hallRegions; ///< The region of each hall.
     std::vector<std::string> seeds;                 ///< Addresses of boxes that may know others.
+
+    bool operator==(const GatewaySettings &) const = default;
 };
 
 } // namespace limereel::kernel
--- a/src/kernel/SettingChecks.h
+++ b/src/kernel/SettingChecks.h
@@ -70,20 +70,6 @@
     };
 }
 
-/** True or false; an empty value means true, the careful choice where a template has none. */
-template <typename Field>
-SettingCheck flagOrTrue(Field field)
-{
-    return [field](const std::string &value,
-                   BoxSettings &settings) -> tl::expected<void, std::string> {
-        if (!value.empty() && value != "true" && value != "false") {
-            return wrong(value, "true, false or nothing, which means true");
-        }
-        std::invoke(field, settings) = value != "false";
-        return {};
-    };
-}
-
 /** True or false. */
 template <typename Field>
 SettingCheck flag(Field field)
--- a/test/error/SettingsErrors.cpp
+++ b/test/error/SettingsErrors.cpp
@@ -70,6 +70,25 @@
     BOOST_TEST((settings->gateway.stopWithin == Duration(std::chrono::seconds(8))));
 }
 
+// Guards against a box that doesn't start, as a template's gap had no value to be filled with.
+BOOST_AUTO_TEST_CASE(settings_optionalKeyWithoutAValue_isAsThoughItWereLeftOut)
+{
+    const auto without = settingsFrom(iniOf(goodSections()));
+    BOOST_REQUIRE(without.has_value());
+    for (const SettingInfo &info : settingTable()) {
+        if (info.byDefault == "required") {
+            continue;
+        }
+        for (const char *blank : {"", "  "}) {
+            Sections sections = goodSections();
+            sections[std::string(info.section)][std::string(info.key)] = blank;
+            const auto settings = settingsFrom(iniOf(sections));
+            BOOST_TEST_REQUIRE(settings.has_value(), info.section << ' ' << info.key);
+            BOOST_TEST((*settings == *without), info.section << ' ' << info.key);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(settings_oneWrongValue_isNamedWithPlaceFindingAndRemedy)
 {
     const Row rows[] = {
