Stopped requests and streams' records are read past an odd name

With an entry of another writer before them in the store, and a page that can't be had behind its name, stopped requests weren't known after a restart and could end servers again, and boxes neither wrote nor read the records by which streams go on after all boxes lost power.

Cause: the same as in the feeds, in the two readers of their own. Each gave the list up at the first page that didn't come, and asked for it again without end. A box writes no records before it has read its own, which hung on the whole list.

Change: both read pages by one function of StoreClient and go on by ListCursor as the feeds do; the status of a fault is told by store::pageFault for all three. A box's own record is read by its name where the list may lack it.

--- a/src/gateway/CrashStore.cpp
+++ b/src/gateway/CrashStore.cpp
@@ -116,32 +116,37 @@
 asio::awaitable<bool> CrashStore::read()
 {
     while (!fullyRead_) {
-        std::string target = adapter_.store.listTarget(adapter_.crashKind, cursor_.after());
-        http::Request request("GET", std::move(target));
-        const auto answer = co_await client_.ask(std::move(request), AnswerTimeouts);
-        if (!answer || answer->status != Good) {
-            noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
+        auto page = co_await client_.readPage(adapter_.store, cursor_.after(), AnswerTimeouts);
+        const bool pause = !page && !cursor_.blamesName(page.error().fault);
+        const store::ListProgress progress = page ? takePage(*page) : skipPage(page.error());
+        if (progress == store::ListProgress::Partial) {
+            noteFailure("read", "the list was read in part");
+            cursor_ = store::ListCursor();
             co_return false;
         }
-        auto page = adapter_.store.readPage(http::parseStored(answer->body));
-        if (!page) {
-            noteFailure("read", page.error());
+        if (pause) {
             co_return false;
         }
-        const store::ListProgress progress = cursor_.take(*page);
-        for (const store::StoredObject &object : page->objects) {
-            takeObject(object);
-        }
         fullyRead_ = progress == store::ListProgress::Complete;
-        if (progress == store::ListProgress::Partial) {
-            cursor_ = store::ListCursor();
-            noteFailure("read", "the list doesn't go on");
-            co_return false;
-        }
     }
     co_return true;
 }
 
+store::ListProgress CrashStore::takePage(store::ObjectPage &page)
+{
+    const store::ListProgress progress = cursor_.take(page);
+    for (const store::StoredObject &object : page.objects) {
+        takeObject(object);
+    }
+    return progress;
+}
+
+store::ListProgress CrashStore::skipPage(const PageError &error)
+{
+    noteFailure("read", error.why);
+    return cursor_.fail(error.fault);
+}
+
 // Reads the record of one request. If the store doesn't answer, the decision rests on what this box
 // knows.
 asio::awaitable<void> CrashStore::lookUp(RequestIdentity request)
--- a/src/gateway/CrashStore.h
+++ b/src/gateway/CrashStore.h
@@ -36,6 +36,8 @@
 private:
     boost::asio::awaitable<kernel::Duration> round();
     boost::asio::awaitable<bool> read();
+    store::ListProgress takePage(store::ObjectPage &page);
+    store::ListProgress skipPage(const PageError &error);
     boost::asio::awaitable<bool> write();
     boost::asio::awaitable<bool> save(forward::CrashRecord record);
     boost::asio::awaitable<bool> remove(forward::RequestIdentity request);
--- a/src/gateway/ObjectFeed.cpp
+++ b/src/gateway/ObjectFeed.cpp
@@ -5,7 +5,6 @@
 #include "store/ListWait.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
 
@@ -27,19 +26,6 @@
 constexpr kernel::Duration RelayDiscoveryPoll = 100ms;
 // More than one page of the store.
 constexpr std::size_t LongList = 500;
-constexpr int TooManyCalls = 429;
-constexpr int Unavailable = 503;
-
-store::PageFault faultOf(int status)
-{
-    constexpr std::array<int, 3> Refusals = {400, 414, 431};
-    if (std::ranges::find(Refusals, status) != Refusals.end()) {
-        return store::PageFault::Rejected;
-    }
-    const bool busy = status == TooManyCalls || status == Unavailable;
-    return busy ? store::PageFault::Busy : store::PageFault::Failed;
-}
-
 // How long a box that starts waits for the next page of a list before it uses what it has read.
 kernel::Duration waitForRest(store::PageFault fault)
 {
@@ -411,7 +397,7 @@
         co_return notePageFault(store::PageFault::Failed, answer.error());
     }
     if (answer->status != Good) {
-        co_return notePageFault(faultOf(answer->status),
+        co_return notePageFault(store::pageFault(answer->status),
                                 "status " + std::to_string(answer->status));
     }
     latency_ = context_.now() - asked;
--- a/src/gateway/StoreClient.cpp
+++ b/src/gateway/StoreClient.cpp
@@ -1,5 +1,7 @@
 #include "gateway/StoreClient.h"
 
+#include "http/JsonRepair.h"
+
 #include <boost/asio.hpp>
 
 namespace limereel::gateway {
@@ -8,6 +10,7 @@
 
 namespace {
 
+constexpr int Good = 200;
 constexpr kernel::Duration ConnectTimeout = 1s;
 
 } // namespace
@@ -30,4 +33,23 @@
     co_return answer;
 }
 
+asio::awaitable<tl::expected<store::ObjectPage, PageError>>
+StoreClient::readPage(const store::ObjectFormat &format, std::string after, AnswerWait wait)
+{
+    http::Request request("GET", format.listTarget(kind_, after));
+    const auto answer = co_await ask(std::move(request), wait);
+    if (!answer) {
+        co_return tl::unexpected(PageError{store::PageFault::Failed, answer.error()});
+    }
+    if (answer->status != Good) {
+        co_return tl::unexpected(
+                PageError{store::pageFault(answer->status), std::to_string(answer->status)});
+    }
+    auto page = format.readPage(http::parseStored(answer->body));
+    if (!page) {
+        co_return tl::unexpected(PageError{store::PageFault::Failed, page.error()});
+    }
+    co_return std::move(*page);
+}
+
 } // namespace limereel::gateway
--- a/src/gateway/StoreClient.h
+++ b/src/gateway/StoreClient.h
@@ -1,14 +1,25 @@
 /** \file
- * Calls of a service to the platform's store, one at a time, on a connection of its own.
+ * Calls of a service to the platform's store, one at a time, on a connection of its own, and the
+ * pages of lists that it reads.
  */
 #pragma once
 
 #include "gateway/FeedConnection.h"
+#include "store/ListCursor.h"
 
 #include <string>
 
 namespace limereel::gateway {
 
+/** Why a page didn't come. */
+struct PageError
+{
+    store::PageFault fault{};
+    std::string why;
+
+    auto operator<=>(const PageError &) const = default;
+};
+
 /** Sends requests to the store and reads whole answers. */
 class StoreClient
 {
@@ -26,6 +37,10 @@
     boost::asio::awaitable<tl::expected<http::Answer, std::string>> ask(http::Request request,
                                                                         AnswerWait wait);
 
+    /** The page of the list behind the name \a after; empty: the first one. */
+    boost::asio::awaitable<tl::expected<store::ObjectPage, PageError>>
+    readPage(const store::ObjectFormat &format, std::string after, AnswerWait wait);
+
     /** Closes the connection, which makes a running call fail. */
     void close() { connection_.close(); }
 
--- a/src/gateway/StreamArchive.cpp
+++ b/src/gateway/StreamArchive.cpp
@@ -108,7 +108,7 @@
         co_await remove();
     } else if (hasNew(notes)) {
         // What it wrote before its last start is kept, as other boxes may not have read it.
-        const bool known = readAt_ || co_await read(FirstReadTimeouts);
+        const bool known = ownRead_ || co_await readOwn();
         if (known) {
             wroteAt_ = context_.now();
             co_await write(dueNotes());
@@ -244,34 +244,57 @@
 
 asio::awaitable<bool> StreamArchive::readPages(AnswerWait wait)
 {
-    const store::ObjectFormat &format = fleetView_.adapter().store;
+    const kernel::Instant until = context_.now() + wait.whole;
     store::ListCursor cursor;
     auto progress = store::ListProgress::Reading;
     while (progress == store::ListProgress::Reading) {
-        http::Request request("GET",
-                              format.listTarget(fleetView_.adapter().streamKind, cursor.after()));
-        const auto answer = co_await reads_.ask(std::move(request), wait);
-        if (!answer || answer->status != Good) {
-            noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
-            co_return false;
+        auto page = co_await reads_.readPage(fleetView_.adapter().store, cursor.after(), wait);
+        if (page) {
+            progress = cursor.take(*page);
+            for (const store::StoredObject &object : page->objects) {
+                take(object);
+            }
+            continue;
         }
-        auto page = format.readPage(http::parseStored(answer->body));
-        if (!page) {
-            noteFailure("read", page.error());
+        noteFailure("read", page.error().why);
+        if (!cursor.blamesName(page.error().fault) || context_.now() >= until) {
             co_return false;
         }
-        progress = cursor.take(*page);
-        for (const store::StoredObject &object : page->objects) {
-            take(object);
-        }
+        progress = cursor.fail(page.error().fault);
     }
     if (progress == store::ListProgress::Partial) {
-        noteFailure("read", "the list doesn't go on");
-        co_return false;
+        noteFailure("read", "the list was read in part");
     }
+    ownRead_ = ownRead_ || progress == store::ListProgress::Complete;
     co_return true;
 }
 
+// Reads the list, and this box's own object by its name if the list may lack it.
+asio::awaitable<bool> StreamArchive::readOwn()
+{
+    co_await read(FirstReadTimeouts);
+    const bool nothingCame = taken_.empty();
+    if (ownRead_ || nothingCame) {
+        co_return ownRead_;
+    }
+    const store::ObjectFormat &format = fleetView_.adapter().store;
+    http::Request request("GET", format.objectTarget(fleetView_.adapter().streamKind,
+                                                     context_.settings.box.text()));
+    const auto answer = co_await writes_.ask(std::move(request), WriteTimeouts);
+    if (answer && answer->status == Good) {
+        const auto object = format.readObject(http::parseStored(answer->body));
+        if (object) {
+            take(*object);
+        }
+        ownRead_ = object.has_value();
+    } else if (answer && answer->status == NotFound) {
+        ownRead_ = true;
+    } else {
+        noteFailure("read", answer ? std::to_string(answer->status) : answer.error());
+    }
+    co_return ownRead_;
+}
+
 void StreamArchive::take(const store::StoredObject &object)
 {
     const auto before = taken_.find(object.name);
@@ -280,7 +303,7 @@
     }
     taken_[object.name] = object.revision;
     const bool own = object.name == context_.settings.box.text();
-    const bool first = own && !readAt_;
+    const bool first = own && !ownRead_;
     for (const peer::StreamNote &note : notesFromArchive(object.content)) {
         streams_.learn(note);
         if (first) {
--- a/src/gateway/StreamArchive.h
+++ b/src/gateway/StreamArchive.h
@@ -55,6 +55,7 @@
     bool readLately() const;
     boost::asio::awaitable<bool> read(AnswerWait wait);
     boost::asio::awaitable<bool> readPages(AnswerWait wait);
+    boost::asio::awaitable<bool> readOwn();
     void take(const store::StoredObject &object);
     void noteFailure(const char *what, const std::string &why);
 
@@ -72,6 +73,7 @@
     std::map<std::string, std::uint64_t> taken_; ///< Revisions of the objects that were read.
     std::optional<kernel::Instant> readAt_;      ///< When all objects were last read.
     bool reading_ = false;
+    bool ownRead_ = false; ///< Whether this box's object is known, as it was before the start.
     std::set<boost::asio::steady_timer *> waiting_; ///< For the end of a read.
     std::unique_ptr<services::PeriodicTask> loop_;
 };
--- a/src/store/ListCursor.cpp
+++ b/src/store/ListCursor.cpp
@@ -1,6 +1,7 @@
 #include "store/ListCursor.h"
 
 #include <algorithm>
+#include <array>
 #include <string_view>
 
 namespace limereel::store {
@@ -10,6 +11,9 @@
 // From a name in the middle of many odd ones, a page of 500 needs five steps.
 constexpr std::size_t StrideGrowth = 4;
 constexpr int FailuresBeforeStep = 2;
+// By which a store rejects a target in any form: no such target, too long, head too large.
+constexpr std::array<int, 3> Rejections = {400, 414, 431};
+constexpr std::array<int, 2> BusySigns = {429, 503};
 
 // Characters that no store, proxy or parser of targets can take for anything but themselves, in the
 // order of bytes.
@@ -31,6 +35,15 @@
 
 } // namespace
 
+PageFault pageFault(int status)
+{
+    if (std::ranges::find(Rejections, status) != Rejections.end()) {
+        return PageFault::Rejected;
+    }
+    const bool busy = std::ranges::find(BusySigns, status) != BusySigns.end();
+    return busy ? PageFault::Busy : PageFault::Failed;
+}
+
 ListProgress ListCursor::take(ObjectPage &page)
 {
     std::vector<std::string> names;
@@ -58,7 +71,7 @@
 
 bool ListCursor::blamesName(PageFault fault) const
 {
-    return fault == PageFault::Rejected || !isPlain(after_);
+    return !after_.empty() && (fault == PageFault::Rejected || !isPlain(after_));
 }
 
 ListProgress ListCursor::fail(PageFault fault)
@@ -66,7 +79,7 @@
     if (blamesName(fault)) {
         return stepBack();
     }
-    if (fault == PageFault::Busy || ++failures_ < FailuresBeforeStep) {
+    if (after_.empty() || fault == PageFault::Busy || ++failures_ < FailuresBeforeStep) {
         return ListProgress::Reading;
     }
     return stepBack();
--- a/src/store/ListCursor.h
+++ b/src/store/ListCursor.h
@@ -30,6 +30,9 @@
     Failed    ///< Anything else; the next try may bring it.
 };
 
+/** The fault of a page in whose place the store answers with \a status. */
+PageFault pageFault(int status);
+
 /** The cursor of one list. Pure. */
 class ListCursor
 {
@@ -47,10 +50,10 @@
      * the store. Another name can then be tried at once. */
     bool blamesName(PageFault fault) const;
 
-    /** The page behind after(), which isn't the first one, didn't come. The list goes on behind an
-     * earlier name of the last page, which then comes once more in part; without one, it goes on
-     * behind a name made up to follow the last one, and is Partial at best. Where the name isn't
-     * blamed, it takes two failures, and a busy store is asked for the same page again. */
+    /** The page behind after() didn't come. The list goes on behind an earlier name of the last
+     * page, which then comes once more in part; without one, it goes on behind a name made up to
+     * follow the last one, and is Partial at best. Where the name isn't blamed, it takes two
+     * failures, and a busy store is asked for the same page again, as it is for the first page. */
     ListProgress fail(PageFault fault);
 
 private:
--- a/test/platform/CrashingRequestTest.cpp
+++ b/test/platform/CrashingRequestTest.cpp
@@ -90,6 +90,27 @@
     untilStoppedAt({0, 1, 2, 3});
 }
 
+// Guards against stopped requests that run again, as another entry stands before them in the store.
+BOOST_AUTO_TEST_CASE(oddNameBeforeAStoppedRequest_pageFails_boxesThatStartKnowIt)
+{
+    using PageFault = standin::StoreStandin::PageFault;
+    constexpr const char *OddName = "%odd";
+    for (const PageFault fault :
+         {PageFault::Refusal, PageFault::Failure, PageFault::Silence, PageFault::FirstPage}) {
+        BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault))
+        {
+            CrashFixture fixture;
+            fixture.store().put("stopped-requests", OddName, "none");
+            fixture.store().put("stopped-requests", forward::text(fixture.identity("/stream/")),
+                                {{"round", 0}, {"servers", {1, 2, 3}}, {"failed_trials", 1}});
+            fixture.store().pageSize = 1;
+            fixture.store().faultsBehind[OddName] = fault;
+            fixture.startAll();
+            BOOST_CHECK_NO_THROW(fixture.untilStoppedAt({0, 1, 2, 3}));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stoppedRequest_operatorLiftsIt_runsAgainEverywhereAndLeavesTheStore)
 {
     startAll();
--- a/test/platform/StreamVersionTest.cpp
+++ b/test/platform/StreamVersionTest.cpp
@@ -553,6 +553,29 @@
                           "the second one");
 }
 
+// Guards against records that are neither written nor read, as another entry stands before them.
+BOOST_AUTO_TEST_CASE(allBoxesLosePower_oddNameBeforeTheRecords_streamIsTakenUp)
+{
+    using PageFault = standin::StoreStandin::PageFault;
+    constexpr const char *OddName = "%odd";
+    for (const PageFault fault : {PageFault::Refusal, PageFault::Failure, PageFault::FirstPage}) {
+        BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault))
+        {
+            StreamVersions hall;
+            hall.store().put(ArchiveKind, OddName, {{"streams", nlohmann::json::array()}});
+            hall.store().pageSize = 1;
+            hall.store().faultsBehind[OddName] = fault;
+            hall.startWithArchive({"v1", "v2", "v3"});
+            const auto pending = hall.beginStream(0, "first");
+            hall.until([&] { return hall.archivedStreams() == 1; }, "the store is told");
+            hall.loseAllPower();
+            hall.leave(pending);
+            StreamVersions::check(hall.takeUpAt(1, "first", pending->answer.body), true,
+                                  "behind the odd name");
+        }
+    }
+}
+
 // Guards against a stream that is taken up at any version as its record in the store is gone,
 // unreadable, or of another stream.
 BOOST_AUTO_TEST_CASE(allBoxesLosePower_recordIsNotInTheStore_streamIsRefused)
