One odd entry costs no other in the platform's lists of boxes and halls

What callers saw: nothing by a report; found while all places that read entries were gone through. In the own interface, one entry without a name or an address, or with a member of another kind, and a router kept its last list for as long as that entry stood; one that started had no list at all. One name of a hall that is no text kept the lists of all other halls from being read.

Cause: hallListFromJson and namesFromJson read each list as a whole.

Change: each entry is read by itself; the others hold. Those left out are counted (directory_unreadable) and logged. What is no list stays an error.

Evidence: DirectoryTest/hallList_oddEntry_* and hallNames_oddName_* failed before at their first row, hold now with nine and four kinds of entry. DecoderFuzz, HallsTest, EndToEnd and FailureTest good.

--- a/src/services/DirectoryService.cpp
+++ b/src/services/DirectoryService.cpp
@@ -102,6 +102,11 @@
         co_return true;
     }
     implausibleReads_ = 0;
+    if (list->unreadable > 0) {
+        context_.counters.add("directory_unreadable", {}, list->unreadable);
+        log().event("unreadable", {{"entries", list->unreadable}},
+                    "Entries of the platform's list can't be read and are left out.");
+    }
     own_ = {result.version, std::move(*list)};
     ++changes_;
     context_.counters.add("directory_changes");
@@ -112,7 +117,7 @@
 {
     auto &platform = context_.kernel.find<PlatformService>("platform");
     const StoreResult result = co_await platform.halls();
-    const auto halls = store::namesFromJson(result.value);
+    const auto halls = store::hallNamesFromJson(result.value);
     if (result.answer != StoreAnswer::Done || !halls) {
         co_return;
     }
--- a/src/store/Directory.cpp
+++ b/src/store/Directory.cpp
@@ -27,6 +27,22 @@
             .leaving = object.value("leaving", false)};
 }
 
+// Another writer may have spoilt one entry; the others hold all the same.
+template <typename Entry>
+std::vector<Entry> readEntries(const json &array, Entry (*read)(const json &),
+                               std::size_t &unreadable)
+{
+    std::vector<Entry> entries;
+    for (const json &object : array.get_ref<const json::array_t &>()) {
+        try {
+            entries.push_back(read(object));
+        } catch (const json::exception &) {
+            ++unreadable;
+        }
+    }
+    return entries;
+}
+
 } // namespace
 
 bool plausible(const HallList &last, const HallList &next)
@@ -46,22 +62,25 @@
         const json object = json::parse(text);
         HallList list;
         list.region = object.value("region", std::string());
-        for (const json &box : object.at("boxes")) {
-            list.boxes.push_back(listedBox(box));
-        }
-        for (const json &backend : object.at("backends")) {
-            list.backends.push_back(listedBackend(backend));
-        }
+        list.boxes = readEntries(object.at("boxes"), listedBox, list.unreadable);
+        list.backends = readEntries(object.at("backends"), listedBackend, list.unreadable);
         return list;
     } catch (const json::exception &) {
         return std::nullopt;
     }
 }
 
-std::optional<std::vector<std::string>> namesFromJson(std::string_view text)
+std::optional<std::vector<std::string>> hallNamesFromJson(std::string_view text)
 {
     try {
-        return json::parse(text).get<std::vector<std::string>>();
+        const json array = json::parse(text);
+        std::vector<std::string> names;
+        for (const json &name : array.get_ref<const json::array_t &>()) {
+            if (name.is_string()) {
+                names.push_back(name.get<std::string>());
+            }
+        }
+        return names;
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/store/Directory.h
+++ b/src/store/Directory.h
@@ -49,6 +49,7 @@
     std::string region;
     std::vector<ListedBox> boxes;
     std::vector<ListedBackend> backends;
+    std::size_t unreadable = 0; ///< Number of entries left out because they couldn't be read.
 
     bool operator==(const HallList &) const = default;
 };
@@ -60,10 +61,11 @@
  */
 bool plausible(const HallList &last, const HallList &next);
 
-/** Parses a list from \a json; nullopt if that is not a valid list. Never throws. */
+/** Parses a list from \a json, without the entries that can't be read; nullopt if it is no list.
+ * Never throws. */
 std::optional<HallList> hallListFromJson(std::string_view json);
 
-/** Parses a JSON array of names; nullopt if \a json is not one. */
-std::optional<std::vector<std::string>> namesFromJson(std::string_view json);
+/** Parses a JSON array of halls' names, without what is none; nullopt if \a json is no array. */
+std::optional<std::vector<std::string>> hallNamesFromJson(std::string_view json);
 
 } // namespace limereel::store
