A hall whose name can't stand in a target isn't asked about

What callers saw: nothing by a report; found by reading. A name of a hall in the platform's list went into a target as it was: with a line break it wrote a field into the router's question, with a blank, "?" or "%" it asked for something else.

Cause: the names are those of another writer, and PlatformService::boxes appends them to a path.

Change: hallNamesFromJson leaves out what is no name by the settings' own rule; no box can have such a hall in its settings, so no box lives there.

--- a/src/store/Directory.cpp
+++ b/src/store/Directory.cpp
@@ -1,5 +1,7 @@
 #include "store/Directory.h"
 
+#include "config/Values.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -76,7 +78,7 @@
         const json array = json::parse(text);
         std::vector<std::string> names;
         for (const json &name : array.get_ref<const json::array_t &>()) {
-            if (name.is_string()) {
+            if (name.is_string() && config::isName(name.get_ref<const std::string &>())) {
                 names.push_back(name.get<std::string>());
             }
         }
--- a/test/correctness/DirectoryTest.cpp
+++ b/test/correctness/DirectoryTest.cpp
@@ -51,10 +51,12 @@
     }
 }
 
-// Guards against a name that keeps all other halls from being read.
+// Guards against a name that keeps all other halls from being read, and against one that ends its
+// target and writes a field.
 BOOST_AUTO_TEST_CASE(hallNames_oddName_othersAreKnown)
 {
-    const char *const odd[] = {"7", "null", "[]", "{}"};
+    const char *const odd[] = {"7",        "null",    R"("")",    R"("a b")", R"("a\r\nHost: b")",
+                               R"("a?b")", R"("a%")", R"("a/..")"};
     for (const std::string name : odd) {
         const auto names = store::hallNamesFromJson("[\"hall-a\"," + name + ",\"hall-b\"]");
         BOOST_TEST_REQUIRE(names.has_value(), name);
