ObjectFeed: its lists are read in a file of their own

Change: what reads lists stands in FeedListing.cpp, as what asks relays stands in FeedRelaying.cpp; the longest time of a list, which watches use too, is a member. Nothing but places changed. DirectoryService includes the JSON library for the field of its new log line, which the linter asks for.

--- a/src/gateway/ObjectFeed.h
+++ b/src/gateway/ObjectFeed.h
@@ -11,7 +11,8 @@
  * A list of which a page can't be had, for whatever reason, is used as far as it was read, and
  * followed by watches. It is neither confirmed nor passed on, and is read again now and then.
  *
- * Its relays are asked, and their answers applied, in FeedRelaying.cpp.
+ * Its lists are read in FeedListing.cpp; its relays are asked, and their answers applied, in
+ * FeedRelaying.cpp.
  *
  * An outage leaves the known state unchanged. Each answered watch also confirms that the store had
  * nothing newer when the watch was sent; an answer of a relay confirms this for the time of the
@@ -143,6 +144,10 @@
     };
 
 private:
+    /** Well within any store's history, so that the watch can start from the first page's revision.
+     */
+    static constexpr kernel::Duration MaxListingTime = 8s;
+
     /** A list that is read page by page. It is kept when the store refuses a page, so that all of
      * many boxes that start together can finish theirs although the store refuses some calls. */
     struct Listing
--- a/src/services/DirectoryService.cpp
+++ b/src/services/DirectoryService.cpp
@@ -4,6 +4,7 @@
 #include "services/PlatformService.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace limereel::services {
 
