--- a/test/platform/GatewayRelayTest.cpp
+++ b/test/platform/GatewayRelayTest.cpp
@@ -83,6 +83,26 @@
     }
 }
 
+// Guards against an odd name, behind which the store can't list, that costs the boxes behind relays
+// the configuration or servers.
+BOOST_AUTO_TEST_CASE(oddNamesEndPages_boxesOutOfReachOfTheStore_knowAll)
+{
+    const std::vector<std::string> odd = {"%odd", "%odder", "i-one%"};
+    for (const std::string &name : odd) {
+        store().put(name.starts_with('i') ? "servers" : "config", name, "none");
+        store().faultsBehind[name] = standin::StoreStandin::PageFault::Failure;
+    }
+    store().pageSize = 2;
+    listServer("i-two");
+    startAll();
+    const auto listed = [this](std::size_t box) {
+        const auto &servers = world(box).servers();
+        return servers.find("i-one").has_value() && servers.find("i-two").has_value();
+    };
+    until([&] { return listed(0) && listed(6) && listed(7); }, "all servers everywhere");
+    until([this] { return served(0) && served(6) && served(7); }, "readiness");
+}
+
 BOOST_AUTO_TEST_CASE(boxStartsWhileTheStoreIsDown_itsHallTellsItWhatItKnows)
 {
     moreSettings = "refuse-unconfirmed-keys = false\n";
--- a/test/platform/SoakTest.cpp
+++ b/test/platform/SoakTest.cpp
@@ -401,6 +401,19 @@
     }
 }
 
+// Guards against a page of the store's list that can't be had, beside all other faults: one that
+// fails, and one that never comes.
+BOOST_AUTO_TEST_CASE(shortSoak_pageFaults_keepsEveryPromise)
+{
+    for (const std::uint64_t seed : {33U, 76U}) {
+        SoakPlan plan;
+        plan.pageFaults = true;
+        const SoakReport report = play(seed, 6s, plan);
+        BOOST_TEST(report.served > 0U);
+        BOOST_TEST(!report.faults.empty());
+    }
+}
+
 // Servers are short of slots and slow beside all other faults.
 BOOST_AUTO_TEST_CASE(shortSoak_scarceServers_keepsEveryPromise)
 {
--- a/test/platform/UnreadablePageTest.cpp
+++ b/test/platform/UnreadablePageTest.cpp
@@ -214,4 +214,18 @@
             "the next configuration");
 }
 
+// Guards against a drain of a hall that isn't read, as another entry stands before it.
+BOOST_DATA_TEST_CASE_F(UnreadablePage, oddNameBeforeTheDrainOfAHall_boxStarts_drainsIt,
+                       boost::unit_test::data::make(Faults), row)
+{
+    moreSettings = "hall-drain-within = 5s\n";
+    const std::string kind = adapter.hallDrainKind;
+    store().put(kind, "%odd", "none");
+    store().put(kind, "hall-z", nlohmann::json::object());
+    store().pageSize = 1;
+    store().faultsBehind["%odd"] = row.fault;
+    start();
+    until([this] { return context().counters.value("halls_drained") == 1U; }, "the drain");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/soak/Main.cpp
+++ b/test/platform/soak/Main.cpp
@@ -73,6 +73,8 @@
                  "take broken streams up");
     app.add_flag("--long-streams", plan.longStreams,
                  "streams last nearly as long as a stop, and boxes are stopped and reloaded only");
+    app.add_flag("--page-faults", plan.pageFaults,
+                 "the store can't list behind one name of another writer");
     app.add_flag("--list", all, "list the faults of good seeds too");
     CLI11_PARSE(app, argc, argv);
     plan.faultsFor =
--- a/test/platform/soak/SoakPlan.h
+++ b/test/platform/soak/SoakPlan.h
@@ -40,6 +40,9 @@
     /** Streams last nearly as long as a planned stop, and all that happens is planned work: boxes
      * are stopped and reload their settings, configurations change. */
     bool longStreams = false;
+
+    /** The store can't list behind one of the odd names, in a way that the seed chooses. */
+    bool pageFaults = false;
     std::filesystem::path folder; ///< For settings and logs.
 };
 
--- a/test/platform/soak/SoakWorld.cpp
+++ b/test/platform/soak/SoakWorld.cpp
@@ -95,6 +95,12 @@
                                                    "a04%C3%A9", "a05\xC3\xA9", "i-0 #x", "i-1%",
                                                    "i-2/?y",    "z%"};
 
+using PageFault = standin::StoreStandin::PageFault;
+constexpr std::array<PageFault, 10> PageFaults = {
+        PageFault::Refusal,     PageFault::NotFound, PageFault::TooMany,   PageFault::Failure,
+        PageFault::Unavailable, PageFault::Reset,    PageFault::CutAnswer, PageFault::Silence,
+        PageFault::NoPage,      PageFault::FirstPage};
+
 json entryElsewhere()
 {
     return {{"service", "elsewhere"},
@@ -124,6 +130,10 @@
     for (const char *name : OddNames) {
         store_->put("servers", name, entryElsewhere());
     }
+    if (plan.pageFaults) {
+        const char *const name = OddNames[plan.seed % OddNames.size()];
+        store_->faultsBehind[name] = PageFaults[plan.seed / OddNames.size() % PageFaults.size()];
+    }
     for (std::size_t count = 0; count < plan.servers; ++count) {
         addServer();
     }
