A fleet of lists in part stays within the store's rate

A list in part is read again after half a second at first. 985 boxes with lists of twenty pages would ask for more than 2,000 pages a second in the first minute, as boxes whose relays have only a part ask the store themselves.

--- a/src/gateway/FeedListing.cpp
+++ b/src/gateway/FeedListing.cpp
@@ -210,7 +210,8 @@
 {
     const kernel::Instant now = context_.now();
     const kernel::Instant begun = partial_ ? partial_->begun : now;
-    const kernel::Duration pause = store::relistPause(now - begun, context_.random);
+    const kernel::Duration pause =
+            store::relistPause(now - begun, readsStoreDirectly(), context_.random);
     // What was removed isn't seen in a part of a list, so the watch goes on where the last one
     // ended.
     const std::uint64_t watched = partial_ ? partial_->at : at_.value_or(listing.at);
--- a/src/store/ListWait.cpp
+++ b/src/store/ListWait.cpp
@@ -13,18 +13,27 @@
 // for a relay that died. Then the box reads on by itself, within the seconds that a server that
 // shuts down still has.
 constexpr kernel::Duration AwaitRelays = 2s;
-constexpr kernel::Duration ShortestRelist = 500ms;
-// Thousands of boxes whose lists are partial share the store.
-constexpr kernel::Duration LongestRelist = 60s;
+/** The pauses between two lists of which only a part is had. */
+struct RelistPace
+{
+    kernel::Duration shortest{};
+    int listsPerTimePartial = 1; ///< How often the time that has passed holds the pause.
+};
+
 // A trouble that has just begun may end soon.
-constexpr int RelistsPerTimePartial = 8;
+constexpr RelistPace OfDirectReaders = {500ms, 8};
+// Hundreds of boxes in a hall may have such a list, of many pages.
+constexpr RelistPace OfOthers = {8s, 1};
+constexpr kernel::Duration LongestRelist = 60s;
 
 } // namespace
 
-kernel::Duration relistPause(kernel::Duration partialFor, std::mt19937_64 &random)
+kernel::Duration relistPause(kernel::Duration partialFor, bool readsStoreDirectly,
+                             std::mt19937_64 &random)
 {
+    const RelistPace &pace = readsStoreDirectly ? OfDirectReaders : OfOthers;
     const kernel::Duration longest = std::clamp<kernel::Duration>(
-            partialFor / RelistsPerTimePartial, ShortestRelist, LongestRelist);
+            partialFor / pace.listsPerTimePartial, pace.shortest, LongestRelist);
     std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
     return kernel::Duration(jitter(random));
 }
--- a/src/store/ListWait.h
+++ b/src/store/ListWait.h
@@ -31,8 +31,10 @@
 };
 
 /** How long a box waits until it reads a list again of which it could have only a part, if that is
- * all it has had for the time \a partialFor. */
-kernel::Duration relistPause(kernel::Duration partialFor, std::mt19937_64 &random);
+ * all it has had for the time \a partialFor.
+ * \param readsStoreDirectly as in ListNeed; all others of a hall would ask beside its relays. */
+kernel::Duration relistPause(kernel::Duration partialFor, bool readsStoreDirectly,
+                             std::mt19937_64 &random);
 
 /** Whether the box doesn't ask the store for the list, or the rest of it, at \a now. */
 bool leavesListToRelays(const ListNeed &need, kernel::Instant now);
--- a/test/correctness/ListCursorTest.cpp
+++ b/test/correctness/ListCursorTest.cpp
@@ -205,12 +205,34 @@
     using namespace std::chrono_literals;
     std::mt19937_64 random(1);
     for (int play = 0; play < 1000; ++play) {
-        BOOST_TEST((relistPause(0s, random) >= 250ms));
-        BOOST_TEST((relistPause(0s, random) <= 500ms));
-        BOOST_TEST((relistPause(5s, random) < 1s));
-        BOOST_TEST((relistPause(24h, random) >= 30s));
-        BOOST_TEST((relistPause(24h, random) <= 60s));
+        BOOST_TEST((relistPause(0s, true, random) >= 250ms));
+        BOOST_TEST((relistPause(0s, true, random) <= 500ms));
+        BOOST_TEST((relistPause(5s, true, random) < 1s));
+        BOOST_TEST((relistPause(24h, true, random) >= 30s));
+        BOOST_TEST((relistPause(24h, true, random) <= 60s));
     }
 }
 
+// Guards against a fleet of 985 boxes, with lists of twenty pages of which only a part is had, that
+// asks for more pages in a minute than the store gives, 2,000 a second.
+BOOST_AUTO_TEST_CASE(relistPause_wholeFleetHasAPart_staysWithinTheStoresRate)
+{
+    using namespace std::chrono_literals;
+    constexpr int Boxes = 985;
+    constexpr int Relays = 22;
+    constexpr int Pages = 20;
+    constexpr int PagesAMinute = 2000 * 60;
+    std::mt19937_64 random(1);
+    int pages = 0;
+    for (int box = 0; box < Boxes; ++box) {
+        const bool relay = box < Relays;
+        limereel::kernel::Duration passed = relistPause(0s, relay, random);
+        while (passed < 60s) {
+            pages += Pages;
+            passed += relistPause(passed, relay, random);
+        }
+    }
+    BOOST_TEST(pages < PagesAMinute);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
