A box doesn't wait at one odd name after the other

A name that a target must escape is left at the first failure without a pause; where the store is silent behind each, that is a second a name, and nothing was used, watched or given up meanwhile. With 26 such names on pages of their own a box that starts was ready after 24 s.

Change: what was read is used while such names are left as well, after 0.8 s without a page. The list ends as one in part after eight seconds, and each further one after a second, since the box follows no changes meanwhile.

--- a/src/gateway/FeedListing.cpp
+++ b/src/gateway/FeedListing.cpp
@@ -18,6 +18,9 @@
 constexpr int Good = 200;
 constexpr int NotFound = 404;
 
+// Of a list that was one in part before, if its pages fail.
+constexpr kernel::Duration MaxRelistingTime = 1s;
+
 // How long a box that starts waits for the next page of a list before it uses what it has read.
 kernel::Duration waitForRest(store::PageFault fault)
 {
@@ -48,8 +51,8 @@
     while (progress == store::ListProgress::Reading) {
         const bool first = listing_->objects.empty();
         const auto read = co_await readPage();
+        co_await useReadPart();
         if (!read) {
-            co_await useReadPart();
             co_return false;
         }
         progress = *read;
@@ -164,11 +167,13 @@
     if (fault == store::PageFault::Failed) {
         storeConnection_.close();
     }
+    // Without watches the box learns no changes, so they don't wait for many tries.
     if (cursor.blamesName(fault)) {
         context_.counters.add("list_names_refused", {{"kind", kind_}});
-        return cursor.fail(fault);
+        const kernel::Duration longest = partial_ ? MaxRelistingTime : MaxListingTime;
+        const bool tookTooLong = context_.now() - listing_->begun > longest;
+        return tookTooLong ? store::ListProgress::Partial : cursor.fail(fault);
     }
-    // Without watches the box learns no changes, so they don't wait for more tries.
     const bool mayTryAgain = !partial_ && !listTookTooLong_;
     if (mayTryAgain && cursor.fail(fault) == store::ListProgress::Reading) {
         noteFailure(what);
--- a/test/platform/UnreadablePageTest.cpp
+++ b/test/platform/UnreadablePageTest.cpp
@@ -162,6 +162,25 @@
     }
 }
 
+// Guards against a box that uses nothing, or follows no changes, while it waits at one odd name
+// after the other.
+BOOST_AUTO_TEST_CASE(storeIsSilentBehindManyOddNames_boxStarts_servesAndFollowsChanges)
+{
+    for (char letter = 'a'; letter <= 'z'; ++letter) {
+        const std::string name = std::string("i-p") + letter + "%";
+        listOdd(name);
+        store().faultsBehind[name] = PageFault::Silence;
+    }
+    store().pageSize = 1;
+    start();
+    until([this] { return ready(); }, "readiness");
+    BOOST_TEST(counted("lists_partial") == 0U);
+    BOOST_TEST(statusOfCall() == 200);
+    until([this] { return counted("lists_partial") > 0U; }, "the end of the list");
+    store().put(Servers, "i-z", entryOf(runner(0), "other"));
+    until([this] { return known("i-z"); }, "a server that came since");
+}
+
 // Guards against a store that takes the escapes of a name for the name.
 BOOST_AUTO_TEST_CASE(storeDecodesNothing_boxStarts_knowsAllServers)
 {
