--- a/src/gateway/FeedListing.cpp
+++ b/src/gateway/FeedListing.cpp
@@ -86,7 +86,7 @@
     return !outdated && now - listing_->begun <= MaxListingTime;
 }
 
-// Returns nullopt after a failure of the store.
+// Returns nullopt if the page didn't come and may come after a pause.
 asio::awaitable<std::optional<store::ListProgress>> ObjectFeed::readPage()
 {
     const store::ListCursor &cursor = listing_->cursor;
@@ -153,7 +153,7 @@
                       != listing_->objects.end();
 }
 
-// Returns nullopt if the same call may bring the page after a pause.
+// Decides where the list goes on; nullopt: with the same call or an earlier name, after a pause.
 std::optional<store::ListProgress> ObjectFeed::notePageFault(store::PageFault fault,
                                                              const std::string &what)
 {
@@ -167,7 +167,7 @@
     if (fault == store::PageFault::Failed) {
         storeConnection_.close();
     }
-    // Without watches the box learns no changes, so they don't wait for many tries.
+    // A box learns no changes while it lists, so a list that fails isn't tried for long.
     if (cursor.blamesName(fault)) {
         context_.counters.add("list_names_refused", {{"kind", kind_}});
         const kernel::Duration longest = partial_ ? MaxRelistingTime : MaxListingTime;
--- a/src/store/ListCursor.cpp
+++ b/src/store/ListCursor.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// From a name in the middle of many odd ones, a page of 500 needs five steps.
+// From the last name of a page of 500, the first is reached in six steps.
 constexpr std::size_t StrideGrowth = 4;
 constexpr int FailuresBeforeStep = 2;
 // By which a store rejects a target in any form: no such target, too long, head too large.
